Serve a request from caller to endpoints and back on separate processes

The daemon follows the config and jobs streams of the log, records each request before it is placed, starts gangs in two phases (hold, resume) and answers from the fold of the log, so any host can answer any caller.

--- /dev/null
+++ b/packages/bench/src/laburnumgate_bench/__init__.py
@@ -0,0 +1,1 @@
+"""Workloads, baselines and measurements of the scheduling policy."""
--- /dev/null
+++ b/packages/cli/src/laburnumgate_cli/__init__.py
@@ -0,0 +1,1 @@
+"""The laburnumgate command for operators and callers."""
--- /dev/null
+++ b/packages/core/src/laburnumgate_core/__init__.py
@@ -0,0 +1,1 @@
+"""Decision logic of laburnumgate without I/O."""
--- /dev/null
+++ b/packages/core/src/laburnumgate_core/clock.py
@@ -0,0 +1,48 @@
+"""Time in whole milliseconds, behind one small interface."""
+
+import time
+from typing import Protocol
+
+
+class Clock(Protocol):
+    """Source of the current time."""
+
+    def now_ms(self) -> int:
+        """Returns the time in ms since the Unix epoch."""
+        ...
+
+
+class SystemClock:
+    """The machine's wall clock, never going backwards within a process."""
+
+    def __init__(self):
+        self._offset_ms = time.time_ns() // 1_000_000 - _monotonic_ms()
+
+    def now_ms(self) -> int:
+        """Returns the time in ms since the Unix epoch."""
+        return _monotonic_ms() + self._offset_ms
+
+
+class ManualClock:
+    """A clock for tests that moves only when told to."""
+
+    def __init__(self, start_ms: int = 0):
+        self._now_ms = start_ms
+
+    def now_ms(self) -> int:
+        """Returns the time that was set, in ms."""
+        return self._now_ms
+
+    def advance(self, by_ms: int) -> None:
+        """Moves the clock forward by `by_ms` milliseconds.
+
+        Raises:
+          ValueError: if `by_ms` is negative.
+        """
+        if by_ms < 0:
+            raise ValueError(f"cannot move the clock back by {-by_ms} ms")
+        self._now_ms += by_ms
+
+
+def _monotonic_ms() -> int:
+    return time.monotonic_ns() // 1_000_000
--- /dev/null
+++ b/packages/core/src/laburnumgate_core/requests.py
@@ -0,0 +1,131 @@
+"""Checks of a caller's request before anything is recorded."""
+
+import dataclasses
+from typing import Any
+
+import pydantic
+import xxhash
+
+from laburnumgate_core import model
+
+MAX_BODY_BYTES = 64 * 1024
+MAX_PARTS = 512
+
+
+class Request(pydantic.BaseModel):
+    """The body of a submission. Times are in ms since the epoch."""
+
+    model_config = pydantic.ConfigDict(extra="forbid", frozen=True)
+
+    request_id: str = pydantic.Field(
+        min_length=1, max_length=128, pattern=r"^[A-Za-z0-9._:-]+$"
+    )
+    account: str = pydantic.Field(min_length=1, max_length=128)
+    kind: str = pydantic.Field(default="", max_length=128)
+    parts: int = pydantic.Field(default=1, ge=1, le=MAX_PARTS)
+    accelerators_per_part: int = pydantic.Field(default=1, ge=0, le=64)
+    cpus_per_part: int = pydantic.Field(default=1, ge=0, le=1024)
+    memory_mb_per_part: int = pydantic.Field(default=1024, ge=0)
+    adjacency: model.Adjacency = model.Adjacency.RACK
+    urgency: model.Urgency | None = None
+    run_ms: int = pydantic.Field(default=60_000, ge=1)
+    idempotent: bool = True
+    checkpointable: bool = False
+    payload: str = pydantic.Field(default="", max_length=48 * 1024)
+    issued_at_ms: int = pydantic.Field(default=0, ge=0)
+    deadline_ms: int = pydantic.Field(default=0, ge=0)
+
+
+@dataclasses.dataclass(frozen=True)
+class Malformed:
+    """A body that no host accepts under any configuration."""
+
+    reason: str
+
+
+_URGENCY_RANK = {
+    model.Urgency.BATCH: 0,
+    model.Urgency.NORMAL: 1,
+    model.Urgency.URGENT: 2,
+}
+
+
+def parse(body: bytes) -> Request | Malformed:
+    """Parses a submission; `Malformed` names the field that is wrong."""
+    if len(body) > MAX_BODY_BYTES:
+        return Malformed(
+            f"the body has {len(body)} bytes, more than {MAX_BODY_BYTES}"
+        )
+    try:
+        return Request.model_validate_json(body)
+    except pydantic.ValidationError as error:
+        first: Any = error.errors()[0]
+        field = ".".join(str(part) for part in first["loc"]) or "body"
+        return Malformed(f"{field}: {first['msg']}")
+
+
+def body_hash(request: Request) -> str:
+    """Returns a hash by which two bodies of one request id are compared."""
+    return xxhash.xxh3_128_hexdigest(request.model_dump_json().encode())
+
+
+def spec_for(request: Request, promise: model.Promise) -> model.JobSpec:
+    """Returns the job under the account's promise.
+
+    A request may ask for less urgency than the promise, not for more, and
+    cannot make a kind idempotent that the promise says is not.
+    """
+    urgency = request.urgency or promise.urgency
+    if _URGENCY_RANK[urgency] > _URGENCY_RANK[promise.urgency]:
+        urgency = promise.urgency
+    repeatable = request.kind not in promise.never_repeat
+    return model.JobSpec(
+        kind=request.kind,
+        parts=request.parts,
+        accelerators_per_part=request.accelerators_per_part,
+        run_ms=request.run_ms,
+        cpus_per_part=request.cpus_per_part,
+        memory_mb_per_part=request.memory_mb_per_part,
+        adjacency=request.adjacency,
+        urgency=urgency,
+        idempotent=request.idempotent and repeatable,
+        checkpointable=request.checkpointable,
+        payload=request.payload,
+    )
+
+
+def impossible(
+    spec: model.JobSpec,
+    promise: model.Promise,
+    zones: dict[str, model.Zone],
+) -> str:
+    """Returns why the job can never run, or an empty string."""
+    if spec.accelerators > promise.quota_accelerators:
+        return (
+            f"the job needs {spec.accelerators} accelerators and the quota of "
+            f"{promise.account!r} is {promise.quota_accelerators}"
+        )
+    for zone in zones.values():
+        if promise.zones and zone.name not in promise.zones:
+            continue
+        if _fits_zone(spec, zone):
+            return ""
+    return (
+        f"no zone has room for {spec.parts} parts of "
+        f"{spec.accelerators_per_part} accelerators"
+    )
+
+
+def _fits_zone(spec: model.JobSpec, zone: model.Zone) -> bool:
+    total = 0
+    for rack in zone.racks:
+        per_endpoint = rack.accelerators_per_endpoint
+        if spec.accelerators_per_part:
+            slots = per_endpoint // spec.accelerators_per_part
+            slots *= rack.endpoints
+        else:
+            slots = spec.parts
+        if slots >= spec.parts:
+            return True
+        total += slots
+    return spec.adjacency is model.Adjacency.ZONE and total >= spec.parts
--- /dev/null
+++ b/packages/host/src/laburnumgate_host/__init__.py
@@ -0,0 +1,1 @@
+"""The entry host's daemon, laburnumgated."""
--- /dev/null
+++ b/packages/host/src/laburnumgate_host/command.py
@@ -0,0 +1,88 @@
+"""The `laburnumgated` command: runs one entry host."""
+
+import asyncio
+import logging
+import pathlib
+import signal
+import sys
+
+import aiohttp
+import click
+from laburnumgate_core import clock
+from laburnumgate_core import requests
+import sanic
+import uvloop
+
+from laburnumgate_host import callers
+from laburnumgate_host import events
+from laburnumgate_host import host as host_module
+from laburnumgate_host import logs
+from laburnumgate_host import operators
+from laburnumgate_host import settings
+
+_LOGGER = logging.getLogger(__name__)
+
+
+@click.command()
+@click.option(
+    "--settings",
+    "path",
+    type=click.Path(exists=True, dir_okay=False, path_type=pathlib.Path),
+    required=True,
+    help="TOML settings of this host.",
+)
+@click.option("--log-level", default="INFO", show_default=True)
+def main(path: pathlib.Path, log_level: str) -> None:
+    """Runs one entry host until SIGTERM or SIGINT."""
+    try:
+        own = settings.load(path.read_text())
+    except settings.SettingsError as error:
+        click.echo(f"{path.name}: {error}", err=True)
+        sys.exit(2)
+    logs.set_up(own.host.host_id, log_level)
+    uvloop.run(_run(own))
+
+
+async def _run(own: settings.Settings) -> None:
+    stopping = asyncio.Event()
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, stopping.set)
+    connector = aiohttp.TCPConnector(limit=0)
+    async with aiohttp.ClientSession(connector=connector) as session:
+        host = host_module.Host(own, session, clock.SystemClock())
+        rpc_server = await host.peers.serve(own.host.ip, own.host.rpc_port)
+        http_server = await _serve_http(own, host)
+        host.start()
+        events.emit(_LOGGER, events.Event.HOST_STARTED)
+        await stopping.wait()
+        events.emit(_LOGGER, events.Event.HOST_LEAVING)
+        host.leaving = True
+        host.wake_waiters()
+        await asyncio.sleep(0.5)
+        http_server.close()
+        await http_server.wait_closed()
+        rpc_server.close()
+        await rpc_server.wait_closed()
+        await host.stop()
+    events.emit(_LOGGER, events.Event.HOST_STOPPED)
+
+
+async def _serve_http(own: settings.Settings, host: host_module.Host):
+    app = sanic.Sanic("laburnumgated", configure_logging=False)
+    app.config.REQUEST_MAX_SIZE = 4 * requests.MAX_BODY_BYTES
+    callers.add_routes(app, host)
+    operators.add_routes(app, host)
+    server = await app.create_server(
+        host=own.host.ip,
+        port=own.host.http_port,
+        return_asyncio_server=True,
+        access_log=False,
+    )
+    await server.startup()
+    await server.start_serving()
+    return server
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/packages/host/src/laburnumgate_host/logs.py
@@ -0,0 +1,27 @@
+"""JSON logs on standard error."""
+
+import logging
+import sys
+
+from pythonjsonlogger import json as jsonlogger
+
+
+def set_up(host_id: str, level: str) -> None:
+    """Sends every logger's records to standard error as JSON lines."""
+    handler = logging.StreamHandler(sys.stderr)
+    handler.setFormatter(
+        jsonlogger.JsonFormatter(
+            "%(asctime)s %(levelname)s %(name)s %(message)s",
+            rename_fields={
+                "asctime": "time",
+                "levelname": "level",
+                "name": "logger",
+            },
+            static_fields={"host": host_id},
+        )
+    )
+    root = logging.getLogger()
+    root.handlers[:] = [handler]
+    root.setLevel(level)
+    for name in ("sanic.root", "sanic.server", "hpack", "sanic.access"):
+        logging.getLogger(name).setLevel(logging.WARNING)
--- /dev/null
+++ b/packages/host/src/laburnumgate_host/platform.py
@@ -0,0 +1,148 @@
+"""Client of the platform's log and live list."""
+
+import dataclasses
+from typing import Any
+
+import aiohttp
+from laburnumgate_core import model
+from laburnumgate_core import records
+
+
+@dataclasses.dataclass(frozen=True)
+class Unavailable:
+    """The service did not answer; a write may have taken effect."""
+
+    reason: str
+
+
+@dataclasses.dataclass(frozen=True)
+class Page:
+    """Entries of a stream from one read."""
+
+    entries: tuple[records.Entry, ...]
+    first_offset: int
+    next_offset: int
+
+
+@dataclasses.dataclass(frozen=True)
+class HostEntry:
+    """A host in the live list."""
+
+    host_id: str
+    zone: str
+    rpc_ip: str
+    rpc_port: int
+    leaving: bool
+
+
+@dataclasses.dataclass(frozen=True)
+class LiveList:
+    """The live list as of `as_of_ms`."""
+
+    hosts: tuple[HostEntry, ...]
+    endpoints: tuple[model.Endpoint, ...]
+    as_of_ms: int
+
+
+class Platform:
+    """Calls the log and the live list; answers are values, not exceptions."""
+
+    def __init__(
+        self,
+        session: aiohttp.ClientSession,
+        log_url: str,
+        live_list_url: str,
+        host_id: str,
+        timeout_ms: int,
+    ):
+        self._session = session
+        self._log_url = log_url.rstrip("/")
+        self._live_list_url = live_list_url.rstrip("/")
+        self._headers = {"x-host-id": host_id}
+        self._timeout_ms = timeout_ms
+
+    async def append(
+        self, stream: str, append_id: str, data: str
+    ) -> int | Unavailable:
+        """Appends an entry and returns its offset."""
+        answer = await self._call(
+            "POST",
+            f"{self._log_url}/streams/{stream}/records",
+            self._timeout_ms,
+            json={"append_id": append_id, "data": data},
+        )
+        if isinstance(answer, Unavailable):
+            return answer
+        return answer["offset"]
+
+    async def read(
+        self, stream: str, start: int, wait_ms: int
+    ) -> Page | Unavailable:
+        """Reads entries from offset `start` on, waiting for the first."""
+        answer = await self._call(
+            "GET",
+            f"{self._log_url}/streams/{stream}/records",
+            self._timeout_ms + wait_ms,
+            params={"from": start, "limit": 500, "wait_ms": wait_ms},
+        )
+        if isinstance(answer, Unavailable):
+            return answer
+        entries = tuple(
+            records.Entry(item["offset"], item["append_id"], item["data"])
+            for item in answer["records"]
+        )
+        return Page(entries, answer["first_offset"], answer["next_offset"])
+
+    async def live(self) -> LiveList | Unavailable:
+        """Reads the live list."""
+        answer = await self._call(
+            "GET", f"{self._live_list_url}/live", self._timeout_ms
+        )
+        if isinstance(answer, Unavailable):
+            return answer
+        hosts = tuple(
+            HostEntry(
+                host_id=item["id"],
+                zone=item["zone"],
+                rpc_ip=item["rpc_ip"],
+                rpc_port=item["rpc_port"],
+                leaving=item["state"] != "live",
+            )
+            for item in answer["hosts"]
+        )
+        endpoints = tuple(_endpoint(item) for item in answer["endpoints"])
+        return LiveList(hosts, endpoints, answer["as_of_ms"])
+
+    async def _call(
+        self, method: str, url: str, timeout_ms: int, **arguments
+    ) -> Any | Unavailable:
+        timeout = aiohttp.ClientTimeout(total=timeout_ms / 1000)
+        try:
+            async with self._session.request(
+                method,
+                url,
+                timeout=timeout,
+                headers=self._headers,
+                **arguments,
+            ) as response:
+                if response.status >= 300:
+                    return Unavailable(f"status {response.status}")
+                return await response.json()
+        except (aiohttp.ClientError, TimeoutError, ValueError) as error:
+            return Unavailable(f"{type(error).__name__}: {error}")
+
+
+def _endpoint(item: dict[str, Any]) -> model.Endpoint:
+    return model.Endpoint(
+        endpoint_id=item["id"],
+        zone=item["zone"],
+        rack=item["rack"],
+        url=item["url"],
+        accelerators=item["accelerators"],
+        cpus=item["cpus"],
+        memory_mb=item["memory_mb"],
+        slots=item["slots"],
+        connections=item["connections"],
+        speed=item["speed"],
+        leaving=item["state"] != "live",
+    )
--- /dev/null
+++ b/packages/rpc/src/laburnumgate_rpc/__init__.py
@@ -0,0 +1,1 @@
+"""Messages between laburnumgate hosts."""
--- /dev/null
+++ b/packages/standins/src/laburnumgate_standins/endpoint.py
@@ -0,0 +1,369 @@
+"""Stand-in for the endpoints of one rack.
+
+Run as `python -m laburnumgate_standins.endpoint --port N --prefix ID
+--count 8`. Each endpoint answers below `/ID-K`. A task's payload is JSON:
+`work_ms` is how long it really takes, `fail` makes it fail.
+"""
+
+import asyncio
+import contextlib
+import dataclasses
+import json
+import time
+import uuid
+
+import click
+import sanic
+
+from laburnumgate_standins import serve
+
+STEP_MS = 20
+MAX_WAIT_MS = 300_000
+_OVER = ("finished", "failed", "stopped", "lapsed", "checkpointed")
+
+
+def _now_ms() -> int:
+    return time.monotonic_ns() // 1_000_000
+
+
+@dataclasses.dataclass
+class Task:
+    """A task and its progress. Durations are in ms."""
+
+    task_id: str
+    accelerators: int
+    cpus: int
+    memory_mb: int
+    payload: dict
+    lease_until_ms: int
+    throttle_percent: int
+    left_ms: float
+    state: str
+    rev: int
+    holder: str
+    result: str = ""
+    checkpoint: str = ""
+    runs: int = 0
+
+
+class Endpoint:
+    """One worker: exclusive lease, tasks, revisions of its report."""
+
+    def __init__(self, name: str, accelerators: int, speed: float):
+        self.name = name
+        self.accelerators = accelerators
+        self.speed = speed
+        self.boot_id = uuid.uuid4().hex
+        self.rev = 1
+        self.tasks: dict[str, Task] = {}
+        self.lease: dict | None = None
+        self.next_token = 1
+        self.changed = asyncio.Event()
+        self.fail_all = False
+        self.unreachable = False
+        self.lose_answers = 0
+        self.slow_stop_ms = 0
+        # Every start of real work, for checks of at-most-once.
+        self.resumed: list[str] = []
+
+    def touch(self, task: Task) -> None:
+        """Marks a task as changed and wakes waiting reports."""
+        self.rev += 1
+        task.rev = self.rev
+        self.changed.set()
+        self.changed = asyncio.Event()
+
+    def free(self) -> int:
+        """Accelerators not used by held or running tasks."""
+        used = sum(
+            task.accelerators
+            for task in self.tasks.values()
+            if task.state not in _OVER
+        )
+        return self.accelerators - used
+
+    def step(self, elapsed_ms: float) -> None:
+        """Lets time pass for every task."""
+        now_ms = _now_ms()
+        if self.lease is not None and now_ms > self.lease["until_ms"]:
+            self.lease = None
+        for task in self.tasks.values():
+            if task.state in _OVER:
+                continue
+            if now_ms > task.lease_until_ms:
+                task.state = "lapsed"
+                self.touch(task)
+                continue
+            if task.state != "running":
+                continue
+            share = task.throttle_percent / 100
+            task.left_ms -= elapsed_ms * self.speed * share
+            if task.left_ms <= 0:
+                self.finish(task)
+
+    def finish(self, task: Task) -> None:
+        """Ends a task with its result."""
+        if self.fail_all or task.payload.get("fail"):
+            task.state = "failed"
+            task.result = f"task failed on {self.name}"
+        else:
+            task.state = "finished"
+            task.result = json.dumps(
+                {"task": task.task_id, "echo": task.payload.get("echo", "")}
+            )
+        self.touch(task)
+
+
+def _view(task: Task) -> dict:
+    return {
+        "task_id": task.task_id,
+        "state": task.state,
+        "accelerators": task.accelerators,
+        "cpus": task.cpus,
+        "memory_mb": task.memory_mb,
+        "result": task.result,
+        "checkpoint": task.checkpoint,
+    }
+
+
+def build(endpoints: dict[str, Endpoint]) -> sanic.Sanic:
+    """Builds the application of a rack's endpoints."""
+    app = sanic.Sanic("standin-endpoint", configure_logging=False)
+
+    @app.middleware("request")
+    async def check_reachable(request: sanic.Request):
+        name = request.path.split("/")[1]
+        endpoint = endpoints.get(name)
+        if endpoint is None:
+            return sanic.json({"error": "no such endpoint"}, status=404)
+        if endpoint.unreachable and not request.path.endswith("/faults"):
+            await asyncio.sleep(10)
+            return sanic.json({"error": "unreachable"}, status=503)
+        return None
+
+    @app.middleware("response")
+    async def lose_answer(request: sanic.Request, response):
+        endpoint = endpoints.get(request.path.split("/")[1])
+        if endpoint is None or request.method == "GET":
+            return None
+        if endpoint.lose_answers > 0 and "/tasks" in request.path:
+            endpoint.lose_answers -= 1
+            return sanic.json({"error": "answer lost"}, status=504)
+        return None
+
+    @app.post("/<name>/lease")
+    async def take_lease(request: sanic.Request, name: str):
+        endpoint = endpoints[name]
+        endpoint.step(0)
+        body = request.json
+        now_ms = _now_ms()
+        held = endpoint.lease
+        if held is not None:
+            return sanic.json(
+                {
+                    "holder": held["holder"],
+                    "retry_in_ms": held["until_ms"] - now_ms,
+                },
+                status=409,
+            )
+        token = endpoint.next_token
+        endpoint.next_token += 1
+        endpoint.lease = {
+            "holder": body["holder"],
+            "token": token,
+            "until_ms": now_ms + body["ttl_ms"],
+        }
+        return sanic.json(
+            {
+                "token": token,
+                "boot_id": endpoint.boot_id,
+                "free_accelerators": endpoint.free(),
+            }
+        )
+
+    @app.delete("/<name>/lease/<token:int>")
+    async def release_lease(request: sanic.Request, name: str, token: int):
+        endpoint = endpoints[name]
+        if endpoint.lease is not None and endpoint.lease["token"] == token:
+            endpoint.lease = None
+        return sanic.json({})
+
+    @app.post("/<name>/tasks")
+    async def hold(request: sanic.Request, name: str):
+        endpoint = endpoints[name]
+        endpoint.step(0)
+        body = request.json
+        known = endpoint.tasks.get(body["task_id"])
+        if known is not None:
+            return sanic.json(_view(known))
+        lease = endpoint.lease
+        if lease is None or lease["token"] != body["token"]:
+            return sanic.json({"error": "lease is not held"}, status=409)
+        if endpoint.free() < body["accelerators"]:
+            return sanic.json({"error": "no capacity"}, status=507)
+        payload = json.loads(body["payload"] or "{}")
+        percent = body["throttle_percent"]
+        done_ms = (
+            float(body["checkpoint"].split("=")[1].split(";")[0])
+            if ("=" in body["checkpoint"])
+            else 0.0
+        )
+        task = Task(
+            task_id=body["task_id"],
+            accelerators=body["accelerators"],
+            cpus=body["cpus"],
+            memory_mb=body["memory_mb"],
+            payload=payload,
+            lease_until_ms=_now_ms() + body["lease_ms"],
+            throttle_percent=percent,
+            left_ms=payload.get("work_ms", 100) - done_ms,
+            state="running" if percent else "held",
+            rev=0,
+            holder=body["holder"],
+        )
+        endpoint.tasks[task.task_id] = task
+        endpoint.touch(task)
+        return sanic.json(_view(task), status=201)
+
+    @app.post("/<name>/tasks/<task_id:path>/throttle")
+    async def throttle(request: sanic.Request, name: str, task_id: str):
+        endpoint = endpoints[name]
+        endpoint.step(0)
+        task = endpoint.tasks.get(task_id)
+        if task is None:
+            return sanic.json({"error": "no such task"}, status=404)
+        if task.state in _OVER:
+            return sanic.json(_view(task))
+        body = request.json
+        task.throttle_percent = body["percent"]
+        task.lease_until_ms = _now_ms() + body["lease_ms"]
+        if task.state == "held" and body["percent"]:
+            task.state = "running"
+            endpoint.resumed.append(task_id)
+            endpoint.touch(task)
+        return sanic.json(_view(task))
+
+    @app.post("/<name>/tasks/<task_id:path>/checkpoint")
+    async def checkpoint(request: sanic.Request, name: str, task_id: str):
+        endpoint = endpoints[name]
+        task = endpoint.tasks.get(task_id)
+        if task is None:
+            return sanic.json({"error": "no such task"}, status=404)
+        if task.state in _OVER:
+            return sanic.json(_view(task))
+        done_ms = task.payload.get("work_ms", 100) - task.left_ms
+        task.checkpoint = f"done_ms={done_ms:.0f}"
+        if request.json.get("stop"):
+            task.state = "checkpointed"
+        endpoint.touch(task)
+        return sanic.json(_view(task))
+
+    @app.post("/<name>/tasks/<task_id:path>/stop")
+    async def stop(request: sanic.Request, name: str, task_id: str):
+        endpoint = endpoints[name]
+        if endpoint.slow_stop_ms:
+            await asyncio.sleep(endpoint.slow_stop_ms / 1000)
+        task = endpoint.tasks.get(task_id)
+        if task is None:
+            return sanic.json({"error": "no such task"}, status=404)
+        if task.state not in _OVER:
+            task.state = "stopped"
+            endpoint.touch(task)
+        return sanic.json(_view(task))
+
+    @app.post("/<name>/renew")
+    async def renew(request: sanic.Request, name: str):
+        endpoint = endpoints[name]
+        endpoint.step(0)
+        renewed = []
+        for task_id in request.json["task_ids"]:
+            task = endpoint.tasks.get(task_id)
+            if task is None or task.state in _OVER:
+                continue
+            task.lease_until_ms = _now_ms() + request.json["lease_ms"]
+            renewed.append(task_id)
+        return sanic.json({"task_ids": renewed})
+
+    @app.post("/<name>/ack")
+    async def acknowledge(request: sanic.Request, name: str):
+        endpoint = endpoints[name]
+        for task_id in request.json["task_ids"]:
+            task = endpoint.tasks.get(task_id)
+            if task is not None and task.state in _OVER:
+                del endpoint.tasks[task_id]
+        return sanic.json({})
+
+    @app.get("/<name>/report")
+    async def report(request: sanic.Request, name: str):
+        endpoint = endpoints[name]
+        since = int(request.args.get("since", "0"))
+        wait_ms = min(MAX_WAIT_MS, int(request.args.get("wait_ms", "0")))
+        if endpoint.rev <= since and wait_ms:
+            with contextlib.suppress(TimeoutError):
+                await asyncio.wait_for(endpoint.changed.wait(), wait_ms / 1000)
+        if endpoint.unreachable:
+            return sanic.json({"error": "unreachable"}, status=503)
+        changed = [
+            _view(task) for task in endpoint.tasks.values() if task.rev > since
+        ]
+        return sanic.json(
+            {
+                "boot_id": endpoint.boot_id,
+                "rev": endpoint.rev,
+                "tasks": changed,
+                "usage": {"free_accelerators": endpoint.free()},
+            }
+        )
+
+    @app.post("/<name>/faults")
+    async def set_faults(request: sanic.Request, name: str):
+        endpoint = endpoints[name]
+        for field, value in request.json.items():
+            if field == "reboot":
+                endpoint.tasks.clear()
+                endpoint.lease = None
+                endpoint.boot_id = uuid.uuid4().hex
+                endpoint.rev = 1
+                continue
+            setattr(endpoint, field, value)
+        endpoint.changed.set()
+        endpoint.changed = asyncio.Event()
+        return sanic.json({})
+
+    @app.get("/<name>/history")
+    async def history(request: sanic.Request, name: str):
+        return sanic.json({"resumed": endpoints[name].resumed})
+
+    return app
+
+
+async def _run_steps(endpoints: dict[str, Endpoint]) -> None:
+    last_ms = _now_ms()
+    while True:
+        await asyncio.sleep(STEP_MS / 1000)
+        now_ms = _now_ms()
+        for endpoint in endpoints.values():
+            endpoint.step(now_ms - last_ms)
+        last_ms = now_ms
+
+
+@click.command()
+@click.option("--ip", default="127.0.0.1")
+@click.option("--port", type=int, required=True)
+@click.option("--prefix", required=True, help="Endpoint ids are PREFIX-K.")
+@click.option("--count", type=int, default=8)
+@click.option("--accelerators", type=int, default=8)
+@click.option("--speed", type=float, default=1.0)
+def main(
+    ip: str, port: int, prefix: str, count: int, accelerators: int, speed: float
+) -> None:
+    """Runs the stand-in of one rack."""
+    endpoints = {}
+    for number in range(1, count + 1):
+        name = f"{prefix}-{number}"
+        endpoints[name] = Endpoint(name, accelerators, speed)
+    serve.run(build(endpoints), ip, port, _run_steps(endpoints))
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/packages/standins/src/laburnumgate_standins/livelist.py
@@ -0,0 +1,63 @@
+"""Stand-in for the platform's live list, which lags behind the truth.
+
+Run as `python -m laburnumgate_standins.livelist --port N --lag-ms L`.
+`PUT /live` sets the whole list, `POST /live/ID` the state of one entry.
+"""
+
+import asyncio
+import copy
+import time
+
+import click
+import sanic
+
+from laburnumgate_standins import serve
+
+
+def build(lag_ms: int) -> sanic.Sanic:
+    """Builds the service's application."""
+    app = sanic.Sanic("standin-livelist", configure_logging=False)
+    truth: dict = {"hosts": [], "endpoints": []}
+    shown = {"list": copy.deepcopy(truth), "as_of_ms": 0}
+
+    def publish() -> None:
+        snapshot = copy.deepcopy(truth)
+        as_of_ms = time.time_ns() // 1_000_000
+
+        def show() -> None:
+            shown.update(list=snapshot, as_of_ms=as_of_ms)
+
+        asyncio.get_running_loop().call_later(lag_ms / 1000, show)
+
+    @app.get("/live")
+    async def live(request: sanic.Request):
+        return sanic.json({**shown["list"], "as_of_ms": shown["as_of_ms"]})
+
+    @app.put("/live")
+    async def replace(request: sanic.Request):
+        truth.update(request.json)
+        publish()
+        return sanic.json({})
+
+    @app.post("/live/<name>")
+    async def change(request: sanic.Request, name: str):
+        for entry in (*truth["hosts"], *truth["endpoints"]):
+            if entry["id"] == name:
+                entry.update(request.json)
+        publish()
+        return sanic.json({})
+
+    return app
+
+
+@click.command()
+@click.option("--ip", default="127.0.0.1")
+@click.option("--port", type=int, required=True)
+@click.option("--lag-ms", type=int, default=500)
+def main(ip: str, port: int, lag_ms: int) -> None:
+    """Runs the live list stand-in."""
+    serve.run(build(lag_ms), ip, port)
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/packages/standins/src/laburnumgate_standins/serve.py
@@ -0,0 +1,39 @@
+"""Runs one `sanic` application on one loop in one thread."""
+
+import asyncio
+from collections.abc import Coroutine
+import signal
+
+import sanic
+import uvloop
+
+
+def run(
+    app: sanic.Sanic,
+    ip: str,
+    port: int,
+    background: Coroutine | None = None,
+) -> None:
+    """Serves `app` on `ip:port`, with `background`, until SIGTERM or SIGINT."""
+    uvloop.run(_serve(app, ip, port, background))
+
+
+async def _serve(
+    app: sanic.Sanic, ip: str, port: int, background: Coroutine | None
+) -> None:
+    stopping = asyncio.Event()
+    loop = asyncio.get_running_loop()
+    for number in (signal.SIGTERM, signal.SIGINT):
+        loop.add_signal_handler(number, stopping.set)
+    server = await app.create_server(
+        host=ip, port=port, return_asyncio_server=True, access_log=False
+    )
+    await server.startup()
+    await server.start_serving()
+    print(f"serving on {ip}:{port}", flush=True)
+    work = loop.create_task(background) if background is not None else None
+    await stopping.wait()
+    if work is not None:
+        work.cancel()
+    server.close()
+    await server.wait_closed()
