--- a/packages/core/src/laburnumgate_core/actions.py
+++ b/packages/core/src/laburnumgate_core/actions.py
@@ -13,7 +13,7 @@
 class TakeLease:
     """Take the exclusive lease of an endpoint for one launch."""
 
-    request_id: str
+    job_id: str
     endpoint_id: str
     ttl_ms: int
 
@@ -107,7 +107,7 @@
 class LeaseGranted:
     """The exclusive lease was granted; older tokens no longer hold."""
 
-    request_id: str
+    job_id: str
     endpoint_id: str
     token: int
     boot_id: str
@@ -118,7 +118,7 @@
 class LeaseRefused:
     """Another holder has the lease, or the endpoint did not answer."""
 
-    request_id: str
+    job_id: str
     endpoint_id: str
     reason: str
 
--- a/packages/core/src/laburnumgate_core/gang.py
+++ b/packages/core/src/laburnumgate_core/gang.py
@@ -76,7 +76,7 @@
         self.zone = zone
         self.phase = Phase.LEASING
         self.parts = [
-            _Part(endpoint_id, model.task_id(job.request_id, run, index))
+            _Part(endpoint_id, model.task_id(job.job_id, run, index))
             for index, endpoint_id in enumerate(endpoint_ids)
         ]
         self.stop_reason = ""
@@ -184,9 +184,7 @@
     def _next_lease(self) -> list[actions.Action]:
         endpoint_id = self._wanted[len(self._token_by_endpoint)]
         return [
-            actions.TakeLease(
-                self.job.request_id, endpoint_id, EXCLUSIVE_LEASE_MS
-            )
+            actions.TakeLease(self.job.job_id, endpoint_id, EXCLUSIVE_LEASE_MS)
         ]
 
     def _release(self) -> list[actions.Action]:
@@ -217,7 +215,7 @@
             return self.stop("zone or endpoint left service", now_ms)
         self.phase = Phase.RECORDING
         starting = records.Starting(
-            request_id=self.job.request_id,
+            job_id=self.job.job_id,
             run=self.run,
             zone=self.zone,
             endpoints=self.endpoint_ids,
@@ -430,7 +428,7 @@
             return self._close(verdict.MayHaveRun(self.stop_reason), now_ms)
         self.phase = Phase.CLOSING
         requeued = records.Requeued(
-            request_id=self.job.request_id,
+            job_id=self.job.job_id,
             run=self.run,
             reason=self.stop_reason,
             may_have_run=self.may_have_run,
@@ -451,9 +449,7 @@
     ) -> list[actions.Action]:
         self.phase = Phase.CLOSING
         self.outcome = outcome
-        ended = records.Ended(
-            self.job.request_id, self.run, outcome, at_ms=now_ms
-        )
+        ended = records.Ended(self.job.job_id, self.run, outcome, at_ms=now_ms)
         return [actions.Append(ended)]
 
     def _acknowledge(self) -> list[actions.Action]:
--- a/packages/core/src/laburnumgate_core/jobs.py
+++ b/packages/core/src/laburnumgate_core/jobs.py
@@ -24,7 +24,7 @@
 class Job:
     """One request as the log tells it. Times are in ms since the epoch."""
 
-    request_id: str
+    job_id: str
     account: str
     spec: model.JobSpec
     zone: str
@@ -76,7 +76,7 @@
 
 def _submit(record: records.Submitted) -> Job:
     return Job(
-        request_id=record.request_id,
+        job_id=record.job_id,
         account=record.account,
         spec=record.spec,
         zone=record.zone,
@@ -89,7 +89,7 @@
 
 def _refuse(record: records.Refused) -> Job:
     return Job(
-        request_id=record.request_id,
+        job_id=record.job_id,
         account="",
         spec=_NO_SPEC,
         zone="",
@@ -188,16 +188,16 @@
     def __len__(self) -> int:
         return len(self._committed_by_id)
 
-    def get(self, request_id: str) -> Job | None:
+    def get(self, job_id: str) -> Job | None:
         """Returns the job with the overlay applied, or None if unknown."""
-        overlaid = self._overlay_by_id.get(request_id)
+        overlaid = self._overlay_by_id.get(job_id)
         if overlaid is not None:
             return overlaid
-        return self._committed_by_id.get(request_id)
+        return self._committed_by_id.get(job_id)
 
-    def committed(self, request_id: str) -> Job | None:
+    def committed(self, job_id: str) -> Job | None:
         """Returns the job as the log alone tells it, or None if unknown."""
-        return self._committed_by_id.get(request_id)
+        return self._committed_by_id.get(job_id)
 
     def open_ids(self, zone: str) -> list[str]:
         """Returns the ids of the zone's jobs that have not ended."""
@@ -245,50 +245,50 @@
         if key in self._pending_by_key:
             return False
         self._pending_by_key[key] = record
-        request_id = record.request_id
-        self._pending_keys_by_id.setdefault(request_id, {})[key] = None
-        before = self.get(request_id)
+        job_id = record.job_id
+        self._pending_keys_by_id.setdefault(job_id, {})[key] = None
+        before = self.get(job_id)
         after = apply(before, record)
         if after is before:
             return False
-        self._overlay_by_id[request_id] = after
+        self._overlay_by_id[job_id] = after
         self._note_change(before, after)
         return True
 
     def _commit(self, key: tuple[str, int], record: records.JobRecord) -> bool:
-        request_id = record.request_id
-        shown_before = self.get(request_id)
-        before = self._committed_by_id.get(request_id)
+        job_id = record.job_id
+        shown_before = self.get(job_id)
+        before = self._committed_by_id.get(job_id)
         after = apply(before, record)
         if after is not None:
-            self._committed_by_id[request_id] = after
+            self._committed_by_id[job_id] = after
         if self._pending_by_key.pop(key, None) is not None:
-            self._pending_keys_by_id[request_id].pop(key, None)
-        self._rebuild_overlay(request_id)
-        shown_after = self.get(request_id)
+            self._pending_keys_by_id[job_id].pop(key, None)
+        self._rebuild_overlay(job_id)
+        shown_after = self.get(job_id)
         if shown_after is not shown_before:
             self._note_change(shown_before, shown_after)
         return after is not before
 
-    def _rebuild_overlay(self, request_id: str) -> None:
-        self._overlay_by_id.pop(request_id, None)
-        keys = self._pending_keys_by_id.get(request_id)
+    def _rebuild_overlay(self, job_id: str) -> None:
+        self._overlay_by_id.pop(job_id, None)
+        keys = self._pending_keys_by_id.get(job_id)
         if not keys:
-            self._pending_keys_by_id.pop(request_id, None)
+            self._pending_keys_by_id.pop(job_id, None)
             return
-        committed = self._committed_by_id.get(request_id)
+        committed = self._committed_by_id.get(job_id)
         job = committed
         for key in keys:
             job = apply(job, self._pending_by_key[key])
         if job is not committed and job is not None:
-            self._overlay_by_id[request_id] = job
+            self._overlay_by_id[job_id] = job
 
     def _note_change(self, before: Job | None, after: Job | None) -> None:
         if before is not None and before.state is not JobState.ENDED:
-            self._open_ids_by_zone[before.zone].pop(before.request_id, None)
+            self._open_ids_by_zone[before.zone].pop(before.job_id, None)
         if after is None:
             return
         if after.state is not JobState.ENDED:
             open_ids = self._open_ids_by_zone.setdefault(after.zone, {})
-            open_ids[after.request_id] = None
-        self._changed_ids[after.request_id] = None
+            open_ids[after.job_id] = None
+        self._changed_ids[after.job_id] = None
--- a/packages/core/src/laburnumgate_core/model.py
+++ b/packages/core/src/laburnumgate_core/model.py
@@ -108,9 +108,9 @@
     zones: tuple[str, ...] = ()
 
 
-def task_id(request_id: str, run: int, part: int) -> str:
+def task_id(job_id: str, run: int, part: int) -> str:
     """Returns the id under which an endpoint knows one part of a run."""
-    return f"{request_id}/{run}/{part}"
+    return f"{job_id}/{run}/{part}"
 
 
 def parse_task_id(text: str) -> tuple[str, int, int]:
@@ -119,5 +119,5 @@
     Raises:
       ValueError: if `text` is not a task id.
     """
-    request_id, run, part = text.rsplit("/", 2)
-    return request_id, int(run), int(part)
+    job_id, run, part = text.rsplit("/", 2)
+    return job_id, int(run), int(part)
--- a/packages/core/src/laburnumgate_core/records.py
+++ b/packages/core/src/laburnumgate_core/records.py
@@ -22,7 +22,7 @@
 class Submitted:
     """A request was accepted; the first record of an id wins."""
 
-    request_id: str
+    job_id: str
     account: str
     spec: model.JobSpec
     zone: str
@@ -37,7 +37,7 @@
 class Refused:
     """Fences a request id: no host may accept it after this record."""
 
-    request_id: str
+    job_id: str
     body_hash: str
     reason: str
     at_ms: int
@@ -48,7 +48,7 @@
 class Starting:
     """The intent to start run `run`; `boot_ids` are in endpoint order."""
 
-    request_id: str
+    job_id: str
     run: int
     zone: str
     endpoints: tuple[str, ...]
@@ -65,7 +65,7 @@
     `failed_endpoint` names the endpoint that failed the run, if one did.
     """
 
-    request_id: str
+    job_id: str
     run: int
     reason: str
     may_have_run: bool
@@ -79,7 +79,7 @@
 class Moved:
     """A queued job is placed by another availability zone from now on."""
 
-    request_id: str
+    job_id: str
     from_zone: str
     to_zone: str
     at_ms: int
@@ -90,7 +90,7 @@
 class Cancelled:
     """The caller no longer wants the request."""
 
-    request_id: str
+    job_id: str
     at_ms: int
     kind: Literal["cancelled"] = "cancelled"
 
@@ -99,7 +99,7 @@
 class Ended:
     """The request has its outcome. `run` is 0 if no run was started."""
 
-    request_id: str
+    job_id: str
     run: int
     verdict: verdict.Verdict
     at_ms: int
--- a/packages/core/src/laburnumgate_core/requests.py
+++ b/packages/core/src/laburnumgate_core/requests.py
@@ -20,7 +20,9 @@
     request_id: str = pydantic.Field(
         min_length=1, max_length=128, pattern=r"^[A-Za-z0-9._:-]+$"
     )
-    account: str = pydantic.Field(min_length=1, max_length=128)
+    account: str = pydantic.Field(
+        min_length=1, max_length=128, pattern=r"^[A-Za-z0-9._-]+$"
+    )
     kind: str = pydantic.Field(default="", max_length=128)
     parts: int = pydantic.Field(default=1, ge=1, le=MAX_PARTS)
     accelerators_per_part: int = pydantic.Field(default=1, ge=0, le=64)
@@ -35,6 +37,16 @@
     issued_at_ms: int = pydantic.Field(default=0, ge=0)
     deadline_ms: int = pydantic.Field(default=0, ge=0)
 
+    @property
+    def job_id(self) -> str:
+        """Id of the job; request ids are unique within a client account."""
+        return job_id(self.account, self.request_id)
+
+
+def job_id(account: str, request_id: str) -> str:
+    """Returns the id of a job from its client account and request id."""
+    return f"{account}/{request_id}"
+
 
 @dataclasses.dataclass(frozen=True)
 class Malformed:
--- a/packages/host/src/laburnumgate_host/callers.py
+++ b/packages/host/src/laburnumgate_host/callers.py
@@ -18,10 +18,12 @@
 
 
 def answer(
-    request_id: str, result: verdict.Verdict, status: int, **more
+    job_id: str, result: verdict.Verdict, status: int, **more
 ) -> sanic.HTTPResponse:
     """Builds an answer; every answer carries the verdict."""
+    account, _, request_id = job_id.partition("/")
     body = {
+        "account": account,
         "request_id": request_id,
         "verdict": dataclasses.asdict(result),
         **more,
@@ -52,14 +54,15 @@
     async def submit(request: sanic.Request):
         return await _submit(host, request.body)
 
-    @app.get("/v1/requests/<request_id>")
-    async def status(request: sanic.Request, request_id: str):
+    @app.get("/v1/requests/<account>/<request_id>")
+    async def status(request: sanic.Request, account: str, request_id: str):
         wait_ms = _wait_ms(request.args.get("wait_ms"))
-        return await _status(host, request_id, wait_ms)
+        job_id = requests.job_id(account, request_id)
+        return await _status(host, job_id, wait_ms)
 
-    @app.delete("/v1/requests/<request_id>")
-    async def cancel(request: sanic.Request, request_id: str):
-        return await _cancel(host, request_id)
+    @app.delete("/v1/requests/<account>/<request_id>")
+    async def cancel(request: sanic.Request, account: str, request_id: str):
+        return await _cancel(host, requests.job_id(account, request_id))
 
 
 async def _submit(host: host_module.Host, body: bytes) -> sanic.HTTPResponse:
@@ -71,7 +74,7 @@
         return known
     if host.leaving or not host.ready:
         reason = "this host takes no requests now; send the same id to another"
-        return answer(request.request_id, verdict.MayHaveRun(reason), 503)
+        return answer(request.job_id, verdict.MayHaveRun(reason), 503)
     promise = host.config.promises_by_account.get(request.account)
     if promise is None:
         reason = f"account: no client account {request.account!r} exists"
@@ -82,7 +85,7 @@
         return await _refuse(host, request, reason)
     now_ms = host.clock.now_ms()
     record = records.Submitted(
-        request_id=request.request_id,
+        job_id=request.job_id,
         account=request.account,
         spec=spec,
         zone=_choose_zone(host),
@@ -93,19 +96,17 @@
     )
     if not spec.idempotent and not host.journal.reachable:
         reason = "the log is out and the request must not run twice"
-        return answer(request.request_id, verdict.MayHaveRun(reason), 503)
+        return answer(request.job_id, verdict.MayHaveRun(reason), 503)
     appended = await host.journal.append(record, provisional=spec.idempotent)
     host.note_job_changes()
     if isinstance(appended, journal.Unsent):
         result = verdict.MayHaveRun(appended.reason)
-        return answer(request.request_id, result, 503)
+        return answer(request.job_id, result, 503)
     if not appended.taken:
         return _known(host, request)
     durability = "log" if appended.durable else "host-only"
-    job = host.jobs.get(request.request_id)
-    return answer(
-        request.request_id, verdict_of(job), 202, durability=durability
-    )
+    job = host.jobs.get(request.job_id)
+    return answer(request.job_id, verdict_of(job), 202, durability=durability)
 
 
 def _choose_zone(host: host_module.Host) -> str:
@@ -121,64 +122,62 @@
 def _known(
     host: host_module.Host, request: requests.Request
 ) -> sanic.HTTPResponse | None:
-    job = host.jobs.get(request.request_id)
+    job = host.jobs.get(request.job_id)
     if job is None:
         return None
     if job.body_hash != requests.body_hash(request):
         reason = "request_id: the id was used for a different request"
         result = verdict.NotRun(reason)
-        return answer(request.request_id, result, HTTPStatus.CONFLICT)
-    return answer(request.request_id, verdict_of(job), 200)
+        return answer(request.job_id, result, HTTPStatus.CONFLICT)
+    return answer(request.job_id, verdict_of(job), 200)
 
 
 async def _refuse(
     host: host_module.Host, request: requests.Request, reason: str
 ) -> sanic.HTTPResponse:
     record = records.Refused(
-        request_id=request.request_id,
+        job_id=request.job_id,
         body_hash=requests.body_hash(request),
         reason=reason,
         at_ms=host.clock.now_ms(),
     )
     if not host.journal.reachable:
         result = verdict.MayHaveRun(reason)
-        return answer(request.request_id, result, 422)
+        return answer(request.job_id, result, 422)
     appended = await host.journal.append(record, provisional=True)
     host.note_job_changes()
     if isinstance(appended, journal.Unsent) or not appended.durable:
         result = verdict.MayHaveRun(reason)
-        return answer(request.request_id, result, 422)
-    job = host.jobs.get(request.request_id)
-    return answer(request.request_id, verdict_of(job), 422)
+        return answer(request.job_id, result, 422)
+    job = host.jobs.get(request.job_id)
+    return answer(request.job_id, verdict_of(job), 422)
 
 
 async def _status(
-    host: host_module.Host, request_id: str, wait_ms: int
+    host: host_module.Host, job_id: str, wait_ms: int
 ) -> sanic.HTTPResponse:
     until_ms = host.clock.now_ms() + wait_ms
     while True:
-        job = host.jobs.get(request_id)
+        job = host.jobs.get(job_id)
         if job is None:
             result = verdict.MayHaveRun("this host knows no such request")
-            return answer(request_id, result, 404)
+            return answer(job_id, result, 404)
         left_ms = until_ms - host.clock.now_ms()
         if job.outcome is not None or left_ms <= 0 or host.leaving:
-            return answer(request_id, verdict_of(job), 200)
-        await host.wait_for_job(request_id, left_ms)
+            return answer(job_id, verdict_of(job), 200)
+        await host.wait_for_job(job_id, left_ms)
 
 
-async def _cancel(
-    host: host_module.Host, request_id: str
-) -> sanic.HTTPResponse:
-    job = host.jobs.get(request_id)
+async def _cancel(host: host_module.Host, job_id: str) -> sanic.HTTPResponse:
+    job = host.jobs.get(job_id)
     if job is None:
         result = verdict.MayHaveRun("this host knows no such request")
-        return answer(request_id, result, 404)
+        return answer(job_id, result, 404)
     if job.outcome is None:
-        record = records.Cancelled(request_id, host.clock.now_ms())
+        record = records.Cancelled(job_id, host.clock.now_ms())
         await host.journal.append(record, provisional=True)
         host.note_job_changes()
-    return answer(request_id, verdict_of(host.jobs.get(request_id)), 200)
+    return answer(job_id, verdict_of(host.jobs.get(job_id)), 200)
 
 
 def _wait_ms(text: str | None) -> int:
--- a/packages/host/src/laburnumgate_host/endpoints.py
+++ b/packages/host/src/laburnumgate_host/endpoints.py
@@ -97,10 +97,10 @@
         )
         if answer.status != 200:
             return actions.LeaseRefused(
-                action.request_id, action.endpoint_id, answer.reason
+                action.job_id, action.endpoint_id, answer.reason
             )
         return actions.LeaseGranted(
-            action.request_id,
+            action.job_id,
             action.endpoint_id,
             answer.body["token"],
             answer.body["boot_id"],
--- a/packages/host/src/laburnumgate_host/host.py
+++ b/packages/host/src/laburnumgate_host/host.py
@@ -135,9 +135,9 @@
             task.cancel()
         self.peers.close()
 
-    async def wait_for_job(self, request_id: str, wait_ms: int) -> None:
+    async def wait_for_job(self, job_id: str, wait_ms: int) -> None:
         """Waits until the job changes, at most `wait_ms`."""
-        changed = self._changed_by_id.setdefault(request_id, asyncio.Event())
+        changed = self._changed_by_id.setdefault(job_id, asyncio.Event())
         try:
             await asyncio.wait_for(changed.wait(), wait_ms / 1000)
         except TimeoutError:
@@ -203,8 +203,8 @@
 
     def note_job_changes(self) -> None:
         """Wakes the callers that wait for jobs that changed."""
-        for request_id in self.jobs.take_changes():
-            changed = self._changed_by_id.pop(request_id, None)
+        for job_id in self.jobs.take_changes():
+            changed = self._changed_by_id.pop(job_id, None)
             if changed is not None:
                 changed.set()
 
@@ -283,7 +283,7 @@
             return
         summary = self.scheduler.summary()
         self.metrics.waiting_jobs.set({}, summary.waiting_jobs)
-        self.metrics.running_runs.set({}, len(self.scheduler.runs_by_id))
+        self.metrics.running_runs.set({}, len(self.scheduler.runs.runs_by_id))
         self.metrics.free_accelerators.set({}, summary.free_accelerators)
 
     def carry_out(self, wanted: list[actions.Action]) -> None:
@@ -305,7 +305,7 @@
     async def _append(
         self, record: records.JobRecord
     ) -> actions.Appended | None:
-        job = self.jobs.get(record.request_id)
+        job = self.jobs.get(record.job_id)
         provisional = job is None or job.spec.idempotent
         answer = await self.journal.append(record, provisional)
         self.note_job_changes()
@@ -379,10 +379,10 @@
 def dump(host: Host) -> Dump:
     """Returns the state of a host."""
     runs = []
-    for request_id, run in host.scheduler.runs_by_id.items():
+    for job_id, run in host.scheduler.runs.runs_by_id.items():
         runs.append(
             {
-                "request_id": request_id,
+                "job_id": job_id,
                 "run": run.run,
                 "phase": run.phase,
                 "parts": {p.task_id: p.state for p in run.parts},
