--- a/packages/cli/src/laburnumgate_cli/command.py
+++ b/packages/cli/src/laburnumgate_cli/command.py
@@ -1,11 +1,617 @@
-"""The `laburnumgate` command for operators and callers."""
+"""The `laburnumgate` command for operators and callers.
 
+This module only reads options and prints; the work is done by the modules it
+calls.
+"""
+
+import asyncio
+from collections.abc import Awaitable
+from collections.abc import Callable
+import dataclasses
+import functools
+import json
+import pathlib
+import sys
+import time
+from typing import Any
+import uuid
+
+import aiohttp
 import click
+from laburnumgate_core import declarations
+
+from laburnumgate_cli import client as client_module
+from laburnumgate_cli import errors
+from laburnumgate_cli import files
+from laburnumgate_cli import operations
+from laburnumgate_cli import render
+from laburnumgate_cli import requests
+from laburnumgate_cli import settings
+
+# The target for a configuration change to be in force on every host.
+PROGRESS_TIMEOUT_MS = 13_000
+_PATH = click.Path(exists=True, path_type=pathlib.Path)
+_FILE = click.Path(exists=True, dir_okay=False, path_type=pathlib.Path)
+
+_EPILOG = """\b
+Exit codes:
+  0  done; a request that was waited for ran
+  1  the request ran and failed, or another error
+  2  wrong options, or a file that is not valid
+  3  conflict: another operator published first, nothing was changed
+  4  no host answered
+  5  undecided: the request may have run, or the publication may be in force
+  6  not finished in time: request pending, or hosts not reached
+  7  refused: the request was not run, or the publication is not valid
+
+\b
+Start here:
+  laburnumgate --host http://127.0.0.1:8080 show
+  laburnumgate --host http://127.0.0.1:8080 plan declarations/
+  laburnumgate --host http://127.0.0.1:8080 submit --account a --id r1 --wait
+"""
+
+
+@dataclasses.dataclass(frozen=True)
+class _Options:
+    settings: settings.ClientSettings
+
+    def operator(self) -> str:
+        """Name recorded with a publication."""
+        if not self.settings.operator:
+            raise errors.ClientError(
+                "no operator is named: use --operator NAME, the environment "
+                "variable LABURNUMGATE_OPERATOR or the settings file",
+                errors.Exit.USAGE,
+            )
+        return self.settings.operator
+
+    def run(
+        self, work: Callable[[client_module.Client], Awaitable[Any]]
+    ) -> Any:
+        """Runs `work` with a client and returns its result."""
+
+        async def inner() -> Any:
+            async with aiohttp.ClientSession() as session:
+                client = client_module.Client(
+                    session, self.settings.urls, self.settings.timeout_ms
+                )
+                return await work(client)
+
+        return asyncio.run(inner())
+
+
+def _sentences(function: Callable) -> Callable:
+    """Shows a ClientError as its sentence and ends with its exit code."""
+
+    @functools.wraps(function)
+    def wrapped(*args, **kwargs):
+        try:
+            return function(*args, **kwargs)
+        except errors.ClientError as error:
+            click.echo(f"laburnumgate: {error}", err=True)
+            sys.exit(int(error.code))
+
+    return wrapped
+
+
+_json_option = click.option(
+    "--json", "as_json", is_flag=True, help="Print JSON for programs."
+)
+_progress_timeout = click.option(
+    "--timeout-ms",
+    type=click.IntRange(min=1),
+    default=PROGRESS_TIMEOUT_MS,
+    show_default=True,
+    help="How long to wait until every host has the change in force.",
+)
+
+
+def _print(as_json: bool, value: Any, text: str) -> None:
+    click.echo(json.dumps(value, indent=2) if as_json else text)
+
+
+@click.group(epilog=_EPILOG)
+@click.option(
+    "--host",
+    "hosts",
+    multiple=True,
+    metavar="URL",
+    envvar="LABURNUMGATE_HOSTS",
+    help="Base URL of an entry host. Repeat it to name others that are tried "
+    "if the first does not answer.",
+)
+@click.option(
+    "--settings",
+    "path",
+    type=_FILE,
+    envvar="LABURNUMGATE_SETTINGS",
+    help="TOML file with hosts, operator and timeout_ms.",
+)
+@click.option(
+    "--operator",
+    default="",
+    envvar="LABURNUMGATE_OPERATOR",
+    help="Your name, recorded with what you publish.",
+)
+@click.version_option(package_name="laburnumgate-cli")
+@click.pass_context
+@_sentences
+def main(
+    context: click.Context,
+    hosts: tuple[str, ...],
+    path: pathlib.Path | None,
+    operator: str,
+) -> None:
+    """Talks to the entry hosts of a laburnumgate installation.
+
+    Callers use submit, wait, status and cancel. Operators keep declarations
+    of templates, client accounts and zones in files and use check, plan and
+    apply, and take zones and endpoints out of service with zone and endpoint.
+    """
+    context.obj = _Options(settings.load(path, hosts, operator))
+
+
+@main.command()
+@click.option("--account", required=True, help="Client account.")
+@click.option("--id", "request_id", default="", help="Default: a new id.")
+@click.option("--kind", default="", help="Kind of work, for never_repeat.")
+@click.option("--parts", type=click.IntRange(min=1), default=1)
+@click.option("--accelerators", type=click.IntRange(min=0), default=1)
+@click.option("--cpus", type=click.IntRange(min=0), default=1)
+@click.option("--memory-mb", type=click.IntRange(min=0), default=1024)
+@click.option(
+    "--adjacency", type=click.Choice(["rack", "zone"]), default="rack"
+)
+@click.option("--run-ms", type=click.IntRange(min=1), default=60_000)
+@click.option("--non-idempotent", is_flag=True, help="Run at most once.")
+@click.option("--checkpointable", is_flag=True)
+@click.option("--payload", default="", help="Passed on to every part.")
+@click.option("--wait", "waits", is_flag=True, help="Wait for the outcome.")
+@click.option(
+    "--wait-ms",
+    type=click.IntRange(min=1),
+    default=600_000,
+    show_default=True,
+)
+@_json_option
+@click.pass_obj
+@_sentences
+def submit(
+    options: _Options,
+    account: str,
+    request_id: str,
+    kind: str,
+    parts: int,
+    accelerators: int,
+    cpus: int,
+    memory_mb: int,
+    adjacency: str,
+    run_ms: int,
+    non_idempotent: bool,
+    checkpointable: bool,
+    payload: str,
+    waits: bool,
+    wait_ms: int,
+    as_json: bool,
+) -> None:
+    """Submit a request. Sizes are per part.
+
+    After an error, submit again with the same --id: the request still runs
+    once.
+    """
+    request_id = request_id or uuid.uuid4().hex
+    body = {
+        "request_id": request_id,
+        "account": account,
+        "kind": kind,
+        "parts": parts,
+        "accelerators_per_part": accelerators,
+        "cpus_per_part": cpus,
+        "memory_mb_per_part": memory_mb,
+        "adjacency": adjacency,
+        "run_ms": run_ms,
+        "idempotent": not non_idempotent,
+        "checkpointable": checkpointable,
+        "payload": payload,
+        "issued_at_ms": time.time_ns() // 1_000_000,
+    }
+
+    async def work(client: client_module.Client) -> dict[str, Any]:
+        answer = await requests.submit(client, body)
+        if waits and answer["verdict"]["kind"] == "pending":
+            return await requests.status(client, account, request_id, wait_ms)
+        return answer
+
+    try:
+        answer = options.run(work)
+    except errors.ClientError as error:
+        raise errors.ClientError(
+            f"{error}\nthe request id is {request_id}", error.code
+        ) from None
+    _print(as_json, answer, render.answer(answer))
+    sys.exit(int(requests.exit_code(answer, accepted=not waits)))
+
+
+@main.command()
+@click.argument("account")
+@click.argument("request_id")
+@_json_option
+@click.pass_obj
+@_sentences
+def status(
+    options: _Options, account: str, request_id: str, as_json: bool
+) -> None:
+    """Show what a request's caller is told now."""
+    answer = options.run(
+        lambda client: requests.status(client, account, request_id, 0)
+    )
+    _print(as_json, answer, render.answer(answer))
+    sys.exit(int(requests.exit_code(answer)))
+
+
+@main.command()
+@click.argument("account")
+@click.argument("request_id")
+@click.option(
+    "--timeout-ms",
+    type=click.IntRange(min=1),
+    default=600_000,
+    show_default=True,
+)
+@_json_option
+@click.pass_obj
+@_sentences
+def wait(
+    options: _Options,
+    account: str,
+    request_id: str,
+    timeout_ms: int,
+    as_json: bool,
+) -> None:
+    """Wait for the outcome of a request."""
+    answer = options.run(
+        lambda client: requests.status(client, account, request_id, timeout_ms)
+    )
+    _print(as_json, answer, render.answer(answer))
+    sys.exit(int(requests.exit_code(answer)))
+
+
+@main.command()
+@click.argument("account")
+@click.argument("request_id")
+@_json_option
+@click.pass_obj
+@_sentences
+def cancel(
+    options: _Options, account: str, request_id: str, as_json: bool
+) -> None:
+    """Cancel a request.
+
+    A waiting request ends as not run; a running one is stopped. The answer
+    says which of them happened, or is pending until the run has stopped.
+    """
+    answer = options.run(
+        lambda client: requests.cancel(client, account, request_id)
+    )
+    _print(as_json, answer, render.answer(answer))
+    code = requests.exit_code(answer, accepted=True)
+    # A cancelled request that did not run is what the caller asked for.
+    sys.exit(0 if code is errors.Exit.REFUSED else int(code))
+
+
+@main.command()
+@click.argument("paths", nargs=-1, type=_PATH)
+@click.option(
+    "--host-settings",
+    "settings_paths",
+    multiple=True,
+    type=_FILE,
+    help="Settings file of a host; can be repeated.",
+)
+@_json_option
+@_sentences
+def check(
+    paths: tuple[pathlib.Path, ...],
+    settings_paths: tuple[pathlib.Path, ...],
+    as_json: bool,
+) -> None:
+    """Check declaration files and host settings without a host.
+
+    The declarations are checked together: every template and zone that an
+    account relies on has to be among PATHS.
+    """
+    if not paths and not settings_paths:
+        raise errors.ClientError("name a file to check", errors.Exit.USAGE)
+    problems = files.check(paths, settings_paths)
+    text = "\n".join(problems) if problems else "no problem found"
+    _print(as_json, {"problems": problems}, text)
+    sys.exit(int(errors.Exit.USAGE if problems else errors.Exit.DONE))
+
+
+async def _make_plan(
+    client: client_module.Client,
+    declared: declarations.Declarations,
+    prune: bool,
+) -> declarations.Plan:
+    current = await operations.configuration(client)
+    return declarations.compare(
+        declared, current.values_by_key, current.offset, prune
+    )
+
+
+_prune_option = click.option(
+    "--prune",
+    is_flag=True,
+    help="Remove templates, accounts and zones that no file declares.",
+)
+
+
+@main.command()
+@click.argument("paths", nargs=-1, required=True, type=_PATH)
+@_prune_option
+@click.option(
+    "--out",
+    type=click.Path(dir_okay=False, path_type=pathlib.Path),
+    help="Write the plan for 'apply --plan'.",
+)
+@_json_option
+@click.pass_obj
+@_sentences
+def plan(
+    options: _Options,
+    paths: tuple[pathlib.Path, ...],
+    prune: bool,
+    out: pathlib.Path | None,
+    as_json: bool,
+) -> None:
+    """Show the difference between files and what is in force."""
+    declared = files.read_declarations(paths)
+    made = options.run(lambda client: _make_plan(client, declared, prune))
+    if out is not None:
+        files.write_plan(out, made)
+    _print(as_json, dataclasses.asdict(made), render.plan(made))
+
+
+@main.command()
+@click.argument("paths", nargs=-1, type=_PATH)
+@_prune_option
+@click.option("--plan", "plan_path", type=_FILE, help="Apply this plan.")
+@_progress_timeout
+@_json_option
+@click.pass_obj
+@_sentences
+def apply(
+    options: _Options,
+    paths: tuple[pathlib.Path, ...],
+    prune: bool,
+    plan_path: pathlib.Path | None,
+    timeout_ms: int,
+    as_json: bool,
+) -> None:
+    """Publish declarations together and wait until they are in force.
+
+    All changes take effect or none. With --plan exactly the changes that were
+    reviewed are published; if another operator changed one of the keys in the
+    meantime, nothing is changed and the exit code is 3.
+    """
+    if bool(paths) == bool(plan_path):
+        raise errors.ClientError(
+            "name declaration files or --plan FILE", errors.Exit.USAGE
+        )
+    operator = options.operator()
+    planned = files.read_plan(plan_path) if plan_path is not None else None
+    declared = files.read_declarations(paths) if paths else None
+
+    async def work(
+        client: client_module.Client,
+    ) -> operations.Progress | None:
+        changes = planned
+        if declared is not None:
+            made = await _make_plan(client, declared, prune)
+            if not as_json:
+                click.echo(render.plan(made))
+            changes = operations.publishable(made)
+        if not changes:
+            return None
+        published = await operations.publish(client, changes, operator)
+        return await _follow(client, published.offset, timeout_ms, as_json)
+
+    _finish_progress(options.run(work), as_json)
+
+
+async def _follow(
+    client: client_module.Client, offset: int, timeout_ms: int, as_json: bool
+) -> operations.Progress:
+    def report(value: operations.Progress) -> None:
+        if not as_json:
+            click.echo(render.progress(value))
+
+    return await operations.wait_in_force(client, offset, timeout_ms, report)
+
+
+def _finish_progress(
+    reached: operations.Progress | None, as_json: bool
+) -> None:
+    if reached is None:
+        _print(as_json, {"changed": False}, "nothing to publish")
+        return
+    if as_json:
+        click.echo(json.dumps(dataclasses.asdict(reached), indent=2))
+    if reached.not_reached:
+        sys.exit(int(errors.Exit.PENDING))
+
+
+@main.command()
+@_json_option
+@click.pass_obj
+@_sentences
+def show(options: _Options, as_json: bool) -> None:
+    """Show the configuration, and which hosts have it in force."""
+
+    async def work(client: client_module.Client):
+        current = await operations.configuration(client)
+        return current, await operations.progress(client, current.offset)
+
+    current, reached = options.run(work)
+    value = {
+        "configuration": dataclasses.asdict(current),
+        "progress": dataclasses.asdict(reached),
+    }
+    _print(as_json, value, render.configuration(current, reached))
+
+
+def _set_state(
+    options: _Options,
+    key: str,
+    state: str,
+    waits: bool,
+    timeout_ms: int,
+    as_json: bool,
+) -> None:
+    operator = options.operator()
+
+    async def work(client: client_module.Client) -> operations.Progress:
+        published = await operations.set_state(client, key, state, operator)
+        if not waits:
+            if not as_json:
+                click.echo(render.progress(published))
+            return published
+        return await _follow(client, published.offset, timeout_ms, as_json)
+
+    reached = options.run(work)
+    if not waits:
+        if as_json:
+            click.echo(json.dumps(dataclasses.asdict(reached), indent=2))
+        return
+    _finish_progress(reached, as_json)
+
+
+@main.group()
+def zone() -> None:
+    """Take an availability zone out of service or return it."""
+
+
+def _zone_state(
+    options: _Options,
+    name: str,
+    out: bool,
+    waits: bool,
+    direct: str,
+    timeout_ms: int,
+    as_json: bool,
+) -> None:
+    if not direct:
+        state = "out" if out else "in"
+        key = f"zone-state/{name}"
+        _set_state(options, key, state, waits, timeout_ms, as_json)
+        return
+    operator = options.operator()
+    answer = options.run(
+        lambda client: operations.stop_zone_directly(
+            client, direct.rstrip("/"), name, operator, out
+        )
+    )
+    word = "stopped" if out else "allowed"
+    text = f"{direct}: starts in {name} are {word} on this host and its peers"
+    _print(as_json, answer, text)
+
+
+def _zone_options(function: Callable) -> Callable:
+    decorators = (
+        click.argument("name"),
+        click.option(
+            "--wait", "waits", is_flag=True, help="Wait until in force."
+        ),
+        click.option(
+            "--direct",
+            metavar="URL",
+            default="",
+            help="Order it on this host of a cut-off zone, past the log.",
+        ),
+        _progress_timeout,
+        _json_option,
+        click.pass_obj,
+    )
+    for decorate in reversed(decorators):
+        function = decorate(function)
+    return function
+
+
+@zone.command("out")
+@_zone_options
+@_sentences
+def zone_out(options: _Options, name: str, **how) -> None:
+    """Take a zone out: nothing new starts there."""
+    _zone_state(options, name, True, **how)
+
+
+@zone.command("in")
+@_zone_options
+@_sentences
+def zone_in(options: _Options, name: str, **how) -> None:
+    """Return a zone to service."""
+    _zone_state(options, name, False, **how)
+
+
+@main.group()
+def endpoint() -> None:
+    """Drain an endpoint or use it again."""
+
+
+def _endpoint_options(function: Callable) -> Callable:
+    decorators = (
+        click.argument("endpoint_id"),
+        click.option(
+            "--wait", "waits", is_flag=True, help="Wait until in force."
+        ),
+        _progress_timeout,
+        _json_option,
+        click.pass_obj,
+    )
+    for decorate in reversed(decorators):
+        function = decorate(function)
+    return function
+
+
+@endpoint.command()
+@_endpoint_options
+@_sentences
+def drain(options: _Options, endpoint_id: str, **how) -> None:
+    """Give an endpoint no new work."""
+    _set_state(options, f"endpoint-state/{endpoint_id}", "draining", **how)
+
+
+@endpoint.command()
+@_endpoint_options
+@_sentences
+def activate(options: _Options, endpoint_id: str, **how) -> None:
+    """Give an endpoint work again."""
+    _set_state(options, f"endpoint-state/{endpoint_id}", "active", **how)
+
+
+@main.command()
+@_json_option
+@click.pass_obj
+@_sentences
+def state(options: _Options, as_json: bool) -> None:
+    """Show the state of every host named with --host or in the settings."""
+    dumps = options.run(operations.states)
+    _print(as_json, dumps, render.states(dumps))
+    if all("error" in dump for dump in dumps.values()):
+        sys.exit(int(errors.Exit.UNREACHABLE))
 
 
-@click.group()
-def main() -> None:
-    """Talks to the hosts of a laburnumgate installation."""
+@main.command()
+@click.option(
+    "--json", "as_json", is_flag=True, help="Print JSON: {metrics: TEXT}."
+)
+@click.pass_obj
+@_sentences
+def metrics(options: _Options, as_json: bool) -> None:
+    """Show one host's metrics in the Prometheus text format."""
+    text = options.run(operations.metrics)
+    _print(as_json, {"metrics": text}, text)
 
 
 if __name__ == "__main__":
--- /dev/null
+++ b/packages/cli/src/laburnumgate_cli/requests.py
@@ -0,0 +1,87 @@
+"""Calls of a caller: submit, wait, status, cancel."""
+
+from typing import Any
+
+from laburnumgate_cli import client as client_module
+from laburnumgate_cli import errors
+
+# Longest time for which a host holds a status request back.
+MAX_POLL_MS = 30_000
+_CODES_BY_KIND = {
+    "ran": errors.Exit.DONE,
+    "ran_failed": errors.Exit.FAILED,
+    "not_run": errors.Exit.REFUSED,
+    "may_have_run": errors.Exit.UNDECIDED,
+    "pending": errors.Exit.PENDING,
+}
+
+
+async def submit(
+    client: client_module.Client, body: dict[str, Any]
+) -> dict[str, Any]:
+    """Submits a request and returns the host's answer.
+
+    A host that takes no requests now (503) is passed over; the next one gets
+    the same request id.
+    """
+    for url in client.urls[:-1]:
+        try:
+            answer = await client.call(
+                "POST", "/v1/requests", body, urls=(url,)
+            )
+        except errors.ClientError:
+            continue
+        if answer.status != 503:
+            return _checked(answer)
+    last = client.urls[-1:]
+    return _checked(await client.call("POST", "/v1/requests", body, urls=last))
+
+
+async def status(
+    client: client_module.Client, account: str, request_id: str, wait_ms: int
+) -> dict[str, Any]:
+    """Returns what the caller is told now, after at most `wait_ms`."""
+    left_ms = wait_ms
+    while True:
+        poll_ms = min(left_ms, MAX_POLL_MS)
+        path = f"{_path(account, request_id)}?wait_ms={poll_ms}"
+        answer = _checked(await client.call("GET", path, wait_ms=poll_ms))
+        left_ms -= poll_ms
+        if answer["verdict"]["kind"] != "pending" or left_ms <= 0:
+            return answer
+
+
+async def cancel(
+    client: client_module.Client, account: str, request_id: str
+) -> dict[str, Any]:
+    """Cancels a request and returns what the caller is told now."""
+    return _checked(await client.call("DELETE", _path(account, request_id)))
+
+
+def exit_code(answer: dict[str, Any], accepted: bool = False) -> errors.Exit:
+    """Returns the exit code of an answer.
+
+    Args:
+      answer: a host's answer, which carries a verdict.
+      accepted: whether a pending request is what was wanted.
+    """
+    kind = answer["verdict"]["kind"]
+    if kind == "pending" and accepted:
+        return errors.Exit.DONE
+    return _CODES_BY_KIND.get(kind, errors.Exit.FAILED)
+
+
+def _path(account: str, request_id: str) -> str:
+    quoted = client_module.quote(account), client_module.quote(request_id)
+    return f"/v1/requests/{quoted[0]}/{quoted[1]}"
+
+
+def _checked(answer: client_module.Answer) -> dict[str, Any]:
+    body = answer.body
+    if not isinstance(body, dict) or "verdict" not in body:
+        raise errors.ClientError(
+            f"{answer.url} answered {answer.status} without a verdict: "
+            f"{str(body)[:200]}",
+            errors.Exit.UNDECIDED,
+        )
+    return body
