--- a/packages/host/src/laburnumgate_host/events.py
+++ b/packages/host/src/laburnumgate_host/events.py
@@ -5,41 +5,99 @@
 
 
 class Event(enum.Enum):
-    """Number and meaning of each event."""
+    """Number, message, level and fields of each event.
+
+    Numbers below 200 concern the process, 2xx the log and the configuration,
+    3xx scheduling, 4xx endpoints, 5xx other hosts, 9xx faults of the program.
+    A number is never used again for another meaning.
+    """
 
     HOST_STARTED = (100, "host started")
     HOST_READY = (101, "host is ready")
     HOST_LEAVING = (102, "host is leaving")
     HOST_STOPPED = (103, "host stopped")
-    LOG_UNREACHABLE = (200, "log is unreachable")
+    LOG_UNREACHABLE = (
+        200,
+        "log is unreachable",
+        logging.WARNING,
+        ("reason",),
+    )
     LOG_REACHABLE = (201, "log is reachable again")
-    LOG_GAP = (202, "log no longer holds records that are needed")
-    ENTRY_SKIPPED = (203, "malformed log entry skipped")
-    CONFIG_APPLIED = (210, "configuration change is in force")
-    CONFIG_REJECTED = (211, "configuration change was not taken")
-    PLACING_STARTED = (300, "host places for its zone")
-    PLACING_STOPPED = (301, "host no longer places for its zone")
+    LOG_GAP = (
+        202,
+        "log no longer holds records that are needed",
+        logging.ERROR,
+        ("stream", "wanted", "first"),
+    )
+    ENTRY_SKIPPED = (
+        203,
+        "malformed log entry skipped",
+        logging.WARNING,
+        ("offset",),
+    )
+    CONFIG_APPLIED = (
+        210,
+        "configuration change is in force",
+        logging.INFO,
+        ("offset",),
+    )
+    CONFIG_REJECTED = (
+        211,
+        "configuration change was not taken",
+        logging.INFO,
+        ("offset",),
+    )
+    PLACING_STARTED = (
+        300,
+        "host places for its zone",
+        logging.INFO,
+        ("zone",),
+    )
+    PLACING_STOPPED = (
+        301,
+        "host no longer places for its zone",
+        logging.INFO,
+        ("zone",),
+    )
     JOB_ENDED = (310, "job ended")
-    ENDPOINT_LOST = (400, "endpoint does not answer")
-    ENDPOINT_FAILED = (401, "call to an endpoint failed")
-    PEER_UNREACHABLE = (500, "peer does not answer")
-    TASK_CRASHED = (900, "internal task failed and is restarted")
-
-    @property
-    def number(self) -> int:
-        """The event's number, never used again for another meaning."""
-        return self.value[0]
+    ENDPOINT_LOST = (
+        400,
+        "endpoint does not answer",
+        logging.WARNING,
+        ("endpoint",),
+    )
+    ENDPOINT_FAILED = (401, "call to an endpoint failed", logging.WARNING)
+    PEER_UNREACHABLE = (500, "peer does not answer", logging.WARNING)
+    TASK_CRASHED = (
+        900,
+        "internal task failed and is restarted",
+        logging.ERROR,
+    )
 
-    @property
-    def text(self) -> str:
-        """The event's message."""
-        return self.value[1]
+    def __init__(
+        self,
+        number: int,
+        text: str,
+        level: int = logging.INFO,
+        fields: tuple[str, ...] = (),
+    ):
+        self.number = number
+        self.text = text
+        self.level = level
+        self.fields = fields
 
 
 def emit(
-    logger: logging.Logger, event: Event, level: int = logging.INFO, **fields
+    logger: logging.Logger, event: Event, level: int | None = None, **fields
 ) -> None:
-    """Logs an event with its number and fields."""
+    """Logs an event with its number and fields.
+
+    Args:
+      logger: the logger of the module that reports the event.
+      event: the event; it gives the message and the level.
+      level: a level that replaces the event's own.
+      **fields: values of the fields that the event declares.
+    """
     extra = {"event": event.number, "event_name": event.name.lower()}
     extra.update(fields)
-    logger.log(level, event.text, extra=extra)
+    logger.log(event.level if level is None else level, event.text, extra=extra)
--- a/packages/host/src/laburnumgate_host/logs.py
+++ b/packages/host/src/laburnumgate_host/logs.py
@@ -7,16 +7,16 @@
 
 
 def set_up(host_id: str, level: str) -> None:
-    """Sends every logger's records to standard error as JSON lines."""
+    """Sends every logger's records to standard error as JSON lines.
+
+    Times are in UTC, so that lines of hosts in several regions can be merged.
+    """
     handler = logging.StreamHandler(sys.stderr)
     handler.setFormatter(
         jsonlogger.JsonFormatter(
-            "%(asctime)s %(levelname)s %(name)s %(message)s",
-            rename_fields={
-                "asctime": "time",
-                "levelname": "level",
-                "name": "logger",
-            },
+            "%(levelname)s %(name)s %(message)s",
+            rename_fields={"levelname": "level", "name": "logger"},
+            timestamp="time",
             static_fields={"host": host_id},
         )
     )
--- a/packages/host/src/laburnumgate_host/settings.py
+++ b/packages/host/src/laburnumgate_host/settings.py
@@ -1,5 +1,6 @@
 """Checked settings of one host: its TOML file over `defaults.toml`."""
 
+import dataclasses
 from importlib import resources
 import ipaddress
 import tomllib
@@ -7,6 +8,8 @@
 from typing import Any
 
 import pydantic
+from pydantic import fields
+import pydantic_core
 
 
 class SettingsError(Exception):
@@ -27,48 +30,93 @@
     model_config = pydantic.ConfigDict(extra="forbid", frozen=True)
 
 
+def _field(meaning: str, **bounds) -> Any:
+    return pydantic.Field(description=meaning, **bounds)
+
+
 class Host(_Section):
     """Who this host is and where it listens."""
 
-    host_id: str = pydantic.Field(pattern=r"^[a-z0-9][a-z0-9-]*$")
-    zone: str = pydantic.Field(min_length=1)
-    region: str = pydantic.Field(min_length=1)
-    ip: Ip
-    http_port: Port
-    rpc_port: Port
-    state_dump: bool
+    host_id: str = _field(
+        "Name of the host, unique in the installation.",
+        pattern=r"^[a-z0-9][a-z0-9-]*$",
+    )
+    zone: str = _field("Availability zone of the host.", min_length=1)
+    region: str = _field("Region of the zone.", min_length=1)
+    ip: Ip = _field("IP number on which the host listens.")
+    http_port: Port = _field("Port for callers and operators.")
+    rpc_port: Port = _field("Port for other hosts; not `http_port`.")
+    state_dump: bool = _field("Whether operators may read the state dump.")
+
+    @pydantic.model_validator(mode="after")
+    def _check_ports(self) -> "Host":
+        if self.http_port == self.rpc_port:
+            raise ValueError("http_port and rpc_port must differ")
+        return self
 
 
 class Platform(_Section):
     """Where the platform's services answer."""
 
-    log_url: pydantic.HttpUrl
-    live_list_url: pydantic.HttpUrl
+    log_url: pydantic.HttpUrl = _field("Base URL of the log.")
+    live_list_url: pydantic.HttpUrl = _field("Base URL of the live list.")
 
 
 class Timing(_Section):
     """Periods and timeouts in ms."""
 
-    tick_ms: PositiveMs
-    heartbeat_ms: PositiveMs
-    live_list_poll_ms: PositiveMs
-    log_poll_wait_ms: PositiveMs
-    log_timeout_ms: PositiveMs
-    endpoint_timeout_ms: PositiveMs
-    report_wait_ms: PositiveMs
-    endpoint_lost_after_ms: PositiveMs
-    shutdown_grace_ms: PositiveMs
-    stop_starts_after_isolation_ms: int = pydantic.Field(ge=0)
+    tick_ms: PositiveMs = _field("Period of the scheduler.")
+    heartbeat_ms: PositiveMs = _field("Period of heartbeats to other hosts.")
+    live_list_poll_ms: PositiveMs = _field("Period of reading the live list.")
+    log_poll_wait_ms: PositiveMs = _field(
+        "How long the log may hold a read back until records arrive."
+    )
+    log_timeout_ms: PositiveMs = _field(
+        "After this time an append or the answer to a read counts as lost."
+    )
+    endpoint_timeout_ms: PositiveMs = _field(
+        "After this time a call to an endpoint counts as lost."
+    )
+    report_wait_ms: PositiveMs = _field(
+        "How long an endpoint may hold a report back until a task changes."
+    )
+    endpoint_lost_after_ms: PositiveMs = _field(
+        "An endpoint that has not answered for this long is lost and its "
+        "gangs are stopped."
+    )
+    shutdown_grace_ms: PositiveMs = _field(
+        "How long a leaving host may take to finish or undo launches."
+    )
+    stop_starts_after_isolation_ms: int = _field(
+        "A zone that has heard nothing from the log or another zone for this "
+        "long starts nothing more; 0 lets it continue without end.",
+        ge=0,
+    )
 
 
 class Limits(_Section):
     """Bounds on queues and rates."""
 
-    waiting_jobs: int = pydantic.Field(ge=1)
-    waiting_jobs_per_account: int = pydantic.Field(ge=1)
-    appends_per_s: int = pydantic.Field(ge=1)
-    fences_per_s: int = pydantic.Field(ge=1)
-    open_polls: int = pydantic.Field(ge=1)
+    waiting_jobs: int = _field("Most waiting jobs of the zone.", ge=1)
+    waiting_jobs_per_account: int = _field(
+        "Most waiting jobs of one client account; at most `waiting_jobs`.",
+        ge=1,
+    )
+    appends_per_s: int = _field("Most appends of this host per second.", ge=1)
+    fences_per_s: int = _field(
+        "Most refusals per second that are recorded, so that they can say "
+        "not run.",
+        ge=1,
+    )
+    open_polls: int = _field("Most callers that wait on this host.", ge=1)
+
+    @pydantic.model_validator(mode="after")
+    def _check_shares(self) -> "Limits":
+        if self.waiting_jobs_per_account > self.waiting_jobs:
+            raise ValueError(
+                "waiting_jobs_per_account must not exceed waiting_jobs"
+            )
+        return self
 
 
 class Settings(_Section):
@@ -80,6 +128,37 @@
     limits: Limits
 
 
+@dataclasses.dataclass(frozen=True)
+class Description:
+    """One setting as its documentation shows it."""
+
+    name: str
+    kind: str
+    default: str
+    meaning: str
+
+
+def describe() -> tuple[Description, ...]:
+    """Returns every setting with its full name, in the order of the model.
+
+    The default is an empty string if a host's file must give the setting.
+    """
+    shipped = _shipped()
+    found = []
+    for section_name, section in Settings.model_fields.items():
+        for name, field in section.annotation.model_fields.items():
+            default = shipped.get(section_name, {}).get(name, "")
+            found.append(
+                Description(
+                    f"{section_name}.{name}",
+                    _kind(field),
+                    str(default).lower(),
+                    field.description or "",
+                )
+            )
+    return tuple(found)
+
+
 def load(text: str) -> Settings:
     """Parses a host's TOML text over the shipped defaults.
 
@@ -90,18 +169,47 @@
         own = tomllib.loads(text)
     except tomllib.TOMLDecodeError as error:
         raise SettingsError(f"the file is not TOML: {error}") from None
-    shipped = resources.files(__package__).joinpath("defaults.toml")
-    merged = _merge(tomllib.loads(shipped.read_text()), own)
+    merged = _merge(_shipped(), own)
     try:
         return Settings.model_validate(merged)
     except pydantic.ValidationError as error:
         lines = []
         for item in error.errors():
-            path = ".".join(str(part) for part in item["loc"])
-            lines.append(f"{path}: {item['msg']}")
+            lines.append(_sentence(item))
         raise SettingsError("\n".join(lines)) from None
 
 
+def _sentence(error: pydantic_core.ErrorDetails) -> str:
+    path = ".".join(str(part) for part in error["loc"])
+    match error["type"]:
+        case "missing":
+            return f"{path}: must be set"
+        case "extra_forbidden":
+            return f"{path}: no such setting"
+    return f"{path}: {error['msg']}"
+
+
+def _shipped() -> dict[str, Any]:
+    path = resources.files(__package__).joinpath("defaults.toml")
+    return tomllib.loads(path.read_text())
+
+
+def _kind(field: fields.FieldInfo) -> str:
+    if field.annotation is pydantic.HttpUrl:
+        return "URL"
+    if field.annotation is bool:
+        return "true or false"
+    if field.annotation is not int:
+        return "text"
+    bounds = []
+    for bound in field.metadata:
+        if hasattr(bound, "ge"):
+            bounds.append(f"at least {bound.ge}")
+        if hasattr(bound, "le"):
+            bounds.append(f"at most {bound.le}")
+    return ", ".join(["integer", *bounds])
+
+
 def _merge(base: dict[str, Any], own: dict[str, Any]) -> dict[str, Any]:
     merged = dict(base)
     for key, value in own.items():
