--- a/packages/cli/src/laburnumgate_cli/requests.py
+++ b/packages/cli/src/laburnumgate_cli/requests.py
@@ -24,28 +24,24 @@
     A host that takes no requests now (503) is passed over; the next one gets
     the same request id.
     """
-    for url in client.urls[:-1]:
-        try:
-            answer = await client.call(
-                "POST", "/v1/requests", body, urls=(url,)
-            )
-        except errors.ClientError:
-            continue
-        if answer.status != 503:
-            return _checked(answer)
-    last = client.urls[-1:]
-    return _checked(await client.call("POST", "/v1/requests", body, urls=last))
+    return await _first(client, "POST", "/v1/requests", body, passed_over=503)
 
 
 async def status(
     client: client_module.Client, account: str, request_id: str, wait_ms: int
 ) -> dict[str, Any]:
-    """Returns what the caller is told now, after at most `wait_ms`."""
+    """Returns what the caller is told now, after at most `wait_ms`.
+
+    A host that does not know the request (404) is passed over, since it may
+    not have read the log up to the submission.
+    """
     left_ms = wait_ms
     while True:
         poll_ms = min(left_ms, MAX_POLL_MS)
         path = f"{_path(account, request_id)}?wait_ms={poll_ms}"
-        answer = _checked(await client.call("GET", path, wait_ms=poll_ms))
+        answer = await _first(
+            client, "GET", path, wait_ms=poll_ms, passed_over=404
+        )
         left_ms -= poll_ms
         if answer["verdict"]["kind"] != "pending" or left_ms <= 0:
             return answer
@@ -55,7 +51,8 @@
     client: client_module.Client, account: str, request_id: str
 ) -> dict[str, Any]:
     """Cancels a request and returns what the caller is told now."""
-    return _checked(await client.call("DELETE", _path(account, request_id)))
+    path = _path(account, request_id)
+    return await _first(client, "DELETE", path, passed_over=404)
 
 
 def exit_code(answer: dict[str, Any], accepted: bool = False) -> errors.Exit:
@@ -71,6 +68,36 @@
     return _CODES_BY_KIND.get(kind, errors.Exit.FAILED)
 
 
+async def _first(
+    client: client_module.Client,
+    method: str,
+    path: str,
+    body: dict[str, Any] | None = None,
+    wait_ms: int = 0,
+    passed_over: int = 0,
+) -> dict[str, Any]:
+    """Returns the first answer with another status than `passed_over`.
+
+    If every host that answers gives that status, the last answer counts.
+    """
+    passed: client_module.Answer | None = None
+    failure: errors.ClientError | None = None
+    for url in client.urls:
+        try:
+            answer = await client.call(method, path, body, wait_ms, urls=(url,))
+        except errors.ClientError as error:
+            # An undecided failure stays the one that is reported.
+            if failure is None or error.code is errors.Exit.UNDECIDED:
+                failure = error
+            continue
+        if answer.status != passed_over:
+            return _checked(answer)
+        passed = answer
+    if passed is not None:
+        return _checked(passed)
+    raise failure
+
+
 def _path(account: str, request_id: str) -> str:
     quoted = client_module.quote(account), client_module.quote(request_id)
     return f"/v1/requests/{quoted[0]}/{quoted[1]}"
--- /dev/null
+++ b/packages/standins/src/laburnumgate_standins/audit.py
@@ -0,0 +1,136 @@
+"""Compares what callers were told with what endpoints have run."""
+
+import asyncio
+import collections
+import dataclasses
+import json
+
+import aiohttp
+from laburnumgate_core import model
+
+from laburnumgate_standins import layout as layout_module
+from laburnumgate_standins import sampling
+from laburnumgate_standins import traffic
+
+
+@dataclasses.dataclass(frozen=True)
+class History:
+    """Every start of real work, as the endpoints recorded it.
+
+    `endpoints_by_run` holds the endpoint of each part by job id and run.
+    """
+
+    endpoints_by_run: dict[str, dict[int, dict[int, str]]]
+    tasks_by_zone: dict[str, frozenset[str]]
+
+    def zones(self, job_id: str) -> tuple[str, ...]:
+        """Zones in which parts of the job have run, in order of runs."""
+        found: dict[str, None] = {}
+        for _, parts in sorted(self.endpoints_by_run.get(job_id, {}).items()):
+            found.update(
+                dict.fromkeys(sampling.zone_of(e) for e in parts.values())
+            )
+        return tuple(found)
+
+    def runs(self, job_id: str) -> int:
+        """Number of runs of which at least one part has run."""
+        return len(self.endpoints_by_run.get(job_id, {}))
+
+
+async def read_history(
+    session: aiohttp.ClientSession, urls_by_endpoint: dict[str, str]
+) -> History:
+    """Reads the history of every endpoint."""
+
+    async def one(url: str) -> list[str]:
+        async with session.get(f"{url}/history") as response:
+            return (await response.json())["resumed"]
+
+    lists = await asyncio.gather(*map(one, urls_by_endpoint.values()))
+    runs: dict = collections.defaultdict(lambda: collections.defaultdict(dict))
+    by_zone = collections.defaultdict(set)
+    for endpoint_id, task_ids in zip(urls_by_endpoint, lists, strict=True):
+        by_zone[sampling.zone_of(endpoint_id)].update(task_ids)
+        for task_id in task_ids:
+            job_id, run, part = model.parse_task_id(task_id)
+            runs[job_id][run][part] = endpoint_id
+    zones = {zone: frozenset(tasks) for zone, tasks in by_zone.items()}
+    return History(runs, zones)
+
+
+def faults(
+    calls: list[traffic.Call],
+    history: History,
+    layout: layout_module.Layout,
+    told_later: dict[str, str],
+) -> list[str]:
+    """Returns one sentence for each request that did not end as told.
+
+    Args:
+      calls: the callers' requests with the verdicts they were given.
+      history: what the endpoints have run.
+      layout: the layout, which names the kinds that never repeat.
+      told_later: kind of verdict by job id that another host gave at the end.
+    """
+    found = []
+    for made in calls:
+        once = traffic.at_most_once(made.order, layout)
+        reasons = [
+            _verdict_fault(made, history, once),
+            _once_fault(made, history, once),
+            _later_fault(made, told_later),
+        ]
+        for reason in filter(None, reasons):
+            found.append(f"{made.order.job_id}: {reason}")
+    return found
+
+
+def _verdict_fault(made: traffic.Call, history: History, once: bool) -> str:
+    runs = history.runs(made.order.job_id)
+    intent = made.order.intent
+    match made.kind:
+        case "ran":
+            if intent is traffic.Intent.IMPOSSIBLE:
+                return "ran although it can never run"
+            return _answer_fault(made, history)
+        case "not_run":
+            if runs:
+                return f"told not run, and {runs} runs were started"
+            if intent is traffic.Intent.RUN:
+                return f"refused: {made.verdict['reason']}"
+            return ""
+        case "ran_failed" if intent is traffic.Intent.CANCEL:
+            return "" if runs else "told that it ran, and no run was started"
+        case "may_have_run" if once or intent is traffic.Intent.CANCEL:
+            return ""
+    told = made.verdict or {}
+    detail = told.get("reason") or told.get("state", "")
+    return f"ended as {made.kind} {detail}".rstrip()
+
+
+def _answer_fault(made: traffic.Call, history: History) -> str:
+    answer = made.verdict["answer"]
+    parts = made.order.body["parts"]
+    if len(answer) != parts:
+        return f"{len(answer)} of {parts} parts were answered"
+    wanted = json.loads(made.order.body["payload"])["echo"]
+    if any(json.loads(text)["echo"] != wanted for text in answer):
+        return "got the answer of another request"
+    runs = history.endpoints_by_run.get(made.order.job_id, {})
+    if not any(len(started) == parts for started in runs.values()):
+        return "told that it ran, and no run started every part"
+    return ""
+
+
+def _once_fault(made: traffic.Call, history: History, once: bool) -> str:
+    runs = history.runs(made.order.job_id)
+    if once and runs > 1:
+        return f"must not repeat and was started {runs} times"
+    return ""
+
+
+def _later_fault(made: traffic.Call, told_later: dict[str, str]) -> str:
+    later = told_later.get(made.order.job_id, made.kind)
+    if made.kind in traffic.FINAL_KINDS and later != made.kind:
+        return f"told {made.kind}, and another host says {later}"
+    return ""
--- a/packages/standins/src/laburnumgate_standins/demo.py
+++ b/packages/standins/src/laburnumgate_standins/demo.py
@@ -2,161 +2,282 @@
 
 import asyncio
 import dataclasses
-import json
-import random
+import signal
 import sys
 import time
 
 import aiohttp
 import click
+from laburnumgate_cli import client as client_module
+from laburnumgate_cli import operations
+from laburnumgate_core import declarations
 
+from laburnumgate_standins import audit
 from laburnumgate_standins import cluster as cluster_module
 from laburnumgate_standins import layout as layout_module
+from laburnumgate_standins import processes
+from laburnumgate_standins import report
+from laburnumgate_standins import sampling
+from laburnumgate_standins import traffic
 
-POLL_WAIT_MS = 5_000
-MAX_POLLS = 12
+# The whole demo has to end in under 40 s: up to 8 s to start, the load, and
+# the time to stop the processes.
+LOAD_LIMIT_S = 20.0
+ZONE_OUT_AT_S = 2.0
+# No task may start in a zone later than this after it was taken out.
+START_GRACE_S = 5.0
+ZONE_OUT_FOR_S = 7.0
+ZONE_BACK_S = 2.0
+KILL_AT_S = 4.0
+IN_FORCE_TIMEOUT_MS = 5_000
+OPERATOR = "demo"
 
 
 @dataclasses.dataclass
-class Call:
-    """One request of the demo and what its caller was told."""
-
-    request_id: str
-    body: dict
-    submitted_s: float
-    ended_s: float = 0.0
-    verdict: dict | None = None
-
-
-def workload(layout: layout_module.Layout, seed: int, count: int) -> list[dict]:
-    """Returns request bodies; the same seed gives the same bodies."""
-    rng = random.Random(seed)
-    bodies = []
-    for number in range(count):
-        account = rng.choice(layout.accounts)
-        kind = rng.choice((*account.never_repeat, "review", "batch"))
-        work_ms = rng.choice((200, 400, 800, 2000))
-        bodies.append(
-            {
-                "request_id": f"demo-{seed}-{number}",
-                "account": account.name,
-                "kind": kind,
-                "parts": rng.choice((1, 1, 2, account.parts)),
-                "accelerators_per_part": rng.choice((1, 2, 4, 8)),
-                "run_ms": work_ms * rng.choice((1, 1, 2, 5)),
-                "checkpointable": rng.random() < 0.3,
-                "payload": json.dumps(
-                    {"work_ms": work_ms, "echo": f"answer-{number}"}
-                ),
-            }
-        )
-    return bodies
+class ZoneChange:
+    """When a zone left and was back, in s, and starts that came too late."""
+
+    zone: str
+    left_s: float = 0.0
+    back_s: float = 0.0
+    late_tasks: frozenset[str] = frozenset()
 
 
 async def publish(
-    session: aiohttp.ClientSession, url: str, values: dict[str, dict]
+    session: aiohttp.ClientSession,
+    url: str,
+    values: dict[str, dict],
+    hosts: int = 1,
 ) -> dict:
-    """Publishes values against the revisions in force."""
-    async with session.get(f"{url}/v1/operator/config") as response:
-        current = (await response.json())["values"]
-    changes = [
-        {
-            "key": key,
-            "value": value,
-            "replaces": current.get(key, {}).get("revision", 0),
-        }
+    """Publishes values against the revisions in force.
+
+    Waits until at least `hosts` hosts have them in force, since a host that
+    has just started does not know all others yet.
+    """
+    client = client_module.Client(session, (url,), IN_FORCE_TIMEOUT_MS)
+    current = await operations.configuration(client)
+    declared = {
+        key: declarations.Declared(key, value, OPERATOR)
         for key, value in values.items()
-    ]
-    body = {"operator": "demo", "changes": changes}
-    async with session.post(
-        f"{url}/v1/operator/publications", json=body
-    ) as response:
-        return await response.json()
-
-
-async def call(
-    session: aiohttp.ClientSession, urls: list[str], body: dict
-) -> Call:
-    """Submits a request and waits for its outcome, host after host."""
-    made = Call(body["request_id"], body, time.monotonic())
-    for attempt in range(MAX_POLLS):
-        url = urls[(hash(body["payload"]) + attempt) % len(urls)]
-        try:
-            async with session.post(
-                f"{url}/v1/requests", json=body
-            ) as response:
-                answer = await response.json()
-            if response.status in (200, 202):
-                path = f"/v1/requests/{body['account']}/{made.request_id}"
-                async with session.get(
-                    f"{url}{path}?wait_ms={POLL_WAIT_MS}"
-                ) as response:
-                    answer = await response.json()
-        except aiohttp.ClientError:
-            await asyncio.sleep(0.2)
-            continue
-        made.verdict = answer["verdict"]
-        if made.verdict["kind"] in ("ran", "ran_failed", "not_run"):
+    }
+    plan = declarations.compare(
+        declarations.Declarations(declared, ()),
+        current.values_by_key,
+        current.offset,
+    )
+    if not plan.changes:
+        return dataclasses.asdict(
+            await operations.progress(client, current.offset)
+        )
+    changes = operations.publishable(plan)
+    published = await operations.publish(client, changes, OPERATOR)
+    until_s = time.monotonic() + IN_FORCE_TIMEOUT_MS / 1000
+    while True:
+        reached = await operations.progress(client, published.offset)
+        everywhere = len(reached.in_force) >= hosts
+        if everywhere and not reached.not_reached:
+            break
+        if time.monotonic() > until_s:
             break
-        await asyncio.sleep(0.1)
-    made.ended_s = time.monotonic()
-    return made
-
-
-def wrong_answer(made: Call) -> str:
-    """Returns what is wrong with the outcome of a call, or nothing."""
-    if made.verdict is None or made.verdict["kind"] != "ran":
-        return f"{made.request_id}: {made.verdict}"
-    answer = made.verdict["answer"]
-    if len(answer) != made.body["parts"]:
-        return f"{made.request_id}: {len(answer)} parts answered"
-    wanted = json.loads(made.body["payload"])["echo"]
-    for text in answer:
-        if json.loads(text)["echo"] != wanted:
-            return f"{made.request_id}: answer of another request"
-    return ""
-
-
-async def run(name: str, seed: int, count: int) -> int:
+        await asyncio.sleep(operations.PROGRESS_PAUSE_MS / 1000)
+    return dataclasses.asdict(reached)
+
+
+async def run(name: str, seed: int, count: int, kill_host: bool = False) -> int:
     """Runs the demo; returns the process's exit code."""
     layout = layout_module.BY_NAME[name]
     cluster = cluster_module.Cluster(layout)
     try:
         await cluster.start()
         click.echo(
-            f"{len(cluster.hosts_by_id)} hosts and "
-            f"{len(cluster.endpoint_urls_by_id)} endpoints are ready"
+            f"{len(cluster.hosts_by_id)} hosts in {len(layout.zones)} zones "
+            f"and {len(cluster.endpoint_urls_by_id)} endpoints are ready"
         )
-        return await _drive(cluster, layout, seed, count)
+        async with aiohttp.ClientSession() as session:
+            demo = _Demo(cluster, layout, session)
+            return await demo.run(seed, count, kill_host)
     finally:
         cluster.stop()
 
 
-async def _drive(
-    cluster: cluster_module.Cluster,
-    layout: layout_module.Layout,
-    seed: int,
-    count: int,
-) -> int:
-    urls = [host.url for host in cluster.hosts_by_id.values()]
-    async with aiohttp.ClientSession() as session:
-        declared = layout_module.declarations(layout)
-        answer = await publish(session, urls[0], declared)
-        click.echo(f"configuration: {answer}")
-        await asyncio.sleep(1)
-        bodies = workload(layout, seed, count)
-        calls = await asyncio.gather(
-            *(call(session, urls, body) for body in bodies)
+class _Demo:
+    """One run of the demo on a started cluster."""
+
+    def __init__(
+        self,
+        cluster: cluster_module.Cluster,
+        layout: layout_module.Layout,
+        session: aiohttp.ClientSession,
+    ):
+        self.cluster = cluster
+        self.layout = layout
+        self.session = session
+        self.urls = [host.url for host in cluster.hosts_by_id.values()]
+        self.sampler = sampling.Sampler(
+            session, cluster.endpoint_urls_by_id, layout
         )
-    errors = [text for text in map(wrong_answer, calls) if text]
-    times = sorted(made.ended_s - made.submitted_s for made in calls)
-    click.echo(
-        f"{len(calls)} requests, completion p50 {times[len(times) // 2]:.2f} s"
-        f", max {times[-1]:.2f} s, wrong {len(errors)}"
-    )
-    for text in errors:
-        click.echo(text, err=True)
-    return 1 if errors else 0
+        self.zone_change = ZoneChange(layout.zones[1])
+        self.killed = ""
+
+    async def run(self, seed: int, count: int, kill_host: bool) -> int:
+        declared = layout_module.declarations(self.layout)
+        reached = await publish(
+            self.session, self.urls[0], declared, len(self.urls)
+        )
+        click.echo(
+            f"{len(declared)} declarations are in force on "
+            f"{len(reached['in_force'])} hosts"
+        )
+        sampling_task = asyncio.create_task(self.sampler.run())
+        started_s = time.monotonic()
+        orders = traffic.orders(self.layout, seed, count)
+        work = [self._call_all(orders, started_s), self._move_zone()]
+        if kill_host:
+            work.append(self._kill_host())
+        calls, *_ = await asyncio.gather(*work)
+        ended_s = max(made.ended_s for made in calls)
+        sampling_task.cancel()
+        history = await audit.read_history(
+            self.session, self.cluster.endpoint_urls_by_id
+        )
+        told_later = await self._ask_others(orders)
+        faults = audit.faults(calls, history, self.layout, told_later)
+        faults += self._zone_faults()
+        self._print(calls, history, started_s, ended_s)
+        faults += self._print_processes()
+        return _conclude(calls, faults)
+
+    async def _call_all(
+        self, orders: tuple[traffic.Order, ...], started_s: float
+    ) -> list[traffic.Call]:
+        until_s = started_s + LOAD_LIMIT_S
+        calls = []
+        for number, order in enumerate(orders):
+            first = number % len(self.urls)
+            urls = (*self.urls[first:], *self.urls[:first])
+            calls.append(traffic.carry_out(self.session, urls, order, until_s))
+        return await asyncio.gather(*calls)
+
+    async def _move_zone(self) -> None:
+        change = self.zone_change
+        key = f"zone-state/{change.zone}"
+        await asyncio.sleep(ZONE_OUT_AT_S)
+        change.left_s = time.monotonic()
+        reached = await publish(self.session, self.urls[0], {key: _OUT})
+        click.echo(
+            f"zone {change.zone} is out on {len(reached['in_force'])} hosts "
+            f"after {time.monotonic() - change.left_s:.2f} s"
+        )
+        await asyncio.sleep(change.left_s + START_GRACE_S - time.monotonic())
+        before = await self._tasks_of(change.zone)
+        await asyncio.sleep(change.left_s + ZONE_OUT_FOR_S - time.monotonic())
+        change.late_tasks = await self._tasks_of(change.zone) - before
+        ordered_s = time.monotonic()
+        reached = await publish(self.session, self.urls[0], {key: _IN})
+        click.echo(
+            f"zone {change.zone} is back on {len(reached['in_force'])} hosts "
+            f"after {time.monotonic() - ordered_s:.2f} s"
+        )
+        change.back_s = time.monotonic() + ZONE_BACK_S
+        await asyncio.sleep(ZONE_BACK_S)
+
+    async def _tasks_of(self, zone: str) -> frozenset[str]:
+        history = await audit.read_history(
+            self.session, self.cluster.endpoint_urls_by_id
+        )
+        return history.tasks_by_zone.get(zone, frozenset())
+
+    async def _kill_host(self) -> None:
+        await asyncio.sleep(KILL_AT_S)
+        # The last host is in a zone that stays in service.
+        self.killed = list(self.cluster.hosts_by_id)[-1]
+        self.cluster.signal(self.killed, signal.SIGKILL)
+        click.echo(f"host {self.killed} was killed")
+
+    async def _ask_others(
+        self, orders: tuple[traffic.Order, ...]
+    ) -> dict[str, str]:
+        """Asks each request's outcome of another host than its own."""
+        hosts = self.cluster.hosts_by_id
+        alive = [h.url for name, h in hosts.items() if name != self.killed]
+        kinds = await asyncio.gather(
+            *(
+                traffic.ask_again(
+                    self.session, alive[(number + 3) % len(alive)], order
+                )
+                for number, order in enumerate(orders)
+            )
+        )
+        return {
+            order.job_id: kind
+            for order, kind in zip(orders, kinds, strict=True)
+        }
+
+    def _zone_faults(self) -> list[str]:
+        change = self.zone_change
+        return [
+            f"{task_id} started in {change.zone} more than "
+            f"{START_GRACE_S:.0f} s after it was taken out"
+            for task_id in sorted(change.late_tasks)
+        ]
+
+    def _print(
+        self,
+        calls: list[traffic.Call],
+        history: audit.History,
+        started_s: float,
+        ended_s: float,
+    ) -> None:
+        names = {h.url: h.host_id for h in self.cluster.hosts_by_id.values()}
+        click.echo()
+        click.echo(report.requests(calls, history, self.layout, names))
+        change = self.zone_change
+        click.echo()
+        click.echo(
+            report.measures(
+                calls,
+                self.sampler.fragmentation(started_s, ended_s),
+                self.sampler.work(change.left_s, change.back_s),
+                change.back_s - change.left_s,
+                self.layout,
+            )
+        )
+
+    def _print_processes(self) -> list[str]:
+        """Prints every process; returns the faults found in them."""
+        found = []
+        faults = []
+        for name, handle in self.cluster.processes_by_name.items():
+            process = processes.read(name, handle.pid)
+            if process is None:
+                if name != self.killed:
+                    faults.append(f"process {name} has ended")
+                continue
+            found.append(process)
+            if process.children:
+                faults.append(f"process {name} has started other processes")
+        click.echo()
+        click.echo(report.process_table(found))
+        return faults
+
+
+_OUT = {"state": "out"}
+_IN = {"state": "in"}
+
+
+def _conclude(calls: list[traffic.Call], faults: list[str]) -> int:
+    counts: dict[str, int] = {}
+    for made in calls:
+        counts[made.kind] = counts.get(made.kind, 0) + 1
+    told = ", ".join(f"{n} {kind}" for kind, n in sorted(counts.items()))
+    click.echo()
+    click.echo(f"{len(calls)} requests: {told}")
+    if not faults:
+        click.echo("every request ended as its caller was told")
+        return 0
+    for text in faults:
+        click.echo(f"fault: {text}", err=True)
+    return 1
 
 
 @click.command()
@@ -168,10 +289,13 @@
     show_default=True,
 )
 @click.option("--seed", default=1, show_default=True)
-@click.option("--count", default=40, show_default=True)
-def main(name: str, seed: int, count: int) -> None:
+@click.option("--count", default=50, show_default=True)
+@click.option(
+    "--kill-host", is_flag=True, help="Kill one entry host during the load."
+)
+def main(name: str, seed: int, count: int, kill_host: bool) -> None:
     """Runs the demo on loopback addresses."""
-    sys.exit(asyncio.run(run(name, seed, count)))
+    sys.exit(asyncio.run(run(name, seed, count, kill_host)))
 
 
 if __name__ == "__main__":
--- /dev/null
+++ b/packages/standins/src/laburnumgate_standins/sampling.py
@@ -0,0 +1,83 @@
+"""Samples of the endpoints' use while the demo runs."""
+
+import asyncio
+import dataclasses
+import time
+
+import aiohttp
+
+from laburnumgate_standins import layout as layout_module
+
+PERIOD_S = 0.25
+
+
+@dataclasses.dataclass(frozen=True)
+class Sample:
+    """Free accelerators by endpoint id at a time in s (monotonic)."""
+
+    at_s: float
+    free_by_endpoint: dict[str, int]
+
+
+class Sampler:
+    """Reads the free accelerators of every endpoint periodically."""
+
+    def __init__(
+        self,
+        session: aiohttp.ClientSession,
+        urls_by_endpoint: dict[str, str],
+        layout: layout_module.Layout,
+    ):
+        self.samples: list[Sample] = []
+        self._session = session
+        self._urls_by_endpoint = urls_by_endpoint
+        self._layout = layout
+
+    async def run(self) -> None:
+        """Takes samples until cancelled."""
+        while True:
+            free = await asyncio.gather(
+                *map(self._free, self._urls_by_endpoint.values())
+            )
+            by_endpoint = dict(zip(self._urls_by_endpoint, free, strict=True))
+            self.samples.append(Sample(time.monotonic(), by_endpoint))
+            await asyncio.sleep(PERIOD_S)
+
+    def fragmentation(self, from_s: float, until_s: float) -> float:
+        """Mean share of free accelerators on partly used endpoints."""
+        shares = []
+        for sample in self._between(from_s, until_s):
+            free = sample.free_by_endpoint.values()
+            total = sum(free)
+            if not total:
+                continue
+            full = self._layout.accelerators
+            partly = sum(count for count in free if count < full)
+            shares.append(partly / total)
+        return sum(shares) / len(shares) if shares else 0.0
+
+    def work(self, from_s: float, until_s: float) -> dict[str, float]:
+        """Accelerator-seconds in use by zone between two times."""
+        used_by_zone = dict.fromkeys(self._layout.zones, 0.0)
+        before_s = from_s
+        for sample in self._between(from_s, until_s):
+            elapsed_s = sample.at_s - before_s
+            before_s = sample.at_s
+            for endpoint_id, free in sample.free_by_endpoint.items():
+                zone = zone_of(endpoint_id)
+                used = self._layout.accelerators - free
+                used_by_zone[zone] += used * elapsed_s
+        return used_by_zone
+
+    def _between(self, from_s: float, until_s: float) -> list[Sample]:
+        return [s for s in self.samples if from_s <= s.at_s <= until_s]
+
+    async def _free(self, url: str) -> int:
+        async with self._session.get(f"{url}/report?since=0") as response:
+            report = await response.json()
+        return report["usage"]["free_accelerators"]
+
+
+def zone_of(endpoint_id: str) -> str:
+    """Returns the zone of an endpoint of a layout: ZONE-rN-K."""
+    return endpoint_id.rsplit("-", 2)[0]
--- /dev/null
+++ b/packages/standins/src/laburnumgate_standins/traffic.py
@@ -0,0 +1,179 @@
+"""The demo's requests and the callers that submit and follow them."""
+
+import asyncio
+import dataclasses
+import enum
+import json
+import random
+import time
+from typing import Any
+
+import aiohttp
+from laburnumgate_cli import client as client_module
+from laburnumgate_cli import errors
+from laburnumgate_cli import requests
+
+from laburnumgate_standins import layout as layout_module
+
+CALL_TIMEOUT_MS = 3_000
+POLL_MS = 5_000
+RETRY_PAUSE_S = 0.2
+CANCEL_AFTER_S = 0.4
+# Requests are submitted evenly over this time, so that some arrive before,
+# while and after a zone is out of service.
+ARRIVALS_S = 9.0
+_WORK_MS = (200, 400, 800, 1_600)
+FINAL_KINDS = ("ran", "ran_failed", "not_run")
+
+
+class Intent(enum.StrEnum):
+    """What a caller of the demo wants of a request."""
+
+    RUN = "run"
+    CANCEL = "cancel"
+    IMPOSSIBLE = "impossible"
+
+
+@dataclasses.dataclass(frozen=True)
+class Order:
+    """A request body, what its caller does with it, and when (in s)."""
+
+    body: dict[str, Any]
+    intent: Intent
+    at_s: float
+
+    @property
+    def job_id(self) -> str:
+        """Id of the job, as endpoints name it in their history."""
+        return f"{self.body['account']}/{self.body['request_id']}"
+
+
+@dataclasses.dataclass
+class Call:
+    """An order, the host first asked and what the caller was told.
+
+    Times are in s of the monotonic clock. `verdict` is None if no host gave
+    an answer.
+    """
+
+    order: Order
+    host_url: str
+    submitted_s: float = 0.0
+    ended_s: float = 0.0
+    verdict: dict[str, Any] | None = None
+
+    @property
+    def kind(self) -> str:
+        """Kind of the verdict that the caller was told last."""
+        return self.verdict["kind"] if self.verdict else "no answer"
+
+    @property
+    def seconds(self) -> float:
+        """Completion time in s."""
+        return self.ended_s - self.submitted_s
+
+
+def orders(
+    layout: layout_module.Layout, seed: int, count: int
+) -> tuple[Order, ...]:
+    """Returns the demo's requests; the same seed gives the same ones."""
+    rng = random.Random(seed)
+    made = []
+    for number in range(count):
+        account = rng.choice(layout.accounts)
+        kind = rng.choice((*account.never_repeat, "review", "batch"))
+        work_ms = rng.choice(_WORK_MS)
+        body = {
+            "request_id": f"demo-{seed}-{number}",
+            "account": account.name,
+            "kind": kind,
+            "parts": rng.choice((1, 1, 2, account.parts)),
+            "accelerators_per_part": rng.choice((1, 2, 4, 8)),
+            # Declared run times are far off for some requests.
+            "run_ms": work_ms * rng.choice((1, 1, 2, 5)),
+            "idempotent": rng.random() < 0.8,
+            "checkpointable": rng.random() < 0.3,
+            "payload": json.dumps(
+                {"work_ms": work_ms, "echo": f"answer-{number}"}
+            ),
+        }
+        intent = Intent.RUN
+        if number % 10 == 6:
+            intent = Intent.CANCEL
+        if number % 10 == 9:
+            intent = Intent.IMPOSSIBLE
+            # No endpoint of the layouts has as many accelerators.
+            body["accelerators_per_part"] = 2 * layout.accelerators
+        at_s = ARRIVALS_S * number / count
+        made.append(Order(body, intent, at_s))
+    return tuple(made)
+
+
+def at_most_once(order: Order, layout: layout_module.Layout) -> bool:
+    """Whether the request must not run twice."""
+    listed = {account.name: account.never_repeat for account in layout.accounts}
+    body = order.body
+    return not body["idempotent"] or body["kind"] in listed[body["account"]]
+
+
+async def carry_out(
+    session: aiohttp.ClientSession,
+    urls: tuple[str, ...],
+    order: Order,
+    until_s: float,
+) -> Call:
+    """Submits one request and follows it until its outcome or `until_s`.
+
+    The caller asks `urls` in their order and goes on to the next host, with
+    the same request id, when one does not answer.
+    """
+    client = client_module.Client(session, urls, CALL_TIMEOUT_MS)
+    await asyncio.sleep(order.at_s)
+    made = Call(order, urls[0], submitted_s=time.monotonic())
+    body = dict(order.body, issued_at_ms=time.time_ns() // 1_000_000)
+    accepted = False
+    while time.monotonic() < until_s and made.kind not in FINAL_KINDS:
+        try:
+            if not accepted:
+                answer = await requests.submit(client, body)
+                accepted = answer["verdict"]["kind"] != "may_have_run"
+                if accepted and order.intent is Intent.CANCEL:
+                    answer = await _cancel(client, body)
+            else:
+                left_ms = int((until_s - time.monotonic()) * 1000)
+                answer = await requests.status(
+                    client,
+                    body["account"],
+                    body["request_id"],
+                    max(0, min(POLL_MS, left_ms)),
+                )
+        except errors.ClientError:
+            await asyncio.sleep(RETRY_PAUSE_S)
+            continue
+        made.verdict = answer["verdict"]
+        made.ended_s = time.monotonic()
+        if made.kind == "may_have_run":
+            await asyncio.sleep(RETRY_PAUSE_S)
+    return made
+
+
+async def ask_again(
+    session: aiohttp.ClientSession, url: str, order: Order
+) -> str:
+    """Returns the kind of the verdict that another host gives at the end."""
+    client = client_module.Client(session, (url,), CALL_TIMEOUT_MS)
+    body = order.body
+    try:
+        answer = await requests.status(
+            client, body["account"], body["request_id"], 0
+        )
+    except errors.ClientError:
+        return "no answer"
+    return answer["verdict"]["kind"]
+
+
+async def _cancel(
+    client: client_module.Client, body: dict[str, Any]
+) -> dict[str, Any]:
+    await asyncio.sleep(CANCEL_AFTER_S)
+    return await requests.cancel(client, body["account"], body["request_id"])
