--- a/packages/cli/src/laburnumgate_cli/command.py
+++ b/packages/cli/src/laburnumgate_cli/command.py
@@ -513,8 +513,14 @@
         )
     )
     word = "stopped" if out else "allowed"
-    text = f"{direct}: starts in {name} are {word} on this host and its peers"
+    text = f"starts in {name} are {word}"
+    if "summary" in answer:
+        text += f": {answer['summary']}"
+    if answer.get("not_reached"):
+        text += f" ({', '.join(answer['not_reached'])})"
     _print(as_json, answer, text)
+    if answer.get("not_reached"):
+        sys.exit(int(errors.Exit.PENDING))
 
 
 def _zone_options(function: Callable) -> Callable:
--- a/packages/host/src/laburnumgate_host/events.py
+++ b/packages/host/src/laburnumgate_host/events.py
@@ -16,6 +16,13 @@
     HOST_READY = (101, "host is ready")
     HOST_LEAVING = (102, "host is leaving")
     HOST_STOPPED = (103, "host stopped")
+    HOST_PAUSED = (104, "process was paused", logging.WARNING)
+    SHUTDOWN_CUT = (
+        105,
+        "shutdown grace ended before all work was done",
+        logging.WARNING,
+        ("unsent_records", "open_requests"),
+    )
     LOG_UNREACHABLE = (
         200,
         "log is unreachable",
@@ -59,6 +66,23 @@
         logging.INFO,
         ("zone",),
     )
+    ZONE_STOP_TAKEN = (
+        302,
+        "direct order for a zone's starts is in force",
+        logging.INFO,
+        ("zone", "stopped", "operation", "in_force"),
+    )
+    ZONE_ISOLATED = (
+        303,
+        "starts stopped: nothing heard from outside the zone",
+        logging.WARNING,
+    )
+    JOBS_MOVED = (
+        304,
+        "queued jobs move to other zones",
+        logging.INFO,
+        ("count",),
+    )
     JOB_ENDED = (310, "job ended")
     ENDPOINT_LOST = (
         400,
--- a/packages/host/tests/test_events.py
+++ b/packages/host/tests/test_events.py
@@ -52,5 +52,9 @@
     """Guards against a field in the log that the catalogue lacks."""
     calls = emitted()
     assert calls
+    fields_by_event = {}
     for place, event, fields in calls:
-        assert fields == set(event.fields), f"{place}: {event.name}"
+        assert fields <= set(event.fields), f"{place}: {event.name}"
+        fields_by_event.setdefault(event, set()).update(fields)
+    for event, fields in fields_by_event.items():
+        assert fields == set(event.fields), f"{event.name}: never emitted"
