Make the fold of job records truthful and let it forget ids

- A run that may have been resumed is queued again only if the job is idempotent or this very run left a checkpoint; otherwise it ends as MayHaveRun.
- NotRun is an outcome only for a non-idempotent job without a recorded run: a host that is cut off from the log may start an idempotent one unrecorded.
- A provisional record tells no outcome except an answer; the job is shown as ending until the log has the record.
- An id is remembered for 24 h of the table's time, which follows the records' times, and an unknown id issued before that is not accepted.
- A non-idempotent request has to carry issued_at_ms.
The demo sends it.
- The payload is dropped when a job ends.

--- a/packages/core/src/laburnumgate_core/jobs.py
+++ b/packages/core/src/laburnumgate_core/jobs.py
@@ -4,22 +4,45 @@
 table, so a host that is cut off from the log can go on with idempotent work.
 """
 
+import collections
 import dataclasses
 import enum
+import heapq
 
 from laburnumgate_core import model
 from laburnumgate_core import records
 from laburnumgate_core import verdict
 
+REMEMBER_MS = 24 * 3_600_000
+# A caller's clock may be this far ahead of the host that takes the request.
+MAX_ISSUED_AHEAD_MS = 5 * 60_000
+# One append moves the table's time at most this far, so that a host whose
+# clock is days ahead does not make every host forget at once.
+MAX_STEP_MS = 60_000
+# How far the table's time may lag after quiet hours. It bounds how long a job
+# is kept whose end was recorded by a host with a clock that is ahead.
+MAX_LAG_MS = 7 * 24 * 3_600_000
+# Appends whose ids are kept, so that a peer's copy of a record that was read
+# back already is not taken as provisional. Four times a host's own bound.
+MAX_RECENT_APPENDS = 8_000
+
 
 class JobState(enum.StrEnum):
-    """Where a job stands."""
+    """Where a job stands.
+
+    `ENDING` occurs in the overlay only: a record that ends the job waits for
+    the log, and its outcome must not be told before the log has it.
+    """
 
     QUEUED = "queued"
     ACTIVE = "active"
+    ENDING = "ending"
     ENDED = "ended"
 
 
+OPEN_STATES = (JobState.QUEUED, JobState.ACTIVE)
+
+
 @dataclasses.dataclass(frozen=True)
 class Job:
     """One request as the log tells it. Times are in ms since the epoch."""
@@ -43,6 +66,8 @@
     cancelled: bool = False
     outcome: verdict.Verdict | None = None
     ended_at_ms: int = 0
+    # Table time from which the id is remembered for `REMEMBER_MS`.
+    remembered_from_ms: int = 0
 
 
 _NO_SPEC = model.JobSpec(kind="", parts=0, accelerators_per_part=0, run_ms=0)
@@ -51,14 +76,15 @@
 def apply(job: Job | None, record: records.JobRecord) -> Job | None:
     """Returns the job after `record`, or `job` itself if it is not taken.
 
-    The result depends on the arguments alone, so that all hosts agree.
+    The result depends on the arguments alone, so that all hosts agree. Whether
+    an unknown id is inside the remembered window is for the caller to check.
     """
     match record:
         case records.Submitted():
             return job if job is not None else _submit(record)
         case records.Refused():
             return job if job is not None else _refuse(record)
-    if job is None or job.state is JobState.ENDED:
+    if job is None or job.state not in OPEN_STATES:
         return job
     match record:
         case records.Starting():
@@ -95,7 +121,7 @@
         zone="",
         body_hash=record.body_hash,
         submitted_at_ms=record.at_ms,
-        issued_at_ms=record.at_ms,
+        issued_at_ms=record.issued_at_ms or record.at_ms,
         deadline_ms=0,
         state=JobState.ENDED,
         outcome=verdict.NotRun(record.reason),
@@ -135,9 +161,23 @@
     )
     if job.cancelled:
         return _finish(job, _cancel_outcome(job), record.at_ms)
+    if record.may_have_run and not _repeatable(job.spec, record):
+        outcome = verdict.MayHaveRun(record.reason)
+        return _finish(job, outcome, record.at_ms)
     return job
 
 
+def _repeatable(spec: model.JobSpec, record: records.Requeued) -> bool:
+    """Whether another run after a resumed one repeats no work.
+
+    Only a checkpoint of this very run counts: an older one would repeat what
+    the run did after it.
+    """
+    if spec.idempotent:
+        return True
+    return spec.checkpointable and bool(record.checkpoint)
+
+
 def _move(job: Job, record: records.Moved) -> Job:
     if job.state is not JobState.QUEUED or record.from_zone != job.zone:
         return job
@@ -152,42 +192,128 @@
 
 
 def _cancel_outcome(job: Job) -> verdict.Verdict:
-    if job.may_have_run:
+    if job.checkpoint:
         return verdict.RanFailed("cancelled after it had started")
-    return verdict.NotRun("cancelled before it started")
+    if job.may_have_run:
+        return verdict.MayHaveRun("cancelled after it may have started")
+    return _not_run(job, "cancelled before it started")
+
+
+def _not_run(job: Job, reason: str) -> verdict.Verdict:
+    """Returns `NotRun` if the log proves it, else `MayHaveRun`.
+
+    A host that is cut off from the log may start an idempotent job without a
+    record in the log, so the log alone proves nothing about such a job.
+    """
+    if job.state is JobState.ACTIVE or job.may_have_run:
+        return verdict.MayHaveRun(f"{reason}; a run had been recorded")
+    if job.spec.idempotent:
+        return verdict.MayHaveRun(
+            f"{reason}; a host that is cut off from the log may have run it"
+        )
+    return verdict.NotRun(reason)
 
 
 def _end(job: Job, record: records.Ended) -> Job:
-    late_answer = job.spec.idempotent and isinstance(
-        record.verdict, verdict.Ran
-    )
-    if record.run != job.run and not late_answer:
+    outcome = record.verdict
+    ran = isinstance(outcome, verdict.Ran)
+    if isinstance(outcome, verdict.Pending):
         return job
-    return _finish(job, record.verdict, record.at_ms)
+    if record.run != job.run and not (ran and job.spec.idempotent):
+        return job
+    if isinstance(outcome, verdict.NotRun):
+        outcome = _not_run(job, outcome.reason)
+    return _finish(job, outcome, record.at_ms)
 
 
 def _finish(job: Job, outcome: verdict.Verdict, at_ms: int) -> Job:
+    # The payload is not needed any more and would be most of the memory.
     return dataclasses.replace(
-        job, state=JobState.ENDED, outcome=outcome, ended_at_ms=at_ms
+        job,
+        spec=dataclasses.replace(job.spec, payload=""),
+        state=JobState.ENDED,
+        outcome=outcome,
+        ended_at_ms=at_ms,
     )
 
 
+def reflects(job: Job | None, record: records.JobRecord) -> bool:
+    """Whether the job is as it is because of `record` or an equal one.
+
+    Answers for a record whose append was passed by a snapshot, or that was
+    appended twice, whether it took effect.
+    """
+    if job is None:
+        return False
+    match record:
+        case records.Submitted() | records.Refused():
+            refused = isinstance(record, records.Refused)
+            return (
+                job.submitted_at_ms == record.at_ms
+                and job.body_hash == record.body_hash
+                and (job.account == "") == refused
+            )
+        case records.Starting():
+            return (
+                job.state is JobState.ACTIVE
+                and job.run == record.run
+                and job.started_at_ms == record.at_ms
+                and job.endpoints == record.endpoints
+                and job.boot_ids == record.boot_ids
+            )
+        case records.Ended():
+            ended = job.state is JobState.ENDED
+            return ended and job.ended_at_ms == record.at_ms
+        case records.Cancelled():
+            return job.cancelled
+        case records.Moved():
+            return job.zone == record.to_zone
+        case records.Requeued():
+            return job.run > record.run or job.state is not JobState.ACTIVE
+    return False
+
+
+@dataclasses.dataclass(frozen=True)
+class JobsState:
+    """The committed fold up to `offset`; `time_ms` is the table's time."""
+
+    offset: int
+    time_ms: int
+    jobs: tuple[Job, ...]
+
+
 class JobTable:
-    """Jobs by request id: committed state with a provisional overlay."""
+    """Jobs by request id: committed state with a provisional overlay.
 
-    def __init__(self):
+    The table's time is the highest time of a record, moved by at most
+    `MAX_STEP_MS` for each append. It depends on the log alone, so every host
+    forgets an id at the same offset.
+    """
+
+    def __init__(self, remember_ms: int = REMEMBER_MS):
         self.offset = 0
+        self.time_ms = 0
         self.skipped_entries = 0
+        self._remember_ms = remember_ms
         self._committed_by_id: dict[str, Job] = {}
+        self._ended: list[tuple[int, str]] = []
         self._overlay_by_id: dict[str, Job] = {}
         self._pending_by_key: dict[tuple[str, int], records.JobRecord] = {}
         self._pending_keys_by_id: dict[str, dict[tuple[str, int], None]] = {}
+        self._recent_append_ids: collections.OrderedDict[str, None] = (
+            collections.OrderedDict()
+        )
         self._open_ids_by_zone: dict[str, dict[str, None]] = {}
         self._changed_ids: dict[str, None] = {}
 
     def __len__(self) -> int:
         return len(self._committed_by_id)
 
+    @property
+    def forgotten_until_ms(self) -> int:
+        """An unknown id issued at this time or before may have been used."""
+        return self.time_ms - self._remember_ms
+
     def get(self, job_id: str) -> Job | None:
         """Returns the job with the overlay applied, or None if unknown."""
         overlaid = self._overlay_by_id.get(job_id)
@@ -223,15 +349,61 @@
         if entry.offset <= self.offset:
             return ()
         self.offset = entry.offset
+        self._recent_append_ids[entry.append_id] = None
+        while len(self._recent_append_ids) > MAX_RECENT_APPENDS:
+            self._recent_append_ids.popitem(last=False)
         try:
             batch = records.decode_jobs(entry.data)
         except ValueError:
             self.skipped_entries += 1
             return ()
-        return tuple(
+        taken = tuple(
             self._commit((entry.append_id, index), record)
             for index, record in enumerate(batch)
         )
+        newest_ms = max((record.at_ms for record in batch), default=0)
+        if newest_ms > self.time_ms:
+            self._move_time(newest_ms)
+        return taken
+
+    def _move_time(self, newest_ms: int) -> None:
+        step_ms = MAX_STEP_MS if self.time_ms else newest_ms
+        self.time_ms = min(newest_ms, self.time_ms + step_ms)
+        while self._ended and self._ended[0][0] <= self.forgotten_until_ms:
+            _, job_id = heapq.heappop(self._ended)
+            del self._committed_by_id[job_id]
+
+    def state(self) -> JobsState:
+        """Returns the committed fold; the overlay is no part of it."""
+        return JobsState(
+            self.offset, self.time_ms, tuple(self._committed_by_id.values())
+        )
+
+    def adopt(self, state: JobsState) -> bool:
+        """Replaces the committed fold by a newer one.
+
+        Returns:
+          False, and nothing changes, if the table is at `state` or beyond.
+        """
+        if state.offset <= self.offset:
+            return False
+        self.offset = state.offset
+        self.time_ms = state.time_ms
+        shown_ids = {*self._committed_by_id, *self._overlay_by_id}
+        self._committed_by_id = {job.job_id: job for job in state.jobs}
+        self._ended = [
+            (job.remembered_from_ms, job.job_id)
+            for job in state.jobs
+            if job.state is JobState.ENDED
+        ]
+        heapq.heapify(self._ended)
+        self._open_ids_by_zone.clear()
+        for job_id in list(self._pending_keys_by_id):
+            self._rebuild_overlay(job_id)
+        for job_id in {*shown_ids, *self._committed_by_id}:
+            self._note_change(None, self.get(job_id))
+            self._changed_ids[job_id] = None
+        return True
 
     def add_provisional(
         self, append_id: str, index: int, record: records.JobRecord
@@ -242,13 +414,14 @@
           Whether the record changed the job.
         """
         key = (append_id, index)
-        if key in self._pending_by_key:
+        known = append_id in self._recent_append_ids
+        if known or key in self._pending_by_key:
             return False
         self._pending_by_key[key] = record
         job_id = record.job_id
         self._pending_keys_by_id.setdefault(job_id, {})[key] = None
         before = self.get(job_id)
-        after = apply(before, record)
+        after = self._apply_provisional(before, record)
         if after is before:
             return False
         self._overlay_by_id[job_id] = after
@@ -259,8 +432,9 @@
         job_id = record.job_id
         shown_before = self.get(job_id)
         before = self._committed_by_id.get(job_id)
-        after = apply(before, record)
-        if after is not None:
+        after = self._apply_in_window(before, record)
+        if after is not before:
+            after = self._remember(after)
             self._committed_by_id[job_id] = after
         if self._pending_by_key.pop(key, None) is not None:
             self._pending_keys_by_id[job_id].pop(key, None)
@@ -270,25 +444,72 @@
             self._note_change(shown_before, shown_after)
         return after is not before
 
+    def _remember(self, job: Job) -> Job:
+        """Sets from when on an ended job's id is remembered.
+
+        An id may not be forgotten before its own time of issue has left the
+        window, or a late copy of the request would count as a new one.
+        """
+        if job.state is not JobState.ENDED:
+            return job
+        ended_ms = min(job.ended_at_ms, self.time_ms + MAX_LAG_MS)
+        from_ms = max(self.time_ms, ended_ms, job.issued_at_ms)
+        heapq.heappush(self._ended, (from_ms, job.job_id))
+        return dataclasses.replace(job, remembered_from_ms=from_ms)
+
+    def _apply_in_window(
+        self, job: Job | None, record: records.JobRecord
+    ) -> Job | None:
+        """Applies a record unless it may revive a forgotten id."""
+        if job is not None:
+            return apply(job, record)
+        match record:
+            case records.Submitted() | records.Refused():
+                issued_ms = record.issued_at_ms or record.at_ms
+                if issued_ms <= self.forgotten_until_ms:
+                    return None
+                if issued_ms > record.at_ms + MAX_ISSUED_AHEAD_MS:
+                    return None
+        return apply(job, record)
+
+    def _apply_provisional(
+        self, job: Job | None, record: records.JobRecord
+    ) -> Job | None:
+        """Applies a record that the log may still overrule.
+
+        Of the outcomes only an answer may be told before the log has it: it is
+        true whatever the log's order turns out to be.
+        """
+        after = self._apply_in_window(job, record)
+        if after is job or after is None or after.outcome is None:
+            return after
+        if isinstance(after.outcome, verdict.Ran):
+            return after
+        return dataclasses.replace(after, state=JobState.ENDING, outcome=None)
+
     def _rebuild_overlay(self, job_id: str) -> None:
         self._overlay_by_id.pop(job_id, None)
-        keys = self._pending_keys_by_id.get(job_id)
-        if not keys:
-            self._pending_keys_by_id.pop(job_id, None)
-            return
+        keys = self._pending_keys_by_id.get(job_id, {})
         committed = self._committed_by_id.get(job_id)
         job = committed
-        for key in keys:
-            job = apply(job, self._pending_by_key[key])
+        for key in list(keys):
+            after = self._apply_provisional(job, self._pending_by_key[key])
+            if after is job:
+                # Without effect: it would only hold memory until read back.
+                del keys[key]
+                del self._pending_by_key[key]
+            job = after
+        if not keys:
+            self._pending_keys_by_id.pop(job_id, None)
         if job is not committed and job is not None:
             self._overlay_by_id[job_id] = job
 
     def _note_change(self, before: Job | None, after: Job | None) -> None:
-        if before is not None and before.state is not JobState.ENDED:
+        if before is not None and before.state in OPEN_STATES:
             self._open_ids_by_zone[before.zone].pop(before.job_id, None)
         if after is None:
             return
-        if after.state is not JobState.ENDED:
+        if after.state in OPEN_STATES:
             open_ids = self._open_ids_by_zone.setdefault(after.zone, {})
             open_ids[after.job_id] = None
         self._changed_ids[after.job_id] = None
--- a/packages/core/src/laburnumgate_core/records.py
+++ b/packages/core/src/laburnumgate_core/records.py
@@ -35,12 +35,16 @@
 
 @dataclasses.dataclass(frozen=True)
 class Refused:
-    """Fences a request id: no host may accept it after this record."""
+    """Fences a request id: no host may accept it after this record.
+
+    `issued_at_ms` is the request's; 0 stands for `at_ms`.
+    """
 
     job_id: str
     body_hash: str
     reason: str
     at_ms: int
+    issued_at_ms: int = 0
     kind: Literal["refused"] = "refused"
 
 
--- a/packages/core/src/laburnumgate_core/requests.py
+++ b/packages/core/src/laburnumgate_core/requests.py
@@ -6,10 +6,15 @@
 import pydantic
 import xxhash
 
+from laburnumgate_core import jobs
 from laburnumgate_core import model
 
 MAX_BODY_BYTES = 64 * 1024
 MAX_PARTS = 512
+MISSING_ISSUE_TIME = (
+    "issued_at_ms: a request that must not be repeated has to say when it was "
+    "first issued"
+)
 
 
 class Request(pydantic.BaseModel):
@@ -69,11 +74,40 @@
             f"the body has {len(body)} bytes, more than {MAX_BODY_BYTES}"
         )
     try:
-        return Request.model_validate_json(body)
+        request = Request.model_validate_json(body)
     except pydantic.ValidationError as error:
         first: Any = error.errors()[0]
         field = ".".join(str(part) for part in first["loc"]) or "body"
         return Malformed(f"{field}: {first['msg']}")
+    if not request.idempotent and not request.issued_at_ms:
+        return Malformed(MISSING_ISSUE_TIME)
+    return request
+
+
+def outside_window(
+    request: Request, forgotten_until_ms: int, now_ms: int
+) -> str:
+    """Returns why an unknown id may have been used, or an empty string.
+
+    Args:
+      request: the request, with an id that the job table does not know.
+      forgotten_until_ms: `JobTable.forgotten_until_ms`.
+      now_ms: the host's time, in ms since the epoch.
+    """
+    issued_ms = request.issued_at_ms
+    if not issued_ms:
+        return ""
+    if issued_ms <= forgotten_until_ms:
+        return (
+            "issued_at_ms: the request was issued before the remembered "
+            "window, so its id may have been used and forgotten"
+        )
+    if issued_ms > now_ms + jobs.MAX_ISSUED_AHEAD_MS:
+        return (
+            f"issued_at_ms: the request was issued "
+            f"{issued_ms - now_ms} ms ahead of this host's clock"
+        )
+    return ""
 
 
 def body_hash(request: Request) -> str:
--- a/packages/host/src/laburnumgate_host/callers.py
+++ b/packages/host/src/laburnumgate_host/callers.py
@@ -75,11 +75,19 @@
     if host.leaving or not host.ready:
         reason = "this host takes no requests now; send the same id to another"
         return answer(request.job_id, verdict.MayHaveRun(reason), 503)
+    reason = requests.outside_window(
+        request, host.jobs.forgotten_until_ms, host.clock.now_ms()
+    )
+    if reason:
+        return answer(request.job_id, verdict.MayHaveRun(reason), 422)
     promise = host.config.promises_by_account.get(request.account)
     if promise is None:
         reason = f"account: no client account {request.account!r} exists"
         return await _refuse(host, request, reason)
     spec = requests.spec_for(request, promise)
+    if not spec.idempotent and not request.issued_at_ms:
+        result = verdict.MayHaveRun(requests.MISSING_ISSUE_TIME)
+        return answer(request.job_id, result, 400)
     reason = requests.impossible(spec, promise, host.config.zones_by_name)
     if reason:
         return await _refuse(host, request, reason)
@@ -103,7 +111,7 @@
         result = verdict.MayHaveRun(appended.reason)
         return answer(request.job_id, result, 503)
     if not appended.taken:
-        return _known(host, request)
+        return _known(host, request) or _undecided(request)
     durability = "log" if appended.durable else "host-only"
     job = host.jobs.get(request.job_id)
     return answer(request.job_id, verdict_of(job), 202, durability=durability)
@@ -140,6 +148,7 @@
         body_hash=requests.body_hash(request),
         reason=reason,
         at_ms=host.clock.now_ms(),
+        issued_at_ms=request.issued_at_ms,
     )
     if not host.journal.reachable:
         result = verdict.MayHaveRun(reason)
@@ -150,9 +159,17 @@
         result = verdict.MayHaveRun(reason)
         return answer(request.job_id, result, 422)
     job = host.jobs.get(request.job_id)
+    if job is None:
+        return _undecided(request)
     return answer(request.job_id, verdict_of(job), 422)
 
 
+def _undecided(request: requests.Request) -> sanic.HTTPResponse:
+    """Answers a request whose record the log has but the fold did not take."""
+    reason = "the request left the remembered window before it was recorded"
+    return answer(request.job_id, verdict.MayHaveRun(reason), 503)
+
+
 async def _status(
     host: host_module.Host, job_id: str, wait_ms: int
 ) -> sanic.HTTPResponse:
--- a/packages/standins/src/laburnumgate_standins/demo.py
+++ b/packages/standins/src/laburnumgate_standins/demo.py
@@ -78,6 +78,8 @@
     session: aiohttp.ClientSession, urls: list[str], body: dict
 ) -> Call:
     """Submits a request and waits for its outcome, host after host."""
+    # The same in every try, so that a late copy is known to be one.
+    body = {**body, "issued_at_ms": time.time_ns() // 1_000_000}
     made = Call(body["request_id"], body, time.monotonic())
     for attempt in range(MAX_POLLS):
         url = urls[(hash(body["payload"]) + attempt) % len(urls)]
