--- a/packages/core/src/laburnumgate_core/actions.py
+++ b/packages/core/src/laburnumgate_core/actions.py
@@ -11,11 +11,16 @@
 
 @dataclasses.dataclass(frozen=True)
 class TakeLease:
-    """Take the exclusive lease of an endpoint for one launch."""
+    """Take the exclusive lease of an endpoint for one launch.
+
+    The result repeats `attempt`, so that an answer to an earlier launch of
+    the same job is not taken for one to this launch.
+    """
 
     job_id: str
     endpoint_id: str
     ttl_ms: int
+    attempt: int = 0
 
 
 @dataclasses.dataclass(frozen=True)
@@ -35,7 +40,11 @@
 
 @dataclasses.dataclass(frozen=True)
 class HoldPart:
-    """Start a part at throttle 0, under a short lease."""
+    """Start a part at throttle 0, under a short lease.
+
+    It must not be sent at or after `send_before_ms` of the host's clock; the
+    exclusive lease may have expired by then. 0 sets no limit.
+    """
 
     endpoint_id: str
     token: int
@@ -46,15 +55,24 @@
     lease_ms: int
     payload: str
     checkpoint: str
+    send_before_ms: int = 0
 
 
 @dataclasses.dataclass(frozen=True)
 class ResumePart:
-    """Let a held part run, under a new lease."""
+    """Let a held part run, under a new lease.
+
+    It must not be sent at or after `send_before_ms`, and the lease that is
+    asked for must not reach beyond `until_ms`, both by the host's clock: a
+    repeated call would otherwise let the part run on without the rest. 0 sets
+    no limit.
+    """
 
     endpoint_id: str
     task_id: str
     lease_ms: int
+    send_before_ms: int = 0
+    until_ms: int = 0
 
 
 @dataclasses.dataclass(frozen=True)
@@ -73,6 +91,19 @@
     task_id: str
 
 
+@dataclasses.dataclass(frozen=True)
+class ReadTasks:
+    """Read all tasks of an endpoint as they are now.
+
+    The result is `TasksRead` with the same `serial` if the endpoint answered,
+    else nothing.
+    """
+
+    job_id: str
+    endpoint_id: str
+    serial: int
+
+
 @dataclasses.dataclass(frozen=True)
 class RenewTasks:
     """Renew the leases of running tasks of one endpoint."""
@@ -98,6 +129,7 @@
     | ResumePart
     | StopPart
     | CheckpointPart
+    | ReadTasks
     | RenewTasks
     | Acknowledge
 )
@@ -105,13 +137,17 @@
 
 @dataclasses.dataclass(frozen=True)
 class LeaseGranted:
-    """The exclusive lease was granted; older tokens no longer hold."""
+    """The exclusive lease was granted; older tokens no longer hold.
+
+    `attempt` is the one of `TakeLease`; 0 matches every attempt.
+    """
 
     job_id: str
     endpoint_id: str
     token: int
     boot_id: str
     free_accelerators: int
+    attempt: int = 0
 
 
 @dataclasses.dataclass(frozen=True)
@@ -121,13 +157,15 @@
     job_id: str
     endpoint_id: str
     reason: str
+    attempt: int = 0
 
 
 @dataclasses.dataclass(frozen=True)
 class Appended:
     """The record was read back; `taken` tells whether it changed the job.
 
-    `durable` is False if the log is out and the record is provisional.
+    `durable` is False if the log is out and the record is provisional, or, if
+    it was not `taken` either, not sent at all.
     """
 
     record: records.JobRecord
@@ -141,7 +179,9 @@
 
     `state` is the task's state at the endpoint, `refused` if the call was not
     carried out, `absent` if the endpoint does not know the task, or `unknown`
-    if no answer came and the call may have taken effect.
+    if no answer came and the call may have taken effect. `lease_until_ms` is
+    the `until_ms` of the resume that is answered, 0 if it had none. `result`
+    is the text of a task that is over, None if the answer does not hold it.
     """
 
     endpoint_id: str
@@ -150,6 +190,8 @@
     state: str
     reason: str = ""
     checkpoint: str = ""
+    lease_until_ms: int = 0
+    result: str | None = None
 
 
 @dataclasses.dataclass(frozen=True)
@@ -175,6 +217,17 @@
     full: bool = False
 
 
+@dataclasses.dataclass(frozen=True)
+class TasksRead:
+    """All tasks of an endpoint, read after `ReadTasks` was asked for."""
+
+    job_id: str
+    endpoint_id: str
+    serial: int
+    boot_id: str
+    tasks: tuple[TaskView, ...]
+
+
 @dataclasses.dataclass(frozen=True)
 class Renewed:
     """An endpoint renewed the leases of tasks asked for at `asked_ms`."""
@@ -198,6 +251,7 @@
     | Appended
     | PartAnswer
     | Report
+    | TasksRead
     | Renewed
     | EndpointLost
 )
--- a/packages/core/src/laburnumgate_core/gang.py
+++ b/packages/core/src/laburnumgate_core/gang.py
@@ -1,7 +1,12 @@
 """One run of a gang, from its leases to its outcome.
 
 Every part is started at throttle 0 before any part is resumed, so that a
-refusal never leaves some parts at work without the rest.
+refusal never leaves some parts at work without the rest. The first resume
+gives a lease of 3 s; it is raised in steps, each only after every part has
+confirmed the step before.
+
+`docs/decisions/gang-launch.md` and `docs/decisions/placing-host.md` give the
+reasons for the protocol.
 """
 
 from collections.abc import Callable
@@ -11,18 +16,50 @@
 from laburnumgate_core import actions
 from laburnumgate_core import jobs
 from laburnumgate_core import model
+from laburnumgate_core import parts
 from laburnumgate_core import records
 from laburnumgate_core import verdict
 
 EXCLUSIVE_LEASE_MS = 5_000
-HOLD_LEASE_MS = 5_000
+# Outlasts the exclusive lease and the 5 s of a takeover, so that the next host
+# finds the parts still held and can prove that they never ran.
+HOLD_LEASE_MS = 10_000
 RESUME_LEASE_MS = 3_000
 TASK_LEASE_MS = 60_000
+# A call has taken effect by then or never does; the client gives up at the
+# same time.
+CALL_DEADLINE_MS = 2_000
+# A call that starts work is sent early enough to arrive while the exclusive
+# lease is valid. A host that takes the lease later sees its effect.
+LAUNCH_WINDOW_MS = EXCLUSIVE_LEASE_MS - CALL_DEADLINE_MS
+# If the host dies while it raises the leases, the parts that were not reached
+# lapse 3 s before the others, or last longer than the 5 s in which the next
+# host takes over.
+LEASE_STEPS_MS = (RESUME_LEASE_MS, 6_000, 12_000, TASK_LEASE_MS)
+# A stop without an answer is repeated after the call's deadline.
+STOP_RETRY_MS = 2_500
+# Parts that were not checkpointed by then are stopped without a checkpoint.
+CHECKPOINT_MS = 2_500
+CLOSE_RETRY_MS = 1_000
+# The record may wait for the log for long; a second copy has no effect.
+CLOSE_REPEAT_MS = 30_000
+# Endpoints that have not reported are asked this often, and given up after
+# twice the time in which a host declares an endpoint lost.
+ADOPT_READ_MS = 2_000
+ADOPT_MS = 20_000
+# An adopted part keeps its old lease until the first renewal is confirmed.
+ADOPT_GRACE_MS = 10_000
+PROVE_RETRY_MS = 1_000
+# Long enough for leases of two earlier holders to expire.
+PROVE_MS = 20_000
 # A job that failed this many runs on sound endpoints is given up.
 MAX_FAILED_RUNS = 3
+# Tries of one call for one part, and retries of a phase per part of the gang.
+MAX_TRIES = 3
+RETRIES_PER_PART = 0.1
+MIN_RETRIES = 3
 
-_OVER_STATES = ("finished", "failed", "stopped", "lapsed", "checkpointed")
-_GONE_STATES = (*_OVER_STATES, "absent")
+_NEVER_MS = 1 << 62
 
 
 class Phase(enum.StrEnum):
@@ -33,24 +70,13 @@
     HOLDING = "holding"
     RESUMING = "resuming"
     RUNNING = "running"
+    ADOPTING = "adopting"
+    PROVING = "proving"
     STOPPING = "stopping"
     CLOSING = "closing"
     DONE = "done"
 
 
-class _Part:
-    """State of one part as far as its endpoint has told."""
-
-    def __init__(self, endpoint_id: str, task_id: str):
-        self.endpoint_id = endpoint_id
-        self.task_id = task_id
-        self.state = "absent"
-        self.result = ""
-        self.checkpoint = ""
-        # The part cannot run after this time unless its lease is renewed.
-        self.lease_until_ms = 0
-
-
 class Run:
     """State machine of one run; every step returns the next actions."""
 
@@ -61,6 +87,7 @@
         zone: str,
         endpoint_ids: tuple[str, ...],
         may_start: Callable[[str], bool],
+        attempt: int = 0,
     ):
         """Prepares a run.
 
@@ -70,61 +97,100 @@
           zone: availability zone of the endpoints.
           endpoint_ids: the endpoint of each part, in part order.
           may_start: tells whether an endpoint may get new work now.
+          attempt: number that no other run of this process has.
         """
         self.job = job
         self.run = run
         self.zone = zone
         self.phase = Phase.LEASING
         self.parts = [
-            _Part(endpoint_id, model.task_id(job.job_id, run, index))
+            parts.Part(endpoint_id, model.task_id(job.job_id, run, index))
             for index, endpoint_id in enumerate(endpoint_ids)
         ]
         self.stop_reason = ""
         self.failed_endpoint = ""
         self.may_have_run = False
         self.outcome: verdict.Verdict | None = None
+        # Whether results are left at endpoints since the log lacks the end.
+        self.unacknowledged = False
+        self.distinct_endpoint_ids = sorted(set(endpoint_ids))
         self._may_start = may_start
-        self._wanted = sorted(set(endpoint_ids))
+        self._attempt = attempt
+        self._cancelled = False
+        # Whether the log knows another course of the job than this run's.
+        self._superseded = False
+        # Tasks that belong to another host's run of the same number.
+        self._foreign_ids: set[str] = set()
+        self._starting: records.Starting | None = None
+        self._closing: records.JobRecord | None = None
         self._token_by_endpoint: dict[str, int] = {}
         self._boot_by_endpoint: dict[str, str] = {}
         self._part_by_task = {part.task_id: part for part in self.parts}
+        self._launch_until_ms = 0
+        self._timer_ms = _NEVER_MS
+        self._step = 0
+        self._step_until_ms = 0
+        self._retries_left = 0
+        self._checkpoint_until_ms = 0
+        self._give_up_ms = _NEVER_MS
+        self._unheard: set[str] = set()
+        self._rebooted = False
+        self._settle_ms = 0
+        self._serial = 0
+        # Serial of the first read that was asked for behind the fence.
+        self._fence_by_endpoint: dict[str, int] = {}
 
     @property
     def endpoint_ids(self) -> tuple[str, ...]:
         """The endpoint of each part, in part order."""
         return tuple(part.endpoint_id for part in self.parts)
 
-    def start(self) -> list[actions.Action]:
+    @property
+    def due_ms(self) -> int:
+        """When `tick` has to be called next, in ms of the host's clock."""
+        match self.phase:
+            case Phase.LEASING | Phase.HOLDING:
+                return self._launch_until_ms
+            case Phase.RESUMING | Phase.RUNNING:
+                return self._sure_until_ms()
+            case Phase.STOPPING:
+                return min(self._timer_ms, self._runs_until_ms())
+            case Phase.ADOPTING | Phase.PROVING:
+                return min(self._timer_ms, self._give_up_ms)
+            case Phase.CLOSING:
+                return self._timer_ms
+        return _NEVER_MS
+
+    def start(self, now_ms: int) -> list[actions.Action]:
         """Returns the first action: the first lease in global order."""
+        self._launch_until_ms = now_ms + LAUNCH_WINDOW_MS
         return self._next_lease()
 
     def adopt(
-        self, boot_ids: tuple[str, ...], now_ms: int
-    ) -> list[actions.Action]:
+        self, boot_ids: tuple[str, ...], now_ms: int, read_at_ms: int
+    ) -> None:
         """Takes over a run that an earlier placing host had recorded.
 
-        Reports must follow for every endpoint that can be reached; `settle`
-        then decides.
+        The run goes on once each of its endpoints has told all its tasks.
+
+        Args:
+          boot_ids: boot ids in `Starting`, in part order.
+          now_ms: the present time.
+          read_at_ms: when to ask endpoints that have not reported.
         """
-        self.phase = Phase.RUNNING
+        self.phase = Phase.ADOPTING
         self.may_have_run = True
+        self._starting = _starting_of(self.job)
         self._boot_by_endpoint = dict(
             zip(self.endpoint_ids, boot_ids, strict=True)
         )
+        self._unheard = set(self.distinct_endpoint_ids)
+        self._timer_ms = read_at_ms
+        self._settle_ms = now_ms + EXCLUSIVE_LEASE_MS
+        self._give_up_ms = now_ms + ADOPT_MS
         for part in self.parts:
             part.state = "unknown"
-            part.lease_until_ms = now_ms + TASK_LEASE_MS
-        return []
-
-    def settle(self, now_ms: int) -> list[actions.Action]:
-        """Goes on with an adopted run, or stops it if it is not whole."""
-        if self.phase is not Phase.RUNNING:
-            return []
-        for part in self.parts:
-            if part.state not in ("running", "finished"):
-                reason = f"part on {part.endpoint_id} is {part.state}"
-                return self.stop(reason, now_ms)
-        return self._check_finished(now_ms)
+            part.expect_lease(now_ms + TASK_LEASE_MS, CALL_DEADLINE_MS)
 
     def on(self, result: actions.Result, now_ms: int) -> list[actions.Action]:
         """Takes one result and returns the next actions."""
@@ -139,15 +205,31 @@
                 return self._on_answer(result, now_ms)
             case actions.Report():
                 return self._on_report(result, now_ms)
+            case actions.TasksRead():
+                return self._on_read(result, now_ms)
             case actions.EndpointLost():
                 return self._on_lost(result, now_ms)
         return []
 
     def tick(self, now_ms: int) -> list[actions.Action]:
-        """Closes a stopping run once no part can be at work any more."""
-        if self.phase is not Phase.STOPPING:
+        """Does what is due; see `due_ms`."""
+        if now_ms < self.due_ms:
             return []
-        return self._check_stopped(now_ms)
+        match self.phase:
+            case Phase.LEASING | Phase.HOLDING:
+                return self.stop("the launch took too long", now_ms)
+            case Phase.RESUMING | Phase.RUNNING:
+                return self._on_lease_past(now_ms)
+            case Phase.ADOPTING:
+                return self._tick_adopting(now_ms)
+            case Phase.PROVING:
+                return self._tick_proving(now_ms)
+            case Phase.STOPPING:
+                wanted = self._check_stopped(now_ms)
+                return [*wanted, *self._stop_again(now_ms)]
+            case Phase.CLOSING:
+                return self._append_closing(now_ms)
+        return []
 
     def renewed(self, result: actions.Renewed) -> None:
         """Notes that an endpoint renewed the leases of its tasks."""
@@ -155,36 +237,92 @@
         for task_id in result.task_ids:
             part = self._part_by_task.get(task_id)
             if part is not None:
-                part.lease_until_ms = max(part.lease_until_ms, until_ms)
+                part.confirm_lease(until_ms)
+
+    def tasks_to_renew(self, endpoint_id: str, now_ms: int) -> list[str]:
+        """Returns the run's tasks on an endpoint that are to run on.
+
+        A part whose confirmed lease is past is left out: it may have lapsed
+        and the rest is about to be stopped.
+        """
+        if self.phase is not Phase.RUNNING:
+            return []
+        wanted = []
+        for part in self.parts:
+            if part.endpoint_id != endpoint_id or part.state != "running":
+                continue
+            if part.sure_until_ms <= now_ms:
+                continue
+            part.expect_lease(now_ms + TASK_LEASE_MS, CALL_DEADLINE_MS)
+            wanted.append(part.task_id)
+        return wanted
 
     def stop(self, reason: str, now_ms: int) -> list[actions.Action]:
         """Stops every part; the run ends once none can be at work."""
-        if self.phase in (Phase.STOPPING, Phase.CLOSING, Phase.DONE):
-            return []
+        match self.phase:
+            case Phase.STOPPING | Phase.CLOSING | Phase.DONE:
+                return []
+            case Phase.LEASING:
+                self.stop_reason = reason
+                return self._end_run()
+            case Phase.RECORDING | Phase.PROVING:
+                # RECORDING: the log may take the record later; the stop
+                # follows then. PROVING: the proof itself stops every part.
+                self.stop_reason = self.stop_reason or reason
+                return []
         self.stop_reason = reason
-        if self.phase in (Phase.LEASING, Phase.RECORDING):
-            # RECORDING: the record may be taken later; `_on_appended` undoes.
-            if self.phase is Phase.LEASING:
-                self.phase = Phase.DONE
-                return self._release()
-            return []
         checkpoint = (
-            self.phase is Phase.RUNNING and self.job.spec.checkpointable
+            self.phase is Phase.RUNNING
+            and self.job.spec.checkpointable
+            and not (self._cancelled or self._superseded)
         )
         self.phase = Phase.STOPPING
-        calls = [
-            actions.CheckpointPart(part.endpoint_id, part.task_id)
-            if checkpoint
-            else actions.StopPart(part.endpoint_id, part.task_id)
-            for part in self.parts
-            if part.state not in _OVER_STATES
-        ]
-        return [*calls, *self._check_stopped(now_ms)]
+        self._checkpoint_until_ms = now_ms + CHECKPOINT_MS if checkpoint else 0
+        self._timer_ms = now_ms + STOP_RETRY_MS
+        calls = [self._stop_call(part, now_ms) for part in self._unstopped()]
+        return [*self._release(), *calls, *self._check_stopped(now_ms)]
+
+    def see_job(
+        self, shown: jobs.Job | None, committed: jobs.Job | None, now_ms: int
+    ) -> list[actions.Action]:
+        """Compares the run with what the log and the overlay now tell.
+
+        Args:
+          shown: the job with provisional records applied.
+          committed: the job as the log alone tells it.
+          now_ms: the present time.
+        """
+        match self.phase:
+            case Phase.DONE:
+                return []
+            case Phase.RECORDING:
+                return self._see_recording(committed, now_ms)
+            case Phase.CLOSING:
+                if self._closed_by(committed):
+                    return [*self._end_run(), *self._acknowledge()]
+                return []
+            case Phase.LEASING:
+                if shown is None or shown.state is not jobs.JobState.QUEUED:
+                    return self.stop("the job is no longer queued", now_ms)
+                return []
+        if not self._is_current(shown):
+            return self._supersede(shown, now_ms)
+        if shown.cancelled:
+            self._cancelled = True
+            if self.phase is Phase.ADOPTING:
+                # Whether it ran decides on the verdict; `_settle` follows.
+                return []
+            return self.stop("cancelled", now_ms)
+        return []
+
+    # Leases and the record of the start.
 
     def _next_lease(self) -> list[actions.Action]:
-        endpoint_id = self._wanted[len(self._token_by_endpoint)]
+        endpoint_id = self.distinct_endpoint_ids[len(self._token_by_endpoint)]
         return [
-            actions.TakeLease(self.job.job_id, endpoint_id, EXCLUSIVE_LEASE_MS)
+            actions.TakeLease(
+                self.job.job_id, endpoint_id, EXCLUSIVE_LEASE_MS, self._attempt
+            )
         ]
 
     def _release(self) -> list[actions.Action]:
@@ -195,26 +333,60 @@
         self._token_by_endpoint.clear()
         return released
 
+    def _end_run(self) -> list[actions.Action]:
+        self.phase = Phase.DONE
+        return self._release()
+
     def _on_lease(
         self, result: actions.LeaseGranted, now_ms: int
     ) -> list[actions.Action]:
-        if self.phase is not Phase.LEASING:
-            return [actions.ReleaseLease(result.endpoint_id, result.token)]
-        self._token_by_endpoint[result.endpoint_id] = result.token
-        self._boot_by_endpoint[result.endpoint_id] = result.boot_id
+        endpoint_id = result.endpoint_id
+        mine = result.attempt in (0, self._attempt)
+        if mine and self.phase is Phase.PROVING:
+            return self._on_fence(result, now_ms)
+        taken = len(self._token_by_endpoint)
+        if not mine or self.phase is not Phase.LEASING:
+            return self._release_late(result)
+        if self.distinct_endpoint_ids[taken] != endpoint_id:
+            return self._release_late(result)
+        self._token_by_endpoint[endpoint_id] = result.token
+        self._boot_by_endpoint[endpoint_id] = result.boot_id
         needed = sum(
             self.job.spec.accelerators_per_part
             for part in self.parts
-            if part.endpoint_id == result.endpoint_id
+            if part.endpoint_id == endpoint_id
         )
         if result.free_accelerators < needed:
             return self.stop("endpoint has less free than expected", now_ms)
-        if len(self._token_by_endpoint) < len(self._wanted):
+        if now_ms >= self._launch_until_ms:
+            return self.stop("the launch took too long", now_ms)
+        if len(self._token_by_endpoint) < len(self.distinct_endpoint_ids):
             return self._next_lease()
+        return self._record(now_ms)
+
+    def _release_late(
+        self, result: actions.LeaseGranted
+    ) -> list[actions.Action]:
+        """Releases a lease that this run no longer waits for."""
+        if self._token_by_endpoint.get(result.endpoint_id) == result.token:
+            return []
+        return [actions.ReleaseLease(result.endpoint_id, result.token)]
+
+    def _on_lease_refused(
+        self, result: actions.LeaseRefused
+    ) -> list[actions.Action]:
+        if self.phase is not Phase.LEASING:
+            return []
+        if result.attempt not in (0, self._attempt):
+            return []
+        self.stop_reason = result.reason
+        return self._end_run()
+
+    def _record(self, now_ms: int) -> list[actions.Action]:
         if not self._all_may_start():
             return self.stop("zone or endpoint left service", now_ms)
         self.phase = Phase.RECORDING
-        starting = records.Starting(
+        self._starting = records.Starting(
             job_id=self.job.job_id,
             run=self.run,
             zone=self.zone,
@@ -224,80 +396,100 @@
             ),
             at_ms=now_ms,
         )
-        return [actions.Append(starting)]
-
-    def _on_lease_refused(
-        self, result: actions.LeaseRefused
-    ) -> list[actions.Action]:
-        if self.phase is not Phase.LEASING:
-            return []
-        self.phase = Phase.DONE
-        self.stop_reason = result.reason
-        return self._release()
+        return [actions.Append(self._starting)]
 
     def _on_appended(
         self, result: actions.Appended, now_ms: int
     ) -> list[actions.Action]:
-        match result.record:
-            case records.Starting() if self.phase is Phase.RECORDING:
-                return self._on_recorded(result, now_ms)
-            case records.Ended() | records.Requeued():
-                if self.phase is Phase.CLOSING:
-                    self.phase = Phase.DONE
-                    return [*self._release(), *self._acknowledge()]
+        if self.phase is Phase.RECORDING and result.record == self._starting:
+            provisional = not result.durable and not self.job.spec.idempotent
+            if result.taken and not provisional:
+                return self._hold(now_ms)
+            self.stop_reason = "the log did not take the start"
+            return self._end_run()
+        if self.phase is Phase.CLOSING and result.record == self._closing:
+            return self._on_closed(result, now_ms)
         return []
 
-    def _on_recorded(
-        self, result: actions.Appended, now_ms: int
+    def _see_recording(
+        self, committed: jobs.Job | None, now_ms: int
     ) -> list[actions.Action]:
-        provisional = not result.durable and not self.job.spec.idempotent
-        if not result.taken or provisional:
-            self.phase = Phase.DONE
-            self.stop_reason = "the log did not take the start"
-            return self._release()
+        """Covers an answer to the append that was lost within this host."""
+        if committed is None or committed.run < self.run:
+            return []
+        if self._is_current(committed):
+            return self._hold(now_ms)
+        self.stop_reason = "another run was recorded"
+        return self._end_run()
+
+    # Holding and resuming.
+
+    def _hold(self, now_ms: int) -> list[actions.Action]:
         self.phase = Phase.HOLDING
         if self.stop_reason or not self._all_may_start():
             return self.stop(self.stop_reason or "left service", now_ms)
-        spec = self.job.spec
-        calls = []
+        if now_ms >= self._launch_until_ms:
+            return self.stop("the start was recorded too late", now_ms)
+        self._reset_retries()
         for part in self.parts:
             part.state = "unknown"
-            part.lease_until_ms = now_ms + HOLD_LEASE_MS
-            calls.append(
-                actions.HoldPart(
-                    endpoint_id=part.endpoint_id,
-                    token=self._token_by_endpoint[part.endpoint_id],
-                    task_id=part.task_id,
-                    accelerators=spec.accelerators_per_part,
-                    cpus=spec.cpus_per_part,
-                    memory_mb=spec.memory_mb_per_part,
-                    lease_ms=HOLD_LEASE_MS,
-                    payload=spec.payload,
-                    checkpoint=self.job.checkpoint,
-                )
-            )
-        return calls
+        return [self._hold_call(part, now_ms) for part in self.parts]
+
+    def _hold_call(self, part: parts.Part, now_ms: int) -> actions.Action:
+        part.ask("hold", now_ms)
+        part.expect_lease(now_ms + HOLD_LEASE_MS, CALL_DEADLINE_MS)
+        spec = self.job.spec
+        checkpoints = parts.split_checkpoints(
+            self.job.checkpoint, len(self.parts)
+        )
+        index = model.parse_task_id(part.task_id)[2]
+        return actions.HoldPart(
+            endpoint_id=part.endpoint_id,
+            token=self._token_by_endpoint[part.endpoint_id],
+            task_id=part.task_id,
+            accelerators=spec.accelerators_per_part,
+            cpus=spec.cpus_per_part,
+            memory_mb=spec.memory_mb_per_part,
+            lease_ms=HOLD_LEASE_MS,
+            payload=spec.payload,
+            checkpoint=checkpoints[index],
+            send_before_ms=self._launch_until_ms,
+        )
 
     def _on_answer(
         self, result: actions.PartAnswer, now_ms: int
     ) -> list[actions.Action]:
         part = self._part_by_task.get(result.task_id)
-        if part is None:
+        if part is None or part.endpoint_id != result.endpoint_id:
             return []
-        if result.state not in ("unknown", "refused"):
-            self._note(part, result.state, "", result.checkpoint)
+        match result.state:
+            case "absent":
+                # A call that crossed a later hold says nothing of it.
+                if result.call == part.call:
+                    part.note_absent()
+            case "unknown" | "refused":
+                pass
+            case "finished" | "failed" if result.result is None:
+                # The outcome counts only together with its text.
+                return [self._read(part.endpoint_id)]
+            case _:
+                part.note(result.state, result.result or "", result.checkpoint)
         match (self.phase, result.call):
             case (Phase.HOLDING, "hold"):
                 return self._on_hold(part, result, now_ms)
             case (Phase.RESUMING, "resume"):
                 return self._on_resume(part, result, now_ms)
+            case (Phase.PROVING, _):
+                return self._check_unstarted(now_ms)
             case (Phase.STOPPING, _):
-                return self._check_stopped(now_ms)
+                return self._on_stop_answer(part, result, now_ms)
         return []
 
     def _on_hold(
-        self, part: _Part, result: actions.PartAnswer, now_ms: int
+        self, part: parts.Part, result: actions.PartAnswer, now_ms: int
     ) -> list[actions.Action]:
+        if result.state == "unknown" and self._may_retry(part, now_ms):
+            return [self._hold_call(part, now_ms)]
         if result.state != "held":
             if result.state == "refused":
                 part.state = "absent"
@@ -305,129 +497,429 @@
             return self.stop(f"{reason} {result.reason}".strip(), now_ms)
         if any(other.state != "held" for other in self.parts):
             return []
+        if now_ms >= self._launch_until_ms:
+            return self.stop("the launch took too long", now_ms)
         if not self._all_may_start():
             return self.stop("zone or endpoint left service", now_ms)
         self.phase = Phase.RESUMING
         self.may_have_run = True
+        return self._resume_step(0, now_ms)
+
+    def _resume_step(self, step: int, now_ms: int) -> list[actions.Action]:
+        self._step = step
+        self._step_until_ms = now_ms + LEASE_STEPS_MS[step]
+        self._reset_retries()
         calls = []
-        for other in self.parts:
-            other.lease_until_ms = now_ms + max(RESUME_LEASE_MS, HOLD_LEASE_MS)
-            calls.append(
-                actions.ResumePart(
-                    other.endpoint_id, other.task_id, RESUME_LEASE_MS
-                )
-            )
+        for part in self.parts:
+            if part.state == "finished":
+                continue
+            part.call = ""
+            calls.append(self._resume_call(part, now_ms))
         return calls
 
+    def _resume_call(self, part: parts.Part, now_ms: int) -> actions.Action:
+        part.ask("resume", now_ms)
+        part.expect_lease(self._step_until_ms, CALL_DEADLINE_MS)
+        # A first resume starts work and must not be sent after the launch
+        # window; a later step must arrive before the lease it extends ends.
+        before_ms = self._launch_until_ms if self._step == 0 else 0
+        return actions.ResumePart(
+            endpoint_id=part.endpoint_id,
+            task_id=part.task_id,
+            lease_ms=self._step_until_ms - now_ms,
+            send_before_ms=before_ms or part.sure_until_ms,
+            until_ms=self._step_until_ms,
+        )
+
     def _on_resume(
-        self, part: _Part, result: actions.PartAnswer, now_ms: int
+        self, part: parts.Part, result: actions.PartAnswer, now_ms: int
     ) -> list[actions.Action]:
-        if result.state not in ("running", "finished"):
-            reason = f"resume on {part.endpoint_id}: {result.state}"
-            return self.stop(reason, now_ms)
-        for other in self.parts:
-            if other.state not in ("running", "finished"):
+        match result.state:
+            case "running":
+                until_ms = result.lease_until_ms or part.asked_until_ms
+                part.confirm_lease(until_ms)
+                return self._check_running(now_ms)
+            case "finished" | "failed":
+                return self._check_running(now_ms)
+            case "unknown" if self._may_retry(part, now_ms):
+                return [self._resume_call(part, now_ms)]
+        reason = f"resume on {part.endpoint_id}: {result.state}"
+        return self.stop(f"{reason} {result.reason}".strip(), now_ms)
+
+    def _check_step(self, now_ms: int) -> list[actions.Action]:
+        """Goes to the next lease step once every part confirmed this one."""
+        for part in self.parts:
+            if part.state == "finished":
+                continue
+            if part.sure_until_ms < self._step_until_ms:
                 return []
+        if now_ms >= self._sure_until_ms():
+            return self._on_lease_past(now_ms)
+        released = self._release()
+        if self._step + 1 < len(LEASE_STEPS_MS):
+            return [*released, *self._resume_step(self._step + 1, now_ms)]
         self.phase = Phase.RUNNING
-        # The full lease follows with the next report of each endpoint.
-        renew = [
-            actions.ResumePart(other.endpoint_id, other.task_id, TASK_LEASE_MS)
-            for other in self.parts
-            if other.state == "running"
-        ]
-        for other in self.parts:
-            other.lease_until_ms = now_ms + TASK_LEASE_MS
-        return [*self._release(), *renew, *self._check_finished(now_ms)]
+        return released
+
+    def _on_lease_past(self, now_ms: int) -> list[actions.Action]:
+        """Stops the gang since a part may have lapsed."""
+        if self.phase is Phase.RESUMING:
+            return self.stop("a resume was not confirmed in time", now_ms)
+        return self.stop("a task lease was not renewed in time", now_ms)
+
+    def _may_retry(self, part: parts.Part, now_ms: int) -> bool:
+        if part.tries >= MAX_TRIES or self._retries_left <= 0:
+            return False
+        if self._step == 0 and now_ms >= self._launch_until_ms:
+            return False
+        self._retries_left -= 1
+        return True
+
+    def _reset_retries(self) -> None:
+        budget = int(len(self.parts) * RETRIES_PER_PART)
+        self._retries_left = max(MIN_RETRIES, budget)
+
+    # Reports and the end of parts.
 
     def _on_report(
         self, report: actions.Report, now_ms: int
     ) -> list[actions.Action]:
+        booted = self._boot_by_endpoint.get(report.endpoint_id)
+        rebooted = booted is not None and booted != report.boot_id
+        whole = report.full or rebooted
+        self._note_tasks(report.endpoint_id, report.tasks, whole)
+        if whole and report.endpoint_id in self._unheard:
+            self._unheard.discard(report.endpoint_id)
+            self._rebooted = self._rebooted or rebooted
+        return self._check_parts(now_ms)
+
+    def _on_read(
+        self, result: actions.TasksRead, now_ms: int
+    ) -> list[actions.Action]:
+        if self.phase is Phase.PROVING:
+            return self._on_proof_read(result, now_ms)
+        report = actions.Report(
+            result.endpoint_id, result.boot_id, result.tasks, full=True
+        )
+        return self._on_report(report, now_ms)
+
+    def _note_tasks(
+        self,
+        endpoint_id: str,
+        views: Iterable[actions.TaskView],
+        whole: bool,
+    ) -> None:
         seen = set()
-        for view in report.tasks:
+        for view in views:
             part = self._part_by_task.get(view.task_id)
-            if part is None or part.endpoint_id != report.endpoint_id:
+            if part is None or part.endpoint_id != endpoint_id:
                 continue
             seen.add(view.task_id)
-            self._note(part, view.state, view.result, view.checkpoint)
-        booted = self._boot_by_endpoint.get(report.endpoint_id)
-        rebooted = booted is not None and booted != report.boot_id
-        if rebooted or report.full:
-            self._note_absent(report.endpoint_id, seen)
-        match self.phase:
-            case Phase.RUNNING | Phase.RESUMING:
-                return self._check_running(now_ms)
-            case Phase.STOPPING:
-                return self._check_stopped(now_ms)
-        return []
-
-    def _note_absent(self, endpoint_id: str, seen: set[str]) -> None:
-        if self.phase not in (Phase.RUNNING, Phase.STOPPING):
+            part.note(view.state, view.result, view.checkpoint)
+        # A list that was read before a hold arrived lacks its task.
+        settled = (Phase.RUNNING, Phase.STOPPING, Phase.ADOPTING)
+        if not whole or self.phase not in settled:
             return
         for part in self.parts:
-            if part.endpoint_id != endpoint_id or part.task_id in seen:
-                continue
-            if part.state not in _OVER_STATES:
-                part.state = "absent"
+            if part.endpoint_id == endpoint_id and part.task_id not in seen:
+                part.note_absent()
 
     def _on_lost(
         self, result: actions.EndpointLost, now_ms: int
     ) -> list[actions.Action]:
-        if result.endpoint_id not in self.endpoint_ids:
+        if result.endpoint_id not in self.distinct_endpoint_ids:
             return []
         return self.stop(f"endpoint {result.endpoint_id} is lost", now_ms)
 
-    def _note(
-        self, part: _Part, state: str, result: str, checkpoint: str
-    ) -> None:
-        if part.state in _OVER_STATES:
-            if result and not part.result:
-                part.result = result
-            return
-        part.state = state
-        part.result = result or part.result
-        part.checkpoint = checkpoint or part.checkpoint
+    def _check_parts(self, now_ms: int) -> list[actions.Action]:
+        match self.phase:
+            case Phase.STOPPING:
+                return self._check_stopped(now_ms)
+            case Phase.ADOPTING:
+                return [] if self._unheard else self._settle(now_ms)
+            case Phase.PROVING:
+                return self._check_unstarted(now_ms)
+            case Phase.RESUMING | Phase.RUNNING:
+                return self._check_running(now_ms)
+        return []
 
     def _check_running(self, now_ms: int) -> list[actions.Action]:
+        finished = 0
+        for part in self.parts:
+            match part.state:
+                case "finished":
+                    finished += 1
+                case "failed":
+                    return self._fail(part, now_ms)
+                case "stopped" | "lapsed" | "absent" | "checkpointed":
+                    reason = f"part on {part.endpoint_id} is {part.state}"
+                    return self.stop(reason, now_ms)
+        if finished == len(self.parts):
+            return self._close_ran(now_ms)
+        if self.phase is Phase.RESUMING:
+            return self._check_step(now_ms)
+        return []
+
+    def _fail(self, part: parts.Part, now_ms: int) -> list[actions.Action]:
+        self.failed_endpoint = part.endpoint_id
+        return self.stop(part.result or "a part failed", now_ms)
+
+    # Adoption.
+
+    def _tick_adopting(self, now_ms: int) -> list[actions.Action]:
+        if now_ms >= self._give_up_ms:
+            silent = ", ".join(sorted(self._unheard))
+            return self.stop(f"no report of {silent}", now_ms)
+        self._timer_ms = now_ms + ADOPT_READ_MS
+        if not self._unheard:
+            # The launch is over by now; see how it ended.
+            self._unheard = set(self.distinct_endpoint_ids)
+        return [self._read(e) for e in sorted(self._unheard)]
+
+    def _settle(self, now_ms: int) -> list[actions.Action]:
+        """Decides on an adopted run whose endpoints have all reported."""
+        states = {part.state for part in self.parts}
+        if states <= {"running", "finished"}:
+            wanted = self._go_on(now_ms)
+            if self._cancelled:
+                wanted.extend(self.stop("cancelled", now_ms))
+            return wanted
         for part in self.parts:
             if part.state == "failed":
-                self.failed_endpoint = part.endpoint_id
-                reason = part.result or "a part failed"
-                return self.stop(reason, now_ms)
-            if part.state in ("stopped", "lapsed", "absent", "checkpointed"):
+                return self._fail(part, now_ms)
+        if states <= {"absent", "held"} and not self._rebooted:
+            return self._prove(now_ms)
+        between = {"absent", "held", "running", "finished"}
+        if states <= between and now_ms < self._settle_ms:
+            # The earlier host may still be alive and launching: its leases
+            # and the calls it may send are past by then.
+            self._timer_ms = self._settle_ms
+            return []
+        if self._cancelled:
+            return self.stop("cancelled", now_ms)
+        for part in self.parts:
+            if part.state not in ("running", "finished"):
                 reason = f"part on {part.endpoint_id} is {part.state}"
                 return self.stop(reason, now_ms)
-        if self.phase is Phase.RUNNING:
-            return self._check_finished(now_ms)
         return []
 
-    def _check_finished(self, now_ms: int) -> list[actions.Action]:
-        if any(part.state != "finished" for part in self.parts):
-            return []
-        answer = tuple(part.result for part in self.parts)
-        return self._close(verdict.Ran(answer), now_ms)
+    def _go_on(self, now_ms: int) -> list[actions.Action]:
+        self.phase = Phase.RUNNING
+        renewals = []
+        for part in self.parts:
+            part.confirm_lease(now_ms + ADOPT_GRACE_MS)
+        for endpoint_id in self.distinct_endpoint_ids:
+            task_ids = self.tasks_to_renew(endpoint_id, now_ms)
+            if task_ids:
+                renewals.append(
+                    actions.RenewTasks(
+                        endpoint_id, tuple(task_ids), TASK_LEASE_MS
+                    )
+                )
+        return [*renewals, *self._check_running(now_ms)]
+
+    def _read(self, endpoint_id: str) -> actions.Action:
+        self._serial += 1
+        return actions.ReadTasks(self.job.job_id, endpoint_id, self._serial)
+
+    # Proof that no part of a run ever ran.
+
+    def _prove(self, now_ms: int) -> list[actions.Action]:
+        self.phase = Phase.PROVING
+        self.stop_reason = self.stop_reason or "the launch was interrupted"
+        self._unheard = set(self.distinct_endpoint_ids)
+        self._give_up_ms = now_ms + PROVE_MS
+        return self._tick_proving(now_ms)
+
+    def _tick_proving(self, now_ms: int) -> list[actions.Action]:
+        if now_ms >= self._give_up_ms:
+            return self._give_up_proof("could not be proven unstarted", now_ms)
+        self._timer_ms = now_ms + PROVE_RETRY_MS
+        wanted: list[actions.Action] = []
+        for endpoint_id in self.distinct_endpoint_ids:
+            if endpoint_id not in self._fence_by_endpoint:
+                lease = actions.TakeLease(
+                    self.job.job_id,
+                    endpoint_id,
+                    EXCLUSIVE_LEASE_MS,
+                    self._attempt,
+                )
+                wanted.append(lease)
+            elif endpoint_id in self._unheard:
+                wanted.append(self._read(endpoint_id))
+        for part in self.parts:
+            if part.endpoint_id in self._unheard or part.gone:
+                continue
+            wanted.append(self._stop_call(part, now_ms))
+        return wanted
 
-    def _check_stopped(self, now_ms: int) -> list[actions.Action]:
+    def _on_fence(
+        self, result: actions.LeaseGranted, now_ms: int
+    ) -> list[actions.Action]:
+        """Notes that older tokens no longer start anything on an endpoint."""
+        endpoint_id = result.endpoint_id
+        # One grant fences for good, so the lease need not be kept.
+        release = actions.ReleaseLease(endpoint_id, result.token)
+        if result.boot_id != self._boot_by_endpoint.get(endpoint_id):
+            wanted = self._give_up_proof(f"{endpoint_id} restarted", now_ms)
+            return [release, *wanted]
+        if endpoint_id in self._fence_by_endpoint:
+            return [release]
+        read = self._read(endpoint_id)
+        self._fence_by_endpoint[endpoint_id] = self._serial
+        return [release, read]
+
+    def _on_proof_read(
+        self, result: actions.TasksRead, now_ms: int
+    ) -> list[actions.Action]:
+        endpoint_id = result.endpoint_id
+        fence = self._fence_by_endpoint.get(endpoint_id)
+        if fence is None or result.serial < fence:
+            return []
+        if endpoint_id not in self._unheard:
+            return []
+        if result.boot_id != self._boot_by_endpoint[endpoint_id]:
+            return self._give_up_proof(f"{endpoint_id} restarted", now_ms)
+        state_by_task = {view.task_id: view.state for view in result.tasks}
+        self._unheard.discard(endpoint_id)
+        wanted: list[actions.Action] = []
         for part in self.parts:
-            if part.state in _GONE_STATES:
+            if part.endpoint_id != endpoint_id:
                 continue
-            if now_ms <= part.lease_until_ms:
-                return []
+            state = state_by_task.get(part.task_id, "absent")
+            if not {state, part.state} <= {"absent", "held"}:
+                part.note(state, "", "")
+                return self._adopt_again(now_ms)
+            part.state = state
+            if state == "held":
+                wanted.append(self._stop_call(part, now_ms))
+        return [*wanted, *self._check_proof(now_ms)]
+
+    def _check_unstarted(self, now_ms: int) -> list[actions.Action]:
+        """Gives the proof up if a part turns out to have been resumed."""
+        for part in self.parts:
+            if part.state in ("running", "finished", "failed"):
+                return self._adopt_again(now_ms)
+        return self._check_proof(now_ms)
+
+    def _check_proof(self, now_ms: int) -> list[actions.Action]:
+        if self._unheard or any(not part.gone for part in self.parts):
+            return []
+        self.may_have_run = False
+        return self._close_stopped(now_ms)
+
+    def _adopt_again(self, now_ms: int) -> list[actions.Action]:
+        """Looks at the whole gang again since a part has been resumed."""
+        self.phase = Phase.ADOPTING
+        self._unheard = set(self.distinct_endpoint_ids)
+        self._give_up_ms = now_ms + ADOPT_MS
+        return self._tick_adopting(now_ms)
+
+    def _give_up_proof(self, reason: str, now_ms: int) -> list[actions.Action]:
+        self.phase = Phase.ADOPTING
+        return self.stop(reason, now_ms)
+
+    # Stopping.
+
+    def _unstopped(self) -> list[parts.Part]:
+        return [
+            part
+            for part in self.parts
+            if not part.over
+            and part.task_id not in self._foreign_ids
+            # Nothing was sent to a part without any lease.
+            and part.runs_until_ms
+        ]
+
+    def _stop_call(self, part: parts.Part, now_ms: int) -> actions.Action:
+        if now_ms < self._checkpoint_until_ms:
+            part.ask("checkpoint", now_ms)
+            return actions.CheckpointPart(part.endpoint_id, part.task_id)
+        part.ask("stop", now_ms)
+        return actions.StopPart(part.endpoint_id, part.task_id)
+
+    def _on_stop_answer(
+        self, part: parts.Part, result: actions.PartAnswer, now_ms: int
+    ) -> list[actions.Action]:
+        """Repeats a checkpoint whose answer was lost, else waits."""
+        wanted = self._check_stopped(now_ms)
+        lost = result.call == "checkpoint" and not part.gone
+        if self.phase is not Phase.STOPPING or not lost:
+            return wanted
+        if result.state == "refused":
+            part.ask("stop", now_ms)
+            wanted.append(actions.StopPart(part.endpoint_id, part.task_id))
+        elif part.call == "checkpoint" and part.tries < MAX_TRIES:
+            wanted.append(self._stop_call(part, now_ms))
+        return wanted
+
+    def _stop_again(self, now_ms: int) -> list[actions.Action]:
+        if self.phase is not Phase.STOPPING or now_ms < self._timer_ms:
+            return []
+        self._timer_ms = now_ms + STOP_RETRY_MS
+        return [
+            self._stop_call(part, now_ms)
+            for part in self._unstopped()
+            if not part.gone
+        ]
+
+    def _check_stopped(self, now_ms: int) -> list[actions.Action]:
+        if self.phase is not Phase.STOPPING:
+            return []
+        if now_ms < self._runs_until_ms():
+            return []
         if all(part.state == "finished" for part in self.parts):
-            answer = tuple(part.result for part in self.parts)
-            return self._close(verdict.Ran(answer), now_ms)
+            return self._close_ran(now_ms)
         return self._close_stopped(now_ms)
 
+    def _supersede(
+        self, shown: jobs.Job | None, now_ms: int
+    ) -> list[actions.Action]:
+        """Stops the run since the log has another course of the job."""
+        if self._superseded:
+            return []
+        self._superseded = True
+        if shown is not None and shown.run == self.run:
+            for part, winner in zip(self.parts, shown.endpoints, strict=False):
+                if part.endpoint_id == winner:
+                    # Both runs have the same number, so this is the task of
+                    # the run that the log took.
+                    self._foreign_ids.add(part.task_id)
+        if self.phase is Phase.PROVING:
+            self.phase = Phase.ADOPTING
+        wanted = self.stop("another course of the job was recorded", now_ms)
+        return [*wanted, *self._check_stopped(now_ms)]
+
+    def _is_current(self, job: jobs.Job | None) -> bool:
+        """Whether the job is in this very run, not one of the same number."""
+        if job is None or job.state is not jobs.JobState.ACTIVE:
+            return False
+        return _starting_of(job) == self._starting
+
+    # The outcome.
+
+    def _close_ran(self, now_ms: int) -> list[actions.Action]:
+        if self._superseded and not self.job.spec.idempotent:
+            return self._end_run()
+        answer = tuple(part.result for part in self.parts)
+        return self._close(verdict.Ran(answer), now_ms)
+
     def _close_stopped(self, now_ms: int) -> list[actions.Action]:
+        if self._superseded:
+            return self._end_run()
         spec = self.job.spec
-        checkpoint = self._common_checkpoint()
+        checkpoint = parts.join_checkpoints(self.parts)
         if self.failed_endpoint:
             failures = len(self.job.failed_endpoints) + 1
             if not spec.idempotent or failures >= MAX_FAILED_RUNS:
                 return self._close(verdict.RanFailed(self.stop_reason), now_ms)
         elif self.may_have_run and not spec.idempotent and not checkpoint:
+            known = all(part.gone for part in self.parts)
+            if self._cancelled and known and not self._rebooted:
+                reason = "cancelled after it had started"
+                return self._close(verdict.RanFailed(reason), now_ms)
             return self._close(verdict.MayHaveRun(self.stop_reason), now_ms)
-        self.phase = Phase.CLOSING
-        requeued = records.Requeued(
+        self._closing = records.Requeued(
             job_id=self.job.job_id,
             run=self.run,
             reason=self.stop_reason,
@@ -436,32 +928,86 @@
             checkpoint=checkpoint,
             failed_endpoint=self.failed_endpoint,
         )
-        return [actions.Append(requeued)]
-
-    def _common_checkpoint(self) -> str:
-        """Returns the parts' checkpoints joined, empty if one is missing."""
-        if not all(part.state == "checkpointed" for part in self.parts):
-            return ""
-        return ";".join(part.checkpoint for part in self.parts)
+        return self._append_closing(now_ms)
 
     def _close(
         self, outcome: verdict.Verdict, now_ms: int
     ) -> list[actions.Action]:
-        self.phase = Phase.CLOSING
         self.outcome = outcome
-        ended = records.Ended(self.job.job_id, self.run, outcome, at_ms=now_ms)
-        return [actions.Append(ended)]
+        self._closing = records.Ended(
+            self.job.job_id, self.run, outcome, at_ms=now_ms
+        )
+        return self._append_closing(now_ms)
+
+    def _append_closing(self, now_ms: int) -> list[actions.Action]:
+        self.phase = Phase.CLOSING
+        self._timer_ms = now_ms + CLOSE_REPEAT_MS
+        return [*self._release(), actions.Append(self._closing)]
+
+    def _on_closed(
+        self, result: actions.Appended, now_ms: int
+    ) -> list[actions.Action]:
+        if result.durable:
+            return [*self._end_run(), *self._acknowledge()]
+        if result.taken:
+            # Provisional: the results stay at the endpoints until the log
+            # has the record.
+            self.unacknowledged = True
+            return self._end_run()
+        self._timer_ms = now_ms + CLOSE_RETRY_MS
+        return []
+
+    def _closed_by(self, committed: jobs.Job | None) -> bool:
+        """Whether the log has settled the run, by this record or another."""
+        if committed is None or committed.run < self.run:
+            return False
+        return not self._is_current(committed)
 
     def _acknowledge(self) -> list[actions.Action]:
+        task_ids_by_endpoint: dict[str, list[str]] = {}
+        for part in self.parts:
+            if part.over and part.task_id not in self._foreign_ids:
+                task_ids = task_ids_by_endpoint.setdefault(part.endpoint_id, [])
+                task_ids.append(part.task_id)
         return [
-            actions.Acknowledge(part.endpoint_id, (part.task_id,))
-            for part in self.parts
-            if part.state in _OVER_STATES
+            actions.Acknowledge(endpoint_id, tuple(task_ids))
+            for endpoint_id, task_ids in task_ids_by_endpoint.items()
         ]
 
-    def _all_may_start(self) -> bool:
-        return all(self._may_start(e) for e in _distinct(self.endpoint_ids))
+    def _sure_until_ms(self) -> int:
+        """Returns until when every running part is sure to run on."""
+        if self.phase is Phase.RESUMING and self._step == 0:
+            return self._step_until_ms
+        return min(
+            (
+                part.sure_until_ms
+                for part in self.parts
+                if part.state == "running"
+            ),
+            default=_NEVER_MS,
+        )
 
+    def _runs_until_ms(self) -> int:
+        """Returns from when on no part can run, 0 if all are known gone."""
+        return max(
+            (
+                part.runs_until_ms
+                for part in self.parts
+                if not part.gone and part.task_id not in self._foreign_ids
+            ),
+            default=0,
+        )
 
-def _distinct(endpoint_ids: Iterable[str]) -> list[str]:
-    return list(dict.fromkeys(endpoint_ids))
+    def _all_may_start(self) -> bool:
+        return all(self._may_start(e) for e in self.distinct_endpoint_ids)
+
+
+def _starting_of(job: jobs.Job) -> records.Starting:
+    return records.Starting(
+        job_id=job.job_id,
+        run=job.run,
+        zone=job.zone,
+        endpoints=job.endpoints,
+        boot_ids=job.boot_ids,
+        at_ms=job.started_at_ms,
+    )
--- a/packages/core/src/laburnumgate_core/runs.py
+++ b/packages/core/src/laburnumgate_core/runs.py
@@ -2,17 +2,23 @@
 
 The table passes results on to the runs they concern, takes over runs of an
 earlier placing host, stops tasks that no run owns, and renews task leases.
+Runs are found through indexes by endpoint and by due time, so that the cost of
+a step grows with what it concerns and not with the zone.
 """
 
 from collections.abc import Callable
 from collections.abc import Iterable
+import heapq
 
 from laburnumgate_core import actions
 from laburnumgate_core import gang
 from laburnumgate_core import jobs
 from laburnumgate_core import model
+from laburnumgate_core import renewal
 
-RENEW_EVERY_MS = gang.TASK_LEASE_MS // 3
+# Finds changes of jobs that were not passed to `note_change`, such as a run
+# that the earlier placing host recorded after this host took over.
+SCAN_EVERY_MS = 1_000
 
 
 class RunTable:
@@ -36,12 +42,23 @@
         self._jobs = job_table
         self._may_start = may_start
         self._unreported: set[str] = set()
-        self._adopted_ids: set[str] = set()
-        self._renew_at_ms = 0
+        self._job_ids_by_endpoint: dict[str, dict[str, None]] = {}
+        self._seen_by_id: dict[
+            str, tuple[jobs.Job | None, jobs.Job | None]
+        ] = {}
+        # Last known task by job and task id, for tasks no run here owns.
+        self._strays_by_id: dict[str, dict[str, tuple[str, str]]] = {}
+        self._due_by_id: dict[str, int] = {}
+        self._due_heap: list[tuple[int, str]] = []
+        self._done_ids: dict[str, None] = {}
+        self._renewals = renewal.RenewalSchedule()
+        self._attempt = 0
+        self._scan_at_ms = 0
+        self._now_ms = 0
 
     @property
     def recovering(self) -> bool:
-        """Whether reports that adopted runs depend on are missing."""
+        """Whether first reports of endpoints are missing."""
         return bool(self._unreported)
 
     def adopt(self, endpoint_ids: Iterable[str], now_ms: int) -> None:
@@ -50,23 +67,23 @@
         Nothing may be started until each endpoint has reported or is lost.
         """
         self.clear()
+        self._now_ms = now_ms
         self._unreported = set(endpoint_ids)
         for job_id in self._jobs.open_ids(self._zone):
-            job = self._jobs.get(job_id)
-            if job.state is not jobs.JobState.ACTIVE:
-                continue
-            run = gang.Run(
-                job, job.run, self._zone, job.endpoints, self._may_start
-            )
-            run.adopt(job.boot_ids, now_ms)
-            self.runs_by_id[job_id] = run
-            self._adopted_ids.add(job_id)
+            # The first reports are on their way.
+            self._adopt_job(job_id, now_ms, now_ms + gang.ADOPT_READ_MS)
 
     def clear(self) -> None:
         """Forgets every run; their tasks go on."""
         self.runs_by_id.clear()
         self._unreported.clear()
-        self._adopted_ids.clear()
+        self._job_ids_by_endpoint.clear()
+        self._strays_by_id.clear()
+        self._due_by_id.clear()
+        self._seen_by_id.clear()
+        self._due_heap.clear()
+        self._done_ids.clear()
+        self._renewals.clear()
 
     def expect_report(self, endpoint_id: str) -> None:
         """Waits for a first report of an endpoint before new starts."""
@@ -79,15 +96,18 @@
     def start(
         self, job: jobs.Job, endpoint_ids: tuple[str, ...]
     ) -> list[actions.Action]:
-        """Starts the job's next run on `endpoint_ids`, one for each part."""
-        run = gang.Run(
-            job, job.run + 1, self._zone, endpoint_ids, self._may_start
-        )
-        self.runs_by_id[job.job_id] = run
-        return run.start()
+        """Starts the job's next run on `endpoint_ids`, one for each part.
+
+        The launch counts as begun at the last `tick` or `on`.
+        """
+        run = self._create(job, job.run + 1, endpoint_ids)
+        wanted = run.start(self._now_ms)
+        self._touch(run)
+        return wanted
 
     def on(self, result: actions.Result, now_ms: int) -> list[actions.Action]:
         """Passes a result on to the run or the runs it concerns."""
+        self._now_ms = now_ms
         match result:
             case actions.Report():
                 return self._on_report(result, now_ms)
@@ -105,51 +125,165 @@
                         actions.ReleaseLease(result.endpoint_id, result.token)
                     ]
                 return self._to_run(result.job_id, result, now_ms)
-            case actions.LeaseRefused():
+            case actions.LeaseRefused() | actions.TasksRead():
                 return self._to_run(result.job_id, result, now_ms)
             case actions.Renewed():
                 self._on_renewed(result)
         return []
 
+    def note_change(self, job_id: str, now_ms: int) -> list[actions.Action]:
+        """Compares a job that has changed with its run and its tasks."""
+        self._now_ms = now_ms
+        run = self.runs_by_id.get(job_id)
+        if run is None:
+            wanted = self._clear_strays(job_id)
+            run = self._adopt_job(job_id, now_ms, now_ms)
+            if run is not None:
+                wanted.extend(run.tick(now_ms))
+                self._touch(run)
+            return wanted
+        shown = self._jobs.get(job_id)
+        committed = self._jobs.committed(job_id)
+        self._seen_by_id[job_id] = (shown, committed)
+        wanted = run.see_job(shown, committed, now_ms)
+        self._touch(run)
+        return [*wanted, *self._clear_strays(job_id)]
+
     def tick(self, now_ms: int) -> list[actions.Action]:
-        """Steps every run, settles adopted ones and renews leases."""
+        """Steps the runs that are due, then renews leases that are due.
+
+        The order matters for a host that was paused: runs whose leases are
+        past are stopped before anything is renewed.
+        """
+        self._now_ms = now_ms
         wanted: list[actions.Action] = []
-        for job_id, run in self.runs_by_id.items():
+        if now_ms >= self._scan_at_ms:
+            self._scan_at_ms = now_ms + SCAN_EVERY_MS
+            wanted.extend(self._scan(now_ms))
+        for run in self._take_due(now_ms):
             wanted.extend(run.tick(now_ms))
-            job = self._jobs.get(job_id)
-            if job is None or job.run > run.run:
-                wanted.extend(run.stop("another run was recorded", now_ms))
-            elif job.cancelled:
-                wanted.extend(run.stop("cancelled", now_ms))
-        if not self.recovering:
-            wanted.extend(self._settle_adopted(now_ms))
-        wanted.extend(self._renew(now_ms))
+            self._touch(run)
+        for endpoint_id in self._renewals.take_due(now_ms):
+            wanted.extend(self._renew(endpoint_id, now_ms))
         return wanted
 
     def take_done(self) -> list[gang.Run]:
         """Removes and returns the runs that are over."""
         done = []
-        for job_id, run in list(self.runs_by_id.items()):
-            if run.phase is gang.Phase.DONE:
-                del self.runs_by_id[job_id]
-                done.append(run)
+        for job_id in self._done_ids:
+            run = self.runs_by_id.pop(job_id)
+            self._due_by_id.pop(job_id, None)
+            self._seen_by_id.pop(job_id, None)
+            for endpoint_id in run.distinct_endpoint_ids:
+                job_ids = self._job_ids_by_endpoint[endpoint_id]
+                job_ids.pop(job_id, None)
+                if not job_ids:
+                    del self._job_ids_by_endpoint[endpoint_id]
+            self._keep_unacknowledged(run)
+            done.append(run)
+        self._done_ids.clear()
         return done
 
+    def _create(
+        self, job: jobs.Job, number: int, endpoint_ids: tuple[str, ...]
+    ) -> gang.Run:
+        self._attempt += 1
+        run = gang.Run(
+            job,
+            number,
+            self._zone,
+            endpoint_ids,
+            self._may_start,
+            self._attempt,
+        )
+        self.runs_by_id[job.job_id] = run
+        for endpoint_id in run.distinct_endpoint_ids:
+            job_ids = self._job_ids_by_endpoint.setdefault(endpoint_id, {})
+            job_ids[job.job_id] = None
+        return run
+
+    def _adopt_job(
+        self, job_id: str, now_ms: int, read_at_ms: int
+    ) -> gang.Run | None:
+        job = self._jobs.get(job_id)
+        if job is None or job.state is not jobs.JobState.ACTIVE:
+            return None
+        if job.zone != self._zone:
+            return None
+        run = self._create(job, job.run, job.endpoints)
+        run.adopt(job.boot_ids, now_ms, read_at_ms)
+        self._touch(run)
+        return run
+
+    def _touch(self, run: gang.Run) -> None:
+        """Notes when the run is due next, or that it is over."""
+        job_id = run.job.job_id
+        if self.runs_by_id.get(job_id) is not run:
+            return
+        if run.phase is gang.Phase.DONE:
+            self._done_ids[job_id] = None
+            return
+        if run.phase is gang.Phase.RUNNING:
+            for endpoint_id in run.distinct_endpoint_ids:
+                due_ms = self._now_ms + renewal.RENEW_EVERY_MS
+                self._renewals.add(endpoint_id, due_ms)
+        due_ms = run.due_ms
+        if self._due_by_id.get(job_id) != due_ms:
+            self._due_by_id[job_id] = due_ms
+            heapq.heappush(self._due_heap, (due_ms, job_id))
+
+    def _take_due(self, now_ms: int) -> list[gang.Run]:
+        due = []
+        while self._due_heap and self._due_heap[0][0] <= now_ms:
+            due_ms, job_id = heapq.heappop(self._due_heap)
+            if self._due_by_id.get(job_id) != due_ms:
+                continue
+            del self._due_by_id[job_id]
+            due.append(self.runs_by_id[job_id])
+        return due
+
+    def _scan(self, now_ms: int) -> list[actions.Action]:
+        changed = dict.fromkeys(self._strays_by_id)
+        for job_id in self._jobs.open_ids(self._zone):
+            if job_id in self.runs_by_id:
+                continue
+            if self._jobs.get(job_id).state is jobs.JobState.ACTIVE:
+                changed[job_id] = None
+        for job_id in self.runs_by_id:
+            if self._unseen(job_id):
+                changed[job_id] = None
+        wanted: list[actions.Action] = []
+        for job_id in changed:
+            wanted.extend(self.note_change(job_id, now_ms))
+        return wanted
+
+    def _unseen(self, job_id: str) -> bool:
+        """Whether the job has changed since its run was compared with it."""
+        seen = self._seen_by_id.get(job_id)
+        if seen is None:
+            return True
+        # Jobs are frozen, so a changed job is another object.
+        shown, committed = seen
+        if shown is not self._jobs.get(job_id):
+            return True
+        return committed is not self._jobs.committed(job_id)
+
     def _to_run(
         self, job_id: str, result: actions.Result, now_ms: int
     ) -> list[actions.Action]:
         run = self.runs_by_id.get(job_id)
         if run is None:
             return []
-        return run.on(result, now_ms)
+        wanted = run.on(result, now_ms)
+        self._touch(run)
+        return wanted
 
     def _to_endpoint(
         self, result: actions.Report | actions.EndpointLost, now_ms: int
     ) -> list[actions.Action]:
         wanted: list[actions.Action] = []
-        for run in self.runs_by_id.values():
-            if result.endpoint_id in run.endpoint_ids:
-                wanted.extend(run.on(result, now_ms))
+        for job_id in self._job_ids_by_endpoint.get(result.endpoint_id, ()):
+            wanted.extend(self._to_run(job_id, result, now_ms))
         return wanted
 
     def _on_report(
@@ -157,57 +291,79 @@
     ) -> list[actions.Action]:
         self._unreported.discard(report.endpoint_id)
         wanted = self._to_endpoint(report, now_ms)
+        stray_ids: dict[str, None] = {}
         for view in report.tasks:
-            wanted.extend(self._stop_stray(report.endpoint_id, view))
+            job_id, number, _ = model.parse_task_id(view.task_id)
+            run = self.runs_by_id.get(job_id)
+            if run is not None and run.run == number:
+                continue
+            strays = self._strays_by_id.setdefault(job_id, {})
+            strays[view.task_id] = (report.endpoint_id, view.state)
+            stray_ids[job_id] = None
+        for job_id in stray_ids:
+            wanted.extend(self._clear_strays(job_id))
         return wanted
 
-    def _stop_stray(
-        self, endpoint_id: str, view: actions.TaskView
-    ) -> list[actions.Action]:
-        """Stops or acknowledges a task whose run the log knows to be over."""
-        job_id, number, _ = model.parse_task_id(view.task_id)
-        job = self._jobs.get(job_id)
-        if job is None or number > job.run:
-            return []
-        over = job.state is not jobs.JobState.ACTIVE or number < job.run
-        if not over:
-            return []
-        if view.state in ("held", "running"):
-            return [actions.StopPart(endpoint_id, view.task_id)]
-        return [actions.Acknowledge(endpoint_id, (view.task_id,))]
+    def _keep_unacknowledged(self, run: gang.Run) -> None:
+        """Keeps the tasks of a run whose end the log does not have yet."""
+        if not run.unacknowledged:
+            return
+        strays = self._strays_by_id.setdefault(run.job.job_id, {})
+        for part in run.parts:
+            if part.over:
+                strays[part.task_id] = (part.endpoint_id, part.state)
+
+    def _clear_strays(self, job_id: str) -> list[actions.Action]:
+        """Stops or acknowledges tasks whose run the log knows to be over.
 
-    def _settle_adopted(self, now_ms: int) -> list[actions.Action]:
+        A task of which the log knows nothing yet is kept: its run may be
+        recorded later. Its lease ends if nobody renews it.
+        """
+        strays = self._strays_by_id.get(job_id)
+        job = self._jobs.committed(job_id)
+        if not strays or job is None:
+            return []
         wanted: list[actions.Action] = []
-        for job_id in self._adopted_ids:
-            run = self.runs_by_id.get(job_id)
-            if run is not None:
-                wanted.extend(run.settle(now_ms))
-        self._adopted_ids.clear()
+        for task_id, (endpoint_id, state) in list(strays.items()):
+            _, number, _ = model.parse_task_id(task_id)
+            match job.state:
+                case jobs.JobState.QUEUED if number > job.run:
+                    continue
+                case jobs.JobState.ACTIVE if number >= job.run:
+                    continue
+            del strays[task_id]
+            if state in ("held", "running"):
+                # The report that follows brings the task back to be
+                # acknowledged.
+                wanted.append(actions.StopPart(endpoint_id, task_id))
+            else:
+                wanted.append(actions.Acknowledge(endpoint_id, (task_id,)))
+        if not strays:
+            del self._strays_by_id[job_id]
         return wanted
 
-    def _renew(self, now_ms: int) -> list[actions.Action]:
-        """Renews task leases, one call for each endpoint with tasks."""
-        if now_ms < self._renew_at_ms:
+    def _renew(self, endpoint_id: str, now_ms: int) -> list[actions.Action]:
+        """Renews the task leases of one endpoint in one call."""
+        task_ids: list[str] = []
+        for job_id in self._job_ids_by_endpoint.get(endpoint_id, ()):
+            run = self.runs_by_id[job_id]
+            task_ids.extend(run.tasks_to_renew(endpoint_id, now_ms))
+        if not task_ids:
             return []
-        self._renew_at_ms = now_ms + RENEW_EVERY_MS
-        task_ids_by_endpoint: dict[str, list[str]] = {}
-        for run in self.runs_by_id.values():
-            if run.phase is not gang.Phase.RUNNING:
-                continue
-            for part in run.parts:
-                if part.state != "running":
-                    continue
-                task_ids_by_endpoint.setdefault(part.endpoint_id, []).append(
-                    part.task_id
-                )
+        self._renewals.add(endpoint_id, now_ms + renewal.RENEW_RETRY_MS)
         return [
-            actions.RenewTasks(endpoint_id, tuple(ids), gang.TASK_LEASE_MS)
-            for endpoint_id, ids in task_ids_by_endpoint.items()
+            actions.RenewTasks(endpoint_id, tuple(task_ids), gang.TASK_LEASE_MS)
         ]
 
     def _on_renewed(self, result: actions.Renewed) -> None:
+        job_ids: dict[str, None] = {}
         for task_id in result.task_ids:
             job_id, _, _ = model.parse_task_id(task_id)
+            job_ids[job_id] = None
+        for job_id in job_ids:
             run = self.runs_by_id.get(job_id)
             if run is not None:
                 run.renewed(result)
+                self._touch(run)
+        due_ms = result.asked_ms + renewal.RENEW_EVERY_MS
+        self._renewals.postpone(result.endpoint_id, due_ms)
--- /dev/null
+++ b/packages/core/tests/zone_fake.py
@@ -0,0 +1,651 @@
+"""A deterministic zone for tests: endpoints, log and hosts on one clock.
+
+Every call and every append is an event on a queue. Faults are given per call
+kind and occurrence, so that a case is reproduced from its plan alone.
+"""
+
+import collections
+from collections.abc import Callable
+import dataclasses
+import heapq
+import random
+
+from laburnumgate_core import actions
+from laburnumgate_core import clock
+from laburnumgate_core import gang
+from laburnumgate_core import jobs
+from laburnumgate_core import model
+from laburnumgate_core import records
+from laburnumgate_core import runs
+
+LATENCY_MS = 2
+TICK_MS = 50
+POLL_MS = 100
+LOST_AFTER_MS = 10_000
+TAKEOVER_MS = 3_000
+
+
+@dataclasses.dataclass(frozen=True)
+class Fault:
+    """What goes wrong with one call; a delay is at most the deadline."""
+
+    lose_request: bool = False
+    lose_answer: bool = False
+    delay_ms: int = 0
+    repeat_after_ms: int = 0
+    refuse: bool = False
+
+
+@dataclasses.dataclass
+class Task:
+    """A task at an endpoint."""
+
+    task_id: str
+    state: str
+    lease_until_ms: int
+    left_ms: int
+    accelerators: int
+    checkpoint: str = ""
+    result: str = ""
+    since_ms: int = 0
+
+
+@dataclasses.dataclass(frozen=True)
+class Step:
+    """One change of state of a task."""
+
+    at_ms: int
+    task_id: str
+    state: str
+
+
+class Endpoint:
+    """Exclusive lease and tasks of one worker."""
+
+    def __init__(self, zone: "Zone", endpoint_id: str):
+        self.zone = zone
+        self.endpoint_id = endpoint_id
+        self.boot = 1
+        self.reachable = True
+        self.fail_all = False
+        self.slow_stop_ms = 0
+        self.tasks_by_id: dict[str, Task] = {}
+        self.tokens = 0
+        self.lease: tuple[str, int, int] | None = None
+
+    @property
+    def boot_id(self) -> str:
+        return f"{self.endpoint_id}-{self.boot}"
+
+    def reboot(self) -> None:
+        for task in self.tasks_by_id.values():
+            self._set(task, "absent")
+        self.tasks_by_id.clear()
+        self.lease = None
+        self.boot += 1
+
+    def free(self) -> int:
+        used = sum(
+            task.accelerators
+            for task in self.tasks_by_id.values()
+            if task.state in ("held", "running")
+        )
+        return 8 - used
+
+    def next_ms(self) -> int:
+        """When the next task ends by itself."""
+        times = [1 << 62]
+        for task in self.tasks_by_id.values():
+            if task.state in ("held", "running"):
+                times.append(task.lease_until_ms)
+            if task.state == "running":
+                times.append(task.since_ms + task.left_ms)
+        return min(times)
+
+    def settle(self, now_ms: int) -> None:
+        """Ends tasks whose lease or work is over."""
+        for task in self.tasks_by_id.values():
+            if task.state not in ("held", "running"):
+                continue
+            done_ms = task.since_ms + task.left_ms
+            if task.state == "running" and now_ms >= done_ms:
+                task.result = f"{task.task_id} done"
+                self._set(task, "failed" if self.fail_all else "finished")
+            elif now_ms >= task.lease_until_ms:
+                self._set(task, "lapsed")
+
+    def take_lease(self, holder: str, ttl_ms: int) -> int | None:
+        now_ms = self.zone.now_ms
+        if self.lease is not None and now_ms < self.lease[2]:
+            return None
+        self.tokens += 1
+        self.lease = (holder, self.tokens, now_ms + ttl_ms)
+        return self.tokens
+
+    def holds(self, token: int) -> bool:
+        if self.lease is None or self.lease[1] != token:
+            return False
+        return self.zone.now_ms < self.lease[2]
+
+    def hold(self, action: actions.HoldPart) -> str:
+        if action.task_id in self.tasks_by_id:
+            return self.tasks_by_id[action.task_id].state
+        if not self.holds(action.token) or self.free() < action.accelerators:
+            return "refused"
+        self.zone.held[action.task_id] = action.checkpoint
+        task = Task(
+            action.task_id,
+            "absent",
+            self.zone.now_ms + action.lease_ms,
+            int(action.payload or 1_000),
+            action.accelerators,
+        )
+        self.tasks_by_id[task.task_id] = task
+        self._set(task, "held")
+        return task.state
+
+    def resume(self, task_id: str, lease_ms: int) -> str:
+        task = self.tasks_by_id.get(task_id)
+        if task is None:
+            return "absent"
+        if task.state in ("held", "running"):
+            task.lease_until_ms = self.zone.now_ms + lease_ms
+        if task.state == "held":
+            self._set(task, "running")
+        return task.state
+
+    def stop(self, task_id: str, checkpoint: bool) -> str:
+        task = self.tasks_by_id.get(task_id)
+        if task is None:
+            return "absent"
+        if task.state in ("held", "running"):
+            if checkpoint:
+                task.checkpoint = f"point of {task_id}"
+            self._set(task, "checkpointed" if checkpoint else "stopped")
+        return task.state
+
+    def renew(self, task_ids: tuple[str, ...], lease_ms: int) -> list[str]:
+        renewed = []
+        for task_id in task_ids:
+            task = self.tasks_by_id.get(task_id)
+            if task is not None and task.state in ("held", "running"):
+                task.lease_until_ms = self.zone.now_ms + lease_ms
+                renewed.append(task_id)
+        return renewed
+
+    def views(self) -> tuple[actions.TaskView, ...]:
+        return tuple(
+            actions.TaskView(
+                task.task_id,
+                task.state,
+                result=task.result,
+                checkpoint=task.checkpoint,
+            )
+            for task in self.tasks_by_id.values()
+        )
+
+    def _set(self, task: Task, state: str) -> None:
+        task.state = state
+        task.since_ms = self.zone.now_ms
+        self.zone.steps.append(Step(self.zone.now_ms, task.task_id, state))
+
+
+class Host:
+    """A placing host: its fold of the log and its table of runs."""
+
+    def __init__(self, zone: "Zone", name: str):
+        self.zone = zone
+        self.name = name
+        self.alive = True
+        self.active = False
+        self.paused_until_ms = 0
+        self.jobs = jobs.JobTable()
+        self.runs = runs.RunTable("z", self.jobs, zone.may_start)
+        self.applied = 0
+        self.rng = random.Random(name)
+        self.retry_ms_by_id: dict[str, int] = {}
+        self.heard_ms_by_id: dict[str, int] = {}
+        self.waiting: list[tuple[str, records.JobRecord]] = []
+        self.sent = 0
+        self.die_after: int | None = None
+        self.pause_after: tuple[int, int] | None = None
+
+    @property
+    def awake(self) -> bool:
+        return self.alive and self.zone.now_ms >= self.paused_until_ms
+
+    def activate(self) -> None:
+        self.active = True
+        self.follow()
+        self.heard_ms_by_id = dict.fromkeys(
+            self.zone.endpoints_by_id, self.zone.now_ms
+        )
+        self.runs.adopt(self.zone.endpoints_by_id, self.zone.now_ms)
+
+    def follow(self) -> None:
+        """Applies what the log has, and tells the waiting appends."""
+        for entry in self.zone.entries[self.applied :]:
+            self.applied += 1
+            taken = self.jobs.apply_entry(entry)
+            for append_id, record in list(self.waiting):
+                if append_id == entry.append_id:
+                    self.waiting.remove((append_id, record))
+                    answer = actions.Appended(record, taken[0])
+                    self.deliver(answer, "appended")
+        for job_id in self.jobs.take_changes():
+            if self.active:
+                self.carry_out(self.runs.note_change(job_id, self.zone.now_ms))
+
+    def tick(self) -> None:
+        self.follow()
+        if not self.active:
+            return
+        now_ms = self.zone.now_ms
+        self.carry_out(self.runs.tick(now_ms))
+        self._close_runs()
+        if self.runs.recovering:
+            return
+        for job_id in self.jobs.open_ids("z"):
+            job = self.jobs.get(job_id)
+            if job_id in self.runs.runs_by_id:
+                continue
+            if job.state is not jobs.JobState.QUEUED:
+                continue
+            if now_ms < self.retry_ms_by_id.get(job_id, 0):
+                continue
+            chosen = self.zone.placement(job)
+            if all(self.zone.may_start(e) for e in chosen):
+                self.carry_out(self.runs.start(job, chosen))
+
+    def deliver(self, result: actions.Result, kind: str) -> None:
+        """Passes a result on once the host is awake."""
+        fault = self.zone.fault(kind)
+        if fault.lose_answer:
+            return
+        self.zone.after(fault.delay_ms, lambda: self._receive(result))
+
+    def _receive(self, result: actions.Result) -> None:
+        if not self.alive or not self.active:
+            return
+        if not self.awake:
+            wait_ms = self.paused_until_ms - self.zone.now_ms
+            self.zone.after(wait_ms, lambda: self._receive(result))
+            return
+        self.carry_out(self.runs.on(result, self.zone.now_ms))
+        self._close_runs()
+
+    def _close_runs(self) -> None:
+        for run in self.runs.take_done():
+            pause_ms = 200 + self.rng.randrange(400)
+            self.retry_ms_by_id[run.job.job_id] = self.zone.now_ms + pause_ms
+
+    def carry_out(self, wanted: list[actions.Action]) -> None:
+        for action in wanted:
+            if not self.awake:
+                # A paused host sends the rest when it wakes, unless it died.
+                wait_ms = self.paused_until_ms - self.zone.now_ms
+                self.zone.after(wait_ms, lambda a=action: self.carry_out([a]))
+                continue
+            self.sent += 1
+            if self.die_after is not None and self.sent > self.die_after:
+                self.alive = False
+                return
+            if self.pause_after and self.sent > self.pause_after[0]:
+                self.paused_until_ms = self.zone.now_ms + self.pause_after[1]
+                self.pause_after = None
+                self.carry_out([action])
+                continue
+            self.zone.send(self, action)
+
+
+class Zone:
+    """Endpoints, log, hosts and the queue of events."""
+
+    def __init__(
+        self,
+        endpoints: int = 3,
+        hosts: int = 1,
+        plan: dict[tuple[str, int], Fault] | None = None,
+    ):
+        self.clock = clock.ManualClock(1_000_000)
+        self.steps: list[Step] = []
+        self.held: dict[str, str] = {}
+        self.entries: list[records.Entry] = []
+        self.log_down = False
+        self.closed_ids: set[str] = set()
+        self.plan = plan or {}
+        self.early_acks: list[str] = []
+        self._calls: collections.Counter[str] = collections.Counter()
+        self._appends = 0
+        self._events: list[tuple[int, int, Callable[[], None]]] = []
+        self._sequence = 0
+        self.endpoints_by_id = {
+            f"e{n}": Endpoint(self, f"e{n}") for n in range(endpoints)
+        }
+        self.nowhere = Endpoint(self, "nowhere")
+        self.nowhere.reachable = False
+        self.hosts = [Host(self, f"h{n}") for n in range(hosts)]
+        self.after(0, self._tick)
+        self.after(0, self._poll)
+
+    @property
+    def now_ms(self) -> int:
+        return self.clock.now_ms()
+
+    def may_start(self, endpoint_id: str) -> bool:
+        return endpoint_id not in self.closed_ids
+
+    def placement(self, job: jobs.Job) -> tuple[str, ...]:
+        """Part K goes to the K-th endpoint, starting over at the end."""
+        ids = sorted(self.endpoints_by_id)
+        return tuple(ids[n % len(ids)] for n in range(job.spec.parts))
+
+    def submit(self, job_id: str, **fields) -> None:
+        defaults = {
+            "kind": "k",
+            "parts": 3,
+            "accelerators_per_part": 4,
+            "run_ms": 1_000,
+            "payload": "1000",
+        }
+        spec = model.JobSpec(**{**defaults, **fields})
+        self.append(
+            records.Submitted(
+                job_id, "a", spec, "z", "h", self.now_ms, self.now_ms, 0
+            )
+        )
+
+    def append(self, record: records.JobRecord, append_id: str = "") -> None:
+        """Puts a record into the log at once."""
+        self._appends += 1
+        append_id = append_id or f"direct-{self._appends}"
+        data = records.encode_jobs((record,))
+        offset = len(self.entries) + 1
+        self.entries.append(records.Entry(offset, append_id, data))
+
+    def job(self, job_id: str) -> jobs.Job:
+        """Returns the job as the log tells it."""
+        table = jobs.JobTable()
+        for entry in self.entries:
+            table.apply_entry(entry)
+        return table.get(job_id)
+
+    def requeued(self) -> list[records.Requeued]:
+        """Returns the records that ended a run without outcome."""
+        batches = [records.decode_jobs(e.data) for e in self.entries]
+        return [
+            record
+            for batch in batches
+            for record in batch
+            if isinstance(record, records.Requeued)
+        ]
+
+    def after(self, delay_ms: int, event: Callable[[], None]) -> None:
+        self._sequence += 1
+        due_ms = self.now_ms + max(0, delay_ms)
+        heapq.heappush(self._events, (due_ms, self._sequence, event))
+
+    def run(self, for_ms: int) -> None:
+        """Lets time pass."""
+        end_ms = self.now_ms + for_ms
+        while True:
+            task_ms = min(e.next_ms() for e in self.endpoints_by_id.values())
+            event_ms = self._events[0][0]
+            next_ms = max(self.now_ms, min(task_ms, event_ms))
+            if next_ms > end_ms:
+                break
+            self.clock.advance(next_ms - self.now_ms)
+            for endpoint in self.endpoints_by_id.values():
+                endpoint.settle(self.now_ms)
+            if event_ms <= self.now_ms:
+                heapq.heappop(self._events)[2]()
+        self.clock.advance(end_ms - self.now_ms)
+
+    def fault(self, kind: str) -> Fault:
+        """Returns the fault planned for this occurrence of a call."""
+        self._calls[kind] += 1
+        return self.plan.get((kind, self._calls[kind]), Fault())
+
+    def send(self, host: Host, action: actions.Action) -> None:
+        """Carries one action of a host out."""
+        if isinstance(action, actions.Append):
+            self._send_append(host, action)
+            return
+        kind = type(action).__name__
+        fault = self.fault(kind)
+        # An endpoint that is not part of the zone never answers.
+        endpoint = self.endpoints_by_id.get(action.endpoint_id, self.nowhere)
+        before_ms = getattr(action, "send_before_ms", 0)
+        if before_ms and self.now_ms >= before_ms:
+            host.deliver(_part_answer(action, "refused", endpoint), "late")
+            return
+        answered = []
+
+        def answer(result: actions.Result | None) -> None:
+            if result is not None and not answered:
+                answered.append(True)
+                host.deliver(result, "answer")
+
+        def arrive() -> None:
+            if fault.lose_request or not endpoint.reachable:
+                return
+            result = self._serve(host, endpoint, action, fault)
+            if not fault.lose_answer:
+                self.after(LATENCY_MS, lambda: answer(result))
+
+        delay_ms = LATENCY_MS + fault.delay_ms
+        if isinstance(action, actions.StopPart):
+            delay_ms += endpoint.slow_stop_ms
+        self.after(delay_ms, arrive)
+        if fault.repeat_after_ms:
+            self.after(delay_ms + fault.repeat_after_ms, arrive)
+        unanswered = _unanswered(action, endpoint)
+        self.after(gang.CALL_DEADLINE_MS, lambda: answer(unanswered))
+
+    def _send_append(self, host: Host, action: actions.Append) -> None:
+        self._appends += 1
+        append_id = f"{host.name}-{self._appends}"
+        host.waiting.append((append_id, action.record))
+        fault = self.fault("Append")
+
+        def arrive() -> None:
+            if self.log_down:
+                self.after(500, arrive)
+                return
+            self.append(action.record, append_id)
+            host_awake = host.awake
+            if host_awake:
+                self.after(LATENCY_MS, lambda: host.awake and host.follow())
+
+        def give_up() -> None:
+            pending = (append_id, action.record)
+            if pending not in host.waiting or not host.awake:
+                return
+            job = host.jobs.get(action.record.job_id)
+            if not job.spec.idempotent:
+                return
+            host.waiting.remove(pending)
+            taken = host.jobs.add_provisional(append_id, 0, action.record)
+            answer = actions.Appended(action.record, taken, durable=False)
+            host.deliver(answer, "appended")
+
+        self.after(LATENCY_MS + fault.delay_ms, arrive)
+        if self.log_down:
+            self.after(1_000, give_up)
+
+    def _serve(
+        self,
+        host: Host,
+        endpoint: Endpoint,
+        action: actions.Action,
+        fault: Fault,
+    ) -> actions.Result | None:
+        match action:
+            case actions.TakeLease():
+                return self._serve_lease(host, endpoint, action, fault)
+            case actions.ReleaseLease(token=token):
+                if endpoint.holds(token):
+                    endpoint.lease = None
+            case actions.HoldPart():
+                state = "refused" if fault.refuse else endpoint.hold(action)
+                return _part_answer(action, state, endpoint)
+            case actions.ResumePart(task_id=task_id):
+                state = "refused"
+                if not fault.refuse:
+                    state = endpoint.resume(task_id, action.lease_ms)
+                return _part_answer(action, state, endpoint)
+            case actions.StopPart() | actions.CheckpointPart():
+                state = "refused"
+                if not fault.refuse:
+                    keep = isinstance(action, actions.CheckpointPart)
+                    state = endpoint.stop(action.task_id, keep)
+                return _part_answer(action, state, endpoint)
+            case actions.ReadTasks():
+                return actions.TasksRead(
+                    action.job_id,
+                    endpoint.endpoint_id,
+                    action.serial,
+                    endpoint.boot_id,
+                    endpoint.views(),
+                )
+            case actions.RenewTasks():
+                renewed = endpoint.renew(action.task_ids, action.lease_ms)
+                return actions.Renewed(
+                    endpoint.endpoint_id,
+                    tuple(renewed),
+                    self.now_ms - LATENCY_MS - fault.delay_ms,
+                    action.lease_ms,
+                )
+            case actions.Acknowledge():
+                self._acknowledge(endpoint, action)
+        return None
+
+    def _serve_lease(
+        self,
+        host: Host,
+        endpoint: Endpoint,
+        action: actions.TakeLease,
+        fault: Fault,
+    ) -> actions.Result:
+        token = None
+        if not fault.refuse:
+            token = endpoint.take_lease(host.name, action.ttl_ms)
+        if token is None:
+            return actions.LeaseRefused(
+                action.job_id, endpoint.endpoint_id, "held", action.attempt
+            )
+        return actions.LeaseGranted(
+            action.job_id,
+            endpoint.endpoint_id,
+            token,
+            endpoint.boot_id,
+            endpoint.free(),
+            action.attempt,
+        )
+
+    def _acknowledge(
+        self, endpoint: Endpoint, action: actions.Acknowledge
+    ) -> None:
+        for task_id in action.task_ids:
+            job_id, number, _ = model.parse_task_id(task_id)
+            job = self.job(job_id)
+            if job.state is jobs.JobState.ACTIVE and job.run == number:
+                self.early_acks.append(task_id)
+            endpoint.tasks_by_id.pop(task_id, None)
+
+    def _tick(self) -> None:
+        self.after(TICK_MS, self._tick)
+        for host in self.hosts:
+            if host.awake:
+                host.tick()
+
+    def _poll(self) -> None:
+        """Delivers a full report of each endpoint that can be reached."""
+        self.after(POLL_MS, self._poll)
+        for host in self.hosts:
+            if not host.awake or not host.active:
+                continue
+            for endpoint_id, endpoint in self.endpoints_by_id.items():
+                heard_ms = host.heard_ms_by_id.get(endpoint_id, 0)
+                if endpoint.reachable:
+                    host.heard_ms_by_id[endpoint_id] = self.now_ms
+                    report = actions.Report(
+                        endpoint_id, endpoint.boot_id, endpoint.views(), True
+                    )
+                    host.deliver(report, "report")
+                elif self.now_ms - heard_ms > LOST_AFTER_MS:
+                    host.deliver(actions.EndpointLost(endpoint_id), "lost")
+
+
+def _part_answer(
+    action: actions.Action, state: str, endpoint: Endpoint
+) -> actions.PartAnswer:
+    call = {
+        actions.HoldPart: "hold",
+        actions.ResumePart: "resume",
+        actions.StopPart: "stop",
+        actions.CheckpointPart: "checkpoint",
+    }[type(action)]
+    task = endpoint.tasks_by_id.get(action.task_id)
+    checkpoint = "" if task is None else task.checkpoint
+    until_ms = getattr(action, "until_ms", 0)
+    return actions.PartAnswer(
+        action.endpoint_id,
+        action.task_id,
+        call,
+        state,
+        checkpoint=checkpoint,
+        lease_until_ms=until_ms,
+    )
+
+
+def _unanswered(
+    action: actions.Action, endpoint: Endpoint
+) -> actions.Result | None:
+    match action:
+        case actions.TakeLease():
+            return actions.LeaseRefused(
+                action.job_id, action.endpoint_id, "silent", action.attempt
+            )
+        case (
+            actions.HoldPart()
+            | actions.ResumePart()
+            | actions.StopPart()
+            | actions.CheckpointPart()
+        ):
+            answer = _part_answer(action, "unknown", endpoint)
+            return dataclasses.replace(answer, checkpoint="")
+    return None
+
+
+def longest_partial_ms(zone: Zone, job_id: str, run: int, parts: int) -> int:
+    """Returns for how long parts of a run were at work without the rest.
+
+    A part that has finished counts as present.
+    """
+    state_by_part = ["absent"] * parts
+    longest_ms = 0
+    since_ms = None
+    last = [s for s in zone.steps if s.task_id.startswith(f"{job_id}/{run}/")]
+    end = Step(zone.now_ms, f"{job_id}/{run}/0", "")
+    for step in [*last, end]:
+        if since_ms is not None:
+            longest_ms = max(longest_ms, step.at_ms - since_ms)
+        part = model.parse_task_id(step.task_id)[2]
+        state_by_part[part] = step.state or state_by_part[part]
+        whole = all(s in ("running", "finished") for s in state_by_part)
+        if "running" not in state_by_part or whole:
+            since_ms = None
+        elif since_ms is None:
+            since_ms = step.at_ms
+    return longest_ms
+
+
+def resumed_runs(zone: Zone, job_id: str) -> set[int]:
+    """Returns the runs of a job of which a part was at work."""
+    found = set()
+    for step in zone.steps:
+        job, run, _ = model.parse_task_id(step.task_id)
+        if job == job_id and step.state == "running":
+            found.add(run)
+    return found
