--- /dev/null
+++ b/packages/core/src/laburnumgate_core/digest.py
@@ -0,0 +1,139 @@
+"""Chooses what a heartbeat to one peer carries besides the sender itself.
+
+A description of a host, or a summary of a zone, is sent to a peer only if the
+peer is not known to have it, and either it says something new or its relay is
+due. Sending everything each time took over 9 KB/s with 33 hosts, by the size
+of the messages; the control traffic of a host is bounded by 6 KB/s.
+"""
+
+import dataclasses
+
+from laburnumgate_core import membership
+
+# Peers of the zone decide on the placing host, so they are kept current.
+RELAY_OWN_ZONE_MS = 0
+RELAY_OTHER_ZONES_MS = 4_000
+
+
+@dataclasses.dataclass(frozen=True)
+class Content:
+    """Descriptions and summaries for one message."""
+
+    members: tuple[membership.Member, ...]
+    summaries: tuple[membership.ZoneSummary, ...]
+
+
+@dataclasses.dataclass(frozen=True)
+class _Known:
+    """What a peer knows of one host or zone, and since when."""
+
+    version: tuple[int, ...]
+    mark: tuple
+    at_ms: int
+
+
+class Digest:
+    """Tracks what each peer has been told and has told."""
+
+    def __init__(
+        self, table: membership.MemberTable, self_id: str, own_zone: str
+    ):
+        self._table = table
+        self._self_id = self_id
+        self._own_zone = own_zone
+        self._known_by_peer: dict[str, dict[str, _Known]] = {}
+
+    def content_for(self, peer_id: str, zone: str, now_ms: int) -> Content:
+        """Returns what the peer should be told now, and notes it as told.
+
+        Args:
+          peer_id: id of the receiving host.
+          zone: availability zone of the receiving host. Hosts of another
+            zone are told of this zone only.
+          now_ms: the current time in ms.
+        """
+        only = None if zone == self._own_zone else self._own_zone
+        members = []
+        for member in self._table.alive(now_ms, only):
+            if member.host_id in (peer_id, self._self_id):
+                continue
+            if self._is_due(peer_id, member, now_ms):
+                members.append(member)
+        summaries = []
+        for summary in self._table.summaries_by_zone.values():
+            if only is not None and summary.zone != only:
+                continue
+            if self._is_summary_due(peer_id, summary, now_ms):
+                summaries.append(summary)
+        self.note(peer_id, members, summaries, now_ms)
+        return Content(tuple(members), tuple(summaries))
+
+    def note(
+        self,
+        peer_id: str,
+        members: list[membership.Member],
+        summaries: list[membership.ZoneSummary],
+        now_ms: int,
+    ) -> None:
+        """Notes what a peer was told, or has told itself."""
+        known = self._known_by_peer.setdefault(peer_id, {})
+        for member in members:
+            key = f"host/{member.host_id}"
+            _keep_newer(
+                known, key, _Known(member.version, _mark(member), now_ms)
+            )
+        for summary in summaries:
+            key = f"zone/{summary.zone}"
+            version = (summary.as_of_ms,)
+            _keep_newer(
+                known, key, _Known(version, _summary_mark(summary), now_ms)
+            )
+
+    def forget(self, peer_id: str) -> None:
+        """Forgets what a peer knows: it did not answer or is a new process."""
+        self._known_by_peer.pop(peer_id, None)
+
+    def _is_due(
+        self, peer_id: str, member: membership.Member, now_ms: int
+    ) -> bool:
+        known = self._known(peer_id, f"host/{member.host_id}")
+        if known is None:
+            return True
+        if member.version <= known.version:
+            return False
+        every_ms = RELAY_OTHER_ZONES_MS
+        if member.zone == self._own_zone:
+            every_ms = RELAY_OWN_ZONE_MS
+        return _mark(member) != known.mark or now_ms - known.at_ms >= every_ms
+
+    def _is_summary_due(
+        self, peer_id: str, summary: membership.ZoneSummary, now_ms: int
+    ) -> bool:
+        known = self._known(peer_id, f"zone/{summary.zone}")
+        if known is None:
+            return True
+        if (summary.as_of_ms,) <= known.version:
+            return False
+        due = now_ms - known.at_ms >= RELAY_OTHER_ZONES_MS
+        return due or _summary_mark(summary) != known.mark
+
+    def _known(self, peer_id: str, key: str) -> _Known | None:
+        return self._known_by_peer.get(peer_id, {}).get(key)
+
+
+def _keep_newer(known: dict[str, _Known], key: str, new: _Known) -> None:
+    old = known.get(key)
+    if old is None or new.version > old.version:
+        known[key] = new
+
+
+def _mark(member: membership.Member) -> tuple:
+    return (member.incarnation, member.state)
+
+
+def _summary_mark(summary: membership.ZoneSummary) -> tuple:
+    return (
+        summary.free_accelerators,
+        summary.largest_free_rack,
+        summary.waiting_jobs,
+    )
--- a/packages/core/src/laburnumgate_core/membership.py
+++ b/packages/core/src/laburnumgate_core/membership.py
@@ -4,6 +4,9 @@
 import dataclasses
 
 SUSPECT_AFTER_MS = 3_000
+# A host contacts one host of another zone each second, and the zones in turn.
+# Two rounds may pass before silence from another zone means anything.
+ROUND_MS_PER_ZONE = 2_000
 FORGET_AFTER_MS = 60_000
 
 
@@ -27,6 +30,17 @@
         return (self.incarnation, self.heartbeat)
 
 
+@dataclasses.dataclass(frozen=True)
+class ZoneSummary:
+    """Free capacity of a zone as its placing host saw it at `as_of_ms`."""
+
+    zone: str
+    as_of_ms: int
+    free_accelerators: int
+    largest_free_rack: int
+    waiting_jobs: int
+
+
 @dataclasses.dataclass(frozen=True)
 class _Row:
     member: Member
@@ -36,16 +50,37 @@
 class MemberTable:
     """Members by host id, with the time a newer heartbeat last came."""
 
-    def __init__(self, self_id: str):
+    def __init__(self, self_id: str, own_zone: str):
+        self.summaries_by_zone: dict[str, ZoneSummary] = {}
+        # Highest incarnation under which others know this host's id.
+        self.seen_incarnation = 0
         self._self_id = self_id
+        self._own_zone = own_zone
         self._rows_by_id: dict[str, _Row] = {}
 
     def update(self, member: Member, now_ms: int) -> bool:
-        """Takes a description if it is newer than the known one."""
-        row = self._rows_by_id.get(member.host_id)
-        if row is not None and member.version <= row.member.version:
+        """Takes a description if it is newer than the known one.
+
+        What others say of this host is not taken, but noted, so that a
+        restarted host can choose a higher incarnation than its last.
+        """
+        if member.host_id == self._self_id:
+            self.seen_incarnation = max(
+                self.seen_incarnation, member.incarnation
+            )
             return False
-        self._rows_by_id[member.host_id] = _Row(member, now_ms)
+        return self._put(member, now_ms)
+
+    def update_self(self, member: Member, now_ms: int) -> None:
+        """Takes this host's own description."""
+        self._put(member, now_ms)
+
+    def update_summary(self, summary: ZoneSummary) -> bool:
+        """Takes a zone's summary if it is newer than the known one."""
+        known = self.summaries_by_zone.get(summary.zone)
+        if known is not None and summary.as_of_ms <= known.as_of_ms:
+            return False
+        self.summaries_by_zone[summary.zone] = summary
         return True
 
     def get(self, host_id: str) -> Member | None:
@@ -68,7 +103,7 @@
             members.append(row.member)
         return members
 
-    def ready_ids(self, now_ms: int, zone: str) -> Iterable[str]:
+    def ready_ids(self, now_ms: int, zone: str) -> list[str]:
         """Returns the ids of the zone's hosts that may place work."""
         return [
             member.host_id
@@ -76,6 +111,17 @@
             if member.state == "ready"
         ]
 
+    def zones(self) -> Iterable[str]:
+        """Returns the zones of the known members."""
+        return {row.member.zone for row in self._rows_by_id.values()}
+
+    def suspect_after_ms(self, zone: str) -> int:
+        """Returns the silence, in ms, after which a member is suspected."""
+        if zone == self._own_zone:
+            return SUSPECT_AFTER_MS
+        others = len(set(self.zones()) - {self._own_zone})
+        return SUSPECT_AFTER_MS + ROUND_MS_PER_ZONE * others
+
     def forget_dead(self, now_ms: int) -> None:
         """Removes members that were not heard of for a long time."""
         for host_id, row in list(self._rows_by_id.items()):
@@ -84,7 +130,15 @@
             if now_ms - row.heard_ms > FORGET_AFTER_MS:
                 del self._rows_by_id[host_id]
 
+    def _put(self, member: Member, now_ms: int) -> bool:
+        row = self._rows_by_id.get(member.host_id)
+        if row is not None and member.version <= row.member.version:
+            return False
+        self._rows_by_id[member.host_id] = _Row(member, now_ms)
+        return True
+
     def _is_alive(self, row: _Row, now_ms: int) -> bool:
         if row.member.host_id == self._self_id:
             return True
-        return now_ms - row.heard_ms <= SUSPECT_AFTER_MS
+        limit_ms = self.suspect_after_ms(row.member.zone)
+        return now_ms - row.heard_ms <= limit_ms
--- a/packages/core/src/laburnumgate_core/ownership.py
+++ b/packages/core/src/laburnumgate_core/ownership.py
@@ -1,4 +1,4 @@
-"""Chooses the placing host of a zone by rendezvous hashing.
+"""Chooses one host of several by rendezvous hashing.
 
 The choice only saves work. Safety comes from the endpoints' exclusive leases
 and from the order of the log.
--- a/packages/core/src/laburnumgate_core/requests.py
+++ b/packages/core/src/laburnumgate_core/requests.py
@@ -120,7 +120,7 @@
     for zone in zones.values():
         if promise.zones and zone.name not in promise.zones:
             continue
-        if _fits_zone(spec, zone):
+        if fits_zone(spec, zone):
             return ""
     return (
         f"no zone has room for {spec.parts} parts of "
@@ -128,7 +128,8 @@
     )
 
 
-def _fits_zone(spec: model.JobSpec, zone: model.Zone) -> bool:
+def fits_zone(spec: model.JobSpec, zone: model.Zone) -> bool:
+    """Returns whether the zone's declared racks can ever hold the job."""
     total = 0
     for rack in zone.racks:
         per_endpoint = rack.accelerators_per_endpoint
--- /dev/null
+++ b/packages/core/src/laburnumgate_core/routing.py
@@ -0,0 +1,131 @@
+"""Chooses the availability zone of a job, at submission and when it moves."""
+
+from collections.abc import Iterable
+import dataclasses
+
+from laburnumgate_core import model
+from laburnumgate_core import ownership
+from laburnumgate_core import requests
+
+# A zone that came back takes its full share after this long, so that the
+# queues of all other zones are not sent there at once.
+RAMP_MS = 60_000
+# The own zone is preferred until its queue is this much longer than twice
+# the shortest one.
+SPILL_JOBS = 16
+# A summary older than this says nothing about free capacity.
+SUMMARY_MAX_AGE_MS = 30_000
+
+
+@dataclasses.dataclass(frozen=True)
+class ZoneView:
+    """A zone as one host sees it now.
+
+    `free_accelerators` and `largest_free_rack` are None if no recent summary
+    is known. `returned_for_ms` is the time since the zone came back into
+    service, None if it has been in service for long.
+    """
+
+    zone: model.Zone
+    in_service: bool
+    reachable: bool
+    waiting_jobs: int
+    free_accelerators: int | None = None
+    largest_free_rack: int | None = None
+    returned_for_ms: int | None = None
+
+
+@dataclasses.dataclass(frozen=True)
+class NoZone:
+    """No zone takes the job now; `full` if only full queues forbid it."""
+
+    reason: str
+    full: bool = False
+
+
+def choose(
+    job_id: str,
+    spec: model.JobSpec,
+    allowed: tuple[str, ...],
+    views: Iterable[ZoneView],
+    own_zone: str,
+    max_waiting: int,
+) -> str | NoZone:
+    """Returns the zone that places a job.
+
+    Args:
+      job_id: decides between equal zones, so that jobs spread over them.
+      spec: what the job needs.
+      allowed: zones of the account's promise; empty allows all.
+      views: every declared zone.
+      own_zone: the zone preferred when it is as good as the others.
+      max_waiting: waiting jobs from which a zone takes no more.
+    """
+    fitting = [view for view in views if _can_fit(view, spec, allowed)]
+    if not fitting:
+        return NoZone("no zone can ever hold the job")
+    usable = [view for view in fitting if view.in_service and view.reachable]
+    if not usable:
+        return NoZone("no zone that can hold the job is in service")
+    open_views = [v for v in usable if v.waiting_jobs < max_waiting]
+    if not open_views:
+        return NoZone(
+            f"{max_waiting} jobs wait in each zone that can hold the job",
+            full=True,
+        )
+    ramped = [view for view in open_views if _has_ramped(view, job_id)]
+    candidates = ramped or open_views
+    return _best(job_id, spec, candidates, own_zone).zone.name
+
+
+def mover(zone: str, ready_ids: Iterable[str]) -> str | None:
+    """Returns the host, of those of other zones, that moves a zone's jobs.
+
+    The choice saves work; the log's order decides between two movers.
+    """
+    return ownership.placing_host(f"move/{zone}", ready_ids)
+
+
+def _best(
+    job_id: str,
+    spec: model.JobSpec,
+    candidates: list[ZoneView],
+    own_zone: str,
+) -> ZoneView:
+    startable = [view for view in candidates if _can_start(view, spec)]
+    pool = startable or candidates
+    shortest = min(view.waiting_jobs for view in pool)
+    limit = 2 * shortest + SPILL_JOBS
+    near = [view for view in pool if view.waiting_jobs <= limit]
+    for view in near:
+        if view.zone.name == own_zone:
+            return view
+    return max(near, key=lambda view: ownership.weight(job_id, view.zone.name))
+
+
+def _can_fit(
+    view: ZoneView, spec: model.JobSpec, allowed: tuple[str, ...]
+) -> bool:
+    if allowed and view.zone.name not in allowed:
+        return False
+    return requests.fits_zone(spec, view.zone)
+
+
+def _can_start(view: ZoneView, spec: model.JobSpec) -> bool:
+    """Whether the newest summary shows room and nobody waits for it."""
+    if view.free_accelerators is None or view.waiting_jobs:
+        return False
+    if view.free_accelerators < spec.accelerators:
+        return False
+    if spec.adjacency is model.Adjacency.RACK:
+        return view.largest_free_rack >= spec.accelerators
+    return True
+
+
+def _has_ramped(view: ZoneView, job_id: str) -> bool:
+    """Admits a growing share of the jobs to a zone that came back."""
+    if view.returned_for_ms is None or view.returned_for_ms >= RAMP_MS:
+        return True
+    key = f"ramp/{view.zone.name}"
+    share = ownership.weight(key, job_id) % RAMP_MS
+    return share < view.returned_for_ms
--- a/packages/host/src/laburnumgate_host/callers.py
+++ b/packages/host/src/laburnumgate_host/callers.py
@@ -1,20 +1,34 @@
 """HTTP for callers: submit, wait, status, cancel."""
 
+import asyncio
 import dataclasses
 from http import HTTPStatus
 import logging
 
 from laburnumgate_core import jobs
+from laburnumgate_core import model
 from laburnumgate_core import records
 from laburnumgate_core import requests
+from laburnumgate_core import routing
 from laburnumgate_core import verdict
 import sanic
 
 from laburnumgate_host import host as host_module
 from laburnumgate_host import journal
+from laburnumgate_host import refusals
 
 _LOGGER = logging.getLogger(__name__)
 MAX_WAIT_MS = 30_000
+# An id is remembered for this long after its end. A request issued earlier
+# may have run and been forgotten.
+REMEMBER_MS = 24 * 60 * 60 * 1000
+# Statuses of bodies or paths that no host accepts under any configuration.
+_NEVER_ACCEPTED = (
+    HTTPStatus.BAD_REQUEST,
+    HTTPStatus.NOT_FOUND,
+    HTTPStatus.METHOD_NOT_ALLOWED,
+    HTTPStatus.REQUEST_ENTITY_TOO_LARGE,
+)
 
 
 def answer(
@@ -28,14 +42,28 @@
         "verdict": dataclasses.asdict(result),
         **more,
     }
-    return sanic.json(body, status=status)
+    headers = {}
+    if status in (
+        HTTPStatus.TOO_MANY_REQUESTS,
+        HTTPStatus.SERVICE_UNAVAILABLE,
+    ):
+        headers["retry-after"] = str(refusals.RETRY_AFTER_S)
+    return sanic.json(body, status=status, headers=headers)
 
 
-def verdict_of(job: jobs.Job) -> verdict.Verdict:
-    """Returns what the caller of a job is told now."""
-    if job.outcome is not None:
+def verdict_of(host: host_module.Host, job: jobs.Job) -> verdict.Verdict:
+    """Returns what the caller of a job is told now.
+
+    An outcome that the log has not taken yet may still change. Only an answer
+    is told before: the job is idempotent and the answer is its own.
+    """
+    if job.outcome is None:
+        return verdict.Pending(job.state.value)
+    committed = host.jobs.committed(job.job_id)
+    recorded = committed is not None and committed.outcome is not None
+    if recorded or isinstance(job.outcome, verdict.Ran):
         return job.outcome
-    return verdict.Pending(job.state.value)
+    return verdict.Pending(job.state.value, "the outcome waits for the log")
 
 
 def add_routes(app: sanic.Sanic, host: host_module.Host) -> None:
@@ -44,15 +72,18 @@
     @app.exception(Exception)
     async def unexpected(request: sanic.Request, error: Exception):
         status = getattr(error, "status_code", 500)
-        if status < 500:
+        if status in _NEVER_ACCEPTED:
             return answer("", verdict.NotRun(str(error)), status)
-        _LOGGER.exception("request handler failed", exc_info=error)
-        reason = "an internal error; the same id may be sent again"
+        if status >= 500:
+            _LOGGER.exception("request handler failed", exc_info=error)
+        reason = f"{error}; the same id may be sent again"
         return answer("", verdict.MayHaveRun(reason), status)
 
     @app.post("/v1/requests")
     async def submit(request: sanic.Request):
-        return await _submit(host, request.body)
+        result = await _submit(host, request.body)
+        host.metrics.submissions.inc({"status": str(result.status)})
+        return result
 
     @app.get("/v1/requests/<account>/<request_id>")
     async def status(request: sanic.Request, account: str, request_id: str):
@@ -68,104 +99,181 @@
 async def _submit(host: host_module.Host, body: bytes) -> sanic.HTTPResponse:
     request = requests.parse(body)
     if isinstance(request, requests.Malformed):
-        return answer("", verdict.NotRun(request.reason), 400)
+        too_large = len(body) > requests.MAX_BODY_BYTES
+        result = verdict.NotRun(request.reason)
+        return answer("", result, 413 if too_large else 400)
     known = _known(host, request)
     if known is not None:
         return known
     if host.leaving or not host.ready:
         reason = "this host takes no requests now; send the same id to another"
-        return answer(request.job_id, verdict.MayHaveRun(reason), 503)
+        return _refuse_now(host, request, 503, reason)
+    now_ms = host.clock.now_ms()
+    if request.issued_at_ms and request.issued_at_ms < now_ms - REMEMBER_MS:
+        reason = "issued_at_ms: the request is older than the ids remembered"
+        return _refuse_now(host, request, 503, reason)
     promise = host.config.promises_by_account.get(request.account)
     if promise is None:
         reason = f"account: no client account {request.account!r} exists"
         return await _refuse(host, request, reason)
     spec = requests.spec_for(request, promise)
     reason = requests.impossible(spec, promise, host.config.zones_by_name)
+    if not reason and request.deadline_ms and request.deadline_ms <= now_ms:
+        reason = "deadline_ms: the deadline has passed"
     if reason:
         return await _refuse(host, request, reason)
+    return await _accept(host, request, spec, promise)
+
+
+async def _accept(
+    host: host_module.Host,
+    request: requests.Request,
+    spec: model.JobSpec,
+    promise: model.Promise,
+) -> sanic.HTTPResponse:
+    """Records a request that can run, unless a queue is full."""
+    refusal = refusals.overload(host, request.account)
+    if refusal:
+        return _refuse_now(host, request, 429, refusal)
+    zone = _choose_zone(host, request.job_id, spec, promise)
+    if isinstance(zone, routing.NoZone):
+        return _refuse_now(host, request, 503, zone.reason)
+    if not spec.idempotent and not host.journal.reachable:
+        reason = "the log is out and the request must not run twice"
+        return _refuse_now(host, request, 503, reason)
     now_ms = host.clock.now_ms()
     record = records.Submitted(
         job_id=request.job_id,
         account=request.account,
         spec=spec,
-        zone=_choose_zone(host),
+        zone=zone,
         body_hash=requests.body_hash(request),
         at_ms=now_ms,
         issued_at_ms=request.issued_at_ms or now_ms,
         deadline_ms=request.deadline_ms,
     )
-    if not spec.idempotent and not host.journal.reachable:
-        reason = "the log is out and the request must not run twice"
-        return answer(request.job_id, verdict.MayHaveRun(reason), 503)
-    appended = await host.journal.append(record, provisional=spec.idempotent)
+    host.router.load.add(zone, request.account)
+    if spec.idempotent:
+        appended = await host.journal.append(record, provisional=True)
+    else:
+        appended = await refusals.append_durably(host, record)
     host.note_job_changes()
     if isinstance(appended, journal.Unsent):
-        result = verdict.MayHaveRun(appended.reason)
-        return answer(request.job_id, result, 503)
-    if not appended.taken:
-        return _known(host, request)
-    durability = "log" if appended.durable else "host-only"
+        return _refuse_now(host, request, 503, appended.reason)
+    known = _known(host, request)
+    if known is None:
+        reason = "the request is not visible at this host yet"
+        return _refuse_now(host, request, 503, reason)
+    if not appended.taken or known.status != HTTPStatus.OK:
+        return known
+    durability = "log"
+    if not appended.durable:
+        held = await host.sharing.holders(request.job_id)
+        durability = "zone-peers" if held else "host-only"
     job = host.jobs.get(request.job_id)
-    return answer(request.job_id, verdict_of(job), 202, durability=durability)
+    result = verdict_of(host, job)
+    return answer(request.job_id, result, 202, durability=durability)
 
 
-def _choose_zone(host: host_module.Host) -> str:
+def _choose_zone(
+    host: host_module.Host,
+    job_id: str,
+    spec: model.JobSpec,
+    promise: model.Promise,
+) -> str | routing.NoZone:
+    """Chooses the zone; while the log is out only this zone learns of jobs."""
+    if host.journal.reachable:
+        return host.router.choose(job_id, spec, promise)
     own = host.settings.host.zone
-    if host.config.zone_in_service(own):
-        return own
-    for zone in sorted(host.config.zones_by_name):
-        if host.config.zone_in_service(zone):
-            return zone
+    zone = host.config.zones_by_name.get(own)
+    allowed = not promise.zones or own in promise.zones
+    if zone is None or not allowed or not requests.fits_zone(spec, zone):
+        return routing.NoZone("the log is out and this zone cannot hold it")
+    if not host.router.in_service(own):
+        return routing.NoZone("the log is out and this zone is out of service")
     return own
 
 
 def _known(
     host: host_module.Host, request: requests.Request
 ) -> sanic.HTTPResponse | None:
+    """Answers for an id that this host knows, None for a new one."""
     job = host.jobs.get(request.job_id)
     if job is None:
         return None
     if job.body_hash != requests.body_hash(request):
         reason = "request_id: the id was used for a different request"
-        result = verdict.NotRun(reason)
+        result = verdict.MayHaveRun(reason)
         return answer(request.job_id, result, HTTPStatus.CONFLICT)
-    return answer(request.job_id, verdict_of(job), 200)
+    return answer(request.job_id, verdict_of(host, job), 200)
+
+
+def _refuse_now(
+    host: host_module.Host,
+    request: requests.Request,
+    status: int,
+    reason: str,
+) -> sanic.HTTPResponse:
+    """Refuses without a record, so nothing is said about the request."""
+    host.metrics.refusals.inc({"status": str(status)})
+    text = f"{reason}; the same id may be sent again"
+    return answer(
+        request.job_id,
+        verdict.MayHaveRun(text),
+        status,
+        use_another_host=host.leaving or not host.ready,
+    )
 
 
 async def _refuse(
     host: host_module.Host, request: requests.Request, reason: str
 ) -> sanic.HTTPResponse:
+    """Refuses for good: the log's first record of the id says so."""
+    if not host.journal.reachable:
+        return _refuse_now(host, request, 503, reason)
+    if not host.fences.take(host.clock.now_ms()):
+        return _refuse_now(host, request, 429, reason)
     record = records.Refused(
         job_id=request.job_id,
         body_hash=requests.body_hash(request),
         reason=reason,
         at_ms=host.clock.now_ms(),
     )
-    if not host.journal.reachable:
-        result = verdict.MayHaveRun(reason)
-        return answer(request.job_id, result, 422)
-    appended = await host.journal.append(record, provisional=True)
+    appended = await refusals.append_durably(host, record)
     host.note_job_changes()
-    if isinstance(appended, journal.Unsent) or not appended.durable:
-        result = verdict.MayHaveRun(reason)
-        return answer(request.job_id, result, 422)
-    job = host.jobs.get(request.job_id)
-    return answer(request.job_id, verdict_of(job), 422)
+    job = host.jobs.committed(request.job_id)
+    if isinstance(appended, journal.Unsent) or job is None:
+        return _refuse_now(host, request, 503, reason)
+    if not appended.taken:
+        return _known(host, request)
+    return answer(request.job_id, verdict_of(host, job), 422)
 
 
 async def _status(
     host: host_module.Host, job_id: str, wait_ms: int
 ) -> sanic.HTTPResponse:
     until_ms = host.clock.now_ms() + wait_ms
-    while True:
-        job = host.jobs.get(job_id)
-        if job is None:
-            result = verdict.MayHaveRun("this host knows no such request")
-            return answer(job_id, result, 404)
-        left_ms = until_ms - host.clock.now_ms()
-        if job.outcome is not None or left_ms <= 0 or host.leaving:
-            return answer(job_id, verdict_of(job), 200)
-        await host.wait_for_job(job_id, left_ms)
+    job = host.jobs.get(job_id)
+    if job is None:
+        result = verdict.MayHaveRun("this host knows no such request")
+        return answer(job_id, result, 404)
+    if wait_ms and host.open_polls >= host.settings.limits.open_polls:
+        return answer(job_id, verdict_of(host, job), 429)
+    host.open_polls += 1
+    try:
+        while True:
+            job = host.jobs.get(job_id)
+            result = verdict_of(host, job)
+            left_ms = until_ms - host.clock.now_ms()
+            over = not isinstance(result, verdict.Pending)
+            if over or left_ms <= 0 or host.leaving:
+                break
+            await host.wait_for_job(job_id, left_ms)
+    finally:
+        host.open_polls -= 1
+    if host.leaving:
+        return answer(job_id, result, 200, use_another_host=True)
+    return answer(job_id, result, 200)
 
 
 async def _cancel(host: host_module.Host, job_id: str) -> sanic.HTTPResponse:
@@ -173,11 +281,16 @@
     if job is None:
         result = verdict.MayHaveRun("this host knows no such request")
         return answer(job_id, result, 404)
-    if job.outcome is None:
+    if job.outcome is None and not job.cancelled:
         record = records.Cancelled(job_id, host.clock.now_ms())
-        await host.journal.append(record, provisional=True)
+        appended = await host.journal.append(record, provisional=True)
         host.note_job_changes()
-    return answer(job_id, verdict_of(host.jobs.get(job_id)), 200)
+        if isinstance(appended, journal.Unsent):
+            reason = f"the request was not cancelled: {appended.reason}"
+            return answer(job_id, verdict.MayHaveRun(reason), 503)
+    # Many cancellations share one append; their callers wake at once.
+    await asyncio.sleep(0)
+    return answer(job_id, verdict_of(host, host.jobs.get(job_id)), 200)
 
 
 def _wait_ms(text: str | None) -> int:
--- a/packages/host/src/laburnumgate_host/command.py
+++ b/packages/host/src/laburnumgate_host/command.py
@@ -19,6 +19,7 @@
 from laburnumgate_host import logs
 from laburnumgate_host import operators
 from laburnumgate_host import settings
+from laburnumgate_host import shutdown
 
 _LOGGER = logging.getLogger(__name__)
 
@@ -51,19 +52,17 @@
     connector = aiohttp.TCPConnector(limit=0)
     async with aiohttp.ClientSession(connector=connector) as session:
         host = host_module.Host(own, session, clock.SystemClock())
-        rpc_server = await host.peers.serve(own.host.ip, own.host.rpc_port)
+        rpc_server = await host.peers.serve(
+            host, own.host.ip, own.host.rpc_port
+        )
         http_server = await _serve_http(own, host)
         host.start()
         events.emit(_LOGGER, events.Event.HOST_STARTED)
         await stopping.wait()
         events.emit(_LOGGER, events.Event.HOST_LEAVING)
-        host.leaving = True
-        host.wake_waiters()
-        await asyncio.sleep(0.5)
-        http_server.close()
+        await shutdown.Shutdown(host).run(http_server.close)
         await http_server.wait_closed()
         rpc_server.close()
-        await rpc_server.wait_closed()
         await host.stop()
     events.emit(_LOGGER, events.Event.HOST_STOPPED)
 
@@ -71,6 +70,7 @@
 async def _serve_http(own: settings.Settings, host: host_module.Host):
     app = sanic.Sanic("laburnumgated", configure_logging=False)
     app.config.REQUEST_MAX_SIZE = 4 * requests.MAX_BODY_BYTES
+    shutdown.track_requests(app, host)
     callers.add_routes(app, host)
     operators.add_routes(app, host)
     server = await app.create_server(
--- /dev/null
+++ b/packages/host/src/laburnumgate_host/heartbeats.py
@@ -0,0 +1,246 @@
+"""Heartbeats: what this host tells the others and learns from them."""
+
+import asyncio
+from collections.abc import Callable
+
+from laburnumgate_core import clock
+from laburnumgate_core import digest
+from laburnumgate_core import membership
+from laburnumgate_core import stops
+from laburnumgate_rpc import peer_pb2
+
+from laburnumgate_host import peers
+from laburnumgate_host import settings
+
+# A gap this long between two beats means that the process was paused: its
+# peers suspect it, and its view of them is out of date.
+PAUSED_AFTER_MS = membership.SUSPECT_AFTER_MS
+# After a pause the host hears from each peer before it acts on its view.
+SETTLE_BEATS = 2
+
+
+class Heartbeats:
+    """Builds, sends and takes heartbeats."""
+
+    def __init__(
+        self,
+        own: settings.Settings,
+        table: membership.MemberTable,
+        stop_table: stops.StopTable,
+        time: clock.Clock,
+        describe: Callable[[], tuple[str, int, int]],
+        on_stop: Callable[[], None],
+        on_pause: Callable[[], None],
+    ):
+        """Prepares heartbeats.
+
+        Args:
+          own: settings of this host.
+          table: what is known of the members.
+          stop_table: direct stops to pass on.
+          time: source of the current time.
+          describe: returns the host's state and its applied offsets of
+            streams `config` and `jobs`.
+          on_stop: called after a new direct stop was taken.
+          on_pause: called when the process turns out to have been paused.
+        """
+        self.heard_other_zone_ms = time.now_ms()
+        self._own = own.host
+        self._timing = own.timing
+        self._table = table
+        self._stops = stop_table
+        self._clock = time
+        self._describe = describe
+        self._on_stop = on_stop
+        self._on_pause = on_pause
+        self._digest = digest.Digest(table, own.host.host_id, own.host.zone)
+        self._incarnation = time.now_ms()
+        self._beats = 0
+        self._beaten_ms = self._incarnation
+        self._settled_beat = 0
+        self._turn = 0
+        self._hints_by_id: dict[str, peers.Address] = {}
+
+    @property
+    def settled(self) -> bool:
+        """Whether the view of the peers is current after a pause."""
+        return self._beats >= self._settled_beat
+
+    def take_hints(self, hints: list[peers.Address]) -> None:
+        """Takes addresses from the live list, which lags."""
+        self._hints_by_id = {
+            hint.host_id: hint
+            for hint in hints
+            if hint.host_id != self._own.host_id
+        }
+
+    def beat(self) -> None:
+        """Refreshes this host's own description."""
+        self.check_pause()
+        now_ms = self._clock.now_ms()
+        if self._table.seen_incarnation > self._incarnation:
+            # An earlier process of this host had a clock that was ahead.
+            self._incarnation = self._table.seen_incarnation + 1
+        self._beats += 1
+        self._beaten_ms = now_ms
+        self.refresh()
+        self._table.forget_dead(now_ms)
+
+    def check_pause(self) -> None:
+        """Becomes a new incarnation if the process was paused.
+
+        Call it before acting on the view of the members.
+        """
+        now_ms = self._clock.now_ms()
+        if not self._beats or now_ms - self._beaten_ms <= PAUSED_AFTER_MS:
+            return
+        self._incarnation = now_ms
+        self._beaten_ms = now_ms
+        self._settled_beat = self._beats + SETTLE_BEATS
+        self._on_pause()
+        self.refresh()
+
+    def refresh(self) -> None:
+        """Describes the host anew, after a change between two beats."""
+        state, config_offset, jobs_offset = self._describe()
+        self._table.update_self(
+            membership.Member(
+                host_id=self._own.host_id,
+                zone=self._own.zone,
+                rpc_ip=self._own.ip,
+                rpc_port=self._own.rpc_port,
+                incarnation=self._incarnation,
+                heartbeat=self._beats,
+                state=state,
+                config_offset=config_offset,
+                jobs_offset=jobs_offset,
+            ),
+            self._clock.now_ms(),
+        )
+
+    async def run(self, client: peers.Peers) -> None:
+        """Sends heartbeats until cancelled."""
+        loop = asyncio.get_running_loop()
+        calls: set[asyncio.Task] = set()
+        while True:
+            self.beat()
+            for address in self.targets():
+                call = loop.create_task(self.exchange(client, address))
+                calls.add(call)
+                call.add_done_callback(calls.discard)
+            await asyncio.sleep(self._timing.heartbeat_ms / 1000)
+
+    async def announce(self, client: peers.Peers) -> None:
+        """Sends one heartbeat to every known host at once."""
+        self.beat()
+        addresses = self.addresses().values()
+        await asyncio.gather(*(self.exchange(client, a) for a in addresses))
+
+    def addresses(self, zone: str | None = None) -> dict[str, peers.Address]:
+        """Returns the other known hosts by id, of one zone if it is given.
+
+        A host's own description overrides the live list.
+        """
+        known = dict(self._hints_by_id)
+        for member in self._table.all():
+            if member.host_id == self._own.host_id:
+                continue
+            known[member.host_id] = peers.Address(
+                member.host_id, member.zone, member.rpc_ip, member.rpc_port
+            )
+        return {
+            host_id: address
+            for host_id, address in known.items()
+            if zone is None or address.zone == zone
+        }
+
+    def targets(self) -> list[peers.Address]:
+        """Returns the hosts to contact now: the zone's and one other."""
+        zone_peers = []
+        others_by_zone: dict[str, list[peers.Address]] = {}
+        for address in self.addresses().values():
+            if address.zone == self._own.zone:
+                zone_peers.append(address)
+                continue
+            others_by_zone.setdefault(address.zone, []).append(address)
+        self._turn += 1
+        if others_by_zone:
+            zones = sorted(others_by_zone)
+            rounds, index = divmod(self._turn + self._offset(), len(zones))
+            hosts = others_by_zone[zones[index]]
+            hosts.sort(key=lambda address: address.host_id)
+            zone_peers.append(hosts[rounds % len(hosts)])
+        return zone_peers
+
+    async def exchange(
+        self, client: peers.Peers, address: peers.Address
+    ) -> bool:
+        """Exchanges views with a host; returns whether it answered."""
+        reply = await client.heartbeat(
+            address, self.request_for(address), self._timing.heartbeat_ms
+        )
+        if reply is None:
+            self._digest.forget(address.host_id)
+            return False
+        self.on_reply(reply)
+        return True
+
+    def request_for(self, address: peers.Address) -> peer_pb2.HeartbeatRequest:
+        """Builds the heartbeat for a host."""
+        content = self._digest.content_for(
+            address.host_id, address.zone, self._clock.now_ms()
+        )
+        return peer_pb2.HeartbeatRequest(
+            sender=peers.to_message(self._table.get(self._own.host_id)),
+            members=[peers.to_message(m) for m in content.members],
+            zones=[peers.to_summary(s) for s in content.summaries],
+            stops=[peers.to_stop(s) for s in self._stops.all()],
+        )
+
+    def on_request(
+        self, request: peer_pb2.HeartbeatRequest
+    ) -> peer_pb2.HeartbeatReply:
+        """Takes a heartbeat and returns this host's view."""
+        self._take(request.sender, request)
+        content = self._digest.content_for(
+            request.sender.host_id, request.sender.zone, self._clock.now_ms()
+        )
+        return peer_pb2.HeartbeatReply(
+            responder=peers.to_message(self._table.get(self._own.host_id)),
+            members=[peers.to_message(m) for m in content.members],
+            zones=[peers.to_summary(s) for s in content.summaries],
+            stops=[peers.to_stop(s) for s in self._stops.all()],
+        )
+
+    def on_reply(self, reply: peer_pb2.HeartbeatReply) -> None:
+        """Takes the view of a host that answered."""
+        self._take(reply.responder, reply)
+
+    def _take(
+        self,
+        sender: peer_pb2.Member,
+        message: peer_pb2.HeartbeatRequest | peer_pb2.HeartbeatReply,
+    ) -> None:
+        now_ms = self._clock.now_ms()
+        known = self._table.get(sender.host_id)
+        if known is not None and known.incarnation != sender.incarnation:
+            self._digest.forget(sender.host_id)
+        if sender.zone != self._own.zone:
+            self.heard_other_zone_ms = now_ms
+        self._table.update(peers.from_message(sender), now_ms)
+        members = [peers.from_message(m) for m in message.members]
+        summaries = [peers.from_summary(s) for s in message.zones]
+        for member in members:
+            self._table.update(member, now_ms)
+        for summary in summaries:
+            self._table.update_summary(summary)
+        self._digest.note(sender.host_id, members, summaries, now_ms)
+        taken = [self._stops.update(peers.from_stop(s)) for s in message.stops]
+        if any(taken):
+            self._on_stop()
+
+    def _offset(self) -> int:
+        """Spreads the turns of a zone's hosts over the other zones."""
+        zone_peers = self._table.alive(self._clock.now_ms(), self._own.zone)
+        ids = sorted(member.host_id for member in zone_peers)
+        return ids.index(self._own.host_id)
--- a/packages/host/src/laburnumgate_host/host.py
+++ b/packages/host/src/laburnumgate_host/host.py
@@ -1,33 +1,48 @@
-"""One entry host: its tables, loops and servers."""
+"""One entry host: its tables, loops and what ties them together."""
 
 import asyncio
 from collections.abc import Callable
 from collections.abc import Coroutine
-import dataclasses
 import logging
 import random
 
 import aiohttp
-from laburnumgate_core import actions
+from laburnumgate_core import appender
 from laburnumgate_core import clock
 from laburnumgate_core import config
-from laburnumgate_core import jobs
+from laburnumgate_core import gang
 from laburnumgate_core import membership
 from laburnumgate_core import ownership
 from laburnumgate_core import records
 from laburnumgate_core import scheduler
+from laburnumgate_core import stops
+from laburnumgate_rpc import peer_pb2
 
 from laburnumgate_host import endpoints
 from laburnumgate_host import events
+from laburnumgate_host import execution
 from laburnumgate_host import follower
+from laburnumgate_host import heartbeats
 from laburnumgate_host import journal
+from laburnumgate_host import limits
 from laburnumgate_host import metrics
 from laburnumgate_host import peers
 from laburnumgate_host import platform
+from laburnumgate_host import routing
 from laburnumgate_host import settings
+from laburnumgate_host import sharing
+from laburnumgate_host import watching
 
 _LOGGER = logging.getLogger(__name__)
 RESTART_PAUSE_MS = 1_000
+SHARE_PASS_MS = 1_000
+SUMMARY_EVERY_MS = 1_000
+_LAUNCH_PHASES = (
+    gang.Phase.LEASING,
+    gang.Phase.RECORDING,
+    gang.Phase.HOLDING,
+    gang.Phase.RESUMING,
+)
 
 
 class Host:
@@ -43,66 +58,148 @@
         self.clock = time
         self.metrics = metrics.Metrics()
         self.leaving = False
+        # Launches were finished or undone, or their time is up.
+        self.launches_over = False
+        self.fences = limits.Rate(own.limits.fences_per_s)
+        self.open_requests = 0
+        self.open_polls = 0
         self.started_ms = time.now_ms()
+        host_id, zone = own.host.host_id, own.host.zone
         self.platform = platform.Platform(
             session,
             str(own.platform.log_url),
             str(own.platform.live_list_url),
-            own.host.host_id,
+            host_id,
             own.timing.log_timeout_ms,
         )
-        self.jobs = jobs.JobTable()
+        self.jobs = sharing.SharedJobTable()
         self.config = config.ConfigTable()
-        self.members = membership.MemberTable(own.host.host_id)
+        self.members = membership.MemberTable(host_id, zone)
+        self.stops = stops.StopTable()
         self.scheduler = scheduler.Scheduler(
-            own.host.zone,
+            zone,
             self.jobs,
             self.config,
             time,
-            random.Random(f"{own.host.host_id}-{self.started_ms}"),
+            random.Random(f"{host_id}-{self.started_ms}"),
         )
         self.journal = journal.Journal(
-            f"{own.host.host_id}-{self.started_ms}",
+            f"{host_id}-{self.started_ms}",
             self.platform,
             self.jobs,
             time,
             own.timing.log_timeout_ms,
         )
         self.endpoints = endpoints.EndpointClient(
-            session, own.host.host_id, own.timing.endpoint_timeout_ms, time
+            session, host_id, own.timing.endpoint_timeout_ms, time
         )
-        self.peers = peers.Peers(self.members, own.host.host_id, time)
-        self.hosts_by_id: dict[str, platform.HostEntry] = {}
-        self._heartbeat = 0
-        self._config_follower = self._follow_config()
-        self._jobs_follower = self._follow_jobs()
+        self.peers = peers.Peers(self.metrics)
+        self.router = routing.Router(
+            zone,
+            host_id,
+            own.limits.waiting_jobs,
+            self.jobs,
+            self.config,
+            self.members,
+            self.stops,
+            time,
+        )
+        self.heartbeats = heartbeats.Heartbeats(
+            own,
+            self.members,
+            self.stops,
+            time,
+            lambda: (
+                self._shown_state(),
+                self.config.offset,
+                self.jobs.offset,
+            ),
+            self.apply_stops,
+            self._on_pause,
+        )
+        self.sharing = sharing.Sharing(
+            host_id,
+            zone,
+            self.jobs,
+            self.heartbeats,
+            self.peers,
+            time,
+            self._is_alive,
+        )
+        self._execution = execution.Execution(
+            self.endpoints,
+            self.journal,
+            self.jobs,
+            self.scheduler,
+            self.metrics,
+            self.spawn,
+            self.note_job_changes,
+        )
+        self._watch = watching.Watch(
+            self.endpoints, own.timing, time, self._execution.on_result
+        )
+        self._config_follower = self._follow(
+            records.CONFIG_STREAM,
+            lambda: self.config.offset + 1,
+            self._apply_config,
+        )
+        self._jobs_follower = self._follow(
+            records.JOBS_STREAM,
+            lambda: self.jobs.offset + 1,
+            self._apply_jobs,
+        )
+        self._heard_log_ms = self.started_ms
+        self._isolated = False
+        self._summary_ms = 0
         self._changed_by_id: dict[str, asyncio.Event] = {}
-        self._report_tasks_by_id: dict[str, asyncio.Task] = {}
         self._tasks: set[asyncio.Task] = set()
 
     @property
     def ready(self) -> bool:
-        """Whether both streams were read to their head once."""
-        return self._config_follower.caught_up and (
+        """Whether this host's view is current enough to serve callers."""
+        caught_up = self._config_follower.caught_up and (
             self._jobs_follower.caught_up
         )
+        return caught_up and self.heartbeats.settled
 
     @property
     def state(self) -> str:
-        """State shown to other hosts."""
+        """State shown to callers and operators."""
         if self.leaving:
             return "leaving"
         return "ready" if self.ready else "joining"
 
+    @property
+    def launching(self) -> bool:
+        """Whether a gang is between its first lease and its last resume."""
+        return any(
+            run.phase in _LAUNCH_PHASES
+            for run in self.scheduler.runs.runs_by_id.values()
+        )
+
+    @property
+    def starts_stopped(self) -> str:
+        """Why this host starts nothing in its zone, or an empty string."""
+        if self.leaving:
+            return "the host is leaving"
+        if self.stops.is_stopped(self.settings.host.zone):
+            return "an operator stopped the zone directly"
+        if self._isolated:
+            return "nothing was heard from outside the zone"
+        return ""
+
     def start(self) -> None:
         """Starts every loop."""
-        self._beat()
+        self.heartbeats.beat()
         loops = (
             self._config_follower.run,
             self._jobs_follower.run,
             self.journal.run,
+            self.sharing.run,
+            self._append_shared,
             self._poll_live_list,
-            self._send_heartbeats,
+            lambda: self.heartbeats.run(self.peers),
+            lambda: self.router.run(self._append_move),
             self._run_ticks,
         )
         for loop in loops:
@@ -115,23 +212,10 @@
         task.add_done_callback(self._on_task_done)
         return task
 
-    async def _keep_running(
-        self, loop: Callable[[], Coroutine[None, None, None]]
-    ) -> None:
-        """Restarts a loop that failed, so that one fault stops no other."""
-        while True:
-            try:
-                await loop()
-            except Exception:
-                _LOGGER.exception(
-                    events.Event.TASK_CRASHED.text,
-                    extra={"event": events.Event.TASK_CRASHED.number},
-                )
-            await asyncio.sleep(RESTART_PAUSE_MS / 1000)
-
     async def stop(self) -> None:
         """Cancels every loop and closes the connections."""
-        for task in (*self._tasks, *self._report_tasks_by_id.values()):
+        self._watch.update(set())
+        for task in self._tasks:
             task.cancel()
         self.peers.close()
 
@@ -149,6 +233,68 @@
             changed.set()
         self._changed_by_id.clear()
 
+    def note_job_changes(self) -> None:
+        """Wakes the callers that wait for jobs that changed."""
+        for job_id in self.jobs.take_changes():
+            changed = self._changed_by_id.pop(job_id, None)
+            if changed is not None:
+                changed.set()
+
+    def apply_stops(self) -> None:
+        """Puts the direct stops in force in this host's scheduler."""
+        self.scheduler.stopped_by_operator = bool(self.starts_stopped)
+
+    def on_heartbeat(
+        self, request: peer_pb2.HeartbeatRequest
+    ) -> peer_pb2.HeartbeatReply:
+        """Takes a peer's heartbeat."""
+        return self.heartbeats.on_request(request)
+
+    def on_records(
+        self, request: peer_pb2.ShareRecordsRequest
+    ) -> peer_pb2.ShareRecordsReply:
+        """Takes a peer's provisional records."""
+        reply = self.sharing.on_records(request)
+        self.note_job_changes()
+        return reply
+
+    def on_zone_stop(
+        self, request: peer_pb2.StopZoneRequest
+    ) -> peer_pb2.StopZoneReply:
+        """Applies a direct stop and names this host if it is in force."""
+        stop = peers.from_stop(request.stop)
+        self.take_stop(stop)
+        held = self.stops.is_stopped(stop.zone) == stop.stopped
+        own = [self.settings.host.host_id] if held else []
+        return peer_pb2.StopZoneReply(host_ids=own)
+
+    def take_stop(self, stop: stops.ZoneStop) -> None:
+        """Applies a direct stop at this host."""
+        if not self.stops.update(stop):
+            return
+        self.apply_stops()
+        events.emit(
+            _LOGGER,
+            events.Event.ZONE_STOP_TAKEN,
+            zone=stop.zone,
+            stopped=stop.stopped,
+            operation=stop.operation_id,
+        )
+
+    async def _keep_running(
+        self, loop: Callable[[], Coroutine[None, None, None]]
+    ) -> None:
+        """Restarts a loop that failed, so that one fault stops no other."""
+        while True:
+            try:
+                await loop()
+            except Exception:
+                _LOGGER.exception(
+                    events.Event.TASK_CRASHED.text,
+                    extra={"event": events.Event.TASK_CRASHED.number},
+                )
+            await asyncio.sleep(RESTART_PAUSE_MS / 1000)
+
     def _on_task_done(self, task: asyncio.Task) -> None:
         self._tasks.discard(task)
         if task.cancelled() or task.exception() is None:
@@ -159,36 +305,57 @@
             extra={"event": events.Event.TASK_CRASHED.number},
         )
 
-    def _follow_config(self) -> follower.Follower:
+    def _shown_state(self) -> str:
+        """State shown to other hosts.
+
+        A leaving host shows it only after its launches are over: the next
+        placing host would stop a gang that is half launched.
+        """
+        if self.leaving and not self.launches_over:
+            return "ready" if self.ready else "joining"
+        return self.state
+
+    def _is_alive(self, host_id: str) -> bool:
+        alive = self.members.alive(self.clock.now_ms())
+        return any(member.host_id == host_id for member in alive)
+
+    def _on_pause(self) -> None:
+        """Gives up placing: others have taken over in the meantime."""
+        events.emit(_LOGGER, events.Event.HOST_PAUSED, logging.WARNING)
+        self._stop_placing()
+        if self.journal.reachable:
+            self._config_follower.caught_up = False
+            self._jobs_follower.caught_up = False
+
+    def _follow(
+        self,
+        stream: str,
+        next_offset: Callable[[], int],
+        apply: Callable[[records.Entry], None],
+    ) -> follower.Follower:
         return follower.Follower(
-            records.CONFIG_STREAM,
+            stream,
             self.platform,
-            lambda: self.config.offset + 1,
-            self._apply_config,
-            self._on_log_answer,
-            self.settings.timing.log_poll_wait_ms,
-        )
-
-    def _follow_jobs(self) -> follower.Follower:
-        return follower.Follower(
-            records.JOBS_STREAM,
-            self.platform,
-            lambda: self.jobs.offset + 1,
-            self._apply_jobs,
+            next_offset,
+            apply,
             self._on_log_answer,
             self.settings.timing.log_poll_wait_ms,
         )
 
     def _on_log_answer(self, answered: bool) -> None:
-        if answered:
-            self.journal.note_reachable()
+        if not answered:
+            self.metrics.log_failures.inc({})
             return
-        self.metrics.log_failures.inc({})
+        if not self.journal.reachable:
+            self.sharing.delay_overdue()
+        self._heard_log_ms = self.clock.now_ms()
+        self.journal.note_reachable()
 
     def _apply_config(self, entry: records.Entry) -> None:
         match self.config.apply_entry(entry):
             case config.Accepted():
                 event = events.Event.CONFIG_APPLIED
+                self._note_zone_states(entry)
             case config.Rejected():
                 event = events.Event.CONFIG_REJECTED
             case None:
@@ -196,17 +363,38 @@
         events.emit(_LOGGER, event, offset=entry.offset)
         self.metrics.config_offset.set({}, self.config.offset)
 
+    def _note_zone_states(self, entry: records.Entry) -> None:
+        publication = records.decode_publication(entry.data)
+        for change in publication.changes:
+            family, _, zone = change.key.partition("/")
+            if family == "zone-state":
+                self.stops.note_recorded(zone, publication.at_ms)
+        self.apply_stops()
+
     def _apply_jobs(self, entry: records.Entry) -> None:
         taken = self.jobs.apply_entry(entry)
         self.journal.on_entry(entry, taken)
         self.note_job_changes()
 
-    def note_job_changes(self) -> None:
-        """Wakes the callers that wait for jobs that changed."""
-        for job_id in self.jobs.take_changes():
-            changed = self._changed_by_id.pop(job_id, None)
-            if changed is not None:
-                changed.set()
+    async def _append_shared(self) -> None:
+        """Appends records of peers that the log still lacks."""
+        while True:
+            if self.journal.reachable:
+                for key, record in self.sharing.take_overdue():
+                    self.spawn(self._append_held(key, record))
+            await asyncio.sleep(SHARE_PASS_MS / 1000)
+
+    async def _append_held(
+        self, key: appender.Key, record: records.JobRecord
+    ) -> None:
+        answer = await self.journal.append(record, provisional=False)
+        if not isinstance(answer, journal.Unsent):
+            self.sharing.drop(key)
+        self.note_job_changes()
+
+    def _append_move(self, record: records.Moved) -> None:
+        if self.journal.reachable:
+            self.spawn(self.journal.append(record, provisional=False))
 
     async def _poll_live_list(self) -> None:
         while True:
@@ -216,189 +404,85 @@
             await asyncio.sleep(self.settings.timing.live_list_poll_ms / 1000)
 
     def _apply_live_list(self, live: platform.LiveList) -> None:
-        self.hosts_by_id = {entry.host_id: entry for entry in live.hosts}
+        self.heartbeats.take_hints(
+            [
+                peers.Address(
+                    entry.host_id, entry.zone, entry.rpc_ip, entry.rpc_port
+                )
+                for entry in live.hosts
+            ]
+        )
         zone = self.settings.host.zone
         own = [e for e in live.endpoints if e.zone == zone]
         self.endpoints.endpoints_by_id = {e.endpoint_id: e for e in own}
         self.scheduler.update_endpoints(own)
-        self._update_report_tasks()
-
-    async def _send_heartbeats(self) -> None:
-        timing = self.settings.timing
-        while True:
-            self._beat()
-            targets = [
-                entry
-                for entry in self.hosts_by_id.values()
-                if entry.host_id != self.settings.host.host_id
-            ]
-            for entry in targets:
-                self.spawn(
-                    self.peers.heartbeat(
-                        entry.rpc_ip, entry.rpc_port, timing.heartbeat_ms
-                    )
-                )
-            await asyncio.sleep(timing.heartbeat_ms / 1000)
-
-    def _beat(self) -> None:
-        self._heartbeat += 1
-        own = self.settings.host
-        self.members.update(
-            membership.Member(
-                host_id=own.host_id,
-                zone=own.zone,
-                rpc_ip=own.ip,
-                rpc_port=own.rpc_port,
-                incarnation=self.started_ms,
-                heartbeat=self._heartbeat,
-                state=self.state,
-                config_offset=self.config.offset,
-                jobs_offset=self.jobs.offset,
-            ),
-            self.clock.now_ms(),
-        )
+        self._update_watch()
 
     async def _run_ticks(self) -> None:
         while True:
+            self.heartbeats.check_pause()
+            self._check_isolation()
             self._choose_placing_host()
-            self.carry_out(self.scheduler.tick())
-            self._set_gauges()
+            self._execution.carry_out(self.scheduler.tick())
+            self._summarize()
             await asyncio.sleep(self.settings.timing.tick_ms / 1000)
 
+    def _check_isolation(self) -> None:
+        limit_ms = self.settings.timing.stop_starts_after_isolation_ms
+        if not limit_ms:
+            return
+        heard_ms = max(self._heard_log_ms, self.heartbeats.heard_other_zone_ms)
+        isolated = self.clock.now_ms() - heard_ms > limit_ms
+        if isolated and not self._isolated:
+            events.emit(_LOGGER, events.Event.ZONE_ISOLATED, logging.WARNING)
+        self._isolated = isolated
+        self.apply_stops()
+
     def _choose_placing_host(self) -> None:
         own = self.settings.host
         ready = self.members.ready_ids(self.clock.now_ms(), own.zone)
         chosen = ownership.placing_host(own.zone, ready)
-        if chosen == own.host_id and not self.scheduler.active:
-            events.emit(_LOGGER, events.Event.PLACING_STARTED, zone=own.zone)
-            self.scheduler.activate()
-            self._update_report_tasks()
-        elif chosen != own.host_id and self.scheduler.active:
-            events.emit(_LOGGER, events.Event.PLACING_STOPPED, zone=own.zone)
-            self.scheduler.deactivate()
-            self._update_report_tasks()
-
-    def _set_gauges(self) -> None:
-        if not self.scheduler.active:
+        if chosen != own.host_id:
+            self._stop_placing()
             return
-        summary = self.scheduler.summary()
-        self.metrics.waiting_jobs.set({}, summary.waiting_jobs)
-        self.metrics.running_runs.set({}, len(self.scheduler.runs.runs_by_id))
-        self.metrics.free_accelerators.set({}, summary.free_accelerators)
+        if self.scheduler.active:
+            return
+        events.emit(_LOGGER, events.Event.PLACING_STARTED, zone=own.zone)
+        self.scheduler.activate()
+        self._update_watch()
 
-    def carry_out(self, wanted: list[actions.Action]) -> None:
-        """Starts each action in the background."""
-        for action in wanted:
-            self.spawn(self._carry_out_one(action))
-
-    async def _carry_out_one(self, action: actions.Action) -> None:
-        match action:
-            case actions.Append(record):
-                result = await self._append(record)
-            case _:
-                kind = type(action).__name__
-                self.metrics.endpoint_calls.inc({"action": kind})
-                result = await self.endpoints.carry_out(action)
-        if result is not None and self.scheduler.active:
-            self.carry_out(self.scheduler.on(result))
-
-    async def _append(
-        self, record: records.JobRecord
-    ) -> actions.Appended | None:
-        job = self.jobs.get(record.job_id)
-        provisional = job is None or job.spec.idempotent
-        answer = await self.journal.append(record, provisional)
-        self.note_job_changes()
-        if isinstance(answer, journal.Unsent):
-            return actions.Appended(record, taken=False, durable=False)
-        return answer
+    def _stop_placing(self) -> None:
+        if not self.scheduler.active:
+            return
+        zone = self.settings.host.zone
+        events.emit(_LOGGER, events.Event.PLACING_STOPPED, zone=zone)
+        self.scheduler.deactivate()
+        self._update_watch()
 
-    def _update_report_tasks(self) -> None:
+    def _update_watch(self) -> None:
         """Watches the zone's endpoints while this host places."""
         wanted = set()
         if self.scheduler.active:
             wanted = set(self.scheduler.endpoints_by_id)
-        for endpoint_id in wanted - self._report_tasks_by_id.keys():
-            task = asyncio.get_running_loop().create_task(
-                self._watch(endpoint_id)
-            )
-            self._report_tasks_by_id[endpoint_id] = task
-        for endpoint_id in self._report_tasks_by_id.keys() - wanted:
-            self._report_tasks_by_id.pop(endpoint_id).cancel()
-
-    async def _watch(self, endpoint_id: str) -> None:
-        timing = self.settings.timing
-        since = 0
-        heard_ms = self.clock.now_ms()
-        lost = False
-        while True:
-            page = await self.endpoints.report(
-                endpoint_id, since, timing.report_wait_ms if since else 0
+        self._watch.update(wanted)
+
+    def _summarize(self) -> None:
+        now_ms = self.clock.now_ms()
+        if not self.scheduler.active or (
+            now_ms - self._summary_ms < SUMMARY_EVERY_MS
+        ):
+            return
+        self._summary_ms = now_ms
+        summary = self.scheduler.summary()
+        self.members.update_summary(
+            membership.ZoneSummary(
+                zone=self.settings.host.zone,
+                as_of_ms=now_ms,
+                free_accelerators=max(0, summary.free_accelerators),
+                largest_free_rack=max(0, summary.largest_free_rack),
+                waiting_jobs=summary.waiting_jobs,
             )
-            now_ms = self.clock.now_ms()
-            if page is not None:
-                heard_ms = now_ms
-                lost = False
-                if page.rev < since:
-                    # The endpoint restarted: ask for everything again.
-                    since = 0
-                    continue
-                since = page.rev
-                self.carry_out(self.scheduler.on(page.report))
-                continue
-            if not lost and now_ms - heard_ms > timing.endpoint_lost_after_ms:
-                lost = True
-                events.emit(
-                    _LOGGER,
-                    events.Event.ENDPOINT_LOST,
-                    logging.WARNING,
-                    endpoint=endpoint_id,
-                )
-                gone = actions.EndpointLost(endpoint_id)
-                self.carry_out(self.scheduler.on(gone))
-            await asyncio.sleep(0.5)
-
-
-@dataclasses.dataclass(frozen=True)
-class Dump:
-    """State of a process, for operators."""
-
-    host_id: str
-    zone: str
-    state: str
-    places: bool
-    recovering: bool
-    config_offset: int
-    jobs_offset: int
-    log_reachable: bool
-    unsent_records: int
-    members: tuple[membership.Member, ...]
-    runs: tuple[dict, ...]
-
-
-def dump(host: Host) -> Dump:
-    """Returns the state of a host."""
-    runs = []
-    for job_id, run in host.scheduler.runs.runs_by_id.items():
-        runs.append(
-            {
-                "job_id": job_id,
-                "run": run.run,
-                "phase": run.phase,
-                "parts": {p.task_id: p.state for p in run.parts},
-                "endpoints": run.endpoint_ids,
-            }
         )
-    return Dump(
-        host_id=host.settings.host.host_id,
-        zone=host.settings.host.zone,
-        state=host.state,
-        places=host.scheduler.active,
-        recovering=host.scheduler.recovering,
-        config_offset=host.config.offset,
-        jobs_offset=host.jobs.offset,
-        log_reachable=host.journal.reachable,
-        unsent_records=len(host.journal),
-        members=tuple(host.members.all()),
-        runs=tuple(runs),
-    )
+        self.metrics.waiting_jobs.set({}, summary.waiting_jobs)
+        self.metrics.running_runs.set({}, len(self.scheduler.runs.runs_by_id))
+        self.metrics.free_accelerators.set({}, summary.free_accelerators)
--- a/packages/host/src/laburnumgate_host/metrics.py
+++ b/packages/host/src/laburnumgate_host/metrics.py
@@ -17,6 +17,13 @@
         self.endpoint_calls = self._counter(
             "laburnumgate_endpoint_calls_total", "Calls to endpoints by action."
         )
+        self.peer_bytes = self._counter(
+            "laburnumgate_peer_bytes_total",
+            "Bytes of messages exchanged with peers, by direction.",
+        )
+        self.refusals = self._counter(
+            "laburnumgate_refusals_total", "Requests refused, by cause."
+        )
         self.waiting_jobs = self._gauge(
             "laburnumgate_waiting_jobs", "Jobs waiting in this host's zone."
         )
@@ -30,6 +37,10 @@
             "laburnumgate_config_offset", "Offset of the configuration."
         )
 
+    def count_peer_bytes(self, direction: str, size: int) -> None:
+        """Counts `size` bytes that went `in` or `out`."""
+        self.peer_bytes.add({"direction": direction}, size)
+
     def _counter(self, name: str, doc: str) -> aioprometheus.Counter:
         return aioprometheus.Counter(name, doc, registry=self.registry)
 
--- a/packages/host/src/laburnumgate_host/peers.py
+++ b/packages/host/src/laburnumgate_host/peers.py
@@ -1,31 +1,63 @@
-"""gRPC between the daemons: heartbeats for now."""
+"""gRPC between the daemons: encoding, server and connections."""
 
-import logging
+from collections.abc import Callable
+from collections.abc import Coroutine
+import dataclasses
+from typing import Protocol
 
 import grpclib
 from grpclib import client as grpc_client
 from grpclib import server as grpc_server
-from laburnumgate_core import clock
 from laburnumgate_core import membership
+from laburnumgate_core import stops
 from laburnumgate_rpc import peer_grpc
 from laburnumgate_rpc import peer_pb2
 
-_LOGGER = logging.getLogger(__name__)
+from laburnumgate_host import metrics
+
+_CALL_ERRORS = (
+    OSError,
+    TimeoutError,
+    grpclib.GRPCError,
+    grpclib.exceptions.StreamTerminatedError,
+)
+
+
+class Handler(Protocol):
+    """Answers the calls of other hosts."""
+
+    def on_heartbeat(
+        self, request: peer_pb2.HeartbeatRequest
+    ) -> peer_pb2.HeartbeatReply:
+        """Takes the sender's view and returns this host's."""
+        ...
+
+    def on_records(
+        self, request: peer_pb2.ShareRecordsRequest
+    ) -> peer_pb2.ShareRecordsReply:
+        """Takes provisional records of a peer."""
+        ...
+
+    def on_zone_stop(
+        self, request: peer_pb2.StopZoneRequest
+    ) -> peer_pb2.StopZoneReply:
+        """Applies a direct stop of a zone's starts."""
+        ...
+
+
+@dataclasses.dataclass(frozen=True)
+class Address:
+    """Where a host answers peers."""
+
+    host_id: str
+    zone: str
+    ip: str
+    port: int
 
 
 def to_message(member: membership.Member) -> peer_pb2.Member:
     """Encodes a member."""
-    return peer_pb2.Member(
-        host_id=member.host_id,
-        zone=member.zone,
-        rpc_ip=member.rpc_ip,
-        rpc_port=member.rpc_port,
-        incarnation=member.incarnation,
-        heartbeat=member.heartbeat,
-        state=member.state,
-        config_offset=member.config_offset,
-        jobs_offset=member.jobs_offset,
-    )
+    return peer_pb2.Member(**dataclasses.asdict(member))
 
 
 def from_message(message: peer_pb2.Member) -> membership.Member:
@@ -43,100 +75,138 @@
     )
 
 
+def to_summary(summary: membership.ZoneSummary) -> peer_pb2.ZoneSummary:
+    """Encodes a zone's summary."""
+    return peer_pb2.ZoneSummary(**dataclasses.asdict(summary))
+
+
+def from_summary(message: peer_pb2.ZoneSummary) -> membership.ZoneSummary:
+    """Decodes a zone's summary."""
+    return membership.ZoneSummary(
+        zone=message.zone,
+        as_of_ms=message.as_of_ms,
+        free_accelerators=message.free_accelerators,
+        largest_free_rack=message.largest_free_rack,
+        waiting_jobs=message.waiting_jobs,
+    )
+
+
+def to_stop(stop: stops.ZoneStop) -> peer_pb2.ZoneStop:
+    """Encodes a direct stop."""
+    return peer_pb2.ZoneStop(**dataclasses.asdict(stop))
+
+
+def from_stop(message: peer_pb2.ZoneStop) -> stops.ZoneStop:
+    """Decodes a direct stop."""
+    return stops.ZoneStop(
+        zone=message.zone,
+        operation_id=message.operation_id,
+        at_ms=message.at_ms,
+        stopped=message.stopped,
+    )
+
+
 class PeerService(peer_grpc.PeerBase):
-    """Answers the other hosts."""
+    """Hands the calls of other hosts to a handler and counts their bytes."""
 
-    def __init__(
-        self,
-        members: membership.MemberTable,
-        self_id: str,
-        time: clock.Clock,
-    ):
-        self._members = members
-        self._self_id = self_id
-        self._clock = time
+    def __init__(self, handler: Handler, counts: metrics.Metrics):
+        self._handler = handler
+        self._metrics = counts
 
     async def Heartbeat(self, stream) -> None:  # noqa: N802
-        """Takes the sender's view and answers with this host's."""
-        request = await stream.recv_message()
-        now_ms = self._clock.now_ms()
-        self._members.update(from_message(request.sender), now_ms)
-        for message in request.members:
-            self._members.update(from_message(message), now_ms)
-        reply = peer_pb2.HeartbeatReply(
-            responder=to_message(self._members.get(self._self_id)),
-            members=[to_message(m) for m in self._members.alive(now_ms)],
-        )
-        await stream.send_message(reply)
+        """Exchanges liveness, applied offsets and zone summaries."""
+        await self._answer(stream, self._handler.on_heartbeat)
 
     async def ShareRecords(self, stream) -> None:  # noqa: N802
-        """Refuses: sharing is not built yet."""
-        raise grpclib.GRPCError(grpclib.const.Status.UNIMPLEMENTED)
+        """Takes records that the log has not taken yet."""
+        await self._answer(stream, self._handler.on_records)
 
     async def StopZone(self, stream) -> None:  # noqa: N802
-        """Refuses: direct stops are not built yet."""
-        raise grpclib.GRPCError(grpclib.const.Status.UNIMPLEMENTED)
+        """Stops or resumes starts in a zone at once."""
+        await self._answer(stream, self._handler.on_zone_stop)
 
     async def FetchState(self, stream) -> None:  # noqa: N802
-        """Refuses: fetching state is not built yet."""
+        """Refuses: this host serves no snapshots."""
         raise grpclib.GRPCError(grpclib.const.Status.UNIMPLEMENTED)
 
+    async def _answer(self, stream, handle: Callable) -> None:
+        request = await stream.recv_message()
+        reply = handle(request)
+        await stream.send_message(reply)
+        self._metrics.count_peer_bytes("in", request.ByteSize())
+        self._metrics.count_peer_bytes("out", reply.ByteSize())
+
 
 class Peers:
     """Connections to the other hosts, one channel each."""
 
-    def __init__(
-        self,
-        members: membership.MemberTable,
-        self_id: str,
-        time: clock.Clock,
-    ):
-        self._members = members
-        self._self_id = self_id
-        self._clock = time
+    def __init__(self, counts: metrics.Metrics):
+        self._metrics = counts
         self._channels_by_address: dict[
             tuple[str, int], grpc_client.Channel
         ] = {}
 
-    async def serve(self, ip: str, port: int) -> grpc_server.Server:
+    async def serve(
+        self, handler: Handler, ip: str, port: int
+    ) -> grpc_server.Server:
         """Starts the gRPC server."""
-        service = PeerService(self._members, self._self_id, self._clock)
-        server = grpc_server.Server([service])
+        server = grpc_server.Server([PeerService(handler, self._metrics)])
         await server.start(ip, port)
         return server
 
-    async def heartbeat(self, ip: str, port: int, timeout_ms: int) -> bool:
-        """Exchanges views with one host; returns whether it answered."""
-        now_ms = self._clock.now_ms()
-        request = peer_pb2.HeartbeatRequest(
-            sender=to_message(self._members.get(self._self_id)),
-            members=[to_message(m) for m in self._members.alive(now_ms)],
-        )
-        stub = peer_grpc.PeerStub(self._channel(ip, port))
-        try:
-            reply = await stub.Heartbeat(request, timeout=timeout_ms / 1000)
-        except (
-            OSError,
-            TimeoutError,
-            grpclib.GRPCError,
-            grpclib.exceptions.StreamTerminatedError,
-        ):
-            return False
-        now_ms = self._clock.now_ms()
-        self._members.update(from_message(reply.responder), now_ms)
-        for message in reply.members:
-            self._members.update(from_message(message), now_ms)
-        return True
+    async def heartbeat(
+        self,
+        address: Address,
+        request: peer_pb2.HeartbeatRequest,
+        timeout_ms: int,
+    ) -> peer_pb2.HeartbeatReply | None:
+        """Exchanges views with a host; None if it does not answer."""
+        stub = self._stub(address)
+        return await self._call(stub.Heartbeat, request, timeout_ms)
+
+    async def share_records(
+        self,
+        address: Address,
+        request: peer_pb2.ShareRecordsRequest,
+        timeout_ms: int,
+    ) -> peer_pb2.ShareRecordsReply | None:
+        """Hands records to a host; None if it does not answer."""
+        stub = self._stub(address)
+        return await self._call(stub.ShareRecords, request, timeout_ms)
+
+    async def stop_zone(
+        self,
+        address: Address,
+        request: peer_pb2.StopZoneRequest,
+        timeout_ms: int,
+    ) -> peer_pb2.StopZoneReply | None:
+        """Gives a direct stop to a host; None if it does not answer."""
+        stub = self._stub(address)
+        return await self._call(stub.StopZone, request, timeout_ms)
 
     def close(self) -> None:
         """Closes every connection."""
         for channel in self._channels_by_address.values():
             channel.close()
 
-    def _channel(self, ip: str, port: int) -> grpc_client.Channel:
-        address = (ip, port)
-        channel = self._channels_by_address.get(address)
+    async def _call(
+        self,
+        method: Callable[..., Coroutine],
+        request,
+        timeout_ms: int,
+    ):
+        self._metrics.count_peer_bytes("out", request.ByteSize())
+        try:
+            reply = await method(request, timeout=timeout_ms / 1000)
+        except _CALL_ERRORS:
+            return None
+        self._metrics.count_peer_bytes("in", reply.ByteSize())
+        return reply
+
+    def _stub(self, address: Address) -> peer_grpc.PeerStub:
+        key = (address.ip, address.port)
+        channel = self._channels_by_address.get(key)
         if channel is None:
-            channel = grpc_client.Channel(ip, port)
-            self._channels_by_address[address] = channel
-        return channel
+            channel = grpc_client.Channel(address.ip, address.port)
+            self._channels_by_address[key] = channel
+        return peer_grpc.PeerStub(channel)
--- /dev/null
+++ b/packages/host/src/laburnumgate_host/routing.py
@@ -0,0 +1,214 @@
+"""Chooses zones for submissions and moves jobs out of zones without service."""
+
+import asyncio
+from collections.abc import Callable
+import logging
+
+from laburnumgate_core import clock
+from laburnumgate_core import config
+from laburnumgate_core import jobs
+from laburnumgate_core import membership
+from laburnumgate_core import model
+from laburnumgate_core import records
+from laburnumgate_core import routing
+from laburnumgate_core import stops
+
+from laburnumgate_host import events
+
+_LOGGER = logging.getLogger(__name__)
+COUNT_EVERY_MS = 1_000
+# Bounds the records of one pass; a zone's full queue moves in under a minute.
+MOVES_PER_PASS = 200
+# Silence of all hosts of a zone after which its queued jobs are moved. Longer
+# than suspicion, since a move is not undone when the hosts are heard again.
+ZONE_GONE_AFTER_MS = 10_000
+
+
+class Load:
+    """Waiting jobs by zone and by client account, counted once a second."""
+
+    def __init__(self, table: jobs.JobTable):
+        self.waiting_by_zone: dict[str, int] = {}
+        self.waiting_by_account: dict[str, int] = {}
+        self._jobs = table
+
+    def count(self, zones: list[str]) -> None:
+        """Counts the queued jobs of the zones."""
+        by_zone: dict[str, int] = {}
+        by_account: dict[str, int] = {}
+        for zone in zones:
+            for job_id in self._jobs.open_ids(zone):
+                job = self._jobs.get(job_id)
+                if job is None or job.state is not jobs.JobState.QUEUED:
+                    continue
+                by_zone[zone] = by_zone.get(zone, 0) + 1
+                by_account[job.account] = by_account.get(job.account, 0) + 1
+        self.waiting_by_zone = by_zone
+        self.waiting_by_account = by_account
+
+    def add(self, zone: str, account: str) -> None:
+        """Adds a job that was submitted here since the last count."""
+        self.waiting_by_zone[zone] = self.waiting_by_zone.get(zone, 0) + 1
+        waiting = self.waiting_by_account.get(account, 0)
+        self.waiting_by_account[account] = waiting + 1
+
+
+class Router:
+    """Applies `core.routing` to what this host knows."""
+
+    def __init__(
+        self,
+        own_zone: str,
+        host_id: str,
+        max_waiting: int,
+        table: jobs.JobTable,
+        config_table: config.ConfigTable,
+        members: membership.MemberTable,
+        stop_table: stops.StopTable,
+        time: clock.Clock,
+    ):
+        self.load = Load(table)
+        self._own_zone = own_zone
+        self._host_id = host_id
+        self._max_waiting = max_waiting
+        self._jobs = table
+        self._config = config_table
+        self._members = members
+        self._stops = stop_table
+        self._clock = time
+        self._out_zones: set[str] = set()
+        self._returned_ms_by_zone: dict[str, int] = {}
+        self._silent_since_ms: dict[str, int] = {}
+
+    def choose(
+        self, job_id: str, spec: model.JobSpec, promise: model.Promise
+    ) -> str | routing.NoZone:
+        """Returns the zone for a new job, or why there is none."""
+        return routing.choose(
+            job_id,
+            spec,
+            promise.zones,
+            self.views(),
+            self._own_zone,
+            self._max_waiting,
+        )
+
+    def views(self) -> list[routing.ZoneView]:
+        """Returns every declared zone as this host sees it."""
+        return [self._view(z) for z in self._config.zones_by_name.values()]
+
+    def in_service(self, zone: str) -> bool:
+        """Whether neither the configuration nor a direct stop forbids it."""
+        if self._stops.is_stopped(zone):
+            return False
+        return self._config.zone_in_service(zone)
+
+    async def run(self, append: Callable[[records.JobRecord], None]) -> None:
+        """Counts waiting jobs and moves jobs until cancelled."""
+        while True:
+            zones = list(self._config.zones_by_name)
+            self.load.count(zones)
+            self.note_states()
+            for record in self.moves():
+                append(record)
+            await asyncio.sleep(COUNT_EVERY_MS / 1000)
+
+    def note_states(self) -> None:
+        """Notes which zones came back and which have gone silent."""
+        now_ms = self._clock.now_ms()
+        for zone in self._config.zones_by_name:
+            if not self.in_service(zone):
+                self._out_zones.add(zone)
+            elif zone in self._out_zones:
+                self._out_zones.discard(zone)
+                self._returned_ms_by_zone[zone] = now_ms
+            if self._reachable(zone):
+                self._silent_since_ms.pop(zone, None)
+            else:
+                self._silent_since_ms.setdefault(zone, now_ms)
+
+    def moves(self) -> list[records.Moved]:
+        """Returns the moves that fall to this host now."""
+        wanted: list[records.Moved] = []
+        for zone in self._config.zones_by_name:
+            if zone == self._own_zone or not self._is_left(zone):
+                continue
+            if self._mover(zone) != self._host_id:
+                continue
+            wanted.extend(self._moves_from(zone, MOVES_PER_PASS - len(wanted)))
+        if wanted:
+            events.emit(_LOGGER, events.Event.JOBS_MOVED, count=len(wanted))
+        return wanted
+
+    def _moves_from(self, zone: str, limit: int) -> list[records.Moved]:
+        wanted: list[records.Moved] = []
+        views = self.views()
+        now_ms = self._clock.now_ms()
+        for job_id in self._jobs.open_ids(zone):
+            if len(wanted) >= limit:
+                break
+            # A move of a job that only peers know would come before its
+            # submission in the log.
+            job = self._jobs.committed(job_id)
+            if job is None or job.state is not jobs.JobState.QUEUED:
+                continue
+            promise = self._config.promises_by_account.get(job.account)
+            allowed = promise.zones if promise is not None else ()
+            chosen = routing.choose(
+                job_id,
+                job.spec,
+                allowed,
+                views,
+                self._own_zone,
+                self._max_waiting,
+            )
+            if isinstance(chosen, routing.NoZone) or chosen == zone:
+                continue
+            wanted.append(records.Moved(job_id, zone, chosen, now_ms))
+        return wanted
+
+    def _is_left(self, zone: str) -> bool:
+        if not self.in_service(zone):
+            return True
+        silent_ms = self._silent_since_ms.get(zone)
+        if silent_ms is None:
+            return False
+        return self._clock.now_ms() - silent_ms > ZONE_GONE_AFTER_MS
+
+    def _mover(self, zone: str) -> str | None:
+        now_ms = self._clock.now_ms()
+        ready = [
+            member.host_id
+            for member in self._members.alive(now_ms)
+            if member.state == "ready" and member.zone != zone
+        ]
+        return routing.mover(zone, ready)
+
+    def _reachable(self, zone: str) -> bool:
+        if zone == self._own_zone:
+            return True
+        return bool(self._members.ready_ids(self._clock.now_ms(), zone))
+
+    def _view(self, zone: model.Zone) -> routing.ZoneView:
+        now_ms = self._clock.now_ms()
+        summary = self._members.summaries_by_zone.get(zone.name)
+        waiting = self.load.waiting_by_zone.get(zone.name, 0)
+        free = None
+        largest = None
+        if summary is not None:
+            waiting = max(waiting, summary.waiting_jobs)
+            if now_ms - summary.as_of_ms <= routing.SUMMARY_MAX_AGE_MS:
+                free = summary.free_accelerators
+                largest = summary.largest_free_rack
+        returned_ms = self._returned_ms_by_zone.get(zone.name)
+        return routing.ZoneView(
+            zone=zone,
+            in_service=self.in_service(zone.name),
+            reachable=self._reachable(zone.name),
+            waiting_jobs=waiting,
+            free_accelerators=free,
+            largest_free_rack=largest,
+            returned_for_ms=(
+                None if returned_ms is None else now_ms - returned_ms
+            ),
+        )
--- /dev/null
+++ b/packages/host/src/laburnumgate_host/sharing.py
@@ -0,0 +1,240 @@
+"""Hands provisional records to the zone's peers while the log is out.
+
+The peers keep them in their overlays, so that the placing host learns of
+them, and append those that the log still lacks once it answers.
+"""
+
+import asyncio
+from collections.abc import Callable
+import dataclasses
+
+from laburnumgate_core import appender
+from laburnumgate_core import clock
+from laburnumgate_core import jobs
+from laburnumgate_core import records
+from laburnumgate_rpc import peer_pb2
+
+from laburnumgate_host import heartbeats
+from laburnumgate_host import peers
+
+MAX_RECORDS_PER_CALL = 256
+# Below the gRPC message limit of 4 MB.
+MAX_BYTES_PER_CALL = 1024 * 1024
+CALL_TIMEOUT_MS = 500
+MAX_HELD_RECORDS = 2_000
+# The host that created a record appends it first once the log is back; its
+# batches wait for up to 2 s.
+APPEND_HELD_AFTER_MS = 4_000
+APPENDS_PER_PASS = 64
+
+
+class SharedJobTable(jobs.JobTable):
+    """A job table that tells which provisional records this host created."""
+
+    def __init__(self):
+        super().__init__()
+        self.on_created: Callable[[appender.Key, records.JobRecord], None] = (
+            lambda key, record: None
+        )
+
+    def add_provisional(
+        self, append_id: str, index: int, record: records.JobRecord
+    ) -> bool:
+        """Adds a record of this host that the log has not taken yet."""
+        taken = super().add_provisional(append_id, index, record)
+        self.on_created(appender.Key(append_id, index), record)
+        return taken
+
+    def is_pending(self, key: appender.Key) -> bool:
+        """Whether the log has not been seen to hold the record."""
+        return (key.append_id, key.index) in self._pending_by_key
+
+    def drop_provisional(self, key: appender.Key) -> None:
+        """Removes a record that is in the log under another key."""
+        pending_key = (key.append_id, key.index)
+        record = self._pending_by_key.pop(pending_key, None)
+        if record is None:
+            return
+        job_id = record.job_id
+        before = self.get(job_id)
+        self._pending_keys_by_id[job_id].pop(pending_key, None)
+        self._rebuild_overlay(job_id)
+        after = self.get(job_id)
+        if after is not before:
+            self._note_change(before, after)
+
+    def add_shared(
+        self, append_id: str, index: int, record: records.JobRecord
+    ) -> bool:
+        """Adds a record that a peer created."""
+        return super().add_provisional(append_id, index, record)
+
+
+@dataclasses.dataclass(frozen=True)
+class _Created:
+    """A record to share, and the number of peers that hold it."""
+
+    message: peer_pb2.PendingRecord
+    holders: asyncio.Future
+
+
+@dataclasses.dataclass(frozen=True)
+class _Held:
+    """A record of a peer."""
+
+    record: records.JobRecord
+    since_ms: int
+
+
+class Sharing:
+    """Shares this host's provisional records and holds those of peers."""
+
+    def __init__(
+        self,
+        host_id: str,
+        zone: str,
+        table: SharedJobTable,
+        beats: heartbeats.Heartbeats,
+        client: peers.Peers,
+        time: clock.Clock,
+        is_alive: Callable[[str], bool],
+    ):
+        self._host_id = host_id
+        self._zone = zone
+        self._table = table
+        self._beats = beats
+        self._client = client
+        self._clock = time
+        self._is_alive = is_alive
+        self._outbox: list[_Created] = []
+        self._work = asyncio.Event()
+        self._newest_by_job: dict[str, asyncio.Future] = {}
+        self._held_by_key: dict[appender.Key, _Held] = {}
+        table.on_created = self._on_created
+
+    async def holders(self, job_id: str) -> int:
+        """Waits until the job's newest record was shared.
+
+        Returns:
+          The number of peers that hold it.
+        """
+        future = self._newest_by_job.get(job_id)
+        if future is None:
+            return 0
+        return await asyncio.shield(future)
+
+    @property
+    def unshared(self) -> int:
+        """Records that no peer was sent yet."""
+        return len(self._outbox)
+
+    async def run(self) -> None:
+        """Sends records to the peers, in the order of their creation."""
+        while True:
+            await self._work.wait()
+            self._work.clear()
+            while self._outbox:
+                batch = self._next_batch()
+                count = await self._send(batch)
+                for created in batch:
+                    if not created.holders.done():
+                        created.holders.set_result(count)
+                del self._outbox[: len(batch)]
+            self._newest_by_job.clear()
+
+    def on_records(
+        self, request: peer_pb2.ShareRecordsRequest
+    ) -> peer_pb2.ShareRecordsReply:
+        """Takes the records of a peer.
+
+        Returns:
+          How many of them this host holds, in order from the first.
+        """
+        held = 0
+        for message in request.records:
+            key = appender.Key(message.append_id, message.index)
+            if key not in self._held_by_key and not self._hold(key, message):
+                break
+            held += 1
+        return peer_pb2.ShareRecordsReply(held=held)
+
+    def take_overdue(self) -> list[tuple[appender.Key, records.JobRecord]]:
+        """Returns records of peers that this host should append itself.
+
+        Call it only while the log answers, and `drop` each key once its
+        record was read back. A second copy in the log has no effect.
+        """
+        now_ms = self._clock.now_ms()
+        overdue: list[tuple[appender.Key, records.JobRecord]] = []
+        for key, held in list(self._held_by_key.items()):
+            if len(overdue) >= APPENDS_PER_PASS:
+                break
+            if not self._table.is_pending(key):
+                del self._held_by_key[key]
+                continue
+            if now_ms - held.since_ms < APPEND_HELD_AFTER_MS:
+                continue
+            self._held_by_key[key] = _Held(held.record, now_ms)
+            overdue.append((key, held.record))
+        return overdue
+
+    def drop(self, key: appender.Key) -> None:
+        """Forgets a peer's record that is in the log under another key."""
+        self._held_by_key.pop(key, None)
+        self._table.drop_provisional(key)
+
+    def delay_overdue(self) -> None:
+        """Starts the waiting time anew: the log has only just come back."""
+        now_ms = self._clock.now_ms()
+        for key, held in self._held_by_key.items():
+            self._held_by_key[key] = _Held(held.record, now_ms)
+
+    def _on_created(self, key: appender.Key, record: records.JobRecord) -> None:
+        future = asyncio.get_running_loop().create_future()
+        message = peer_pb2.PendingRecord(
+            append_id=key.append_id,
+            index=key.index,
+            data=records.encode_job(record),
+        )
+        self._outbox.append(_Created(message, future))
+        self._newest_by_job[record.job_id] = future
+        self._work.set()
+
+    def _next_batch(self) -> list[_Created]:
+        batch: list[_Created] = []
+        size = 0
+        for created in self._outbox[:MAX_RECORDS_PER_CALL]:
+            size += created.message.ByteSize()
+            if batch and size > MAX_BYTES_PER_CALL:
+                break
+            batch.append(created)
+        return batch
+
+    async def _send(self, batch: list[_Created]) -> int:
+        request = peer_pb2.ShareRecordsRequest(
+            host_id=self._host_id, records=[c.message for c in batch]
+        )
+        addresses = [
+            address
+            for address in self._beats.addresses(self._zone).values()
+            if self._is_alive(address.host_id)
+        ]
+        replies = await asyncio.gather(
+            *(
+                self._client.share_records(address, request, CALL_TIMEOUT_MS)
+                for address in addresses
+            )
+        )
+        full = [r for r in replies if r is not None and r.held == len(batch)]
+        return len(full)
+
+    def _hold(self, key: appender.Key, message: peer_pb2.PendingRecord) -> bool:
+        if len(self._held_by_key) >= MAX_HELD_RECORDS:
+            return False
+        try:
+            record = records.decode_job(message.data)
+        except ValueError:
+            return False
+        self._table.add_shared(key.append_id, key.index, record)
+        self._held_by_key[key] = _Held(record, self._clock.now_ms())
+        return True
