--- /dev/null
+++ b/packages/bench/src/laburnumgate_bench/baseline.py
@@ -0,0 +1,323 @@
+"""Earlier policies, kept to measure against.
+
+`ThinScheduler` is the policy of the first version, `FirstComeScheduler` is
+first come, first served with first fit.
+"""
+
+import dataclasses
+import random
+
+from laburnumgate_core import actions
+from laburnumgate_core import clock
+from laburnumgate_core import config
+from laburnumgate_core import gang
+from laburnumgate_core import jobs
+from laburnumgate_core import model
+from laburnumgate_core import records
+from laburnumgate_core import runs
+from laburnumgate_core import verdict
+
+BACKOFF_MIN_MS = 200
+BACKOFF_MAX_MS = 3_200
+# Waiting jobs that one tick tries to place.
+PLACEMENTS_PER_TICK = 64
+
+_URGENCY_ORDER = {
+    model.Urgency.URGENT: 0,
+    model.Urgency.NORMAL: 1,
+    model.Urgency.BATCH: 2,
+}
+
+
+@dataclasses.dataclass(frozen=True)
+class _Backoff:
+    """When a job may be tried again, and the pause that led to it."""
+
+    until_ms: int
+    pause_ms: int
+
+
+@dataclasses.dataclass(frozen=True)
+class Summary:
+    """Free capacity of the zone, for other hosts."""
+
+    free_accelerators: int
+    largest_free_rack: int
+    waiting_jobs: int
+
+
+@dataclasses.dataclass(frozen=True)
+class _Free:
+    """What is free on one endpoint."""
+
+    endpoint: model.Endpoint
+    accelerators: int
+    cpus: int
+    memory_mb: int
+    slots: int
+
+    def fits(self, spec: model.JobSpec) -> int:
+        """Returns how many parts of `spec` fit on the endpoint."""
+        counts = [self.slots]
+        if spec.accelerators_per_part:
+            counts.append(self.accelerators // spec.accelerators_per_part)
+        if spec.cpus_per_part:
+            counts.append(self.cpus // spec.cpus_per_part)
+        if spec.memory_mb_per_part:
+            counts.append(self.memory_mb // spec.memory_mb_per_part)
+        return max(0, min(counts))
+
+
+def _choose(
+    spec: model.JobSpec, free_by_rack: dict[str, list[_Free]]
+) -> tuple[str, ...] | None:
+    """Returns the endpoint of each part, or None if the gang does not fit.
+
+    Prefers the rack that is left with the fewest free accelerators, so that
+    whole racks stay free for large gangs.
+    """
+    best = None
+    best_left = 0
+    for rack in sorted(free_by_rack):
+        rows = free_by_rack[rack]
+        chosen = _fill(spec, rows)
+        if chosen is None:
+            continue
+        left = sum(row.accelerators for row in rows) - spec.accelerators
+        if best is None or left < best_left:
+            best = chosen
+            best_left = left
+    if best is not None or spec.adjacency is model.Adjacency.RACK:
+        return best
+    return _fill(spec, [row for rows in free_by_rack.values() for row in rows])
+
+
+def _fill(spec: model.JobSpec, rows: list[_Free]) -> tuple[str, ...] | None:
+    """Fills the fullest endpoints first; returns None if parts are left."""
+    chosen: list[str] = []
+    order = sorted(
+        rows, key=lambda row: (row.accelerators, row.endpoint.endpoint_id)
+    )
+    for row in order:
+        count = min(row.fits(spec), spec.parts - len(chosen))
+        chosen.extend([row.endpoint.endpoint_id] * count)
+        if len(chosen) == spec.parts:
+            return tuple(chosen)
+    return None
+
+
+class ThinScheduler:
+    """Orders by urgency and prefers the fullest rack that fits."""
+
+    def __init__(
+        self,
+        zone: str,
+        job_table: jobs.JobTable,
+        config_table: config.ConfigTable,
+        time: clock.Clock,
+        rng: random.Random,
+    ):
+        """Creates a scheduler that is not active yet.
+
+        Args:
+          zone: the availability zone it places for.
+          job_table: jobs as the log tells them.
+          config_table: the configuration in force.
+          time: source of the current time.
+          rng: source of jitter.
+        """
+        self.zone = zone
+        self.active = False
+        self.endpoints_by_id: dict[str, model.Endpoint] = {}
+        self.stopped_by_operator = False
+        self.runs = runs.RunTable(zone, job_table, self.may_start)
+        self._jobs = job_table
+        self._config = config_table
+        self._clock = time
+        self._rng = rng
+        self._backoff_by_id: dict[str, _Backoff] = {}
+
+    def activate(self) -> None:
+        """Becomes the placing host: starts nothing until all reported."""
+        self.active = True
+        self._backoff_by_id.clear()
+        self.runs.adopt(self.endpoints_by_id, self._clock.now_ms())
+
+    def deactivate(self) -> None:
+        """Stops placing; running tasks go on under the next host."""
+        self.active = False
+        self.runs.clear()
+
+    @property
+    def recovering(self) -> bool:
+        """Whether reports of endpoints are still missing."""
+        return self.runs.recovering
+
+    def update_endpoints(self, endpoints: list[model.Endpoint]) -> None:
+        """Takes the zone's endpoints from the live list."""
+        by_id = {e.endpoint_id: e for e in endpoints if e.zone == self.zone}
+        for endpoint_id in by_id.keys() - self.endpoints_by_id.keys():
+            if self.active:
+                self.runs.expect_report(endpoint_id)
+        for endpoint_id in self.endpoints_by_id.keys() - by_id.keys():
+            self.runs.forget_endpoint(endpoint_id)
+        self.endpoints_by_id = by_id
+
+    def may_start(self, endpoint_id: str) -> bool:
+        """Whether the endpoint may get new work at this moment."""
+        endpoint = self.endpoints_by_id.get(endpoint_id)
+        if endpoint is None or endpoint.leaving or self.stopped_by_operator:
+            return False
+        if not self._config.zone_in_service(self.zone):
+            return False
+        return self._config.endpoint_active(endpoint_id)
+
+    def on(self, result: actions.Result) -> list[actions.Action]:
+        """Takes one result and returns what follows from it."""
+        wanted = self.runs.on(result, self._clock.now_ms())
+        self._close_runs()
+        return wanted
+
+    def tick(self) -> list[actions.Action]:
+        """Runs every system once."""
+        if not self.active:
+            return []
+        now_ms = self._clock.now_ms()
+        wanted = self.runs.tick(now_ms)
+        if not self.recovering:
+            wanted.extend(self._expire(now_ms))
+            wanted.extend(self._place(now_ms))
+        self._close_runs()
+        return wanted
+
+    def summary(self) -> Summary:
+        """Returns the zone's free capacity."""
+        racks = [
+            sum(row.accelerators for row in rows)
+            for rows in self._free_by_rack().values()
+        ]
+        return Summary(sum(racks), max(racks, default=0), len(self._waiting()))
+
+    def _expire(self, now_ms: int) -> list[actions.Action]:
+        wanted: list[actions.Action] = []
+        for job in self._waiting():
+            if not job.deadline_ms or now_ms <= job.deadline_ms:
+                continue
+            outcome: verdict.Verdict = verdict.NotRun(
+                "the deadline passed while the request waited"
+            )
+            if job.may_have_run:
+                outcome = verdict.RanFailed("the deadline passed")
+            ended = records.Ended(job.job_id, job.run, outcome, now_ms)
+            wanted.append(actions.Append(ended))
+        return wanted
+
+    def _place(self, now_ms: int) -> list[actions.Action]:
+        wanted: list[actions.Action] = []
+        free_by_rack = self._free_by_rack()
+        tries = 0
+        for job in sorted(self._waiting(), key=self._order):
+            backoff = self._backoff_by_id.get(job.job_id)
+            if backoff is not None and now_ms < backoff.until_ms:
+                continue
+            if tries >= PLACEMENTS_PER_TICK:
+                break
+            tries += 1
+            chosen = self._choose(job.spec, free_by_rack)
+            if chosen is None:
+                continue
+            wanted.extend(self.runs.start(job, chosen))
+            free_by_rack = self._free_by_rack()
+        return wanted
+
+    def _order(self, job: jobs.Job) -> tuple:
+        return _order(job)
+
+    def _choose(
+        self, spec: model.JobSpec, free_by_rack: dict[str, list[_Free]]
+    ) -> tuple[str, ...] | None:
+        return _choose(spec, free_by_rack)
+
+    def _waiting(self) -> list[jobs.Job]:
+        waiting = []
+        for job_id in self._jobs.open_ids(self.zone):
+            if job_id in self.runs.runs_by_id:
+                continue
+            job = self._jobs.get(job_id)
+            if job.state is jobs.JobState.QUEUED:
+                waiting.append(job)
+        return waiting
+
+    def _free_by_rack(self) -> dict[str, list[_Free]]:
+        used_by_id: dict[str, list[model.JobSpec]] = {}
+        for run in self.runs.runs_by_id.values():
+            for endpoint_id in run.endpoint_ids:
+                used_by_id.setdefault(endpoint_id, []).append(run.job.spec)
+        free_by_rack: dict[str, list[_Free]] = {}
+        for endpoint_id, endpoint in self.endpoints_by_id.items():
+            if not self.may_start(endpoint_id):
+                continue
+            used = used_by_id.get(endpoint_id, [])
+            free = _free(endpoint, used)
+            free_by_rack.setdefault(endpoint.rack, []).append(free)
+        return free_by_rack
+
+    def _close_runs(self) -> None:
+        now_ms = self._clock.now_ms()
+        for run in self.runs.take_done():
+            if run.outcome is None:
+                self._back_off(run, now_ms)
+            else:
+                self._backoff_by_id.pop(run.job.job_id, None)
+
+    def _back_off(self, run: gang.Run, now_ms: int) -> None:
+        last = self._backoff_by_id.get(run.job.job_id)
+        pause_ms = BACKOFF_MIN_MS
+        if last is not None:
+            pause_ms = min(BACKOFF_MAX_MS, last.pause_ms * 2)
+        jitter_ms = self._rng.randrange(pause_ms)
+        self._backoff_by_id[run.job.job_id] = _Backoff(
+            now_ms + pause_ms + jitter_ms, pause_ms
+        )
+
+
+def _free(endpoint: model.Endpoint, used: list[model.JobSpec]) -> _Free:
+    return _Free(
+        endpoint=endpoint,
+        accelerators=endpoint.accelerators
+        - sum(spec.accelerators_per_part for spec in used),
+        cpus=endpoint.cpus - sum(spec.cpus_per_part for spec in used),
+        memory_mb=endpoint.memory_mb
+        - sum(spec.memory_mb_per_part for spec in used),
+        slots=endpoint.slots - len(used),
+    )
+
+
+def _order(job: jobs.Job) -> tuple[int, int, str]:
+    return (
+        _URGENCY_ORDER[job.spec.urgency],
+        job.submitted_at_ms,
+        job.job_id,
+    )
+
+
+class FirstComeScheduler(ThinScheduler):
+    """First come, first served with first fit; a job that waits is passed."""
+
+    def _order(self, job: jobs.Job) -> tuple:
+        return (job.submitted_at_ms, job.job_id)
+
+    def _choose(
+        self, spec: model.JobSpec, free_by_rack: dict[str, list[_Free]]
+    ) -> tuple[str, ...] | None:
+        racks = [free_by_rack[rack] for rack in sorted(free_by_rack)]
+        if spec.adjacency is model.Adjacency.ZONE:
+            racks = [[row for rows in racks for row in rows]]
+        for rows in racks:
+            chosen: list[str] = []
+            for row in sorted(rows, key=lambda r: r.endpoint.endpoint_id):
+                count = min(row.fits(spec), spec.parts - len(chosen))
+                chosen.extend([row.endpoint.endpoint_id] * count)
+            if len(chosen) == spec.parts:
+                return tuple(chosen)
+        return None
--- /dev/null
+++ b/packages/bench/src/laburnumgate_bench/experiment.py
@@ -0,0 +1,54 @@
+"""Runs one policy over one workload."""
+
+import dataclasses
+from typing import Any
+
+from laburnumgate_core import scheduler
+from laburnumgate_standins import layout as layouts
+
+from laburnumgate_bench import baseline
+from laburnumgate_bench import fakes
+from laburnumgate_bench import workload
+
+POLICIES: dict[str, type] = {
+    "first-come": baseline.FirstComeScheduler,
+    "thin": baseline.ThinScheduler,
+    "current": scheduler.Scheduler,
+}
+SCENARIOS = ("steady", "zone-change")
+
+
+@dataclasses.dataclass(frozen=True)
+class Outcome:
+    """The measures of one run."""
+
+    layout: str
+    scenario: str
+    policy: str
+    seed: int
+    measures: dict[str, Any]
+    fragmentation_over_time: tuple[tuple[int, float], ...]
+
+
+def run(
+    layout: layouts.Layout,
+    scenario: str,
+    policy: str,
+    seed: int,
+    load: float,
+    duration_ms: int,
+) -> Outcome:
+    """Runs `policy` over the workload that the other arguments describe."""
+    offered = workload.build(
+        layout, seed, load, duration_ms, scenario == "zone-change"
+    )
+    world = fakes.World(offered, POLICIES[policy], seed)
+    world.run()
+    return Outcome(
+        layout.name,
+        scenario,
+        policy,
+        seed,
+        world.measures.result(),
+        tuple(world.measures.fragmentation_over_time),
+    )
--- /dev/null
+++ b/packages/bench/src/laburnumgate_bench/workload.py
@@ -0,0 +1,182 @@
+"""Seeded workloads of the two layouts. Durations are in ms."""
+
+import dataclasses
+
+from laburnumgate_core import model
+from laburnumgate_standins import layout as layouts
+import numpy
+
+
+@dataclasses.dataclass(frozen=True)
+class Arrival:
+    """One request; `work_ms` is its true run time at speed 1."""
+
+    at_ms: int
+    job_id: str
+    account: str
+    spec: model.JobSpec
+    work_ms: int
+    always_fails: bool = False
+    cancel_at_ms: int = 0
+
+
+@dataclasses.dataclass(frozen=True)
+class Fault:
+    """A change of the surroundings at one moment.
+
+    `what` is `out` or `in` for a zone, `fail` or `mend` for an endpoint that
+    fails everything it starts, `slow-stop` for one that confirms no stop in
+    time.
+    """
+
+    at_ms: int
+    what: str
+    name: str
+
+
+@dataclasses.dataclass(frozen=True)
+class Workload:
+    """Arrivals in time order and the faults among them."""
+
+    layout: layouts.Layout
+    duration_ms: int
+    arrivals: tuple[Arrival, ...]
+    faults: tuple[Fault, ...]
+
+
+@dataclasses.dataclass(frozen=True)
+class _Kind:
+    """Jobs of one kind: sizes, run time and how many arrive together."""
+
+    name: str
+    parts: tuple[int, ...]
+    accelerators: tuple[int, ...]
+    run_ms: int
+    burst: int = 1
+    checkpointable: bool = False
+
+
+_INTERACTIVE = _Kind("interactive", (1, 2), (2, 4, 8), 8_000)
+_LONG = _Kind("long", (2, 4, 8), (8,), 60_000, checkpointable=True)
+_SMALL = _Kind("small", (1,), (1, 2), 6_000, burst=24)
+_LARGE = _Kind("large", (4,), (4, 8), 25_000, burst=4)
+_KINDS = (_INTERACTIVE, _LONG, _SMALL, _LARGE)
+# Share of the offered work by kind and by the urgency of the client accounts
+# that submit it: surveyors work interactively, models rerun overnight.
+_SHARES = (
+    (_INTERACTIVE, model.Urgency.URGENT, 0.16),
+    (_SMALL, model.Urgency.URGENT, 0.08),
+    (_LARGE, model.Urgency.URGENT, 0.06),
+    (_INTERACTIVE, model.Urgency.NORMAL, 0.05),
+    (_SMALL, model.Urgency.NORMAL, 0.05),
+    (_LARGE, model.Urgency.NORMAL, 0.08),
+    (_LONG, model.Urgency.NORMAL, 0.12),
+    (_SMALL, model.Urgency.BATCH, 0.05),
+    (_LARGE, model.Urgency.BATCH, 0.1),
+    (_LONG, model.Urgency.BATCH, 0.25),
+)
+# Share of the requests that are never repeated, if the account has such kinds.
+_NEVER_REPEATED = 0.1
+_CANCELLED = 0.03
+_ALWAYS_FAILING = 0.01
+_FAULT_CANCEL_WITHIN_MS = 20_000
+
+
+def build(
+    layout: layouts.Layout,
+    seed: int,
+    load: float,
+    duration_ms: int,
+    zone_leaves: bool,
+) -> Workload:
+    """Returns a workload that offers `load` of the layout's capacity.
+
+    Args:
+      layout: the user's installation.
+      seed: equal seeds give equal workloads.
+      load: offered work divided by accelerators times speed times duration.
+      duration_ms: the time within which requests arrive.
+      zone_leaves: whether one zone is out of service from 40% to 70% of it.
+    """
+    rng = numpy.random.default_rng(seed)
+    speed = sum(layout.speed_by_zone.values())
+    capacity = speed * layout.endpoints_per_rack * layout.accelerators
+    arrivals: list[Arrival] = []
+    bias_by_key: dict[tuple[str, str], float] = {}
+    for account in layout.accounts:
+        for kind in _KINDS:
+            key = (account.name, kind.name)
+            bias_by_key[key] = float(numpy.exp(rng.normal(0, 0.8)))
+    for kind, urgency, share in _SHARES:
+        wanted = load * capacity * duration_ms * share
+        accounts = [a for a in layout.accounts if a.urgency == urgency]
+        while wanted > 0:
+            account = accounts[rng.integers(len(accounts))]
+            start_ms = int(rng.integers(duration_ms))
+            for _ in range(kind.burst):
+                bias = bias_by_key[(account.name, kind.name)]
+                one = _arrival(
+                    rng, len(arrivals), account, kind, start_ms, bias
+                )
+                if one.spec.accelerators > account.quota:
+                    continue
+                arrivals.append(one)
+                wanted -= one.work_ms * one.spec.accelerators
+    arrivals.sort(key=lambda one: (one.at_ms, one.job_id))
+    faults = _faults(rng, layout, duration_ms, zone_leaves)
+    return Workload(layout, duration_ms, tuple(arrivals), faults)
+
+
+def _arrival(
+    rng: numpy.random.Generator,
+    number: int,
+    account: layouts.Account,
+    kind: _Kind,
+    start_ms: int,
+    bias: float,
+) -> Arrival:
+    spread = float(numpy.exp(rng.normal(0, 0.5)))
+    work_ms = max(500, int(kind.run_ms * min(4.0, spread)))
+    at_ms = start_ms + int(rng.integers(500))
+    never = account.never_repeat and rng.random() < _NEVER_REPEATED
+    spec = model.JobSpec(
+        kind=account.never_repeat[0] if never else kind.name,
+        parts=int(rng.choice(kind.parts)),
+        accelerators_per_part=int(rng.choice(kind.accelerators)),
+        run_ms=max(1, int(work_ms * bias)),
+        urgency=model.Urgency(account.urgency),
+        idempotent=not never,
+        checkpointable=kind.checkpointable and not never,
+    )
+    cancelled = rng.random() < _CANCELLED
+    cancel_ms = at_ms + 1 + int(rng.integers(_FAULT_CANCEL_WITHIN_MS))
+    return Arrival(
+        at_ms=at_ms,
+        job_id=f"{account.name}/{kind.name}-{number}",
+        account=account.name,
+        spec=spec,
+        work_ms=work_ms,
+        always_fails=bool(rng.random() < _ALWAYS_FAILING),
+        cancel_at_ms=cancel_ms if cancelled else 0,
+    )
+
+
+def _faults(
+    rng: numpy.random.Generator,
+    layout: layouts.Layout,
+    duration_ms: int,
+    zone_leaves: bool,
+) -> tuple[Fault, ...]:
+    faults = []
+    zone = layout.zones[rng.integers(len(layout.zones))]
+    broken = f"{zone}-r1-{rng.integers(1, layout.endpoints_per_rack + 1)}"
+    faults.append(Fault(duration_ms // 10, "fail", broken))
+    faults.append(Fault(duration_ms * 3 // 10, "mend", broken))
+    slow_zone = layout.zones[rng.integers(len(layout.zones))]
+    slow = f"{slow_zone}-r1-{rng.integers(1, layout.endpoints_per_rack + 1)}"
+    faults.append(Fault(0, "slow-stop", slow))
+    if zone_leaves:
+        leaving = layout.zones[rng.integers(len(layout.zones))]
+        faults.append(Fault(duration_ms * 4 // 10, "out", leaving))
+        faults.append(Fault(duration_ms * 7 // 10, "in", leaving))
+    return tuple(sorted(faults, key=lambda fault: fault.at_ms))
