--- /dev/null
+++ b/packages/bench/src/laburnumgate_bench/load.py
@@ -0,0 +1,429 @@
+"""Measures real processes on loopback addresses under bounded load.
+
+Run with `scripts/load`. Each size of hosts, endpoints and tasks is measured on
+processes started for it; the slopes are least-squares fits over three sizes.
+"""
+
+import asyncio
+import dataclasses
+import json
+import pathlib
+import re
+import time
+from typing import Any
+
+import aiohttp
+import click
+from laburnumgate_standins import cluster as cluster_module
+from laburnumgate_standins import demo
+from laburnumgate_standins import layout as layout_module
+from laburnumgate_standins import processes
+import numpy
+
+from laburnumgate_bench import loadcalls
+
+HOSTS_PER_ZONE = (1, 2, 3)
+ENDPOINTS_PER_ZONE = (8, 16, 32)
+TASKS = (0, 300, 600)
+SETTLE_S = 4.0
+IDLE_S = 8.0
+CALLS_LIMIT_S = 3.0
+SUBMISSIONS = 200
+DRAIN_S = 20.0
+# Tasks that fill the system run longer than any measurement.
+LONG_MS = 3_600_000
+ACCELERATORS = 64
+_PEER_BYTES = re.compile(
+    r"^laburnumgate_peer_bytes_total\{.*\} ([0-9.e+]+)$", re.MULTILINE
+)
+
+
+@dataclasses.dataclass(frozen=True)
+class Idle:
+    """Use of resources per host while no request arrives.
+
+    `peer_bytes_per_s` counts messages in both directions without framing; it
+    is None if the hosts do not report it.
+    """
+
+    cpu_percent: float
+    resident_mib: float
+    peer_bytes_per_s: float | None
+
+
+@dataclasses.dataclass(frozen=True)
+class Point:
+    """One measured size. Memory is the growth by the tasks, per host."""
+
+    hosts: int
+    endpoints: int
+    waiting: int
+    running: int
+    idle: Idle
+    task_memory_kib: float
+    submit: loadcalls.Rate
+    status: loadcalls.Rate
+    refusal: loadcalls.Rate
+
+
+@dataclasses.dataclass(frozen=True)
+class Fit:
+    """Least-squares line through the points of one changing size."""
+
+    measure: str
+    size: str
+    slope: float
+    at_zero: float
+
+
+def layout(hosts_per_zone: int, endpoints: int) -> layout_module.Layout:
+    """Returns a layout of three zones with endpoints of 64 accelerators."""
+    base = layout_module.TESTIGO_ANDINO
+    return dataclasses.replace(
+        base,
+        hosts_by_zone=dict.fromkeys(base.zones, hosts_per_zone),
+        endpoints_per_rack=endpoints,
+        accelerators=ACCELERATORS,
+        cpus=1024,
+        memory_mb=1024 * 1024,
+        slots=ACCELERATORS,
+    )
+
+
+def declarations(used: layout_module.Layout) -> dict[str, dict]:
+    """Returns the layout's zones and one account without a guarantee."""
+    values = {
+        key: value
+        for key, value in layout_module.declarations(used).items()
+        if key.startswith("zone/")
+    }
+    values["template/open"] = {"promise": {"quota_accelerators": 1_000_000}}
+    values[f"account/{loadcalls.ACCOUNT}"] = {"template": "open"}
+    return values
+
+
+class Site:
+    """Started processes of one layout."""
+
+    def __init__(
+        self,
+        cluster: cluster_module.Cluster,
+        session: aiohttp.ClientSession,
+    ):
+        self.cluster = cluster
+        self.session = session
+        self.urls = [host.url for host in cluster.hosts_by_id.values()]
+        self.pids = [
+            cluster.processes_by_name[name].pid for name in cluster.hosts_by_id
+        ]
+
+    def resident_kib(self) -> float:
+        """Mean resident memory of the hosts."""
+        found = [processes.read("host", pid) for pid in self.pids]
+        return sum(process.resident_kb for process in found) / len(found)
+
+    async def idle(self) -> Idle:
+        """Measures the hosts while nothing is asked of them."""
+        await asyncio.sleep(SETTLE_S)
+        before = sum(map(processes.cpu_seconds, self.pids))
+        bytes_before = await self._peer_bytes()
+        started_s = time.monotonic()
+        await asyncio.sleep(IDLE_S)
+        elapsed_s = time.monotonic() - started_s
+        used = sum(map(processes.cpu_seconds, self.pids)) - before
+        bytes_after = await self._peer_bytes()
+        rate = None
+        if bytes_before is not None and bytes_after is not None:
+            moved = bytes_after - bytes_before
+            rate = round(moved / elapsed_s / len(self.pids), 1)
+        return Idle(
+            cpu_percent=round(100 * used / elapsed_s / len(self.pids), 2),
+            resident_mib=round(self.resident_kib() / 1024, 1),
+            peer_bytes_per_s=rate,
+        )
+
+    async def point(
+        self, label: str, waiting: int, running: int, task_memory_kib: float
+    ) -> Point:
+        """Measures everything at the present size."""
+        idle = await self.idle()
+        url = self.urls[0]
+        submit = await self._measure_submit(url, label)
+        status = await loadcalls.measure(
+            self.session,
+            "GET",
+            lambda _: (f"{url}{_path(f'{label}-0')}", None),
+            10_000,
+            CALLS_LIMIT_S,
+        )
+        refusal = await loadcalls.measure(
+            self.session,
+            "POST",
+            lambda number: (
+                f"{url}/v1/requests",
+                _impossible(f"{label}-refused-{number}"),
+            ),
+            SUBMISSIONS,
+            CALLS_LIMIT_S,
+        )
+        return Point(
+            hosts=len(self.pids),
+            endpoints=len(self.cluster.endpoint_urls_by_id),
+            waiting=waiting,
+            running=running,
+            idle=idle,
+            task_memory_kib=round(task_memory_kib, 1),
+            submit=submit,
+            status=status,
+            refusal=refusal,
+        )
+
+    async def _measure_submit(self, url: str, label: str) -> loadcalls.Rate:
+        rate = await loadcalls.measure(
+            self.session,
+            "POST",
+            lambda number: (
+                f"{url}/v1/requests",
+                loadcalls.body(f"{label}-{number}", 1, 10, 10),
+            ),
+            SUBMISSIONS,
+            CALLS_LIMIT_S,
+        )
+        until_s = time.monotonic() + DRAIN_S
+        for number in range(rate.calls):
+            left_s = until_s - time.monotonic()
+            if left_s <= 0:
+                break
+            path = f"{_path(f'{label}-{number}')}?wait_ms={int(left_s * 1000)}"
+            async with self.session.get(f"{url}{path}") as response:
+                await response.read()
+        return rate
+
+    async def add_tasks(
+        self, label: str, count: int, accelerators: int
+    ) -> float:
+        """Submits long tasks; returns the growth of memory per host in KiB."""
+        before = self.resident_kib()
+        bodies = [
+            loadcalls.body(f"{label}-{n}", accelerators, LONG_MS, LONG_MS)
+            for n in range(count)
+        ]
+        await loadcalls.submit_all(self.session, self.urls[0], bodies)
+        return before
+
+    async def wait_for_tasks(self, state: str, wanted: int) -> int:
+        """Waits until the endpoints run `wanted` tasks; returns how many."""
+        found = 0
+        for _ in range(100):
+            found = 0
+            for url in self.cluster.endpoint_urls_by_id.values():
+                async with self.session.get(f"{url}/report?since=0") as answer:
+                    tasks = (await answer.json())["tasks"]
+                found += sum(task["state"] == state for task in tasks)
+            if found >= wanted:
+                break
+            await asyncio.sleep(0.3)
+        return found
+
+    async def _peer_bytes(self) -> float | None:
+        total = 0.0
+        for url in self.urls:
+            async with self.session.get(f"{url}/metrics") as response:
+                found = _PEER_BYTES.findall(await response.text())
+            if not found:
+                return None
+            total += sum(map(float, found))
+        return total
+
+
+def _path(name: str) -> str:
+    return f"/v1/requests/{loadcalls.ACCOUNT}/{name}"
+
+
+def _impossible(name: str) -> dict[str, Any]:
+    # No endpoint has 64 accelerators for each of 512 parts.
+    return dict(loadcalls.body(name, ACCELERATORS, 10, 10), parts=512)
+
+
+async def _start(
+    cluster: cluster_module.Cluster, session: aiohttp.ClientSession
+) -> Site:
+    await cluster.start()
+    site = Site(cluster, session)
+    await demo.publish(
+        session,
+        site.urls[0],
+        declarations(cluster.layout),
+        len(site.urls),
+    )
+    return site
+
+
+async def measure_sizes() -> list[Point]:
+    """Measures every size of hosts and of endpoints without tasks."""
+    points = []
+    sizes = [(hosts, ENDPOINTS_PER_ZONE[0]) for hosts in HOSTS_PER_ZONE]
+    sizes += [(HOSTS_PER_ZONE[0], count) for count in ENDPOINTS_PER_ZONE[1:]]
+    for hosts, endpoints in sizes:
+        cluster = cluster_module.Cluster(layout(hosts, endpoints))
+        try:
+            async with aiohttp.ClientSession() as session:
+                site = await _start(cluster, session)
+                point = await site.point(f"s{hosts}-{endpoints}", 0, 0, 0.0)
+        finally:
+            cluster.stop()
+        _show(point)
+        points.append(point)
+    return points
+
+
+async def measure_tasks(running: bool) -> list[Point]:
+    """Measures growing numbers of running or of waiting tasks."""
+    cluster = cluster_module.Cluster(
+        layout(HOSTS_PER_ZONE[0], ENDPOINTS_PER_ZONE[0])
+    )
+    kind = "running" if running else "waiting"
+    points = []
+    try:
+        async with aiohttp.ClientSession() as session:
+            site = await _start(cluster, session)
+            blockers = 0
+            if not running:
+                blockers = await _occupy_every_endpoint(site)
+            grown = 0.0
+            present = 0
+            for wanted in TASKS:
+                added = wanted - present
+                accelerators = 1 if running else ACCELERATORS
+                label = f"{kind}-{wanted}"
+                before = await site.add_tasks(label, added, accelerators)
+                if running:
+                    present = await site.wait_for_tasks("running", wanted)
+                else:
+                    await asyncio.sleep(SETTLE_S)
+                    present = wanted
+                grown += site.resident_kib() - before
+                point = await site.point(
+                    f"p-{kind}-{wanted}",
+                    0 if running else present,
+                    present if running else blockers,
+                    grown,
+                )
+                _show(point)
+                points.append(point)
+    finally:
+        cluster.stop()
+    return points
+
+
+async def _occupy_every_endpoint(site: Site) -> int:
+    """Runs long tasks until no endpoint is wholly free.
+
+    Each takes more than half of an endpoint, so no two share one.
+    """
+    count = len(site.cluster.endpoint_urls_by_id)
+    await site.add_tasks("blocker", count, ACCELERATORS // 2 + 1)
+    running = await site.wait_for_tasks("running", count)
+    if running != count:
+        raise RuntimeError(f"{running} of {count} endpoints are in use")
+    return running
+
+
+def fits(points: list[Point]) -> list[Fit]:
+    """Fits each measure against each size that the points vary."""
+    base = points[0]
+    found = []
+    for size in ("hosts", "endpoints", "waiting", "running"):
+        chosen = [p for p in points if _varies_only(p, base, size)]
+        for measure, read in _MEASURES.items():
+            values = [read(point) for point in chosen]
+            if len({getattr(p, size) for p in chosen}) < 3 or None in values:
+                continue
+            sizes = [getattr(point, size) for point in chosen]
+            slope, at_zero = numpy.polyfit(sizes, values, 1)
+            found.append(Fit(measure, size, float(slope), float(at_zero)))
+    return found
+
+
+def _varies_only(point: Point, base: Point, size: str) -> bool:
+    # Waiting tasks need running ones that keep the endpoints busy.
+    free = {"waiting": {"waiting", "running"}}.get(size, {size})
+    if size == "waiting" and not (point.running and point.endpoints):
+        return False
+    if size == "running" and point.waiting:
+        return False
+    return all(
+        getattr(point, name) == getattr(base, name)
+        for name in ("hosts", "endpoints", "waiting", "running")
+        if name not in free
+    )
+
+
+_MEASURES = {
+    "idle processor time, % of a core per host": (
+        lambda point: point.idle.cpu_percent
+    ),
+    "resident memory, MiB per host": lambda point: point.idle.resident_mib,
+    "growth of memory by tasks, KiB per host": (
+        lambda point: point.task_memory_kib
+    ),
+    "message bytes between hosts, bytes/s per host": (
+        lambda point: point.idle.peer_bytes_per_s
+    ),
+    "submissions per s": lambda point: point.submit.per_s,
+    "median submission, ms": lambda point: point.submit.p50_ms,
+    "median status, ms": lambda point: point.status.p50_ms,
+    "median refusal, ms": lambda point: point.refusal.p50_ms,
+}
+
+
+def _show(point: Point) -> None:
+    idle = point.idle
+    click.echo(
+        f"hosts {point.hosts}, endpoints {point.endpoints}, waiting "
+        f"{point.waiting}, running {point.running}: idle {idle.cpu_percent} % "
+        f"of a core, {idle.resident_mib} MiB, {idle.peer_bytes_per_s} bytes/s "
+        f"per host; tasks {point.task_memory_kib} KiB per host"
+    )
+    for name in ("submit", "status", "refusal"):
+        rate = getattr(point, name)
+        click.echo(
+            f"    {name}: {rate.per_s}/s, p50 {rate.p50_ms} p90 {rate.p90_ms} "
+            f"p99 {rate.p99_ms} max {rate.max_ms} ms, "
+            f"statuses {rate.calls_by_status}"
+        )
+
+
+async def _measure() -> list[Point]:
+    points = await measure_sizes()
+    points += await measure_tasks(running=True)
+    points += await measure_tasks(running=False)
+    return points
+
+
+@click.command()
+@click.option(
+    "--out",
+    type=click.Path(dir_okay=False, path_type=pathlib.Path),
+    default="load.json",
+    show_default=True,
+    help="File for the figures as JSON.",
+)
+def main(out: pathlib.Path) -> None:
+    """Measures hosts, endpoints and tasks at three sizes each."""
+    points = asyncio.run(_measure())
+    lines = fits(points)
+    document = {
+        "points": [dataclasses.asdict(point) for point in points],
+        "fits": [dataclasses.asdict(line) for line in lines],
+    }
+    out.write_text(json.dumps(document, indent=2) + "\n")
+    for line in lines:
+        click.echo(
+            f"{line.measure}: {line.at_zero:.3f} + {line.slope:.5f} "
+            f"per {line.size}"
+        )
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/packages/bench/src/laburnumgate_bench/loadcalls.py
@@ -0,0 +1,126 @@
+"""Closed-loop calls to one host, with their rates and latencies."""
+
+import asyncio
+import collections
+from collections.abc import Callable
+import dataclasses
+import itertools
+import json
+import time
+from typing import Any
+
+import aiohttp
+from hdrh import histogram
+
+ACCOUNT = "load"
+CALLERS = 8
+# Longest latency that a histogram holds.
+_MAX_US = 60_000_000
+_SIGNIFICANT_DIGITS = 3
+_TIMEOUT = aiohttp.ClientTimeout(total=30)
+
+
+@dataclasses.dataclass(frozen=True)
+class Rate:
+    """Calls per second and latency percentiles in ms."""
+
+    calls: int
+    per_s: float
+    p50_ms: float
+    p90_ms: float
+    p99_ms: float
+    max_ms: float
+    calls_by_status: dict[int, int]
+
+
+def body(
+    name: str, accelerators: int, work_ms: int, run_ms: int
+) -> dict[str, Any]:
+    """Returns a request of one part."""
+    return {
+        "request_id": name,
+        "account": ACCOUNT,
+        "kind": "load",
+        "accelerators_per_part": accelerators,
+        "run_ms": run_ms,
+        "memory_mb_per_part": 16,
+        "payload": json.dumps({"work_ms": work_ms, "echo": name}),
+    }
+
+
+async def measure(
+    session: aiohttp.ClientSession,
+    method: str,
+    make: Callable[[int], tuple[str, dict[str, Any] | None]],
+    count: int,
+    limit_s: float,
+) -> Rate:
+    """Calls a host from `CALLERS` callers, each waiting for its answer.
+
+    Args:
+      session: the client session.
+      method: HTTP method.
+      make: returns URL and body of call number N.
+      count: number of calls after which the measurement ends.
+      limit_s: time in s after which no further call begins.
+    """
+    times = histogram.HdrHistogram(1, _MAX_US, _SIGNIFICANT_DIGITS)
+    statuses: collections.Counter[int] = collections.Counter()
+    numbers = itertools.count()
+    started_s = time.perf_counter()
+
+    async def caller() -> None:
+        while time.perf_counter() - started_s < limit_s:
+            number = next(numbers)
+            if number >= count:
+                return
+            url, sent = make(number)
+            before_s = time.perf_counter()
+            async with session.request(
+                method, url, json=sent, timeout=_TIMEOUT
+            ) as response:
+                await response.read()
+            elapsed_us = int((time.perf_counter() - before_s) * 1_000_000)
+            times.record_value(max(1, elapsed_us))
+            statuses[response.status] += 1
+
+    await asyncio.gather(*(caller() for _ in range(CALLERS)))
+    elapsed_s = time.perf_counter() - started_s
+    calls = times.get_total_count()
+    return Rate(
+        calls=calls,
+        per_s=round(calls / elapsed_s, 1),
+        p50_ms=_ms(times, 50),
+        p90_ms=_ms(times, 90),
+        p99_ms=_ms(times, 99),
+        max_ms=_ms(times, 100),
+        calls_by_status=dict(sorted(statuses.items())),
+    )
+
+
+async def submit_all(
+    session: aiohttp.ClientSession, url: str, bodies: list[dict[str, Any]]
+) -> None:
+    """Submits requests, 32 at a time.
+
+    Raises:
+      RuntimeError: if a host does not accept one of them.
+    """
+    gate = asyncio.Semaphore(32)
+
+    async def one(sent: dict[str, Any]) -> None:
+        async with (
+            gate,
+            session.post(
+                f"{url}/v1/requests", json=sent, timeout=_TIMEOUT
+            ) as response,
+        ):
+            text = await response.text()
+        if response.status not in (200, 202):
+            raise RuntimeError(f"submission was answered with {text}")
+
+    await asyncio.gather(*map(one, bodies))
+
+
+def _ms(times: histogram.HdrHistogram, percentile: float) -> float:
+    return round(times.get_value_at_percentile(percentile) / 1000, 2)
--- /dev/null
+++ b/packages/host/src/laburnumgate_host/openapi.py
@@ -0,0 +1,244 @@
+"""The OpenAPI document of the HTTP API.
+
+`python -m laburnumgate_host.openapi FILE` writes docs/openapi.json; a test
+compares the file, the document built here and the daemon's routes.
+"""
+
+import json
+import pathlib
+from typing import Any
+
+import click
+from laburnumgate_core import requests
+from laburnumgate_core import verdict
+import pydantic
+
+_SCHEMAS = "#/components/schemas/"
+_VERDICT_SCHEMA: dict[str, Any] = {"$ref": f"{_SCHEMAS}Verdict"}
+_TEXT = {"type": "string"}
+_NUMBER = {"type": "integer", "minimum": 0}
+_NAMES = {"type": "array", "items": _TEXT}
+_STATUS_TEXTS = {
+    200: "The answer to a known request, or done.",
+    202: "Accepted; for a publication: appended, not decided here yet.",
+    400: "A field is wrong; the sentence names it. Nothing ran.",
+    404: "This host knows no such request; another host may.",
+    409: "The id belongs to another body, or a revision has moved.",
+    413: "The body is over 64 KB. Nothing ran.",
+    422: "The request can never run.",
+    429: "Over a limit; the same id may be sent again.",
+    503: "It cannot be decided now; the same id may be sent again.",
+}
+
+
+def build() -> dict[str, Any]:
+    """Returns the document."""
+    return {
+        "openapi": "3.1.0",
+        "info": {
+            "title": "laburnumgate",
+            "version": "1",
+            "description": (
+                "HTTP API of an entry host for callers and operators. Times "
+                "and durations are in ms, times since the Unix epoch."
+            ),
+        },
+        "paths": _paths(),
+        "components": {"schemas": _schemas()},
+    }
+
+
+def _paths() -> dict[str, Any]:
+    return {
+        "/v1/requests": {
+            "post": _operation(
+                "Submit a request",
+                _caller_answers(200, 202, 400, 409, 413, 422, 429, 503),
+                body="Request",
+            ),
+        },
+        "/v1/requests/{account}/{request_id}": {
+            "get": _operation(
+                "Read or wait for what the caller is told",
+                _caller_answers(200, 404, 429),
+                names=("account", "request_id"),
+                query={
+                    "wait_ms": "How long to wait for the outcome, at most "
+                    "30000. The answer is pending if it does not come."
+                },
+            ),
+            "delete": _operation(
+                "Cancel a request",
+                _caller_answers(200, 404, 503),
+                names=("account", "request_id"),
+            ),
+        },
+        "/v1/operator/publications": {
+            "post": _operation(
+                "Publish changes, all or none",
+                _answers("Published", 200, 202, 400, 409, 503),
+                body="Publication",
+            ),
+        },
+        "/v1/operator/config": {
+            "get": _operation(
+                "Read the configuration with revisions",
+                _answers("Configuration", 200),
+            ),
+        },
+        "/v1/operator/progress/{offset}": {
+            "get": _operation(
+                "Read which hosts have an offset in force",
+                _answers("Progress", 200),
+                names=("offset",),
+            ),
+        },
+        "/v1/operator/state": {
+            "get": _operation("Dump a host's state", _answers("State", 200)),
+        },
+        "/v1/ready": {
+            "get": _operation(
+                "Whether the host takes requests",
+                _answers("Ready", 200, 503),
+            ),
+        },
+        "/metrics": {
+            "get": _operation(
+                "Metrics in the Prometheus text format",
+                {
+                    "200": {
+                        "description": "Every metric of the host.",
+                        "content": {"text/plain": {"schema": _TEXT}},
+                    }
+                },
+            ),
+        },
+    }
+
+
+def _operation(
+    summary: str,
+    responses: dict[str, Any],
+    body: str = "",
+    names: tuple[str, ...] = (),
+    query: dict[str, str] | None = None,
+) -> dict[str, Any]:
+    parameters = [
+        {
+            "name": name,
+            "in": "path",
+            "required": True,
+            "schema": _NUMBER if name == "offset" else _TEXT,
+        }
+        for name in names
+    ]
+    for name, meaning in (query or {}).items():
+        parameters.append(
+            {
+                "name": name,
+                "in": "query",
+                "description": meaning,
+                "schema": _NUMBER,
+            }
+        )
+    operation: dict[str, Any] = {"summary": summary, "responses": responses}
+    if parameters:
+        operation["parameters"] = parameters
+    if body:
+        operation["requestBody"] = {
+            "required": True,
+            "content": _json_content(body),
+        }
+    return operation
+
+
+def _caller_answers(*statuses: int) -> dict[str, Any]:
+    return _answers("Answer", *statuses)
+
+
+def _answers(schema: str, *statuses: int) -> dict[str, Any]:
+    return {
+        str(status): {
+            "description": _STATUS_TEXTS[status],
+            "content": _json_content(schema),
+        }
+        for status in statuses
+    }
+
+
+def _json_content(schema: str) -> dict[str, Any]:
+    return {"application/json": {"schema": {"$ref": f"{_SCHEMAS}{schema}"}}}
+
+
+def _schemas() -> dict[str, Any]:
+    template = f"{_SCHEMAS}{{model}}"
+    verdicts = pydantic.TypeAdapter(verdict.Verdict).json_schema(
+        ref_template=template
+    )
+    request = requests.Request.model_json_schema(ref_template=template)
+    schemas = {**verdicts.pop("$defs"), **request.pop("$defs", {})}
+    schemas.update(Request=request, Verdict=verdicts)
+    schemas["Answer"] = _object(
+        {
+            "account": _TEXT,
+            "request_id": _TEXT,
+            "verdict": _VERDICT_SCHEMA,
+            "durability": {"enum": ["log", "zone-peers", "host-only"]},
+        },
+        required=("account", "request_id", "verdict"),
+    )
+    schemas["Change"] = _object(
+        {"key": _TEXT, "value": {"type": ["object", "null"]}}
+        | {"replaces": _NUMBER},
+        required=("key", "replaces"),
+    )
+    schemas["Publication"] = _object(
+        {
+            "change_id": _TEXT,
+            "operator": _TEXT,
+            "changes": {
+                "type": "array",
+                "items": {"$ref": f"{_SCHEMAS}Change"},
+            },
+        },
+        required=("operator", "changes"),
+    )
+    reached = {"offset": _NUMBER, "in_force": _NAMES, "not_reached": _NAMES}
+    schemas["Progress"] = _object(reached, required=tuple(reached))
+    schemas["Published"] = _object(
+        {
+            "accepted": {"type": ["boolean", "null"]},
+            "reason": _TEXT,
+            "change_id": _TEXT,
+            **reached,
+        },
+        required=(),
+    )
+    schemas["Configuration"] = _object(
+        {"offset": _NUMBER, "values": {"type": "object"}},
+        required=("offset", "values"),
+    )
+    schemas["Ready"] = _object({"state": _TEXT}, required=("state",))
+    schemas["State"] = {"type": "object"}
+    return schemas
+
+
+def _object(
+    properties: dict[str, Any], required: tuple[str, ...]
+) -> dict[str, Any]:
+    return {
+        "type": "object",
+        "properties": properties,
+        "required": list(required),
+    }
+
+
+@click.command()
+@click.argument("path", type=click.Path(path_type=pathlib.Path))
+def main(path: pathlib.Path) -> None:
+    """Writes the document."""
+    path.write_text(json.dumps(build(), indent=2) + "\n")
+
+
+if __name__ == "__main__":
+    main()
--- a/packages/standins/src/laburnumgate_standins/processes.py
+++ b/packages/standins/src/laburnumgate_standins/processes.py
@@ -1,6 +1,7 @@
 """Threads and children of the demo's processes, read from /proc."""
 
 import dataclasses
+import os
 import pathlib
 
 
@@ -35,3 +36,15 @@
         return None
     resident_kb = int(fields["VmRSS"].split()[0])
     return Process(name, pid, len(tasks), tuple(children), resident_kb)
+
+
+def cpu_seconds(pid: int) -> float:
+    """Returns the processor time of a process so far, in s.
+
+    Raises:
+      OSError: if the process has ended.
+    """
+    text = (pathlib.Path("/proc") / str(pid) / "stat").read_text()
+    # The command name may hold spaces; the fields follow its parenthesis.
+    fields = text.rpartition(")")[2].split()
+    return (int(fields[11]) + int(fields[12])) / os.sysconf("SC_CLK_TCK")
