--- a/packages/host/src/laburnumgate_host/openapi.py
+++ b/packages/host/src/laburnumgate_host/openapi.py
@@ -80,6 +80,30 @@
                 body="Publication",
             ),
         },
+        "/v1/operator/zones/{zone}/state": {
+            "post": _operation(
+                "Take a zone out of service or return it (out, in)",
+                _answers("Published", 200, 202, 400, 409, 503),
+                body="StateChange",
+                names=("zone",),
+            ),
+        },
+        "/v1/operator/endpoints/{endpoint_id}/state": {
+            "post": _operation(
+                "Drain an endpoint or use it again (draining, active)",
+                _answers("Published", 200, 202, 400, 409, 503),
+                body="StateChange",
+                names=("endpoint_id",),
+            ),
+        },
+        "/v1/operator/zones/{zone}/stop": {
+            "post": _operation(
+                "Stop or allow a zone's starts without the log",
+                _answers("Stopped", 200, 400),
+                body="Stop",
+                names=("zone",),
+            ),
+        },
         "/v1/operator/config": {
             "get": _operation(
                 "Read the configuration with revisions",
@@ -184,6 +208,7 @@
             "request_id": _TEXT,
             "verdict": _VERDICT_SCHEMA,
             "durability": {"enum": ["log", "zone-peers", "host-only"]},
+            "use_another_host": {"type": "boolean"},
         },
         required=("account", "request_id", "verdict"),
     )
@@ -200,10 +225,43 @@
                 "type": "array",
                 "items": {"$ref": f"{_SCHEMAS}Change"},
             },
+            "wait_ms": _NUMBER,
         },
         required=("operator", "changes"),
     )
-    reached = {"offset": _NUMBER, "in_force": _NAMES, "not_reached": _NAMES}
+    schemas["StateChange"] = _object(
+        {
+            "operator": _TEXT,
+            "state": _TEXT,
+            "replaces": _NUMBER,
+            "wait_ms": _NUMBER,
+        },
+        required=("operator", "state"),
+    )
+    schemas["Stop"] = _object(
+        {
+            "operator": _TEXT,
+            "stopped": {"type": "boolean", "default": True},
+            "wait_ms": _NUMBER,
+        },
+        required=("operator",),
+    )
+    schemas["Stopped"] = _object(
+        {
+            "operation_id": _TEXT,
+            "stopped": {"type": "boolean"},
+            "in_force": _NAMES,
+            "not_reached": _NAMES,
+            "summary": _TEXT,
+        },
+        required=("operation_id", "stopped", "in_force", "not_reached"),
+    )
+    reached = {
+        "offset": _NUMBER,
+        "in_force": _NAMES,
+        "not_reached": _NAMES,
+        "summary": _TEXT,
+    }
     schemas["Progress"] = _object(reached, required=tuple(reached))
     schemas["Published"] = _object(
         {
