--- a/packages/standins/src/laburnumgate_standins/audit.py
+++ b/packages/standins/src/laburnumgate_standins/audit.py
@@ -63,6 +63,7 @@
     history: History,
     layout: layout_module.Layout,
     told_later: dict[str, str],
+    host_killed: bool,
 ) -> list[str]:
     """Returns one sentence for each request that did not end as told.
 
@@ -71,12 +72,14 @@
       history: what the endpoints have run.
       layout: the layout, which names the kinds that never repeat.
       told_later: kind of verdict by job id that another host gave at the end.
+      host_killed: whether a host was killed, after which nobody may be able
+        to tell whether a request that must not repeat has run.
     """
     found = []
     for made in calls:
         once = traffic.at_most_once(made.order, layout)
         reasons = [
-            _verdict_fault(made, history, once),
+            _verdict_fault(made, history, once and host_killed),
             _once_fault(made, history, once),
             _later_fault(made, told_later),
         ]
@@ -85,7 +88,9 @@
     return found
 
 
-def _verdict_fault(made: traffic.Call, history: History, once: bool) -> str:
+def _verdict_fault(
+    made: traffic.Call, history: History, may_be_undecided: bool
+) -> str:
     runs = history.runs(made.order.job_id)
     intent = made.order.intent
     match made.kind:
@@ -101,7 +106,9 @@
             return ""
         case "ran_failed" if intent is traffic.Intent.CANCEL:
             return "" if runs else "told that it ran, and no run was started"
-        case "may_have_run" if once or intent is traffic.Intent.CANCEL:
+        case "may_have_run" if intent is traffic.Intent.CANCEL:
+            return ""
+        case "may_have_run" if may_be_undecided:
             return ""
     told = made.verdict or {}
     detail = told.get("reason") or told.get("state", "")
--- a/packages/standins/src/laburnumgate_standins/demo.py
+++ b/packages/standins/src/laburnumgate_standins/demo.py
@@ -141,7 +141,9 @@
             self.session, self.cluster.endpoint_urls_by_id
         )
         told_later = await self._ask_others(orders)
-        faults = audit.faults(calls, history, self.layout, told_later)
+        faults = audit.faults(
+            calls, history, self.layout, told_later, bool(self.killed)
+        )
         faults += self._zone_faults()
         self._print(calls, history, started_s, ended_s)
         faults += self._print_processes()
--- a/packages/standins/src/laburnumgate_standins/traffic.py
+++ b/packages/standins/src/laburnumgate_standins/traffic.py
@@ -18,6 +18,9 @@
 CALL_TIMEOUT_MS = 3_000
 POLL_MS = 5_000
 RETRY_PAUSE_S = 0.2
+# An accepted request that is told "may have run" so often has that outcome;
+# fewer answers may come from hosts that have not read the log yet.
+MAX_UNDECIDED = 5
 CANCEL_AFTER_S = 0.4
 # Requests are submitted evenly over this time, so that some arrive before,
 # while and after a zone is out of service.
@@ -132,6 +135,7 @@
     made = Call(order, urls[0], submitted_s=time.monotonic())
     body = dict(order.body, issued_at_ms=time.time_ns() // 1_000_000)
     accepted = False
+    undecided = 0
     while time.monotonic() < until_s and made.kind not in FINAL_KINDS:
         try:
             if not accepted:
@@ -153,6 +157,9 @@
         made.verdict = answer["verdict"]
         made.ended_s = time.monotonic()
         if made.kind == "may_have_run":
+            undecided += accepted
+            if undecided == MAX_UNDECIDED:
+                break
             await asyncio.sleep(RETRY_PAUSE_S)
     return made
 
