--- a/packages/bench/src/laburnumgate_bench/load.py
+++ b/packages/bench/src/laburnumgate_bench/load.py
@@ -29,6 +29,8 @@
 IDLE_S = 8.0
 CALLS_LIMIT_S = 3.0
 SUBMISSIONS = 200
+# A host records at most `limits.fences_per_s` refusals per second.
+RECORDED_REFUSALS = 20
 DRAIN_S = 20.0
 # Tasks that fill the system run longer than any measurement.
 LONG_MS = 3_600_000
@@ -64,6 +66,7 @@
     submit: loadcalls.Rate
     status: loadcalls.Rate
     refusal: loadcalls.Rate
+    recorded_refusal: loadcalls.Rate
 
 
 @dataclasses.dataclass(frozen=True)
@@ -157,13 +160,20 @@
             CALLS_LIMIT_S,
         )
         refusal = await loadcalls.measure(
+            self.session,
+            "POST",
+            lambda _: (f"{url}/v1/requests", {"unknown_field": 1}),
+            10_000,
+            CALLS_LIMIT_S,
+        )
+        recorded_refusal = await loadcalls.measure(
             self.session,
             "POST",
             lambda number: (
                 f"{url}/v1/requests",
                 _impossible(f"{label}-refused-{number}"),
             ),
-            SUBMISSIONS,
+            RECORDED_REFUSALS,
             CALLS_LIMIT_S,
         )
         return Point(
@@ -176,6 +186,7 @@
             submit=submit,
             status=status,
             refusal=refusal,
+            recorded_refusal=recorded_refusal,
         )
 
     async def _measure_submit(self, url: str, label: str) -> loadcalls.Rate:
@@ -201,15 +212,13 @@
 
     async def add_tasks(
         self, label: str, count: int, accelerators: int
-    ) -> float:
-        """Submits long tasks; returns the growth of memory per host in KiB."""
-        before = self.resident_kib()
+    ) -> None:
+        """Submits long tasks of one part each."""
         bodies = [
             loadcalls.body(f"{label}-{n}", accelerators, LONG_MS, LONG_MS)
             for n in range(count)
         ]
         await loadcalls.submit_all(self.session, self.urls[0], bodies)
-        return before
 
     async def wait_for_tasks(self, state: str, wanted: int) -> int:
         """Waits until the endpoints run `wanted` tasks; returns how many."""
@@ -259,22 +268,18 @@
     return site
 
 
-async def measure_sizes() -> list[Point]:
-    """Measures every size of hosts and of endpoints without tasks."""
-    points = []
-    sizes = [(hosts, ENDPOINTS_PER_ZONE[0]) for hosts in HOSTS_PER_ZONE]
-    sizes += [(HOSTS_PER_ZONE[0], count) for count in ENDPOINTS_PER_ZONE[1:]]
-    for hosts, endpoints in sizes:
-        cluster = cluster_module.Cluster(layout(hosts, endpoints))
-        try:
-            async with aiohttp.ClientSession() as session:
-                site = await _start(cluster, session)
-                point = await site.point(f"s{hosts}-{endpoints}", 0, 0, 0.0)
-        finally:
-            cluster.stop()
-        _show(point)
-        points.append(point)
-    return points
+async def measure_size(hosts_per_zone: int, endpoints: int) -> Point:
+    """Measures hosts and endpoints per zone without tasks."""
+    cluster = cluster_module.Cluster(layout(hosts_per_zone, endpoints))
+    try:
+        async with aiohttp.ClientSession() as session:
+            site = await _start(cluster, session)
+            label = f"s{hosts_per_zone}-{endpoints}"
+            point = await site.point(label, 0, 0, 0.0)
+    finally:
+        cluster.stop()
+    _show(point)
+    return point
 
 
 async def measure_tasks(running: bool) -> list[Point]:
@@ -296,7 +301,8 @@
                 added = wanted - present
                 accelerators = 1 if running else ACCELERATORS
                 label = f"{kind}-{wanted}"
-                before = await site.add_tasks(label, added, accelerators)
+                before = site.resident_kib()
+                await site.add_tasks(label, added, accelerators)
                 if running:
                     present = await site.wait_for_tasks("running", wanted)
                 else:
@@ -329,36 +335,20 @@
     return running
 
 
-def fits(points: list[Point]) -> list[Fit]:
-    """Fits each measure against each size that the points vary."""
-    base = points[0]
+def fits(points_by_size: dict[str, list[Point]]) -> list[Fit]:
+    """Fits each measure against the size that a series of points varies."""
     found = []
-    for size in ("hosts", "endpoints", "waiting", "running"):
-        chosen = [p for p in points if _varies_only(p, base, size)]
+    for size, points in points_by_size.items():
+        sizes = [getattr(point, size) for point in points]
         for measure, read in _MEASURES.items():
-            values = [read(point) for point in chosen]
-            if len({getattr(p, size) for p in chosen}) < 3 or None in values:
+            values = [read(point) for point in points]
+            if len(set(sizes)) < 3 or None in values:
                 continue
-            sizes = [getattr(point, size) for point in chosen]
             slope, at_zero = numpy.polyfit(sizes, values, 1)
             found.append(Fit(measure, size, float(slope), float(at_zero)))
     return found
 
 
-def _varies_only(point: Point, base: Point, size: str) -> bool:
-    # Waiting tasks need running ones that keep the endpoints busy.
-    free = {"waiting": {"waiting", "running"}}.get(size, {size})
-    if size == "waiting" and not (point.running and point.endpoints):
-        return False
-    if size == "running" and point.waiting:
-        return False
-    return all(
-        getattr(point, name) == getattr(base, name)
-        for name in ("hosts", "endpoints", "waiting", "running")
-        if name not in free
-    )
-
-
 _MEASURES = {
     "idle processor time, % of a core per host": (
         lambda point: point.idle.cpu_percent
@@ -374,6 +364,9 @@
     "median submission, ms": lambda point: point.submit.p50_ms,
     "median status, ms": lambda point: point.status.p50_ms,
     "median refusal, ms": lambda point: point.refusal.p50_ms,
+    "median recorded refusal, ms": (
+        lambda point: point.recorded_refusal.p50_ms
+    ),
 }
 
 
@@ -385,7 +378,7 @@
         f"of a core, {idle.resident_mib} MiB, {idle.peer_bytes_per_s} bytes/s "
         f"per host; tasks {point.task_memory_kib} KiB per host"
     )
-    for name in ("submit", "status", "refusal"):
+    for name in ("submit", "status", "refusal", "recorded_refusal"):
         rate = getattr(point, name)
         click.echo(
             f"    {name}: {rate.per_s}/s, p50 {rate.p50_ms} p90 {rate.p90_ms} "
@@ -394,11 +387,21 @@
         )
 
 
-async def _measure() -> list[Point]:
-    points = await measure_sizes()
-    points += await measure_tasks(running=True)
-    points += await measure_tasks(running=False)
-    return points
+async def _measure() -> dict[str, list[Point]]:
+    hosts = [
+        await measure_size(count, ENDPOINTS_PER_ZONE[0])
+        for count in HOSTS_PER_ZONE
+    ]
+    endpoints = [
+        await measure_size(HOSTS_PER_ZONE[0], count)
+        for count in ENDPOINTS_PER_ZONE[1:]
+    ]
+    return {
+        "hosts": hosts,
+        "endpoints": [hosts[0], *endpoints],
+        "running": await measure_tasks(running=True),
+        "waiting": await measure_tasks(running=False),
+    }
 
 
 @click.command()
@@ -411,10 +414,13 @@
 )
 def main(out: pathlib.Path) -> None:
     """Measures hosts, endpoints and tasks at three sizes each."""
-    points = asyncio.run(_measure())
-    lines = fits(points)
+    points_by_size = asyncio.run(_measure())
+    lines = fits(points_by_size)
     document = {
-        "points": [dataclasses.asdict(point) for point in points],
+        "points": {
+            size: [dataclasses.asdict(point) for point in points]
+            for size, points in points_by_size.items()
+        },
         "fits": [dataclasses.asdict(line) for line in lines],
     }
     out.write_text(json.dumps(document, indent=2) + "\n")
--- a/packages/host/src/laburnumgate_host/reference.py
+++ b/packages/host/src/laburnumgate_host/reference.py
@@ -10,6 +10,7 @@
 import click
 
 from laburnumgate_host import events
+from laburnumgate_host import metrics
 from laburnumgate_host import settings
 
 _MARK = "<!-- {edge} {name} (python -m laburnumgate_host.reference) -->"
@@ -41,7 +42,20 @@
     return _table(rows)
 
 
-TABLES_BY_NAME = {"settings": settings_table, "events": events_table}
+def metrics_table() -> str:
+    """Returns the table of every metric in Markdown."""
+    rows = [("Metric", "Kind", "Meaning")]
+    for metric in metrics.Metrics().registry.get_all():
+        kind = type(metric).__name__.lower()
+        rows.append((f"`{metric.name}`", kind, metric.doc))
+    return _table(rows)
+
+
+TABLES_BY_NAME = {
+    "settings": settings_table,
+    "events": events_table,
+    "metrics": metrics_table,
+}
 
 
 def fill(page: str) -> str:
--- /dev/null
+++ b/packages/host/tests/test_metrics_page.py
@@ -0,0 +1,12 @@
+"""Guards the page of metrics against the code."""
+
+import pathlib
+
+from laburnumgate_host import reference
+
+PAGE = pathlib.Path(__file__).parents[3] / "docs/operators/metrics.md"
+
+
+def test_the_page_shows_the_metrics_of_the_code():
+    """Guards against alerts on metrics that no longer exist."""
+    assert PAGE.read_text() == reference.fill(PAGE.read_text())
--- /dev/null
+++ b/packages/standins/tests/test_audit.py
@@ -0,0 +1,84 @@
+"""Guards the demo's comparison of verdicts with what ran."""
+
+import json
+
+from laburnumgate_standins import audit
+from laburnumgate_standins import layout
+from laburnumgate_standins import traffic
+import pytest
+
+LAYOUT = layout.TESTIGO_ANDINO
+RUN = traffic.Intent.RUN
+RAN = {"kind": "ran", "answer": [json.dumps({"echo": "mine"})]}
+FOREIGN = {"kind": "ran", "answer": [json.dumps({"echo": "other"})]}
+NOT_RUN = {"kind": "not_run", "reason": "cancelled"}
+UNDECIDED = {"kind": "may_have_run", "reason": "lost"}
+ENDPOINT = "calama-b-r1-1"
+
+
+def faults(
+    verdict, runs: int, idempotent=True, intent=RUN, later="", killed=False
+) -> list[str]:
+    """Audits one call whose single part was started `runs` times."""
+    body = {
+        "request_id": "r",
+        "account": "geo-norte",
+        "kind": "review",
+        "parts": 1,
+        "idempotent": idempotent,
+        "payload": json.dumps({"echo": "mine"}),
+    }
+    made = traffic.Call(traffic.Order(body, intent, 0.0), "", verdict=verdict)
+    started = {run: {0: ENDPOINT} for run in range(1, runs + 1)}
+    history = audit.History({"geo-norte/r": started}, {})
+    told = {"geo-norte/r": later or made.kind}
+    return audit.faults([made], history, LAYOUT, told, killed)
+
+
+@pytest.mark.parametrize(
+    ("case", "text"),
+    [
+        ({"verdict": RAN, "runs": 2, "idempotent": False}, "started 2 times"),
+        ({"verdict": RAN, "runs": 0}, "no run started every part"),
+        ({"verdict": FOREIGN, "runs": 1}, "answer of another request"),
+        (
+            {"verdict": NOT_RUN, "runs": 1, "intent": traffic.Intent.CANCEL},
+            "told not run",
+        ),
+        ({"verdict": NOT_RUN, "runs": 0}, "refused"),
+        ({"verdict": UNDECIDED, "runs": 1, "idempotent": False}, "may_have"),
+        ({"verdict": UNDECIDED, "runs": 1, "killed": True}, "may_have_run"),
+        ({"verdict": None, "runs": 0}, "no answer"),
+        ({"verdict": RAN, "runs": 1, "later": "not_run"}, "another host says"),
+        (
+            {
+                "verdict": RAN,
+                "runs": 1,
+                "intent": traffic.Intent.IMPOSSIBLE,
+            },
+            "can never run",
+        ),
+    ],
+)
+def test_a_fault_is_found(case, text):
+    """Guards against a demo that passes whatever the hosts do."""
+    (fault,) = faults(**case)
+    assert text in fault
+
+
+def test_truthful_outcomes_are_no_faults():
+    """Guards against a demo that fails for outcomes that are allowed."""
+    cancel = traffic.Intent.CANCEL
+    assert faults(RAN, 2) == []
+    assert faults(NOT_RUN, 0, intent=cancel) == []
+    assert faults(UNDECIDED, 1, intent=cancel) == []
+    assert faults(UNDECIDED, 1, idempotent=False, killed=True) == []
+
+
+def test_the_same_seed_gives_the_same_requests():
+    """Guards against a demo that cannot be repeated."""
+    first = traffic.orders(LAYOUT, 7, 30)
+    assert first == traffic.orders(LAYOUT, 7, 30)
+    assert first != traffic.orders(LAYOUT, 8, 30)
+    assert {order.intent for order in first} == set(traffic.Intent)
+    assert any(traffic.at_most_once(order, LAYOUT) for order in first)
