Reserve guaranteed shapes per endpoint, reclaim them and backfill

The scheduler keeps free capacity, the queue and usage incrementally, locates guaranteed gangs on endpoints, stops work for them in order of least lost work, corrects declared run times, quarantines endpoints that fail everything, ramps up a returned zone and moves waiting jobs between zones.

--- a/packages/bench/src/laburnumgate_bench/command.py
+++ b/packages/bench/src/laburnumgate_bench/command.py
@@ -35,6 +35,7 @@
     type=click.Choice(experiment.SCENARIOS),
     default=experiment.SCENARIOS,
 )
+@click.option("--brief", is_flag=True, help="One line for each run.")
 @click.option("--json", "json_path", type=click.Path(path_type=pathlib.Path))
 @click.option("--plot", "plot_path", type=click.Path(path_type=pathlib.Path))
 def main(
@@ -44,12 +45,14 @@
     policies: tuple[str, ...],
     names: tuple[str, ...],
     scenarios: tuple[str, ...],
+    brief: bool,
     json_path: pathlib.Path | None,
     plot_path: pathlib.Path | None,
 ) -> None:
     """Measures the scheduling policy against earlier ones."""
-    for name, definition in measures.DEFINITIONS.items():
-        click.echo(f"{name}: {definition}.")
+    if not brief:
+        for name, definition in measures.DEFINITIONS.items():
+            click.echo(f"{name}: {definition}.")
     outcomes = []
     for seed in seeds:
         for name in names:
@@ -64,7 +67,10 @@
                         int(minutes * 60_000),
                     )
                     outcomes.append(outcome)
-                    _print(outcome)
+                    if brief:
+                        _print_line(outcome)
+                    else:
+                        _print(outcome)
     if json_path is not None:
         rows = [
             {
@@ -115,6 +121,25 @@
         click.echo(f"  {key} {values[key]}")
 
 
+def _print_line(outcome: experiment.Outcome) -> None:
+    values = outcome.measures
+    p95 = {k: int(row["p95"]) for k, row in values["completion_ms"].items()}
+    owed_ms = max(row["max"] for row in values["reclaim_ms"].values())
+    late = sum(values["late_guaranteed"].values())
+    click.echo(
+        f"{outcome.layout[:9]} {outcome.scenario:11} {outcome.seed:3} "
+        f"{outcome.policy:10} p95 urgent {p95['urgent']:6} "
+        f"normal {p95['normal']:6} batch {p95['batch']:6} "
+        f"frag {values['fragmentation']:.3f} "
+        f"arr {values['arrangement']:.3f} "
+        f"change {values['zone_change_work']:.3f} "
+        f"owed max {owed_ms:6.0f} late {late} "
+        f"late urgent {values['late_urgent']:3} "
+        f"util {values['utilisation']:.3f} lost {values['lost_work']:.3f} "
+        f"failed {values['failed_sound']} open {values['unfinished']}"
+    )
+
+
 def _plot(outcomes: list[experiment.Outcome], path: pathlib.Path) -> None:
     import matplotlib
 
--- /dev/null
+++ b/packages/core/src/laburnumgate_core/backfill.py
@@ -0,0 +1,100 @@
+"""Finds when and where a waiting gang is expected to fit."""
+
+from collections.abc import Iterable
+import dataclasses
+
+from laburnumgate_core import model
+from laburnumgate_core import placement
+
+
+@dataclasses.dataclass(frozen=True)
+class Shadow:
+    """Endpoints kept for the gang at the head of the queue.
+
+    Other jobs may use them only if they are expected to end by `at_ms`.
+    """
+
+    at_ms: int
+    endpoint_ids: frozenset[str]
+
+
+def find(
+    spec: model.JobSpec,
+    rows: Iterable[placement.Row],
+    ends_by_job: dict[str, int],
+    now_ms: int,
+) -> Shadow | None:
+    """Returns the earliest expected fit of a gang, None if there is none.
+
+    Args:
+      spec: the gang, which does not fit now.
+      rows: the zone's endpoints.
+      ends_by_job: expected end of each running job in ms.
+      now_ms: the current time.
+    """
+    size = max(1, spec.accelerators_per_part)
+    groups: dict[str, list[placement.Row]] = {}
+    for row in rows:
+        if not row.enabled:
+            continue
+        name = row.endpoint.rack
+        if spec.adjacency is model.Adjacency.ZONE:
+            name = ""
+        groups.setdefault(name, []).append(row)
+    best: Shadow | None = None
+    for group in groups.values():
+        found = _find_in(spec.parts, size, group, ends_by_job, now_ms)
+        if found is None:
+            continue
+        if best is None or found.at_ms < best.at_ms:
+            best = found
+    return best
+
+
+def _find_in(
+    parts: int,
+    size: int,
+    rows: list[placement.Row],
+    ends_by_job: dict[str, int],
+    now_ms: int,
+) -> Shadow | None:
+    """Takes the endpoints that are expected to have room first."""
+    offers: list[tuple[int, str, int]] = []
+    for row in rows:
+        limit = row.endpoint.accelerators
+        offers.extend(_offers(row, limit, size, ends_by_job, now_ms))
+    offers.sort()
+    chosen: set[str] = set()
+    left = parts
+    for at_ms, endpoint_id, count in offers:
+        chosen.add(endpoint_id)
+        left -= count
+        if left <= 0:
+            return Shadow(at_ms, frozenset(chosen))
+    return None
+
+
+def _offers(
+    row: placement.Row,
+    limit: int,
+    size: int,
+    ends_by_job: dict[str, int],
+    now_ms: int,
+) -> list[tuple[int, str, int]]:
+    """Returns when how many more parts fit on a row."""
+    endpoint_id = row.endpoint.endpoint_id
+    offers = []
+    free = row.accelerators
+    known = max(0, free) // size
+    if known:
+        offers.append((now_ms, endpoint_id, known))
+    ends = sorted(
+        (ends_by_job.get(job_id, now_ms), job_id) for job_id in row.parts_by_job
+    )
+    for end_ms, job_id in ends:
+        free += row.accelerators_by_job.get(job_id, 0)
+        now_fits = max(0, min(free, limit)) // size
+        if now_fits > known:
+            offers.append((end_ms, endpoint_id, now_fits - known))
+            known = now_fits
+    return offers
--- /dev/null
+++ b/packages/core/src/laburnumgate_core/ordering.py
@@ -0,0 +1,103 @@
+"""Order of the waiting jobs of one zone, kept as jobs come and go."""
+
+from collections.abc import Iterator
+
+import sortedcontainers
+
+from laburnumgate_core import jobs
+from laburnumgate_core import model
+
+# A job gains one class for each such time of waiting.
+AGE_MS = 600_000
+
+_CLASS = {
+    model.Urgency.URGENT: 0,
+    model.Urgency.NORMAL: 1,
+    model.Urgency.BATCH: 1,
+}
+
+_Key = tuple[int, int, str]
+
+
+class Queue:
+    """Waiting jobs beyond and within guarantees.
+
+    Ageing is continuous: a class counts as `age_ms` of waiting. The key of a
+    job is therefore constant and nothing is sorted again as time passes.
+    """
+
+    def __init__(self, age_ms: int = AGE_MS):
+        """Creates an empty queue.
+
+        Args:
+          age_ms: waiting time in ms that raises a job one class.
+        """
+        self._age_ms = age_ms
+        self._jobs_by_id: dict[str, jobs.Job] = {}
+        self._keys = sortedcontainers.SortedList()
+        self._keys_by_account: dict[str, sortedcontainers.SortedList] = {}
+        self.accelerators = 0
+
+    def __len__(self) -> int:
+        return len(self._jobs_by_id)
+
+    def __contains__(self, job_id: str) -> bool:
+        return job_id in self._jobs_by_id
+
+    def get(self, job_id: str) -> jobs.Job | None:
+        """Returns a waiting job, None if it does not wait."""
+        return self._jobs_by_id.get(job_id)
+
+    def put(self, job: jobs.Job) -> None:
+        """Adds a job or replaces what is known of it."""
+        self.discard(job.job_id)
+        self._jobs_by_id[job.job_id] = job
+        key = self._key(job)
+        self._keys.add(key)
+        keys = self._keys_by_account.setdefault(
+            job.account, sortedcontainers.SortedList()
+        )
+        keys.add(key)
+        self.accelerators += job.spec.accelerators
+
+    def discard(self, job_id: str) -> None:
+        """Removes a job if it waits."""
+        job = self._jobs_by_id.pop(job_id, None)
+        if job is None:
+            return
+        key = self._key(job)
+        self._keys.remove(key)
+        keys = self._keys_by_account[job.account]
+        keys.remove(key)
+        if not keys:
+            del self._keys_by_account[job.account]
+        self.accelerators -= job.spec.accelerators
+
+    def clear(self) -> None:
+        """Removes every job."""
+        self._jobs_by_id.clear()
+        self._keys.clear()
+        self._keys_by_account.clear()
+        self.accelerators = 0
+
+    def in_order(self) -> Iterator[jobs.Job]:
+        """Yields the jobs in order; the queue must not change meanwhile."""
+        for _, _, job_id in self._keys:
+            yield self._jobs_by_id[job_id]
+
+    def of_account(self, account: str) -> Iterator[jobs.Job]:
+        """Yields an account's jobs in order."""
+        for _, _, job_id in self._keys_by_account.get(account, ()):
+            yield self._jobs_by_id[job_id]
+
+    def accounts(self) -> list[str]:
+        """Returns the accounts with waiting jobs, sorted."""
+        return sorted(self._keys_by_account)
+
+    def _key(self, job: jobs.Job) -> _Key:
+        rank = _CLASS[job.spec.urgency]
+        return (
+            job.submitted_at_ms + rank * self._age_ms,
+            job.submitted_at_ms,
+            job.job_id,
+        )
--- /dev/null
+++ b/packages/core/src/laburnumgate_core/reclaim.py
@@ -0,0 +1,151 @@
+"""Chooses endpoints for a guaranteed gang and the runs to stop for it."""
+
+from collections.abc import Callable
+from collections.abc import Collection
+from collections.abc import Iterable
+import dataclasses
+
+from laburnumgate_core import model
+from laburnumgate_core import placement
+from laburnumgate_core import reservation
+
+# A stop that is not confirmed by then is given up and other endpoints are
+# chosen. 2 s leave time for three more attempts within 9.2 s.
+CONFIRM_MS = 2_000
+
+
+@dataclasses.dataclass(frozen=True)
+class Victim:
+    """A run that may be stopped; `lost_work` is in accelerators times ms."""
+
+    job_id: str
+    accelerators: int
+    lost_work: float
+
+
+@dataclasses.dataclass(frozen=True)
+class Plan:
+    """Endpoints for the slot and for the job, and the runs to stop."""
+
+    parts_by_endpoint: dict[str, int]
+    endpoint_ids: tuple[str, ...]
+    victim_ids: tuple[str, ...]
+    lost_work: float
+
+
+@dataclasses.dataclass(frozen=True)
+class _Offer:
+    """What one endpoint can give to the slot."""
+
+    row: placement.Row
+    parts: int
+    cost: float
+    victims: tuple[Victim, ...]
+
+
+def plan(
+    slot: reservation.Slot,
+    spec: model.JobSpec,
+    rows: Iterable[placement.Row],
+    victims_on: Callable[[placement.Row], list[Victim]],
+    freeing_on: Callable[[placement.Row], int],
+    avoid: Collection[str],
+) -> Plan | None:
+    """Returns the plan that loses the least work, None if there is none.
+
+    Args:
+      slot: the guaranteed gang; its own reservation counts as available.
+      spec: a job within the slot's shape.
+      rows: endpoints that may be used.
+      victims_on: runs on a row that may be stopped.
+      freeing_on: accelerators of a row that earlier stops will free.
+      avoid: ids of endpoints that must not be used.
+    """
+    groups: dict[str, list[_Offer]] = {}
+    for row in rows:
+        if not row.enabled or row.endpoint.endpoint_id in avoid:
+            continue
+        offer = _offer(slot, spec, row, victims_on(row), freeing_on(row))
+        if offer is None:
+            continue
+        name = row.endpoint.rack
+        if slot.adjacency is model.Adjacency.ZONE:
+            name = ""
+        groups.setdefault(name, []).append(offer)
+    best: Plan | None = None
+    for offers in groups.values():
+        found = _plan_in(slot, spec, offers)
+        if found is not None and (
+            best is None or found.lost_work < best.lost_work
+        ):
+            best = found
+    return best
+
+
+def _offer(
+    slot: reservation.Slot,
+    spec: model.JobSpec,
+    row: placement.Row,
+    victims: list[Victim],
+    freeing: int,
+) -> _Offer | None:
+    size = slot.accelerators_per_part
+    own = slot.parts_by_endpoint.get(row.endpoint.endpoint_id, 0) * size
+    parts = min(slot.parts, (row.unreserved() + own) // size)
+    if parts <= 0:
+        return None
+    wanted = min(parts, slot.needed(spec)) * size
+    free = row.accelerators + freeing
+    chosen = []
+    cost = 0.0
+    slots = row.slots
+    for victim in sorted(victims, key=lambda v: (v.lost_work, v.job_id)):
+        if free >= wanted and slots >= wanted // spec.accelerators_per_part:
+            break
+        chosen.append(victim)
+        free += victim.accelerators
+        slots += row.parts_by_job.get(victim.job_id, 0)
+        cost += victim.lost_work
+    if free < wanted:
+        parts = free // size
+    if parts <= 0:
+        return None
+    return _Offer(row, parts, cost, tuple(chosen))
+
+
+def _plan_in(
+    slot: reservation.Slot, spec: model.JobSpec, offers: list[_Offer]
+) -> Plan | None:
+    offers.sort(
+        key=lambda offer: (
+            offer.row.suspect,
+            offer.cost / offer.parts,
+            -offer.row.endpoint.speed,
+            -slot.parts_by_endpoint.get(offer.row.endpoint.endpoint_id, 0),
+            offer.row.endpoint.endpoint_id,
+        )
+    )
+    parts_by_endpoint: dict[str, int] = {}
+    endpoint_ids: list[str] = []
+    victims: dict[str, Victim] = {}
+    left = slot.parts
+    per_part = slot.accelerators_per_part // spec.accelerators_per_part
+    for offer in offers:
+        count = min(left, offer.parts)
+        endpoint_id = offer.row.endpoint.endpoint_id
+        parts_by_endpoint[endpoint_id] = count
+        left -= count
+        job_parts = min(count * per_part, spec.parts - len(endpoint_ids))
+        if job_parts:
+            endpoint_ids.extend([endpoint_id] * job_parts)
+            victims.update({v.job_id: v for v in offer.victims})
+        if not left:
+            break
+    if left:
+        return None
+    return Plan(
+        parts_by_endpoint,
+        tuple(endpoint_ids),
+        tuple(victims),
+        sum(victim.lost_work for victim in victims.values()),
+    )
--- /dev/null
+++ b/packages/core/src/laburnumgate_core/routing.py
@@ -0,0 +1,129 @@
+"""Chooses the zone of a request from what the zones tell of themselves."""
+
+from collections.abc import Collection
+import dataclasses
+
+from laburnumgate_core import model
+
+
+@dataclasses.dataclass(frozen=True)
+class FreeSlot:
+    """A guaranteed gang that no job uses."""
+
+    account: str
+    parts: int
+    accelerators_per_part: int
+
+
+@dataclasses.dataclass(frozen=True)
+class Summary:
+    """Free capacity of a zone, for other hosts."""
+
+    free_accelerators: int
+    largest_free_rack: int
+    waiting_jobs: int
+    waiting_accelerators: int = 0
+    accelerators: int = 0
+    # Accelerators of the rack with the most capacity that is owed to nobody.
+    largest_unreserved: int = 0
+    speed: float = 1.0
+    in_service: bool = True
+    free_slots: tuple[FreeSlot, ...] = ()
+
+
+def choose_zone(
+    account: str,
+    spec: model.JobSpec,
+    zones: Collection[str],
+    summaries_by_zone: dict[str, Summary],
+) -> str:
+    """Returns the zone that should place a request, empty if there is none.
+
+    Args:
+      account: the client account.
+      spec: the job.
+      zones: zones that the account's promise allows, all if empty.
+      summaries_by_zone: the zones' newest summaries.
+    """
+    at_once = starts_at_once(account, spec, zones, summaries_by_zone)
+    if at_once:
+        return at_once
+    best = ""
+    best_key = None
+    for zone, summary in sorted(summaries_by_zone.items()):
+        if not summary.in_service or (zones and zone not in zones):
+            continue
+        capacity = max(1, summary.accelerators) * summary.speed
+        backlog = summary.waiting_accelerators - summary.free_accelerators
+        key = (not _can_ever(spec, summary), backlog / capacity, -summary.speed)
+        if best_key is None or key < best_key:
+            best = zone
+            best_key = key
+    return best
+
+
+def starts_at_once(
+    account: str,
+    spec: model.JobSpec,
+    zones: Collection[str],
+    summaries_by_zone: dict[str, Summary],
+) -> str:
+    """Returns the fastest zone that can start the job now, or none.
+
+    A zone can if a guaranteed gang of the account is free there, or if
+    nothing waits there and the gang fits.
+    """
+    best = ""
+    best_key = None
+    for zone, summary in sorted(summaries_by_zone.items()):
+        if not summary.in_service or (zones and zone not in zones):
+            continue
+        owed = any(
+            slot.account == account and _fits_slot(spec, slot)
+            for slot in summary.free_slots
+        )
+        room = (
+            summary.largest_free_rack
+            if spec.adjacency is model.Adjacency.RACK
+            else summary.free_accelerators
+        )
+        fits = (
+            not summary.waiting_jobs
+            and room >= spec.accelerators
+            and _can_ever(spec, summary)
+        )
+        if not owed and not fits:
+            continue
+        key = (not fits, not owed, -summary.speed, -room)
+        if best_key is None or key < best_key:
+            best = zone
+            best_key = key
+    return best
+
+
+def after(summary: Summary, account: str, accelerators: int) -> Summary:
+    """Returns what is left of a zone once it took a job."""
+    slots = list(summary.free_slots)
+    for slot in slots:
+        if slot.account == account:
+            slots.remove(slot)
+            break
+    return dataclasses.replace(
+        summary,
+        free_accelerators=summary.free_accelerators - accelerators,
+        largest_free_rack=summary.largest_free_rack - accelerators,
+        free_slots=tuple(slots),
+    )
+
+
+def _can_ever(spec: model.JobSpec, summary: Summary) -> bool:
+    if spec.preemptible:
+        return summary.accelerators >= spec.accelerators
+    return summary.largest_unreserved >= spec.accelerators
+
+
+def _fits_slot(spec: model.JobSpec, slot: FreeSlot) -> bool:
+    if not spec.accelerators_per_part:
+        return False
+    per_part = slot.accelerators_per_part // spec.accelerators_per_part
+    return per_part * slot.parts >= spec.parts
--- a/packages/core/src/laburnumgate_core/scheduler.py
+++ b/packages/core/src/laburnumgate_core/scheduler.py
@@ -1,32 +1,60 @@
 """The placing host's queue for one zone and the systems that run over it.
 
-The scheduler does no I/O: `tick` and `on` return actions, see `actions`.
+The scheduler does no I/O: `tick` and `on` return actions, see `actions`. The
+caller passes on the ids of all jobs that changed with `note_changes`.
 """
 
+from collections.abc import Iterable
 import dataclasses
+import heapq
 import random
 
 from laburnumgate_core import actions
+from laburnumgate_core import backfill
 from laburnumgate_core import clock
 from laburnumgate_core import config
+from laburnumgate_core import estimate
 from laburnumgate_core import gang
 from laburnumgate_core import jobs
 from laburnumgate_core import model
+from laburnumgate_core import ordering
 from laburnumgate_core import placement
+from laburnumgate_core import quarantine
+from laburnumgate_core import quota
+from laburnumgate_core import reclaim
 from laburnumgate_core import records
+from laburnumgate_core import reservation
+from laburnumgate_core import routing
 from laburnumgate_core import runs
 from laburnumgate_core import verdict
 
 BACKOFF_MIN_MS = 200
 BACKOFF_MAX_MS = 3_200
-# Waiting jobs that one tick tries to place.
-PLACEMENTS_PER_TICK = 64
-
-_URGENCY_ORDER = {
-    model.Urgency.URGENT: 0,
-    model.Urgency.NORMAL: 1,
-    model.Urgency.BATCH: 2,
-}
+# Waiting jobs that one pass looks at. A job further back waits until those
+# before it start, so a long queue does not make a pass longer.
+JOBS_PER_PASS = 256
+# Waiting jobs of an account that are compared with a free guaranteed gang.
+JOBS_PER_SLOT = 64
+# A pass is made at least this often while jobs wait.
+PASS_EVERY_MS = 1_000
+# Waiting jobs are offered to other zones this often.
+MOVE_EVERY_MS = 1_000
+# A moved job stays at least this long, so that two zones do not pass it back
+# and forth on outdated summaries.
+MOVE_PAUSE_MS = 5_000
+MOVES_PER_PASS = 64
+# A returning zone may start 10% of its accelerators at once and the rest
+# evenly over this time.
+RAMP_MS = 10_000
+RAMP_FIRST_SHARE = 0.1
+# An endpoint that confirmed a stop late is avoided in reclaims for this long.
+SLOW_STOP_FORGET_MS = 60_000
+# Writing and reading a checkpoint costs about this much of a run's work.
+CHECKPOINT_COST_MS = 500
+
+_STOPPING = (gang.Phase.STOPPING, gang.Phase.CLOSING, gang.Phase.DONE)
+
+Summary = routing.Summary
 
 
 @dataclasses.dataclass(frozen=True)
@@ -38,12 +66,14 @@
 
 
 @dataclasses.dataclass(frozen=True)
-class Summary:
-    """Free capacity of the zone, for other hosts."""
+class _Claim:
+    """Capacity taken ahead for a job that waits for stops."""
 
-    free_accelerators: int
-    largest_free_rack: int
-    waiting_jobs: int
+    job: jobs.Job
+    slot: reservation.Slot
+    endpoint_ids: tuple[str, ...]
+    victim_ids: tuple[str, ...]
+    since_ms: int
 
 
 class Scheduler:
@@ -56,6 +86,7 @@
         config_table: config.ConfigTable,
         time: clock.Clock,
         rng: random.Random,
+        age_ms: int = ordering.AGE_MS,
     ):
         """Creates a scheduler that is not active yet.
 
@@ -65,28 +96,57 @@
           config_table: the configuration in force.
           time: source of the current time.
           rng: source of jitter.
+          age_ms: waiting time in ms that raises a job one class.
         """
         self.zone = zone
         self.active = False
         self.endpoints_by_id: dict[str, model.Endpoint] = {}
         self.stopped_by_operator = False
         self.runs = runs.RunTable(zone, job_table, self.may_start)
+        self.estimates = estimate.EstimateTable()
+        self.quarantine = quarantine.QuarantineTable()
         self._jobs = job_table
         self._config = config_table
         self._clock = time
         self._rng = rng
+        self._queue = ordering.Queue(age_ms)
+        self._free = placement.FreeTable()
+        self._slots = reservation.SlotTable(self._free)
+        self._usage = quota.UsageTable()
         self._backoff_by_id: dict[str, _Backoff] = {}
+        self._wakeups: list[tuple[int, str]] = []
+        self._claims_by_job: dict[str, _Claim] = {}
+        self._pinned_ids: set[str] = set()
+        self._peers_by_zone: dict[str, Summary] = {}
+        self._moved_ms_by_id: dict[str, int] = {}
+        self._slow_until_by_id: dict[str, int] = {}
+        self._stopping_ms_by_id: dict[str, int] = {}
+        self._deadlines: list[tuple[int, str]] = []
+        self._shadow: backfill.Shadow | None = None
+        self._config_offset = -1
+        self._largest_unreserved = 0
+        # Whether runs of an earlier placing host are still without slots.
+        self._adopting = False
+        self._in_service = True
+        self._ramp_from_ms = -RAMP_MS
+        self._ramp_used = 0
+        self._dirty = True
+        self._next_pass_ms = 0
+        self._next_move_ms = 0
 
     def activate(self) -> None:
         """Becomes the placing host: starts nothing until all reported."""
         self.active = True
         self._backoff_by_id.clear()
         self.runs.adopt(self.endpoints_by_id, self._clock.now_ms())
+        self._adopting = True
+        self._rebuild()
 
     def deactivate(self) -> None:
         """Stops placing; running tasks go on under the next host."""
         self.active = False
         self.runs.clear()
+        self._queue.clear()
 
     @property
     def recovering(self) -> bool:
@@ -96,12 +156,36 @@
     def update_endpoints(self, endpoints: list[model.Endpoint]) -> None:
         """Takes the zone's endpoints from the live list."""
         by_id = {e.endpoint_id: e for e in endpoints if e.zone == self.zone}
+        if by_id == self.endpoints_by_id:
+            return
         for endpoint_id in by_id.keys() - self.endpoints_by_id.keys():
             if self.active:
                 self.runs.expect_report(endpoint_id)
         for endpoint_id in self.endpoints_by_id.keys() - by_id.keys():
             self.runs.forget_endpoint(endpoint_id)
+            self.quarantine.forget(endpoint_id)
         self.endpoints_by_id = by_id
+        if self.active:
+            self._rebuild_free()
+
+    def update_peers(self, summaries_by_zone: dict[str, Summary]) -> None:
+        """Takes what other zones last told of their free capacity."""
+        self._peers_by_zone = {
+            zone: summary
+            for zone, summary in summaries_by_zone.items()
+            if zone != self.zone
+        }
+
+    def note_changes(self, job_ids: Iterable[str]) -> None:
+        """Takes the ids of jobs, of any zone, that changed in the fold."""
+        for job_id in job_ids:
+            job = self._jobs.get(job_id)
+            if job is None:
+                continue
+            self._learn(job)
+            if self.active:
+                self._usage.update(job, job_id in self.runs.runs_by_id)
+                self._refresh(job)
 
     def may_start(self, endpoint_id: str) -> bool:
         """Whether the endpoint may get new work at this moment."""
@@ -114,7 +198,10 @@
 
     def on(self, result: actions.Result) -> list[actions.Action]:
         """Takes one result and returns what follows from it."""
-        wanted = self.runs.on(result, self._clock.now_ms())
+        now_ms = self._clock.now_ms()
+        if isinstance(result, actions.Appended):
+            self._check_quota(result, now_ms)
+        wanted = self.runs.on(result, now_ms)
         self._close_runs()
         return wanted
 
@@ -124,24 +211,329 @@
             return []
         now_ms = self._clock.now_ms()
         wanted = self.runs.tick(now_ms)
-        if not self.recovering:
-            wanted.extend(self._expire(now_ms))
+        self._close_runs()
+        self._apply_config(now_ms)
+        if self.recovering:
+            return wanted
+        wanted.extend(self._expire(now_ms))
+        self._wake(now_ms)
+        if not self._in_service:
+            wanted.extend(self._leave(now_ms))
+            self._close_runs()
+            return wanted
+        wanted.extend(self._follow_claims(now_ms))
+        if self._dirty or (self._queue and now_ms >= self._next_pass_ms):
+            self._dirty = False
+            self._next_pass_ms = now_ms + PASS_EVERY_MS
+            wanted.extend(self._fill_slots(now_ms))
             wanted.extend(self._place(now_ms))
+        wanted.extend(self._offer_jobs(now_ms))
         self._close_runs()
         return wanted
 
     def summary(self) -> Summary:
-        """Returns the zone's free capacity."""
-        racks = [
-            sum(row.accelerators for row in rows)
-            for rows in self._free_by_rack().values()
+        """Returns the zone's free capacity and what waits for it."""
+        speeds = [e.speed for e in self.endpoints_by_id.values()]
+        in_service = self._config.zone_in_service(self.zone)
+        return Summary(
+            free_accelerators=self._free.free,
+            largest_free_rack=self._free.largest_free_rack,
+            waiting_jobs=len(self._queue),
+            waiting_accelerators=self._queue.accelerators,
+            accelerators=self._total(),
+            largest_unreserved=self._largest_unreserved,
+            speed=max(speeds, default=1.0),
+            in_service=in_service,
+            free_slots=tuple(
+                routing.FreeSlot(
+                    slot.account, slot.parts, slot.accelerators_per_part
+                )
+                for slot in self._slots
+                if not slot.job_id and slot.parts_by_endpoint
+            ),
+        )
+
+    def choose_zone(
+        self,
+        account: str,
+        spec: model.JobSpec,
+        summaries_by_zone: dict[str, Summary],
+    ) -> str:
+        """Returns the zone that should place a new request."""
+        promise = self._config.promises_by_account.get(account)
+        allowed = promise.zones if promise is not None else ()
+        return routing.choose_zone(account, spec, allowed, summaries_by_zone)
+
+    # Tables.
+
+    def _rebuild(self) -> None:
+        """Builds every table from the fold and the adopted runs."""
+        self._queue.clear()
+        self._deadlines.clear()
+        self._usage.clear()
+        self._claims_by_job.clear()
+        self._pinned_ids.clear()
+        self._slots = reservation.SlotTable(self._free)
+        for zone in self._config.zones_by_name:
+            for job_id in self._jobs.open_ids(zone):
+                job = self._jobs.get(job_id)
+                self._usage.update(job, job_id in self.runs.runs_by_id)
+                self._refresh(job)
+        self._rebuild_free()
+
+    def _rebuild_free(self) -> None:
+        """Builds free capacity anew after the set of endpoints changed."""
+        self._free = placement.FreeTable()
+        for claim in self._claims_by_job.values():
+            self._slots.release(claim.job.job_id)
+        self._claims_by_job.clear()
+        old = list(self._slots)
+        self._slots = reservation.SlotTable(self._free)
+        for endpoint in self.endpoints_by_id.values():
+            self._free.put(endpoint)
+        for run in self.runs.runs_by_id.values():
+            self._take(run, 1)
+        self._slots.adopt(old)
+        self._config_offset = -1
+        self._dirty = True
+
+    def _apply_config(self, now_ms: int) -> None:
+        """Takes over what changed in the configuration since the last tick."""
+        if self._config.offset != self._config_offset:
+            self._config_offset = self._config.offset
+            in_service = self._config.zone_in_service(self.zone)
+            if in_service and not self._in_service:
+                self._ramp_from_ms = now_ms
+                self._ramp_used = 0
+            self._in_service = in_service
+            for endpoint_id in self._free.rows_by_id:
+                self._enable(endpoint_id, now_ms)
+            self._assign_slots()
+            self._dirty = True
+
+    def _assign_slots(self) -> None:
+        zones = [
+            zone
+            for zone in self._config.zones_by_name.values()
+            if self._config.zone_in_service(zone.name)
+        ]
+        by_zone = reservation.assign(self._config.promises_by_account, zones)
+        self._slots.replace(by_zone.get(self.zone, []))
+        if self._adopting:
+            self._adopting = False
+            self._adopt_slots()
+        self._recount_pinned()
+        self._locate_slots()
+
+    def _adopt_slots(self) -> None:
+        """Puts adopted runs into free slots of their accounts.
+
+        The earlier placing host kept its slots in memory only. Runs that
+        cannot be stopped come first, since they bind capacity anyway.
+        """
+        adopted = sorted(
+            self.runs.runs_by_id.values(),
+            key=lambda run: (run.job.spec.preemptible, run.job.job_id),
+        )
+        for run in adopted:
+            slots = self._slots.slots_by_account.get(run.job.account, ())
+            for slot in slots:
+                if slot.job_id or not slot.fits(run.job.spec):
+                    continue
+                self._slots.move(slot, _slot_parts(slot, run))
+                self._slots.occupy(slot, run.job.job_id)
+                break
+
+    def _recount_pinned(self) -> None:
+        """Counts work that cannot be stopped and is in no slot."""
+        for row in self._free.rows_by_id.values():
+            row.pinned = 0
+        self._pinned_ids.clear()
+        for run in self.runs.runs_by_id.values():
+            self._pin(run)
+
+    def _locate_slots(self) -> None:
+        for slot in self._slots:
+            if not slot.job_id:
+                self._slots.locate(slot)
+        totals: dict[str, int] = {}
+        for row in self._free.rows_by_id.values():
+            if row.enabled:
+                rack = row.endpoint.rack
+                left = row.endpoint.accelerators - row.reserved
+                totals[rack] = totals.get(rack, 0) + left
+        self._largest_unreserved = max(totals.values(), default=0)
+
+    def _enable(self, endpoint_id: str, now_ms: int) -> None:
+        row = self._free.rows_by_id.get(endpoint_id)
+        if row is None:
+            return
+        row.suspect = self.quarantine.suspect(endpoint_id)
+        until_ms = self.quarantine.until_ms(endpoint_id)
+        endpoint = self.endpoints_by_id[endpoint_id]
+        self._free.enable(
+            endpoint_id,
+            now_ms >= until_ms
+            and not endpoint.leaving
+            and self._config.endpoint_active(endpoint_id),
+        )
+
+    def _refresh(self, job: jobs.Job) -> None:
+        """Puts a job into the queue or takes it out."""
+        waits = (
+            job.state is jobs.JobState.QUEUED
+            and job.zone == self.zone
+            and job.job_id not in self.runs.runs_by_id
+        )
+        if waits:
+            self._queue.put(job)
+            self._dirty = True
+            if job.deadline_ms:
+                heapq.heappush(self._deadlines, (job.deadline_ms, job.job_id))
+            return
+        self._queue.discard(job.job_id)
+        claim = self._claims_by_job.get(job.job_id)
+        if claim is not None:
+            self._unclaim(claim)
+        if job.state is jobs.JobState.ENDED:
+            self._backoff_by_id.pop(job.job_id, None)
+            self._moved_ms_by_id.pop(job.job_id, None)
+
+    def _learn(self, job: jobs.Job) -> None:
+        """Learns the run time of a whole run in this zone."""
+        if not isinstance(job.outcome, verdict.Ran) or job.checkpoint:
+            return
+        speeds = [
+            self.endpoints_by_id[endpoint_id].speed
+            for endpoint_id in job.endpoints
+            if endpoint_id in self.endpoints_by_id
         ]
-        return Summary(sum(racks), max(racks, default=0), len(self._waiting()))
+        if not speeds:
+            return
+        ran_ms = job.ended_at_ms - job.started_at_ms
+        self.estimates.learn(job.account, job.spec, ran_ms, min(speeds))
+
+    def _total(self) -> int:
+        return sum(
+            row.endpoint.accelerators for row in self._free.rows_by_id.values()
+        )
+
+    # Runs.
+
+    def _start(
+        self, job: jobs.Job, endpoint_ids: tuple[str, ...]
+    ) -> list[actions.Action]:
+        self._queue.discard(job.job_id)
+        wanted = self.runs.start(job, endpoint_ids)
+        run = self.runs.runs_by_id[job.job_id]
+        self._take(run, 1)
+        self._pin(run)
+        self._usage.update(job, True)
+        self._ramp_used += job.spec.accelerators
+        return wanted
+
+    def _take(self, run: gang.Run, sign: int) -> None:
+        for endpoint_id in run.endpoint_ids:
+            self._free.take(run.job.job_id, run.job.spec, endpoint_id, sign)
+
+    def _pin(self, run: gang.Run) -> None:
+        job = run.job
+        if job.spec.preemptible or self._slots.of_job(job.job_id) is not None:
+            return
+        self._pinned_ids.add(job.job_id)
+        self._add_pinned(run, 1)
+
+    def _add_pinned(self, run: gang.Run, sign: int) -> None:
+        size = run.job.spec.accelerators_per_part
+        for endpoint_id in run.endpoint_ids:
+            row = self._free.rows_by_id.get(endpoint_id)
+            if row is not None:
+                row.pinned += sign * size
+
+    def _check_quota(self, result: actions.Appended, now_ms: int) -> None:
+        """Stops a start that lost to the start of another zone.
+
+        Zones start work at the same time; the log's order tells them whose
+        start exceeds the quota.
+        """
+        record = result.record
+        if not isinstance(record, records.Starting) or not result.taken:
+            return
+        run = self.runs.runs_by_id.get(record.job_id)
+        if run is None:
+            return
+        if self._usage.used(run.job.account) > self._quota(run.job.account):
+            run.stop("the quota of the account is used up", now_ms)
+
+    def _close_runs(self) -> None:
+        now_ms = self._clock.now_ms()
+        for run in self.runs.take_done():
+            job_id = run.job.job_id
+            self._take(run, -1)
+            if job_id in self._pinned_ids:
+                self._pinned_ids.discard(job_id)
+                self._add_pinned(run, -1)
+            slot = self._slots.release(job_id)
+            if slot is not None:
+                self._slots.locate(slot)
+            self._stopping_ms_by_id.pop(job_id, None)
+            self._note_health(run, now_ms)
+            if run.outcome is None:
+                self._back_off(run, now_ms)
+            else:
+                self._backoff_by_id.pop(job_id, None)
+            job = self._jobs.get(job_id)
+            if job is not None:
+                self._usage.update(job, False)
+                self._refresh(job)
+            self._dirty = True
+
+    def _note_health(self, run: gang.Run, now_ms: int) -> None:
+        if run.failed_endpoint:
+            endpoint_id = run.failed_endpoint
+            self.quarantine.failed(endpoint_id, run.job.job_id, now_ms)
+            until_ms = self.quarantine.until_ms(endpoint_id)
+            if until_ms > now_ms:
+                heapq.heappush(self._wakeups, (until_ms, endpoint_id))
+            self._enable(endpoint_id, now_ms)
+            self._locate_slots()
+            return
+        if not isinstance(run.outcome, verdict.Ran):
+            return
+        for endpoint_id in run.endpoint_ids:
+            if self.quarantine.suspect(endpoint_id):
+                self.quarantine.succeeded(endpoint_id)
+                self._enable(endpoint_id, now_ms)
+
+    def _back_off(self, run: gang.Run, now_ms: int) -> None:
+        job_id = run.job.job_id
+        if run.may_have_run:
+            # The run was stopped, not refused: nothing speaks against a new
+            # start at once.
+            return
+        last = self._backoff_by_id.get(job_id)
+        pause_ms = BACKOFF_MIN_MS
+        if last is not None:
+            pause_ms = min(BACKOFF_MAX_MS, last.pause_ms * 2)
+        until_ms = now_ms + pause_ms + self._rng.randrange(pause_ms)
+        self._backoff_by_id[job_id] = _Backoff(until_ms, pause_ms)
+        heapq.heappush(self._wakeups, (until_ms, job_id))
+
+    def _wake(self, now_ms: int) -> None:
+        """Looks again at what was waiting for a moment that has come."""
+        while self._wakeups and self._wakeups[0][0] <= now_ms:
+            _, name = heapq.heappop(self._wakeups)
+            self._dirty = True
+            if name in self.endpoints_by_id:
+                self._enable(name, now_ms)
+                self._locate_slots()
 
     def _expire(self, now_ms: int) -> list[actions.Action]:
         wanted: list[actions.Action] = []
-        for job in self._waiting():
-            if not job.deadline_ms or now_ms <= job.deadline_ms:
+        while self._deadlines and self._deadlines[0][0] < now_ms:
+            deadline_ms, job_id = heapq.heappop(self._deadlines)
+            job = self._queue.get(job_id)
+            if job is None or job.deadline_ms != deadline_ms:
                 continue
             outcome: verdict.Verdict = verdict.NotRun(
                 "the deadline passed while the request waited"
@@ -152,84 +544,384 @@
             wanted.append(actions.Append(ended))
         return wanted
 
-    def _place(self, now_ms: int) -> list[actions.Action]:
+    # Placement.
+
+    def _quota(self, account: str) -> int:
+        promise = self._config.promises_by_account.get(account)
+        return promise.quota_accelerators if promise is not None else 0
+
+    def _may_try(self, job: jobs.Job, now_ms: int) -> bool:
+        backoff = self._backoff_by_id.get(job.job_id)
+        if backoff is not None and now_ms < backoff.until_ms:
+            return False
+        if job.job_id in self._claims_by_job:
+            return False
+        needed = job.spec.accelerators
+        used = self._usage.used(job.account)
+        if used + needed > self._quota(job.account):
+            return False
+        return not self.stopped_by_operator and self._ramp_allows(now_ms)
+
+    def _ramp_allows(self, now_ms: int) -> bool:
+        elapsed_ms = now_ms - self._ramp_from_ms
+        if elapsed_ms >= RAMP_MS:
+            return True
+        share = RAMP_FIRST_SHARE + elapsed_ms / RAMP_MS
+        return self._ramp_used < share * self._total()
+
+    def _avoided(self, job: jobs.Job) -> tuple[str, ...]:
+        """Endpoints on which the job failed, unless it needs most of them."""
+        if job.spec.parts * 2 > len(self.endpoints_by_id):
+            return ()
+        return job.failed_endpoints
+
+    def _fill_slots(self, now_ms: int) -> list[actions.Action]:
+        """Starts waiting jobs in the guaranteed gangs of their accounts."""
+        wanted: list[actions.Action] = []
+        for account in self._accounts_by_urgency():
+            for slot in self._slots.slots_by_account.get(account, ()):
+                if slot.job_id:
+                    continue
+                job = self._job_for(slot, now_ms)
+                if job is not None:
+                    wanted.extend(self._fill_slot(slot, job, now_ms))
+        return wanted
+
+    def _accounts_by_urgency(self) -> list[str]:
+        promises = self._config.promises_by_account
+        return sorted(
+            (a for a in self._queue.accounts() if a in promises),
+            key=lambda a: promises[a].urgency is not model.Urgency.URGENT,
+        )
+
+    def _job_for(self, slot: reservation.Slot, now_ms: int) -> jobs.Job | None:
+        for index, job in enumerate(self._queue.of_account(slot.account)):
+            if index >= JOBS_PER_SLOT:
+                return None
+            if slot.fits(job.spec) and self._may_try(job, now_ms):
+                return job
+        return None
+
+    def _fill_slot(
+        self, slot: reservation.Slot, job: jobs.Job, now_ms: int
+    ) -> list[actions.Action]:
+        plan = self._plan(slot, job, now_ms)
+        if plan is None:
+            return []
+        self._slots.move(slot, plan.parts_by_endpoint)
+        self._slots.occupy(slot, job.job_id)
+        claim = _Claim(job, slot, plan.endpoint_ids, plan.victim_ids, now_ms)
+        self._claims_by_job[job.job_id] = claim
+        self._take_claim(claim, 1)
+        wanted: list[actions.Action] = []
+        for victim_id in plan.victim_ids:
+            reason = f"reclaimed for the guarantee of {slot.account}"
+            wanted.extend(self._stop(victim_id, reason, now_ms))
+        wanted.extend(self._follow_claim(claim, now_ms))
+        return wanted
+
+    def _plan(
+        self, slot: reservation.Slot, job: jobs.Job, now_ms: int
+    ) -> reclaim.Plan | None:
+        """Plans in the slot's endpoints if they are free, else in the zone."""
+        avoid = set(self._avoided(job))
+        slow = {
+            endpoint_id
+            for endpoint_id, until_ms in self._slow_until_by_id.items()
+            if until_ms > now_ms
+        }
+        own = [
+            self._free.rows_by_id[endpoint_id]
+            for endpoint_id in slot.parts_by_endpoint
+            if endpoint_id in self._free.rows_by_id
+        ]
+        for rows, avoided in (
+            (own, avoid | slow),
+            (self._free.rows_by_id.values(), avoid | slow),
+            (self._free.rows_by_id.values(), avoid),
+        ):
+            plan = reclaim.plan(
+                slot,
+                job.spec,
+                rows,
+                lambda row: self._victims(row, now_ms),
+                self._freeing,
+                avoided,
+            )
+            if plan is None:
+                continue
+            if rows is own and plan.victim_ids:
+                continue
+            return plan
+        return None
+
+    def _victims(self, row: placement.Row, now_ms: int) -> list[reclaim.Victim]:
+        victims = []
+        for job_id, parts in row.parts_by_job.items():
+            run = self.runs.runs_by_id.get(job_id)
+            if run is None or not self._may_stop(run):
+                continue
+            spec = run.job.spec
+            job = self._jobs.get(job_id)
+            at_risk_ms = max(0, now_ms - job.started_at_ms)
+            if run.phase is not gang.Phase.RUNNING:
+                at_risk_ms = 0
+            if spec.checkpointable:
+                at_risk_ms = min(at_risk_ms, CHECKPOINT_COST_MS)
+            # A run that was stopped often loses more, so that the same job
+            # is not chosen again and again.
+            lost_work = at_risk_ms * spec.accelerators * run.run
+            victims.append(
+                reclaim.Victim(
+                    job_id, spec.accelerators_per_part * parts, lost_work
+                )
+            )
+        return victims
+
+    def _may_stop(self, run: gang.Run) -> bool:
+        return (
+            run.job.spec.preemptible
+            and run.phase not in _STOPPING
+            and run.job.job_id not in self._stopping_ms_by_id
+            and self._slots.of_job(run.job.job_id) is None
+        )
+
+    def _freeing(self, row: placement.Row) -> int:
+        """Accelerators that stops in progress will free on a row."""
+        freeing = 0
+        for job_id, parts in row.parts_by_job.items():
+            if job_id in self._stopping_ms_by_id:
+                run = self.runs.runs_by_id.get(job_id)
+                if run is not None:
+                    freeing += parts * run.job.spec.accelerators_per_part
+        return freeing
+
+    def _stop(
+        self, job_id: str, reason: str, now_ms: int
+    ) -> list[actions.Action]:
+        run = self.runs.runs_by_id.get(job_id)
+        if run is None:
+            return []
+        self._stopping_ms_by_id[job_id] = now_ms
+        return run.stop(reason, now_ms)
+
+    def _take_claim(self, claim: _Claim, sign: int) -> None:
+        for endpoint_id in claim.endpoint_ids:
+            self._free.take(claim.job.job_id, claim.job.spec, endpoint_id, sign)
+
+    def _unclaim(self, claim: _Claim) -> None:
+        del self._claims_by_job[claim.job.job_id]
+        self._take_claim(claim, -1)
+        self._slots.release(claim.job.job_id)
+        self._dirty = True
+
+    def _follow_claims(self, now_ms: int) -> list[actions.Action]:
         wanted: list[actions.Action] = []
-        free_by_rack = self._free_by_rack()
-        tries = 0
-        for job in sorted(self._waiting(), key=_order):
-            backoff = self._backoff_by_id.get(job.job_id)
-            if backoff is not None and now_ms < backoff.until_ms:
+        for claim in list(self._claims_by_job.values()):
+            wanted.extend(self._follow_claim(claim, now_ms))
+        return wanted
+
+    def _follow_claim(self, claim: _Claim, now_ms: int) -> list[actions.Action]:
+        """Starts the job once its capacity is free, or gives the plan up."""
+        rows = [self._free.rows_by_id.get(e) for e in claim.endpoint_ids]
+        usable = all(row is not None and row.enabled for row in rows)
+        if usable and all(_covered(row) for row in rows):
+            self._take_claim(claim, -1)
+            del self._claims_by_job[claim.job.job_id]
+            return self._start(claim.job, claim.endpoint_ids)
+        if usable and now_ms - claim.since_ms < reclaim.CONFIRM_MS:
+            return []
+        for victim_id in claim.victim_ids:
+            run = self.runs.runs_by_id.get(victim_id)
+            if run is None or victim_id not in self._stopping_ms_by_id:
                 continue
-            if tries >= PLACEMENTS_PER_TICK:
+            for part in run.parts:
+                if part.state in ("running", "held", "unknown"):
+                    until_ms = now_ms + SLOW_STOP_FORGET_MS
+                    self._slow_until_by_id[part.endpoint_id] = until_ms
+        self._unclaim(claim)
+        return []
+
+    def _place(self, now_ms: int) -> list[actions.Action]:
+        """Starts waiting jobs on free capacity, in order."""
+        wanted: list[actions.Action] = []
+        failed: set[tuple] = set()
+        shadow: backfill.Shadow | None = None
+        for index, job in enumerate(list(self._first_jobs())):
+            if index >= JOBS_PER_PASS:
                 break
-            tries += 1
-            chosen = placement.choose(job.spec, free_by_rack)
-            if chosen is None:
+            if not self._may_try(job, now_ms):
+                continue
+            spec = job.spec
+            key = (
+                spec.parts,
+                spec.accelerators_per_part,
+                spec.cpus_per_part,
+                spec.memory_mb_per_part,
+                spec.adjacency,
+                spec.preemptible,
+            )
+            if key in failed and not job.failed_endpoints:
                 continue
-            wanted.extend(self.runs.start(job, chosen))
-            free_by_rack = self._free_by_rack()
+            chosen = self._free.choose(
+                spec, self._bound(job, shadow, now_ms), self._avoided(job)
+            )
+            if chosen is not None:
+                wanted.extend(self._start(job, chosen))
+                continue
+            if shadow is None:
+                shadow = self._find_shadow(job, now_ms)
+            else:
+                failed.add(key)
         return wanted
 
-    def _waiting(self) -> list[jobs.Job]:
-        waiting = []
-        for job_id in self._jobs.open_ids(self.zone):
-            if job_id in self.runs.runs_by_id:
+    def _first_jobs(self) -> Iterable[jobs.Job]:
+        for index, job in enumerate(self._queue.in_order()):
+            if index >= JOBS_PER_PASS:
+                return
+            yield job
+
+    def _bound(
+        self, job: jobs.Job, shadow: backfill.Shadow | None, now_ms: int
+    ):
+        """Returns the bound of a job's parts on a row, None if there is none.
+
+        Work that cannot be stopped leaves reserved capacity alone, and no job
+        delays the gang at the head of the queue.
+        """
+        size = job.spec.accelerators_per_part
+        pinned = not job.spec.preemptible and size > 0
+        if shadow is not None:
+            run_ms = self.estimates.run_ms(
+                job.account,
+                job.spec,
+                self._slowest(),
+                estimate.CAUTIOUS_SHARE,
+            )
+            if now_ms + run_ms <= shadow.at_ms:
+                shadow = None
+        if not pinned and shadow is None:
+            return None
+
+        def bound(row: placement.Row) -> int:
+            if shadow is not None and (
+                row.endpoint.endpoint_id in shadow.endpoint_ids
+            ):
+                return 0
+            if pinned:
+                return row.unreserved() // size
+            return job.spec.parts
+
+        return bound
+
+    def _slowest(self) -> float:
+        return min((e.speed for e in self.endpoints_by_id.values()), default=1)
+
+    def _find_shadow(
+        self, job: jobs.Job, now_ms: int
+    ) -> backfill.Shadow | None:
+        ends_by_id = {}
+        for job_id, run in self.runs.runs_by_id.items():
+            ends_by_id[job_id] = self._expected_end(run, now_ms)
+        return backfill.find(
+            job.spec, self._free.rows_by_id.values(), ends_by_id, now_ms
+        )
+
+    def _expected_end(self, run: gang.Run, now_ms: int) -> int:
+        job = self._jobs.get(run.job.job_id)
+        started_ms = job.started_at_ms or now_ms
+        speed = min(
+            (
+                self.endpoints_by_id[e].speed
+                for e in run.endpoint_ids
+                if e in self.endpoints_by_id
+            ),
+            default=1.0,
+        )
+        run_ms = self.estimates.run_ms(job.account, job.spec, speed)
+        elapsed_ms = now_ms - started_ms
+        # A run beyond its estimate is expected to take a tenth longer still.
+        return now_ms + max(run_ms - elapsed_ms, elapsed_ms // 10, 1)
+
+    # Other zones.
+
+    def _leave(self, now_ms: int) -> list[actions.Action]:
+        """Moves the work of a zone that is out of service."""
+        wanted: list[actions.Action] = []
+        for claim in list(self._claims_by_job.values()):
+            self._unclaim(claim)
+        for job_id, run in list(self.runs.runs_by_id.items()):
+            if run.phase is not gang.Phase.RUNNING:
                 continue
-            job = self._jobs.get(job_id)
-            if job.state is jobs.JobState.QUEUED:
-                waiting.append(job)
-        return waiting
+            if run.job.spec.checkpointable:
+                wanted.extend(
+                    self._stop(job_id, "the zone left service", now_ms)
+                )
+        for index, job in enumerate(self._first_jobs()):
+            if index >= MOVES_PER_PASS:
+                break
+            zone = self.choose_zone(job.account, job.spec, self._peers_by_zone)
+            if zone and now_ms >= self._may_move_ms(job):
+                wanted.append(self._move(job, zone, now_ms))
+        return wanted
 
-    def _free_by_rack(self) -> dict[str, list[placement.Free]]:
-        used_by_id: dict[str, list[model.JobSpec]] = {}
-        for run in self.runs.runs_by_id.values():
-            for endpoint_id in run.endpoint_ids:
-                used_by_id.setdefault(endpoint_id, []).append(run.job.spec)
-        free_by_rack: dict[str, list[placement.Free]] = {}
-        for endpoint_id, endpoint in self.endpoints_by_id.items():
-            if not self.may_start(endpoint_id):
+    def _offer_jobs(self, now_ms: int) -> list[actions.Action]:
+        """Moves waiting jobs to zones that can start them at once."""
+        if now_ms < self._next_move_ms or not self._queue:
+            return []
+        self._next_move_ms = now_ms + MOVE_EVERY_MS
+        peers = dict(self._peers_by_zone)
+        wanted: list[actions.Action] = []
+        for job in self._first_jobs():
+            if len(wanted) >= MOVES_PER_PASS:
+                break
+            if job.job_id in self._claims_by_job:
+                continue
+            if now_ms < self._may_move_ms(job):
+                continue
+            used = self._usage.used(job.account) + job.spec.accelerators
+            if used > self._quota(job.account):
+                continue
+            promise = self._config.promises_by_account.get(job.account)
+            zones = promise.zones if promise is not None else ()
+            zone = routing.starts_at_once(job.account, job.spec, zones, peers)
+            if not zone:
                 continue
-            used = used_by_id.get(endpoint_id, [])
-            free = _free(endpoint, used)
-            free_by_rack.setdefault(endpoint.rack, []).append(free)
-        return free_by_rack
+            peers[zone] = routing.after(
+                peers[zone], job.account, job.spec.accelerators
+            )
+            wanted.append(self._move(job, zone, now_ms))
+        return wanted
 
-    def _close_runs(self) -> None:
-        now_ms = self._clock.now_ms()
-        for run in self.runs.take_done():
-            if run.outcome is None:
-                self._back_off(run, now_ms)
-            else:
-                self._backoff_by_id.pop(run.job.job_id, None)
+    def _may_move_ms(self, job: jobs.Job) -> int:
+        moved_ms = self._moved_ms_by_id.get(job.job_id)
+        if moved_ms is None:
+            return 0
+        return moved_ms + MOVE_PAUSE_MS
 
-    def _back_off(self, run: gang.Run, now_ms: int) -> None:
-        last = self._backoff_by_id.get(run.job.job_id)
-        pause_ms = BACKOFF_MIN_MS
-        if last is not None:
-            pause_ms = min(BACKOFF_MAX_MS, last.pause_ms * 2)
-        jitter_ms = self._rng.randrange(pause_ms)
-        self._backoff_by_id[run.job.job_id] = _Backoff(
-            now_ms + pause_ms + jitter_ms, pause_ms
+    def _move(self, job: jobs.Job, zone: str, now_ms: int) -> actions.Append:
+        self._moved_ms_by_id[job.job_id] = now_ms
+        return actions.Append(
+            records.Moved(job.job_id, self.zone, zone, now_ms)
         )
 
 
-def _free(
-    endpoint: model.Endpoint, used: list[model.JobSpec]
-) -> placement.Free:
-    return placement.Free(
-        endpoint=endpoint,
-        accelerators=endpoint.accelerators
-        - sum(spec.accelerators_per_part for spec in used),
-        cpus=endpoint.cpus - sum(spec.cpus_per_part for spec in used),
-        memory_mb=endpoint.memory_mb
-        - sum(spec.memory_mb_per_part for spec in used),
-        slots=endpoint.slots - len(used),
-    )
+def _slot_parts(slot: reservation.Slot, run: gang.Run) -> dict[str, int]:
+    """Returns the parts of a slot that a run uses, by endpoint."""
+    used: dict[str, int] = {}
+    for endpoint_id in run.endpoint_ids:
+        size = run.job.spec.accelerators_per_part
+        used[endpoint_id] = used.get(endpoint_id, 0) + size
+    return {
+        endpoint_id: -(-size // slot.accelerators_per_part)
+        for endpoint_id, size in used.items()
+    }
 
 
-def _order(job: jobs.Job) -> tuple[int, int, str]:
+def _covered(row: placement.Row) -> bool:
     return (
-        _URGENCY_ORDER[job.spec.urgency],
-        job.submitted_at_ms,
-        job.job_id,
+        row.accelerators >= 0
+        and row.cpus >= 0
+        and row.memory_mb >= 0
+        and row.slots >= 0
     )
--- a/packages/host/src/laburnumgate_host/host.py
+++ b/packages/host/src/laburnumgate_host/host.py
@@ -203,7 +203,9 @@
 
     def note_job_changes(self) -> None:
         """Wakes the callers that wait for jobs that changed."""
-        for job_id in self.jobs.take_changes():
+        changed_ids = self.jobs.take_changes()
+        self.scheduler.note_changes(changed_ids)
+        for job_id in changed_ids:
             changed = self._changed_by_id.pop(job_id, None)
             if changed is not None:
                 changed.set()
