Spread guaranteed gangs over zones and try several jobs for a free one

Cause: all guarantees were packed into one zone, so a gang that had to avoid an endpoint found no plan and held up the account's other jobs.

--- a/packages/core/src/laburnumgate_core/reservation.py
+++ b/packages/core/src/laburnumgate_core/reservation.py
@@ -1,5 +1,6 @@
 """Assigns the shapes owed to client accounts to zones and endpoints."""
 
+from collections.abc import Callable
 from collections.abc import Iterable
 import dataclasses
 
@@ -98,13 +99,49 @@
       promises: by client account.
       zones: the zones in service.
     """
-    racks = _free_racks(sorted(zones, key=lambda zone: zone.name))
+    ordered = sorted(zones, key=lambda zone: zone.name)
+    gangs = _gangs(promises)
+    spread, spread_left = _assign(gangs, ordered, _place_spread)
+    if not spread_left:
+        return spread
+    packed, packed_left = _assign(gangs, ordered, _place)
+    return packed if packed_left < spread_left else spread
+
+
+def _assign(
+    gangs: list[_Gang],
+    zones: list[model.Zone],
+    place: Callable[[_Gang, list[_FreeRack]], str],
+) -> tuple[dict[str, list[Slot]], int]:
+    """Returns the gangs by zone and how many were left out."""
+    racks = _free_racks(zones)
     slots_by_zone: dict[str, list[Slot]] = {}
-    for gang in _gangs(promises):
-        zone = _place(gang, racks)
+    left_out = 0
+    for gang in gangs:
+        zone = place(gang, racks)
         if zone:
             slots_by_zone.setdefault(zone, []).append(Slot(gang))
-    return slots_by_zone
+        else:
+            left_out += 1
+    return slots_by_zone, left_out
+
+
+def _place_spread(gang: _Gang, racks: list[_FreeRack]) -> str:
+    """Places in the zone with the most capacity that is owed to nobody.
+
+    Each zone then keeps room for work that cannot be stopped, and a gang that
+    must avoid an endpoint finds another.
+    """
+    left_by_zone: dict[str, int] = {}
+    for rack in racks:
+        left = left_by_zone.get(rack.zone, 0) + sum(rack.free)
+        left_by_zone[rack.zone] = left
+    order = sorted(left_by_zone, key=lambda zone: (-left_by_zone[zone], zone))
+    for zone in order:
+        found = _place(gang, [rack for rack in racks if rack.zone == zone])
+        if found:
+            return found
+    return ""
 
 
 class SlotTable:
--- a/packages/core/src/laburnumgate_core/scheduler.py
+++ b/packages/core/src/laburnumgate_core/scheduler.py
@@ -35,6 +35,8 @@
 JOBS_PER_PASS = 256
 # Waiting jobs of an account that are compared with a free guaranteed gang.
 JOBS_PER_SLOT = 64
+# Jobs for which a plan is made before a guaranteed gang stays unused.
+PLANS_PER_SLOT = 3
 # A pass is made at least this often while jobs wait.
 PASS_EVERY_MS = 1_000
 # Waiting jobs are offered to other zones this often.
@@ -582,9 +584,11 @@
             for slot in self._slots.slots_by_account.get(account, ()):
                 if slot.job_id:
                     continue
-                job = self._job_for(slot, now_ms)
-                if job is not None:
-                    wanted.extend(self._fill_slot(slot, job, now_ms))
+                for job in self._jobs_for(slot, now_ms):
+                    calls = self._fill_slot(slot, job, now_ms)
+                    if calls is not None:
+                        wanted.extend(calls)
+                        break
         return wanted
 
     def _accounts_by_urgency(self) -> list[str]:
@@ -594,20 +598,23 @@
             key=lambda a: promises[a].urgency is not model.Urgency.URGENT,
         )
 
-    def _job_for(self, slot: reservation.Slot, now_ms: int) -> jobs.Job | None:
+    def _jobs_for(self, slot: reservation.Slot, now_ms: int) -> list[jobs.Job]:
+        """Returns the first jobs of the account that fit the slot."""
+        found = []
         for index, job in enumerate(self._queue.of_account(slot.account)):
-            if index >= JOBS_PER_SLOT:
-                return None
+            if index >= JOBS_PER_SLOT or len(found) >= PLANS_PER_SLOT:
+                break
             if slot.fits(job.spec) and self._may_try(job, now_ms):
-                return job
-        return None
+                found.append(job)
+        return found
 
     def _fill_slot(
         self, slot: reservation.Slot, job: jobs.Job, now_ms: int
-    ) -> list[actions.Action]:
+    ) -> list[actions.Action] | None:
+        """Starts or claims, or returns None if there is no plan."""
         plan = self._plan(slot, job, now_ms)
         if plan is None:
-            return []
+            return None
         self._slots.move(slot, plan.parts_by_endpoint)
         self._slots.occupy(slot, job.job_id)
         claim = _Claim(job, slot, plan.endpoint_ids, plan.victim_ids, now_ms)
@@ -639,6 +646,7 @@
             (own, avoid | slow),
             (self._free.rows_by_id.values(), avoid | slow),
             (self._free.rows_by_id.values(), avoid),
+            (self._free.rows_by_id.values(), ()),
         ):
             plan = reclaim.plan(
                 slot,
