--- a/packages/core/src/laburnumgate_core/reclaim.py
+++ b/packages/core/src/laburnumgate_core/reclaim.py
@@ -9,8 +9,11 @@
 from laburnumgate_core import placement
 from laburnumgate_core import reservation
 
+# Work that would be lost may end by itself in this time. 3 s leave time for
+# two attempts of 2 s within 9.2 s.
+GRACE_MS = 3_000
 # A stop that is not confirmed by then is given up and other endpoints are
-# chosen. 2 s leave time for three more attempts within 9.2 s.
+# chosen.
 CONFIRM_MS = 2_000
 
 
@@ -50,6 +53,7 @@
     victims_on: Callable[[placement.Row], list[Victim]],
     freeing_on: Callable[[placement.Row], int],
     avoid: Collection[str],
+    borrow: bool = False,
 ) -> Plan | None:
     """Returns the plan that loses the least work, None if there is none.
 
@@ -60,12 +64,20 @@
       victims_on: runs on a row that may be stopped.
       freeing_on: accelerators of a row that earlier stops will free.
       avoid: ids of endpoints that must not be used.
+      borrow: whether the job may use what is reserved for others.
     """
     groups: dict[str, list[_Offer]] = {}
     for row in rows:
         if not row.enabled or row.endpoint.endpoint_id in avoid:
             continue
-        offer = _offer(slot, spec, row, victims_on(row), freeing_on(row))
+        available = row.endpoint.accelerators
+        if not borrow:
+            endpoint_id = row.endpoint.endpoint_id
+            own = slot.parts_by_endpoint.get(endpoint_id, 0)
+            available = row.unreserved() + own * slot.accelerators_per_part
+        offer = _offer(
+            slot, spec, row, available, victims_on(row), freeing_on(row)
+        )
         if offer is None:
             continue
         name = row.endpoint.rack
@@ -86,12 +98,12 @@
     slot: reservation.Slot,
     spec: model.JobSpec,
     row: placement.Row,
+    available: int,
     victims: list[Victim],
     freeing: int,
 ) -> _Offer | None:
     size = slot.accelerators_per_part
-    own = slot.parts_by_endpoint.get(row.endpoint.endpoint_id, 0) * size
-    parts = min(slot.parts, (row.unreserved() + own) // size)
+    parts = min(slot.parts, available // size)
     if parts <= 0:
         return None
     wanted = min(parts, slot.needed(spec)) * size
--- a/packages/core/src/laburnumgate_core/reservation.py
+++ b/packages/core/src/laburnumgate_core/reservation.py
@@ -87,6 +87,20 @@
         return -(-spec.parts // per_part) if per_part else self.parts + 1
 
 
+def unowed(account: str, spec: model.JobSpec) -> Slot:
+    """Returns a slot of the job's own shape that nobody guarantees."""
+    return Slot(
+        _Gang(
+            account,
+            (),
+            spec.parts,
+            spec.accelerators_per_part,
+            spec.adjacency,
+            0,
+        )
+    )
+
+
 def assign(
     promises: dict[str, model.Promise], zones: Iterable[model.Zone]
 ) -> dict[str, list[Slot]]:
--- a/packages/core/src/laburnumgate_core/scheduler.py
+++ b/packages/core/src/laburnumgate_core/scheduler.py
@@ -51,6 +51,10 @@
 RAMP_FIRST_SHARE = 0.1
 # An endpoint that confirmed a stop late is avoided in reclaims for this long.
 SLOW_STOP_FORGET_MS = 60_000
+# A gang waits this long before runs are moved for it, and a run is moved only
+# once it has run this long, so that checkpoints stay a small share of the work.
+JOIN_AFTER_MS = 3_000
+MOVABLE_AFTER_MS = 10_000
 # Writing and reading a checkpoint costs about this much of a run's work.
 CHECKPOINT_COST_MS = 500
 
@@ -72,10 +76,11 @@
     """Capacity taken ahead for a job that waits for stops."""
 
     job: jobs.Job
-    slot: reservation.Slot
     endpoint_ids: tuple[str, ...]
     victim_ids: tuple[str, ...]
     since_ms: int
+    # Stops not asked for yet, since the victims may end by themselves.
+    waits: bool = False
 
 
 class Scheduler:
@@ -121,6 +126,7 @@
         self._pinned_ids: set[str] = set()
         self._peers_by_zone: dict[str, Summary] = {}
         self._moved_ms_by_id: dict[str, int] = {}
+        self._owed_since_by_id: dict[str, int] = {}
         self._slow_until_by_id: dict[str, int] = {}
         self._stopping_ms_by_id: dict[str, int] = {}
         self._deadlines: list[tuple[int, str]] = []
@@ -400,6 +406,7 @@
         if job.state is jobs.JobState.ENDED:
             self._backoff_by_id.pop(job.job_id, None)
             self._moved_ms_by_id.pop(job.job_id, None)
+        self._owed_since_by_id.pop(job.job_id, None)
 
     def _learn(self, job: jobs.Job) -> None:
         """Learns the run time of a whole run in this zone."""
@@ -426,6 +433,7 @@
         self, job: jobs.Job, endpoint_ids: tuple[str, ...]
     ) -> list[actions.Action]:
         self._queue.discard(job.job_id)
+        self._owed_since_by_id.pop(job.job_id, None)
         wanted = self.runs.start(job, endpoint_ids)
         run = self.runs.runs_by_id[job.job_id]
         self._take(run, 1)
@@ -615,15 +623,38 @@
         plan = self._plan(slot, job, now_ms)
         if plan is None:
             return None
+        self._owed_since_by_id.setdefault(job.job_id, now_ms)
         self._slots.move(slot, plan.parts_by_endpoint)
         self._slots.occupy(slot, job.job_id)
-        claim = _Claim(job, slot, plan.endpoint_ids, plan.victim_ids, now_ms)
+        waits = self._loses_work(plan) and now_ms < self._reclaim_from(job)
+        return self._claim(job, plan, waits, now_ms)
+
+    def _reclaim_from(self, job: jobs.Job) -> int:
+        """Returns when work may be stopped for a job within a guarantee."""
+        since_ms = self._owed_since_by_id.get(job.job_id, 0)
+        return since_ms + reclaim.GRACE_MS
+
+    def _loses_work(self, plan: reclaim.Plan) -> bool:
+        for victim_id in plan.victim_ids:
+            run = self.runs.runs_by_id[victim_id]
+            if run.phase is not gang.Phase.RUNNING:
+                continue
+            if not run.job.spec.checkpointable:
+                return True
+        return False
+
+    def _claim(
+        self, job: jobs.Job, plan: reclaim.Plan, waits: bool, now_ms: int
+    ) -> list[actions.Action]:
+        """Takes capacity ahead and, unless it waits, asks for the stops."""
+        claim = _Claim(job, plan.endpoint_ids, plan.victim_ids, now_ms, waits)
         self._claims_by_job[job.job_id] = claim
         self._take_claim(claim, 1)
         wanted: list[actions.Action] = []
-        for victim_id in plan.victim_ids:
-            reason = f"reclaimed for the guarantee of {slot.account}"
-            wanted.extend(self._stop(victim_id, reason, now_ms))
+        if not waits:
+            for victim_id in plan.victim_ids:
+                reason = f"its capacity is needed for {job.job_id}"
+                wanted.extend(self._stop(victim_id, reason, now_ms))
         wanted.extend(self._follow_claim(claim, now_ms))
         return wanted
 
@@ -737,7 +768,8 @@
             self._take_claim(claim, -1)
             del self._claims_by_job[claim.job.job_id]
             return self._start(claim.job, claim.endpoint_ids)
-        if usable and now_ms - claim.since_ms < reclaim.CONFIRM_MS:
+        limit_ms = reclaim.GRACE_MS if claim.waits else reclaim.CONFIRM_MS
+        if usable and now_ms - claim.since_ms < limit_ms:
             return []
         for victim_id in claim.victim_ids:
             run = self.runs.runs_by_id.get(victim_id)
@@ -777,12 +809,62 @@
             if chosen is not None:
                 wanted.extend(self._start(job, chosen))
                 continue
+            joined = self._join(job, now_ms)
+            if joined is not None:
+                wanted.extend(joined)
+                continue
             if shadow is None:
                 shadow = self._find_shadow(job, now_ms)
             else:
                 failed.add(key)
         return wanted
 
+    def _join(self, job: jobs.Job, now_ms: int) -> list[actions.Action] | None:
+        """Checkpoints runs so that a gang can use the idle accelerators.
+
+        Returns None unless at least half of what the gang needs is idle.
+        """
+        spec = job.spec
+        waited_ms = now_ms - job.submitted_at_ms
+        if not spec.preemptible or waited_ms < JOIN_AFTER_MS:
+            return None
+        if not spec.accelerators_per_part:
+            return None
+        if self._free.largest_free_rack * 2 < spec.accelerators:
+            return None
+        plan = reclaim.plan(
+            reservation.unowed(job.account, spec),
+            spec,
+            self._free.rows_by_id.values(),
+            lambda row: self._movable(row, now_ms),
+            lambda row: 0,
+            self._avoided(job),
+            borrow=True,
+        )
+        if plan is None:
+            return None
+        stopped = sum(
+            self.runs.runs_by_id[victim_id].job.spec.accelerators
+            for victim_id in plan.victim_ids
+        )
+        if stopped * 2 > spec.accelerators:
+            return None
+        return self._claim(job, plan, False, now_ms)
+
+    def _movable(self, row: placement.Row, now_ms: int) -> list[reclaim.Victim]:
+        """Runs that a checkpoint may move, none that has just started."""
+        movable = []
+        for victim in self._victims(row, now_ms):
+            run = self.runs.runs_by_id[victim.job_id]
+            if run.phase is not gang.Phase.RUNNING:
+                continue
+            started_ms = self._jobs.get(victim.job_id).started_at_ms
+            if not run.job.spec.checkpointable:
+                continue
+            if now_ms - started_ms >= MOVABLE_AFTER_MS:
+                movable.append(victim)
+        return movable
+
     def _first_jobs(self) -> Iterable[jobs.Job]:
         for index, job in enumerate(self._queue.in_order()):
             if index >= JOBS_PER_PASS:
