Prove a run unstarted by reads behind the fence alone

A report that arrived during the proof was taken for a read behind the exclusive lease, so the launch of a host that was only paused was requeued as never run while it went on.

--- a/packages/core/src/laburnumgate_core/gang.py
+++ b/packages/core/src/laburnumgate_core/gang.py
@@ -588,7 +588,8 @@
         rebooted = booted is not None and booted != report.boot_id
         whole = report.full or rebooted
         self._note_tasks(report.endpoint_id, report.tasks, whole)
-        if whole and report.endpoint_id in self._unheard:
+        # A proof rests on reads behind the fence alone.
+        if whole and self.phase is Phase.ADOPTING:
             self._unheard.discard(report.endpoint_id)
             self._rebooted = self._rebooted or rebooted
         return self._check_parts(now_ms)
--- a/packages/core/tests/test_runs.py
+++ b/packages/core/tests/test_runs.py
@@ -38,6 +38,18 @@
     assert zone_fake.resumed_runs(zone, "a/r") == {2}
 
 
+def test_report_is_no_proof_while_the_older_leases_hold():
+    """Guards against requeueing the launch of a host that is only paused."""
+    zone = zone_fake.Zone(hosts=2)
+    zone.submit("a/r", idempotent=False)
+    zone.hosts[0].pause_after = (4, 2_500)
+    for host in zone.hosts:
+        host.activate()
+    zone.run(30_000)
+    assert isinstance(zone.job("a/r").outcome, verdict.Ran)
+    assert zone_fake.resumed_runs(zone, "a/r") == {1}
+
+
 def test_partly_resumed_run_is_not_repeated():
     """Guards against a second execution of a non-idempotent request."""
     zone = interrupted(RESUMED_AFTER)
