Repeat lost endpoint calls within one deadline and a retry budget

Holds, stops, checkpoints and acknowledgements are tried twice within the deadline of a call; takes of a lease are not, since the lost lease would refuse the second. Calls that start work are checked against the clock right before they are sent and at most 64 are open. Results are not acknowledged if the log took another record first.

--- a/packages/core/src/laburnumgate_core/gang.py
+++ b/packages/core/src/laburnumgate_core/gang.py
@@ -948,11 +948,11 @@
     def _on_closed(
         self, result: actions.Appended, now_ms: int
     ) -> list[actions.Action]:
-        if result.durable:
+        if result.durable and result.taken:
             return [*self._end_run(), *self._acknowledge()]
-        if result.taken:
-            # Provisional: the results stay at the endpoints until the log
-            # has the record.
+        if result.durable or result.taken:
+            # Provisional, or the log took another record first: the results
+            # stay at the endpoints until the log shows that the run is over.
             self.unacknowledged = True
             return self._end_run()
         self._timer_ms = now_ms + CLOSE_RETRY_MS
--- a/packages/host/src/laburnumgate_host/endpoints.py
+++ b/packages/host/src/laburnumgate_host/endpoints.py
@@ -1,5 +1,6 @@
 """Client of the endpoints: carries out the scheduler's actions."""
 
+import asyncio
 import dataclasses
 import logging
 from typing import Any
@@ -10,6 +11,33 @@
 from laburnumgate_core import model
 
 _LOGGER = logging.getLogger(__name__)
+# Calls that start work, over all endpoints; a gang of 512 parts would open
+# 512 connections at once.
+LAUNCH_CALLS = 64
+MAX_TRIES = 2
+RETRIES_PER_CALL = 0.1
+# Retries that a quiet period saves up at most.
+MAX_SAVED_RETRIES = 10.0
+# A lease that would end sooner is not worth a call.
+MIN_LEASE_MS = 100
+
+
+class RetryBudget:
+    """Allows retries as a share of calls, so that they add no overload."""
+
+    def __init__(self):
+        self._saved = MAX_SAVED_RETRIES
+
+    def note_call(self) -> None:
+        """Counts a first try."""
+        self._saved = min(MAX_SAVED_RETRIES, self._saved + RETRIES_PER_CALL)
+
+    def take(self) -> bool:
+        """Takes one retry if any is left."""
+        if self._saved < 1:
+            return False
+        self._saved -= 1
+        return True
 
 
 @dataclasses.dataclass(frozen=True)
@@ -20,6 +48,11 @@
     body: Any
     reason: str = ""
 
+    @property
+    def lost(self) -> bool:
+        """Whether the call may have taken effect without an answer."""
+        return self.status == 0 or (self.status >= 500 and self.status != 507)
+
 
 @dataclasses.dataclass(frozen=True)
 class ReportPage:
@@ -44,6 +77,8 @@
         self._holder = holder
         self._timeout_ms = timeout_ms
         self._clock = time
+        self._retries = RetryBudget()
+        self._launch_turns = asyncio.Semaphore(LAUNCH_CALLS)
 
     async def carry_out(self, action: actions.Action) -> actions.Result | None:
         """Carries out one action on an endpoint and returns its result."""
@@ -56,8 +91,9 @@
             case actions.HoldPart():
                 return await self._hold(action)
             case actions.ResumePart():
-                body = {"percent": 100, "lease_ms": action.lease_ms}
-                return await self._change(action, "resume", "throttle", body)
+                return await self._resume(action)
+            case actions.ReadTasks():
+                return await self._read(action)
             case actions.StopPart():
                 return await self._change(action, "stop", "stop", {})
             case actions.CheckpointPart():
@@ -69,7 +105,7 @@
                 return await self._renew(action)
             case actions.Acknowledge():
                 body = {"task_ids": action.task_ids}
-                await self._call("POST", action.endpoint_id, "/ack", body)
+                await self._retried("POST", action.endpoint_id, "/ack", body)
         return None
 
     async def report(
@@ -89,15 +125,21 @@
         return ReportPage(report, answer.body["rev"])
 
     async def _take_lease(self, action: actions.TakeLease) -> actions.Result:
-        answer = await self._call(
-            "POST",
-            action.endpoint_id,
-            "/lease",
-            {"holder": self._holder, "ttl_ms": action.ttl_ms},
-        )
+        # Not repeated: after a lost answer the lease that was granted would
+        # refuse the second call.
+        async with self._launch_turns:
+            answer = await self._call(
+                "POST",
+                action.endpoint_id,
+                "/lease",
+                {"holder": self._holder, "ttl_ms": action.ttl_ms},
+            )
         if answer.status != 200:
             return actions.LeaseRefused(
-                action.job_id, action.endpoint_id, answer.reason
+                action.job_id,
+                action.endpoint_id,
+                answer.reason,
+                action.attempt,
             )
         return actions.LeaseGranted(
             action.job_id,
@@ -105,23 +147,72 @@
             answer.body["token"],
             answer.body["boot_id"],
             answer.body["free_accelerators"],
+            action.attempt,
         )
 
     async def _hold(self, action: actions.HoldPart) -> actions.PartAnswer:
         body = dataclasses.asdict(action)
         del body["endpoint_id"]
+        del body["send_before_ms"]
         body.update(throttle_percent=0, holder=self._holder)
-        answer = await self._call("POST", action.endpoint_id, "/tasks", body)
+        async with self._launch_turns:
+            if self._too_late(action):
+                return _part_answer(action, "hold", _TOO_LATE)
+            answer = await self._retried(
+                "POST",
+                action.endpoint_id,
+                "/tasks",
+                body,
+                action.send_before_ms,
+            )
         return _part_answer(action, "hold", answer)
 
+    async def _resume(self, action: actions.ResumePart) -> actions.PartAnswer:
+        """Resumes a part once; the run itself repeats a lost resume.
+
+        A repeat must ask for a shorter lease, which the run computes.
+        """
+        async with self._launch_turns:
+            lease_ms = action.lease_ms
+            if action.until_ms:
+                left_ms = action.until_ms - self._clock.now_ms()
+                lease_ms = min(lease_ms, left_ms)
+            if self._too_late(action) or lease_ms < MIN_LEASE_MS:
+                return _part_answer(action, "resume", _TOO_LATE)
+            answer = await self._call(
+                "POST",
+                action.endpoint_id,
+                f"/tasks/{action.task_id}/throttle",
+                {"percent": 100, "lease_ms": lease_ms},
+            )
+        return _part_answer(action, "resume", answer)
+
+    def _too_late(self, action: actions.HoldPart | actions.ResumePart) -> bool:
+        """Whether the leases that allow the call may be past by now."""
+        if not action.send_before_ms:
+            return False
+        return self._clock.now_ms() >= action.send_before_ms
+
+    async def _read(self, action: actions.ReadTasks) -> actions.Result | None:
+        page = await self.report(action.endpoint_id, 0, 0)
+        if page is None:
+            return None
+        return actions.TasksRead(
+            action.job_id,
+            action.endpoint_id,
+            action.serial,
+            page.report.boot_id,
+            page.report.tasks,
+        )
+
     async def _change(
         self,
-        action: actions.ResumePart | actions.StopPart | actions.CheckpointPart,
+        action: actions.StopPart | actions.CheckpointPart,
         call: str,
         path: str,
         body: dict[str, Any],
     ) -> actions.PartAnswer:
-        answer = await self._call(
+        answer = await self._retried(
             "POST", action.endpoint_id, f"/tasks/{action.task_id}/{path}", body
         )
         return _part_answer(action, call, answer)
@@ -141,6 +232,39 @@
             action.lease_ms,
         )
 
+    async def _retried(
+        self,
+        method: str,
+        endpoint_id: str,
+        path: str,
+        body: dict[str, Any],
+        send_before_ms: int = 0,
+    ) -> Answer:
+        """Makes a call that may be repeated, within one deadline.
+
+        A try is given half of the time that is left, so that the last one
+        ends with the deadline.
+        """
+        deadline_ms = self._clock.now_ms() + self._timeout_ms
+        self._retries.note_call()
+        for tries_left in range(MAX_TRIES, 0, -1):
+            left_ms = deadline_ms - self._clock.now_ms()
+            answer = await self._call(
+                method,
+                endpoint_id,
+                path,
+                body,
+                timeout_ms=max(1, left_ms // tries_left),
+            )
+            now_ms = self._clock.now_ms()
+            if not answer.lost or tries_left == 1 or now_ms >= deadline_ms:
+                return answer
+            if send_before_ms and now_ms >= send_before_ms:
+                return answer
+            if not self._retries.take():
+                return answer
+        return answer
+
     async def _call(
         self,
         method: str,
@@ -148,12 +272,13 @@
         path: str,
         body: dict[str, Any] | None,
         extra_ms: int = 0,
+        timeout_ms: int = 0,
     ) -> Answer:
         endpoint = self.endpoints_by_id.get(endpoint_id)
         if endpoint is None:
             return Answer(0, None, "endpoint is not in the live list")
         timeout = aiohttp.ClientTimeout(
-            total=(self._timeout_ms + extra_ms) / 1000
+            total=(timeout_ms or self._timeout_ms + extra_ms) / 1000
         )
         try:
             async with self._session.request(
@@ -165,19 +290,22 @@
             return Answer(0, None, f"{type(error).__name__}: {error}")
 
 
+# The call was not made, so it has no effect.
+_TOO_LATE = Answer(409, None, "its lease is past")
+
+
 def _part_answer(action, call: str, answer: Answer) -> actions.PartAnswer:
+    checkpoint = ""
+    result = None
     match answer.status:
         case 200 | 201:
             state = answer.body["state"]
+            checkpoint = answer.body["checkpoint"]
+            result = answer.body.get("result")
         case 404:
             state = "absent"
-        case 409 | 507:
-            state = "refused"
         case _:
-            state = "unknown"
-    checkpoint = ""
-    if answer.status in (200, 201):
-        checkpoint = answer.body["checkpoint"]
+            state = "unknown" if answer.lost else "refused"
     return actions.PartAnswer(
         action.endpoint_id,
         action.task_id,
@@ -185,4 +313,6 @@
         state,
         answer.reason,
         checkpoint,
+        getattr(action, "until_ms", 0),
+        result,
     )
