--- a/packages/core/src/laburnumgate_core/gang.py
+++ b/packages/core/src/laburnumgate_core/gang.py
@@ -588,7 +588,8 @@
         rebooted = booted is not None and booted != report.boot_id
         whole = report.full or rebooted
         self._note_tasks(report.endpoint_id, report.tasks, whole)
-        if whole and report.endpoint_id in self._unheard:
+        # A proof rests on reads behind the fence alone.
+        if whole and self.phase is Phase.ADOPTING:
             self._unheard.discard(report.endpoint_id)
             self._rebooted = self._rebooted or rebooted
         return self._check_parts(now_ms)
@@ -947,11 +948,11 @@
     def _on_closed(
         self, result: actions.Appended, now_ms: int
     ) -> list[actions.Action]:
-        if result.durable:
+        if result.durable and result.taken:
             return [*self._end_run(), *self._acknowledge()]
-        if result.taken:
-            # Provisional: the results stay at the endpoints until the log
-            # has the record.
+        if result.durable or result.taken:
+            # Provisional, or the log took another record first: the results
+            # stay at the endpoints until the log shows that the run is over.
             self.unacknowledged = True
             return self._end_run()
         self._timer_ms = now_ms + CLOSE_RETRY_MS
