--- a/packages/core/src/laburnumgate_core/placement.py
+++ b/packages/core/src/laburnumgate_core/placement.py
@@ -24,6 +24,8 @@
         self.slots = endpoint.slots
         self.reserved = 0
         self.pinned = 0
+        # Used outside a guarantee by work that a stop would lose.
+        self.exposed = 0
         self.enabled = True
         self.suspect = False
         # Parts and accelerators on the endpoint by job id.
@@ -45,6 +47,10 @@
         """Returns the accelerators that work without a stop may still take."""
         return self.endpoint.accelerators - self.reserved - self.pinned
 
+    def unexposed(self) -> int:
+        """Returns what such work may take without risk of a reclaim."""
+        return self.endpoint.accelerators - self.reserved - self.exposed
+
 
 class _RackTable:
     """Enabled rows of one rack by free accelerators."""
--- a/packages/core/src/laburnumgate_core/scheduler.py
+++ b/packages/core/src/laburnumgate_core/scheduler.py
@@ -4,6 +4,7 @@
 caller passes on the ids of all jobs that changed with `note_changes`.
 """
 
+from collections.abc import Callable
 from collections.abc import Iterable
 import dataclasses
 import heapq
@@ -128,7 +129,7 @@
         self._backoff_by_id: dict[str, _Backoff] = {}
         self._wakeups: list[tuple[int, str]] = []
         self._claims_by_job: dict[str, _Claim] = {}
-        self._pinned_ids: set[str] = set()
+        self._exposed_ids: set[str] = set()
         self._peers_by_zone: dict[str, Summary] = {}
         self._moved_ms_by_id: dict[str, int] = {}
         self._owed_since_by_id: dict[str, int] = {}
@@ -285,7 +286,7 @@
         self._deadlines.clear()
         self._usage.clear()
         self._claims_by_job.clear()
-        self._pinned_ids.clear()
+        self._exposed_ids.clear()
         self._slots = reservation.SlotTable(self._free)
         for zone in self._config.zones_by_name:
             for job_id in self._jobs.open_ids(zone):
@@ -361,9 +362,10 @@
         """Counts work that cannot be stopped and is in no slot."""
         for row in self._free.rows_by_id.values():
             row.pinned = 0
-        self._pinned_ids.clear()
+            row.exposed = 0
+        self._exposed_ids.clear()
         for run in self.runs.runs_by_id.values():
-            self._pin(run)
+            self._expose(run)
 
     def _locate_slots(self) -> None:
         for slot in self._slots:
@@ -442,7 +444,7 @@
         wanted = self.runs.start(job, endpoint_ids)
         run = self.runs.runs_by_id[job.job_id]
         self._take(run, 1)
-        self._pin(run)
+        self._expose(run)
         self._usage.update(job, True)
         self._ramp_used += job.spec.accelerators
         return wanted
@@ -451,19 +453,24 @@
         for endpoint_id in run.endpoint_ids:
             self._free.take(run.job.job_id, run.job.spec, endpoint_id, sign)
 
-    def _pin(self, run: gang.Run) -> None:
+    def _expose(self, run: gang.Run) -> None:
         job = run.job
-        if job.spec.preemptible or self._slots.of_job(job.job_id) is not None:
+        if (
+            job.spec.checkpointable
+            or self._slots.of_job(job.job_id) is not None
+        ):
             return
-        self._pinned_ids.add(job.job_id)
-        self._add_pinned(run, 1)
+        self._exposed_ids.add(job.job_id)
+        self._add_exposed(run, 1)
 
-    def _add_pinned(self, run: gang.Run, sign: int) -> None:
+    def _add_exposed(self, run: gang.Run, sign: int) -> None:
         size = run.job.spec.accelerators_per_part
         for endpoint_id in run.endpoint_ids:
             row = self._free.rows_by_id.get(endpoint_id)
             if row is not None:
-                row.pinned += sign * size
+                row.exposed += sign * size
+                if not run.job.spec.preemptible:
+                    row.pinned += sign * size
 
     def _check_quota(self, result: actions.Appended, now_ms: int) -> None:
         """Stops a start that lost to the start of another zone.
@@ -485,9 +492,9 @@
         for run in self.runs.take_done():
             job_id = run.job.job_id
             self._take(run, -1)
-            if job_id in self._pinned_ids:
-                self._pinned_ids.discard(job_id)
-                self._add_pinned(run, -1)
+            if job_id in self._exposed_ids:
+                self._exposed_ids.discard(job_id)
+                self._add_exposed(run, -1)
             slot = self._slots.release(job_id)
             if slot is not None:
                 self._slots.locate(slot)
@@ -810,9 +817,14 @@
             )
             if key in failed and not job.failed_endpoints:
                 continue
-            chosen = self._free.choose(
-                spec, self._bound(job, shadow, now_ms), self._avoided(job)
-            )
+            bound = self._bound(job, shadow, now_ms)
+            chosen = None
+            if spec.preemptible and not spec.checkpointable:
+                chosen = self._free.choose(
+                    spec, _safest(job, bound), self._avoided(job)
+                )
+            if chosen is None:
+                chosen = self._free.choose(spec, bound, self._avoided(job))
             if chosen is not None:
                 wanted.extend(self._start(job, chosen))
                 continue
@@ -1009,6 +1021,19 @@
         )
 
 
+def _safest(
+    job: jobs.Job, bound: Callable[[placement.Row], int] | None
+) -> Callable[[placement.Row], int]:
+    """Narrows a bound to capacity that no reclaim will need."""
+    size = max(1, job.spec.accelerators_per_part)
+
+    def safest(row: placement.Row) -> int:
+        parts = row.unexposed() // size
+        return parts if bound is None else min(parts, bound(row))
+
+    return safest
+
+
 def _slot_parts(slot: reservation.Slot, run: gang.Run) -> dict[str, int]:
     """Returns the parts of a slot that a run uses, by endpoint."""
     used: dict[str, int] = {}
