--- a/packages/host/src/laburnumgate_host/callers.py
+++ b/packages/host/src/laburnumgate_host/callers.py
@@ -21,7 +21,6 @@
 MAX_WAIT_MS = 30_000
 # An id is remembered for this long after its end. A request issued earlier
 # may have run and been forgotten.
-REMEMBER_MS = 24 * 60 * 60 * 1000
 # Statuses of bodies or paths that no host accepts under any configuration.
 _NEVER_ACCEPTED = (
     HTTPStatus.BAD_REQUEST,
@@ -109,14 +108,19 @@
         reason = "this host takes no requests now; send the same id to another"
         return _refuse_now(host, request, 503, reason)
     now_ms = host.clock.now_ms()
-    if request.issued_at_ms and request.issued_at_ms < now_ms - REMEMBER_MS:
-        reason = "issued_at_ms: the request is older than the ids remembered"
-        return _refuse_now(host, request, 503, reason)
+    reason = requests.outside_window(
+        request, host.jobs.forgotten_until_ms, now_ms
+    )
+    if reason:
+        return _refuse_now(host, request, 422, reason)
     promise = host.config.promises_by_account.get(request.account)
     if promise is None:
         reason = f"account: no client account {request.account!r} exists"
         return await _refuse(host, request, reason)
     spec = requests.spec_for(request, promise)
+    if not spec.idempotent and not request.issued_at_ms:
+        result = verdict.MayHaveRun(requests.MISSING_ISSUE_TIME)
+        return answer(request.job_id, result, 400)
     reason = requests.impossible(spec, promise, host.config.zones_by_name)
     if not reason and request.deadline_ms and request.deadline_ms <= now_ms:
         reason = "deadline_ms: the deadline has passed"
@@ -162,8 +166,7 @@
         return _refuse_now(host, request, 503, appended.reason)
     known = _known(host, request)
     if known is None:
-        reason = "the request is not visible at this host yet"
-        return _refuse_now(host, request, 503, reason)
+        return _undecided(request)
     if not appended.taken or known.status != HTTPStatus.OK:
         return known
     durability = "log"
@@ -261,17 +264,26 @@
         body_hash=requests.body_hash(request),
         reason=reason,
         at_ms=host.clock.now_ms(),
+        issued_at_ms=request.issued_at_ms,
     )
     appended = await refusals.append_durably(host, record)
     host.note_job_changes()
-    job = host.jobs.committed(request.job_id)
-    if isinstance(appended, journal.Unsent) or job is None:
+    if isinstance(appended, journal.Unsent):
         return _refuse_now(host, request, 503, reason)
+    job = host.jobs.committed(request.job_id)
+    if job is None:
+        return _undecided(request)
     if not appended.taken:
         return _known(host, request)
     return answer(request.job_id, verdict_of(host, job), 422)
 
 
+def _undecided(request: requests.Request) -> sanic.HTTPResponse:
+    """Answers a request whose record the log has but the fold did not take."""
+    reason = "the request left the remembered window before it was recorded"
+    return answer(request.job_id, verdict.MayHaveRun(reason), 503)
+
+
 async def _status(
     host: host_module.Host, job_id: str, wait_ms: int
 ) -> sanic.HTTPResponse:
