--- a/packages/bench/src/laburnumgate_bench/load.py
+++ b/packages/bench/src/laburnumgate_bench/load.py
@@ -25,6 +25,7 @@
 HOSTS_PER_ZONE = (1, 2, 3)
 ENDPOINTS_PER_ZONE = (8, 16, 32)
 TASKS = (0, 300, 600)
+SERIES = ("hosts", "endpoints", "running", "waiting")
 SETTLE_S = 4.0
 IDLE_S = 8.0
 CALLS_LIMIT_S = 3.0
@@ -34,6 +35,8 @@
 DRAIN_S = 20.0
 # Tasks that fill the system run longer than any measurement.
 LONG_MS = 3_600_000
+OCCUPY_ROUNDS = 10
+OCCUPY_TRIES = 10
 ACCELERATORS = 64
 _PEER_BYTES = re.compile(
     r"^laburnumgate_peer_bytes_total\{.*\} ([0-9.e+]+)$", re.MULTILINE
@@ -105,6 +108,14 @@
     return values
 
 
+@dataclasses.dataclass(frozen=True)
+class Occupied:
+    """Tasks that keep every endpoint in use, and those left waiting."""
+
+    running: int
+    waiting: int
+
+
 class Site:
     """Started processes of one layout."""
 
@@ -220,10 +231,12 @@
         ]
         await loadcalls.submit_all(self.session, self.urls[0], bodies)
 
-    async def wait_for_tasks(self, state: str, wanted: int) -> int:
+    async def wait_for_tasks(
+        self, state: str, wanted: int, tries: int = 100
+    ) -> int:
         """Waits until the endpoints run `wanted` tasks; returns how many."""
         found = 0
-        for _ in range(100):
+        for _ in range(tries):
             found = 0
             for url in self.cluster.endpoint_urls_by_id.values():
                 async with self.session.get(f"{url}/report?since=0") as answer:
@@ -292,9 +305,9 @@
     try:
         async with aiohttp.ClientSession() as session:
             site = await _start(cluster, session)
-            blockers = 0
+            occupied = Occupied(0, 0)
             if not running:
-                blockers = await _occupy_every_endpoint(site)
+                occupied = await _occupy_every_endpoint(site)
             grown = 0.0
             present = 0
             for wanted in TASKS:
@@ -311,8 +324,8 @@
                 grown += site.resident_kib() - before
                 point = await site.point(
                     f"p-{kind}-{wanted}",
-                    0 if running else present,
-                    present if running else blockers,
+                    occupied.waiting + (0 if running else present),
+                    present if running else occupied.running,
                     grown,
                 )
                 _show(point)
@@ -322,17 +335,27 @@
     return points
 
 
-async def _occupy_every_endpoint(site: Site) -> int:
+async def _occupy_every_endpoint(site: Site) -> Occupied:
     """Runs long tasks until no endpoint is wholly free.
 
-    Each takes more than half of an endpoint, so no two share one.
+    Each takes more than half of an endpoint, so no two share one. A zone may
+    be given more of them than it has endpoints; these wait, and more are
+    submitted for the other zones.
+
+    Raises:
+      RuntimeError: if endpoints stay free.
     """
     count = len(site.cluster.endpoint_urls_by_id)
-    await site.add_tasks("blocker", count, ACCELERATORS // 2 + 1)
-    running = await site.wait_for_tasks("running", count)
-    if running != count:
-        raise RuntimeError(f"{running} of {count} endpoints are in use")
-    return running
+    submitted = running = 0
+    for number in range(OCCUPY_ROUNDS):
+        missing = count - running
+        label = f"blocker-{number}"
+        await site.add_tasks(label, missing, ACCELERATORS // 2 + 1)
+        submitted += missing
+        running = await site.wait_for_tasks("running", count, OCCUPY_TRIES)
+        if running == count:
+            return Occupied(running, submitted - running)
+    raise RuntimeError(f"{running} of {count} endpoints are in use")
 
 
 def fits(points_by_size: dict[str, list[Point]]) -> list[Fit]:
@@ -387,43 +410,48 @@
         )
 
 
-async def _measure() -> dict[str, list[Point]]:
-    hosts = [
-        await measure_size(count, ENDPOINTS_PER_ZONE[0])
-        for count in HOSTS_PER_ZONE
-    ]
-    endpoints = [
-        await measure_size(HOSTS_PER_ZONE[0], count)
-        for count in ENDPOINTS_PER_ZONE[1:]
-    ]
-    return {
-        "hosts": hosts,
-        "endpoints": [hosts[0], *endpoints],
-        "running": await measure_tasks(running=True),
-        "waiting": await measure_tasks(running=False),
-    }
+async def _measure(series: str) -> list[Point]:
+    """Measures one series; it varies the size that it is named after."""
+    match series:
+        case "hosts":
+            sizes = [(n, ENDPOINTS_PER_ZONE[0]) for n in HOSTS_PER_ZONE]
+        case "endpoints":
+            sizes = [(HOSTS_PER_ZONE[0], n) for n in ENDPOINTS_PER_ZONE]
+        case _:
+            return await measure_tasks(running=series == "running")
+    return [await measure_size(*size) for size in sizes]
 
 
 @click.command()
+@click.option(
+    "--series",
+    "chosen",
+    type=click.Choice(SERIES),
+    multiple=True,
+    default=SERIES,
+    help="Sizes to vary; can be repeated. Default: all.",
+)
 @click.option(
     "--out",
     type=click.Path(dir_okay=False, path_type=pathlib.Path),
     default="load.json",
     show_default=True,
-    help="File for the figures as JSON.",
+    help="File for the figures as JSON, written after each series.",
 )
-def main(out: pathlib.Path) -> None:
+def main(chosen: tuple[str, ...], out: pathlib.Path) -> None:
     """Measures hosts, endpoints and tasks at three sizes each."""
-    points_by_size = asyncio.run(_measure())
-    lines = fits(points_by_size)
-    document = {
-        "points": {
-            size: [dataclasses.asdict(point) for point in points]
-            for size, points in points_by_size.items()
-        },
-        "fits": [dataclasses.asdict(line) for line in lines],
-    }
-    out.write_text(json.dumps(document, indent=2) + "\n")
+    points_by_size = {}
+    for series in chosen:
+        points_by_size[series] = asyncio.run(_measure(series))
+        lines = fits(points_by_size)
+        document = {
+            "points": {
+                size: [dataclasses.asdict(point) for point in points]
+                for size, points in points_by_size.items()
+            },
+            "fits": [dataclasses.asdict(line) for line in lines],
+        }
+        out.write_text(json.dumps(document, indent=2) + "\n")
     for line in lines:
         click.echo(
             f"{line.measure}: {line.at_zero:.3f} + {line.slope:.5f} "
