--- a/packages/host/src/laburnumgate_host/settings.py
+++ b/packages/host/src/laburnumgate_host/settings.py
@@ -46,7 +46,6 @@
     ip: Ip = _field("IP number on which the host listens.")
     http_port: Port = _field("Port for callers and operators.")
     rpc_port: Port = _field("Port for other hosts; not `http_port`.")
-    state_dump: bool = _field("Whether operators may read the state dump.")
 
     @pydantic.model_validator(mode="after")
     def _check_ports(self) -> "Host":
@@ -197,8 +196,6 @@
 def _kind(field: fields.FieldInfo) -> str:
     if field.annotation is pydantic.HttpUrl:
         return "URL"
-    if field.annotation is bool:
-        return "true or false"
     if field.annotation is not int:
         return "text"
     bounds = []
