--- a/packages/core/tests/test_gang.py
+++ b/packages/core/tests/test_gang.py
@@ -1,7 +1,9 @@
 """Guards one run of a gang against lost, late and repeated messages."""
 
+from laburnumgate_core import actions
 from laburnumgate_core import gang
 from laburnumgate_core import jobs
+from laburnumgate_core import parts
 from laburnumgate_core import records
 from laburnumgate_core import verdict
 import pytest
@@ -30,8 +32,9 @@
 @pytest.mark.parametrize("kind", ["HoldPart", "ResumePart", "StopPart"])
 def test_a_lost_answer_is_asked_for_again(kind):
     """Guards against giving a run up for one lost answer."""
-    zone = make(plan={(kind, 2): zone_fake.Fault(lose_answer=True)}, **SOLE)
-    zone.run(10_000)
+    lost = zone_fake.Fault(lose_answer=True)
+    zone = make(plan={(kind, 2): lost}, **SOLE, payload="9000")
+    zone.run(20_000)
     assert isinstance(zone.job("a/r").outcome, verdict.Ran)
     assert zone.job("a/r").run == 1
 
@@ -40,7 +43,9 @@
     """Guards against a launch on leases that another host may hold."""
     plan = {("Append", 1): zone_fake.Fault(delay_ms=9_000)}
     zone = make(plan=plan, **SOLE)
-    zone.run(9_500)
+    zone.run(9_200)
+    assert zone.count("HoldPart") == 0
+    zone.run(300)
     assert not any(s.task_id.startswith("a/r/1/") for s in zone.steps)
     assert [r.may_have_run for r in zone.requeued()] == [False]
 
@@ -54,6 +59,17 @@
     assert zone_fake.resumed_runs(zone, "a/r") == set()
 
 
+def test_hold_answers_read_after_a_pause_resume_nothing():
+    """Guards against a resume decided on leases that are past."""
+    plan = {("HoldPart", 1): zone_fake.Fault(delay_ms=1_500)}
+    zone = make(plan=plan, **SOLE)
+    zone.run(500)
+    zone.hosts[0].paused_until_ms = zone.now_ms + 20_000
+    zone.run(20_200)
+    assert zone.count("HoldPart") == 3
+    assert zone.count("ResumePart") == 0
+
+
 def test_a_host_that_slept_past_the_task_leases_renews_nothing():
     """Guards against keeping one part alive after another lapsed."""
     zone = make(**SOLE, payload="200000")
@@ -64,14 +80,17 @@
     assert zone_fake.longest_partial_ms(zone, "a/r", 1, 3) <= 1_000
 
 
+@pytest.mark.parametrize("takeover_ms", [zone_fake.TAKEOVER_MS, 7_000])
 @pytest.mark.parametrize("sent", range(24))
-def test_death_at_each_step_of_a_launch_leaves_no_partial_gang(sent):
+def test_death_at_each_step_of_a_launch_leaves_no_partial_gang(
+    sent, takeover_ms
+):
     """Guards against parts at work without the rest for over 3 s."""
     zone = make(hosts=2, **SOLE, payload="30000")
     zone.hosts[0].die_after = sent
     while zone.hosts[0].alive and zone.now_ms < 1_002_000:
         zone.run(10)
-    zone.run(zone_fake.TAKEOVER_MS)
+    zone.run(takeover_ms)
     zone.hosts[1].activate()
     zone.run(120_000)
     partial_ms = zone_fake.longest_partial_ms(zone, "a/r", 1, 3)
@@ -123,9 +142,10 @@
     assert isinstance(zone.job("a/r").outcome, verdict.Ran)
 
 
-def test_each_part_restarts_from_its_own_checkpoint():
-    """Guards against one part's checkpoint given to another."""
-    plan = {("CheckpointPart", 2): zone_fake.Fault(lose_answer=True)}
+@pytest.mark.parametrize("field", ["lose_answer", "lose_request"])
+def test_each_part_restarts_from_its_own_checkpoint(field):
+    """Guards against one part's checkpoint lost or given to another."""
+    plan = {("CheckpointPart", 2): zone_fake.Fault(**{field: True})}
     zone = make(plan=plan, **SOLE, checkpointable=True, payload="9000")
     zone.run(1_000)
     host = zone.hosts[0]
@@ -180,3 +200,61 @@
     states = {step.task_id: step.state for step in zone.steps}
     assert set(states.values()) == {"stopped"}
     assert zone.job("a/r").endpoints == ("x0", "x1", "x2")
+
+
+def test_lost_stop_is_repeated_before_the_lease_ends():
+    """Guards against accelerators blocked for a whole lease by one loss."""
+    lost = zone_fake.Fault(lose_request=True)
+    zone = make(plan={("StopPart", 1): lost}, **SOLE, payload="90000")
+    zone.run(1_000)
+    zone.append(records.Cancelled("a/r", zone.now_ms))
+    zone.run(5_000)
+    assert isinstance(zone.job("a/r").outcome, verdict.RanFailed)
+
+
+def test_endpoint_that_left_during_the_hold_starts_nothing():
+    """Guards G3 between the hold and the resume."""
+    plan = {("HoldPart", 1): zone_fake.Fault(delay_ms=1_500)}
+    zone = make(plan=plan, **SOLE)
+    zone.run(1_000)
+    zone.closed_ids.add("e2")
+    zone.run(20_000)
+    assert zone_fake.resumed_runs(zone, "a/r") == set()
+
+
+@pytest.mark.parametrize("nth", [1, 2])
+def test_run_goes_on_if_the_log_shows_a_record_without_its_answer(nth):
+    """Guards against a run stuck on a lost answer to its append."""
+    plan = {("appended", nth): zone_fake.Fault(lose_answer=True)}
+    zone = make(plan=plan, **SOLE)
+    zone.run(10_000)
+    assert isinstance(zone.job("a/r").outcome, verdict.Ran)
+    assert zone.hosts[0].runs.runs_by_id == {}
+
+
+def fresh_run() -> gang.Run:
+    zone = make(**SOLE)
+    endpoints = ("e0", "e1", "e2")
+    run = gang.Run(zone.job("a/r"), 1, "z", endpoints, lambda _: True, 2)
+    run.start(0)
+    return run
+
+
+def test_lease_granted_to_an_earlier_launch_is_released():
+    """Guards against a launch that counts on an older, shorter lease."""
+    run = fresh_run()
+    late = actions.LeaseGranted("a/r", "e0", 5, "b", 8, attempt=1)
+    assert run.on(late, 1) == [actions.ReleaseLease("e0", 5)]
+    granted = actions.LeaseGranted("a/r", "e0", 6, "b", 8, attempt=2)
+    assert run.on(granted, 2)[0].endpoint_id == "e1"
+
+
+def test_crossed_states_do_not_take_a_part_back():
+    """Guards against a late "held" that hides that a part is running."""
+    part = parts.Part("e0", "a/r/1/0")
+    for state in ("held", "running", "held"):
+        part.note(state, "", "")
+    assert part.state == "running"
+    part.note("finished", "text", "")
+    part.note("lapsed", "other", "")
+    assert (part.state, part.result) == ("finished", "text")
--- a/packages/core/tests/test_runs.py
+++ b/packages/core/tests/test_runs.py
@@ -38,6 +38,14 @@
     assert zone_fake.resumed_runs(zone, "a/r") == {2}
 
 
+def test_cancel_of_a_held_run_of_a_dead_host_is_not_run():
+    """Guards against "ran" for a request that was only held."""
+    zone = interrupted(HELD_AFTER)
+    zone.append(records.Cancelled("a/r", zone.now_ms))
+    take_over(zone)
+    assert isinstance(zone.job("a/r").outcome, verdict.NotRun)
+
+
 def test_report_is_no_proof_while_the_older_leases_hold():
     """Guards against requeueing the launch of a host that is only paused."""
     zone = zone_fake.Zone(hosts=2)
--- a/packages/core/tests/zone_fake.py
+++ b/packages/core/tests/zone_fake.py
@@ -403,6 +403,10 @@
                 heapq.heappop(self._events)[2]()
         self.clock.advance(end_ms - self.now_ms)
 
+    def count(self, kind: str) -> int:
+        """Returns how many calls of a kind were asked for."""
+        return self._calls[kind]
+
     def fault(self, kind: str) -> Fault:
         """Returns the fault planned for this occurrence of a call."""
         self._calls[kind] += 1
