--- a/packages/bench/src/laburnumgate_bench/command.py
+++ b/packages/bench/src/laburnumgate_bench/command.py
@@ -8,6 +8,7 @@
 
 from laburnumgate_bench import experiment
 from laburnumgate_bench import measures
+from laburnumgate_bench import timing
 
 
 @click.command()
@@ -35,6 +36,9 @@
     type=click.Choice(experiment.SCENARIOS),
     default=experiment.SCENARIOS,
 )
+@click.option(
+    "--timing", "timed", is_flag=True, help="Time one zone at three sizes."
+)
 @click.option("--brief", is_flag=True, help="One line for each run.")
 @click.option("--json", "json_path", type=click.Path(path_type=pathlib.Path))
 @click.option("--plot", "plot_path", type=click.Path(path_type=pathlib.Path))
@@ -45,11 +49,15 @@
     policies: tuple[str, ...],
     names: tuple[str, ...],
     scenarios: tuple[str, ...],
+    timed: bool,
     brief: bool,
     json_path: pathlib.Path | None,
     plot_path: pathlib.Path | None,
 ) -> None:
     """Measures the scheduling policy against earlier ones."""
+    if timed:
+        _print_timing()
+        return
     if not brief:
         for name, definition in measures.DEFINITIONS.items():
             click.echo(f"{name}: {definition}.")
@@ -88,6 +96,17 @@
         _plot(outcomes, plot_path)
 
 
+def _print_timing() -> None:
+    for row in timing.measure():
+        click.echo(
+            f"{row.size.endpoints:5} endpoints {row.size.accelerators:5} "
+            f"accelerators {row.size.tasks:5} tasks: idle tick "
+            f"{row.idle_tick_ms:.3f} ms, tick with one change "
+            f"{row.changed_tick_ms:.3f} ms, gang {row.gang_ms:.3f} ms, "
+            f"rebuild {row.rebuild_ms:.1f} ms"
+        )
+
+
 def _print(outcome: experiment.Outcome) -> None:
     values = outcome.measures
     click.echo(
