--- a/packages/core/src/laburnumgate_core/routing.py
+++ b/packages/core/src/laburnumgate_core/routing.py
@@ -1,135 +1,139 @@
-"""Chooses the zone of a request from what the zones tell of themselves."""
+"""Chooses the availability zone of a job, at submission and when it moves."""
 
-from collections.abc import Collection
+from collections.abc import Iterable
 import dataclasses
 
 from laburnumgate_core import model
+from laburnumgate_core import ownership
+from laburnumgate_core import requests
+
+# A zone that came back takes its full share after this long, so that the
+# queues of all other zones are not sent there at once.
+RAMP_MS = 60_000
+# The own zone is preferred until its queue is this much longer than twice
+# the shortest one.
+SPILL_JOBS = 16
+# A summary older than this says nothing about free capacity.
+SUMMARY_MAX_AGE_MS = 30_000
 
 
 @dataclasses.dataclass(frozen=True)
-class FreeSlot:
-    """A guaranteed gang that no job uses."""
+class ZoneView:
+    """A zone as one host sees it now.
+
+    `free_accelerators` and `largest_free_rack` are None if no recent summary
+    is known. `returned_for_ms` is the time since the zone came back into
+    service, None if it has been in service for long. `sent_jobs` and
+    `sent_accelerators` are of jobs that this host has sent to the zone since
+    the other figures were taken.
+    """
 
-    account: str
-    parts: int
-    accelerators_per_part: int
+    zone: model.Zone
+    in_service: bool
+    reachable: bool
+    waiting_jobs: int
+    free_accelerators: int | None = None
+    largest_free_rack: int | None = None
+    returned_for_ms: int | None = None
+    sent_jobs: int = 0
+    sent_accelerators: int = 0
+
+    @property
+    def queue(self) -> int:
+        """Waiting jobs, with those that were just sent."""
+        return self.waiting_jobs + self.sent_jobs
 
 
 @dataclasses.dataclass(frozen=True)
-class Summary:
-    """Free capacity of a zone, for other hosts."""
+class NoZone:
+    """No zone takes the job now; `full` if only full queues forbid it."""
 
-    free_accelerators: int
-    largest_free_rack: int
-    waiting_jobs: int
-    waiting_accelerators: int = 0
-    accelerators: int = 0
-    # Accelerators of the rack with the most capacity that is owed to nobody.
-    largest_unreserved: int = 0
-    speed: float = 1.0
-    in_service: bool = True
-    free_slots: tuple[FreeSlot, ...] = ()
+    reason: str
+    full: bool = False
 
 
-def choose_zone(
-    account: str,
+def choose(
+    job_id: str,
     spec: model.JobSpec,
-    zones: Collection[str],
-    summaries_by_zone: dict[str, Summary],
-) -> str:
-    """Returns the zone that should place a request, empty if there is none.
+    allowed: tuple[str, ...],
+    views: Iterable[ZoneView],
+    own_zone: str,
+    max_waiting: int,
+) -> str | NoZone:
+    """Returns the zone that places a job.
 
     Args:
-      account: the client account.
-      spec: the job.
-      zones: zones that the account's promise allows, all if empty.
-      summaries_by_zone: the zones' newest summaries.
+      job_id: decides between equal zones, so that jobs spread over them.
+      spec: what the job needs.
+      allowed: zones of the account's promise; empty allows all.
+      views: every declared zone.
+      own_zone: the zone preferred when it is as good as the others.
+      max_waiting: waiting jobs from which a zone takes no more.
     """
-    at_once = starts_at_once(account, spec, zones, summaries_by_zone)
-    if at_once:
-        return at_once
-    best = ""
-    best_key = None
-    for zone, summary in sorted(summaries_by_zone.items()):
-        if not summary.in_service or (zones and zone not in zones):
-            continue
-        capacity = max(1, summary.accelerators) * summary.speed
-        backlog = summary.waiting_accelerators - summary.free_accelerators
-        key = (not _can_ever(spec, summary), backlog / capacity, -summary.speed)
-        if best_key is None or key < best_key:
-            best = zone
-            best_key = key
-    return best
-
-
-def starts_at_once(
-    account: str,
-    spec: model.JobSpec,
-    zones: Collection[str],
-    summaries_by_zone: dict[str, Summary],
-) -> str:
-    """Returns the fastest zone that can start the job now, or none.
+    fitting = [view for view in views if _can_fit(view, spec, allowed)]
+    if not fitting:
+        return NoZone("no zone can ever hold the job")
+    usable = [view for view in fitting if view.in_service and view.reachable]
+    if not usable:
+        return NoZone("no zone that can hold the job is in service")
+    open_views = [view for view in usable if view.queue < max_waiting]
+    if not open_views:
+        return NoZone(
+            f"{max_waiting} jobs wait in each zone that can hold the job",
+            full=True,
+        )
+    ramped = [view for view in open_views if _has_ramped(view, job_id)]
+    candidates = ramped or open_views
+    return _best(job_id, spec, candidates, own_zone).zone.name
+
 
-    A zone can if a guaranteed gang of the account is free there, or if
-    nothing waits there and the gang fits.
+def mover(zone: str, ready_ids: Iterable[str]) -> str | None:
+    """Returns the host, of those of other zones, that moves a zone's jobs.
+
+    The choice saves work; the log's order decides between two movers.
     """
-    best = ""
-    best_key = None
-    for zone, summary in sorted(summaries_by_zone.items()):
-        if not summary.in_service or (zones and zone not in zones):
-            continue
-        owed = any(
-            slot.account == account and _fits_slot(spec, slot)
-            for slot in summary.free_slots
-        )
-        room = (
-            summary.largest_free_rack
-            if spec.adjacency is model.Adjacency.RACK
-            else summary.free_accelerators
-        )
-        fits = (
-            not summary.waiting_jobs
-            and room >= spec.accelerators
-            and _can_ever(spec, summary)
-        )
-        if not owed and not fits:
-            continue
-        # Work that a reclaim would lose goes where less of it is reserved.
-        at_risk = (
-            not spec.checkpointable
-            and not owed
-            and summary.largest_unreserved < spec.accelerators
-        )
-        key = (not fits, not owed, at_risk, -summary.speed, -room)
-        if best_key is None or key < best_key:
-            best = zone
-            best_key = key
-    return best
-
-
-def after(summary: Summary, account: str, accelerators: int) -> Summary:
-    """Returns what is left of a zone once it took a job."""
-    slots = list(summary.free_slots)
-    for slot in slots:
-        if slot.account == account:
-            slots.remove(slot)
-            break
-    return dataclasses.replace(
-        summary,
-        free_accelerators=summary.free_accelerators - accelerators,
-        largest_free_rack=summary.largest_free_rack - accelerators,
-        free_slots=tuple(slots),
-    )
-
-
-def _can_ever(spec: model.JobSpec, summary: Summary) -> bool:
-    if spec.preemptible:
-        return summary.accelerators >= spec.accelerators
-    return summary.largest_unreserved >= spec.accelerators
-
-
-def _fits_slot(spec: model.JobSpec, slot: FreeSlot) -> bool:
-    if not spec.accelerators_per_part:
+    return ownership.placing_host(f"move/{zone}", ready_ids)
+
+
+def _best(
+    job_id: str,
+    spec: model.JobSpec,
+    candidates: list[ZoneView],
+    own_zone: str,
+) -> ZoneView:
+    startable = [view for view in candidates if _can_start(view, spec)]
+    pool = startable or candidates
+    shortest = min(view.queue for view in pool)
+    limit = 2 * shortest + SPILL_JOBS
+    near = [view for view in pool if view.queue <= limit]
+    for view in near:
+        if view.zone.name == own_zone:
+            return view
+    return max(near, key=lambda view: ownership.weight(job_id, view.zone.name))
+
+
+def _can_fit(
+    view: ZoneView, spec: model.JobSpec, allowed: tuple[str, ...]
+) -> bool:
+    if allowed and view.zone.name not in allowed:
+        return False
+    return requests.fits_zone(spec, view.zone)
+
+
+def _can_start(view: ZoneView, spec: model.JobSpec) -> bool:
+    """Whether the newest summary shows room and nobody waits for it."""
+    if view.free_accelerators is None or view.waiting_jobs:
         return False
-    per_part = slot.accelerators_per_part // spec.accelerators_per_part
-    return per_part * slot.parts >= spec.parts
+    needed = spec.accelerators + view.sent_accelerators
+    if spec.adjacency is model.Adjacency.RACK:
+        return view.largest_free_rack >= needed
+    return view.free_accelerators >= needed
+
+
+def _has_ramped(view: ZoneView, job_id: str) -> bool:
+    """Admits a growing share of the jobs to a zone that came back."""
+    if view.returned_for_ms is None or view.returned_for_ms >= RAMP_MS:
+        return True
+    key = f"ramp/{view.zone.name}"
+    share = ownership.weight(key, job_id) % RAMP_MS
+    return share < view.returned_for_ms
--- a/packages/core/src/laburnumgate_core/scheduler.py
+++ b/packages/core/src/laburnumgate_core/scheduler.py
@@ -12,6 +12,7 @@
 
 from laburnumgate_core import actions
 from laburnumgate_core import backfill
+from laburnumgate_core import capacity
 from laburnumgate_core import clock
 from laburnumgate_core import config
 from laburnumgate_core import estimate
@@ -25,7 +26,6 @@
 from laburnumgate_core import reclaim
 from laburnumgate_core import records
 from laburnumgate_core import reservation
-from laburnumgate_core import routing
 from laburnumgate_core import runs
 from laburnumgate_core import verdict
 
@@ -66,7 +66,7 @@
 
 _STOPPING = (gang.Phase.STOPPING, gang.Phase.CLOSING, gang.Phase.DONE)
 
-Summary = routing.Summary
+Summary = capacity.Summary
 
 
 @dataclasses.dataclass(frozen=True)
@@ -259,7 +259,7 @@
             speed=max(speeds, default=1.0),
             in_service=in_service,
             free_slots=tuple(
-                routing.FreeSlot(
+                capacity.FreeSlot(
                     slot.account, slot.parts, slot.accelerators_per_part
                 )
                 for slot in self._slots
@@ -276,7 +276,7 @@
         """Returns the zone that should place a new request."""
         promise = self._config.promises_by_account.get(account)
         allowed = promise.zones if promise is not None else ()
-        return routing.choose_zone(account, spec, allowed, summaries_by_zone)
+        return capacity.choose_zone(account, spec, allowed, summaries_by_zone)
 
     # Tables.
 
@@ -999,10 +999,10 @@
                 continue
             promise = self._config.promises_by_account.get(job.account)
             zones = promise.zones if promise is not None else ()
-            zone = routing.starts_at_once(job.account, job.spec, zones, peers)
+            zone = capacity.starts_at_once(job.account, job.spec, zones, peers)
             if not zone:
                 continue
-            peers[zone] = routing.after(
+            peers[zone] = capacity.after(
                 peers[zone], job.account, job.spec.accelerators
             )
             wanted.append(self._move(job, zone, now_ms))
--- /dev/null
+++ b/packages/host/src/laburnumgate_host/watching.py
@@ -0,0 +1,108 @@
+"""Watches the reports of a zone's endpoints while this host places."""
+
+import asyncio
+from collections.abc import Callable
+import logging
+
+from laburnumgate_core import actions
+from laburnumgate_core import clock
+
+from laburnumgate_host import endpoints
+from laburnumgate_host import events
+from laburnumgate_host import settings
+
+_LOGGER = logging.getLogger(__name__)
+RETRY_PAUSE_MS = 500
+
+
+class Watch:
+    """One long poll for each watched endpoint."""
+
+    def __init__(
+        self,
+        client: endpoints.EndpointClient,
+        timing: settings.Timing,
+        time: clock.Clock,
+        on_result: Callable[[actions.Result], None],
+        on_change: Callable[[], None],
+    ):
+        """Prepares to watch.
+
+        Args:
+          client: calls the endpoints.
+          timing: periods and timeouts in ms.
+          time: source of the current time.
+          on_result: takes each report and each loss.
+          on_change: called after `lost_ids` has changed.
+        """
+        # Endpoints that have not answered for too long.
+        self.lost_ids: set[str] = set()
+        self._client = client
+        self._timing = timing
+        self._clock = time
+        self._on_result = on_result
+        self._on_change = on_change
+        self._tasks_by_id: dict[str, asyncio.Task] = {}
+
+    def update(self, wanted: set[str]) -> None:
+        """Watches exactly the wanted endpoints from now on."""
+        for endpoint_id in wanted - self._tasks_by_id.keys():
+            self._tasks_by_id[endpoint_id] = (
+                asyncio.get_running_loop().create_task(self._watch(endpoint_id))
+            )
+        for endpoint_id in self._tasks_by_id.keys() - wanted:
+            self._tasks_by_id.pop(endpoint_id).cancel()
+            self.lost_ids.discard(endpoint_id)
+
+    async def _watch(self, endpoint_id: str) -> None:
+        while True:
+            try:
+                await self._follow(endpoint_id)
+            except Exception:
+                _LOGGER.exception(
+                    events.Event.TASK_CRASHED.text,
+                    extra={"event": events.Event.TASK_CRASHED.number},
+                )
+            await asyncio.sleep(RETRY_PAUSE_MS / 1000)
+
+    async def _follow(self, endpoint_id: str) -> None:
+        since = 0
+        heard_ms = self._clock.now_ms()
+        answers = True
+        while True:
+            # An endpoint that has not answered is asked for a quick answer.
+            wait_ms = self._timing.report_wait_ms if since and answers else 0
+            page = await self._client.report(endpoint_id, since, wait_ms)
+            now_ms = self._clock.now_ms()
+            answers = page is not None
+            if page is None:
+                if now_ms - heard_ms > self._timing.endpoint_lost_after_ms:
+                    self._note_lost(endpoint_id)
+                await asyncio.sleep(RETRY_PAUSE_MS / 1000)
+                continue
+            heard_ms = now_ms
+            self._note_heard(endpoint_id)
+            if page.rev < since:
+                # The endpoint restarted: ask for everything again.
+                since = 0
+                continue
+            since = page.rev
+            self._on_result(page.report)
+
+    def _note_lost(self, endpoint_id: str) -> None:
+        if endpoint_id in self.lost_ids:
+            return
+        self.lost_ids.add(endpoint_id)
+        events.emit(
+            _LOGGER,
+            events.Event.ENDPOINT_LOST,
+            logging.WARNING,
+            endpoint=endpoint_id,
+        )
+        self._on_change()
+        self._on_result(actions.EndpointLost(endpoint_id))
+
+    def _note_heard(self, endpoint_id: str) -> None:
+        if endpoint_id in self.lost_ids:
+            self.lost_ids.discard(endpoint_id)
+            self._on_change()
