Send records again only behind the log's head, within one retry budget

- An append without an answer is looked up: the head is read afterwards, and the same append is sent again once the stream was followed that far.
- At most one append is unanswered, so that no record overtakes the one it refers to.
- Appends are paced by a token bucket; retries share one budget per host and back off with jitter; the first append after an outage waits up to 2 s.
- A log whose appends are slow or not read back in time counts as unreachable.

--- /dev/null
+++ b/packages/core/src/laburnumgate_core/limits.py
@@ -0,0 +1,105 @@
+"""Bounds on rates: a token bucket and a budget of retries.
+
+Both keep whole milliseconds of a clock that is passed in, and never sleep.
+"""
+
+from laburnumgate_core import clock
+
+# Retries that are allowed whatever the number of calls, so that a host with
+# little traffic can still recover.
+RETRY_FLOOR_PER_S = 1.0
+RETRY_SHARE = 0.1
+MAX_SAVED_RETRIES = 20.0
+
+
+class TokenBucket:
+    """Allows `rate_per_s` actions a second and `burst` at once."""
+
+    def __init__(self, rate_per_s: float, burst: float, time: clock.Clock):
+        """Starts with a full bucket.
+
+        Raises:
+          ValueError: if the rate or the burst is not positive.
+        """
+        if rate_per_s <= 0 or burst <= 0:
+            raise ValueError("the rate and the burst must be positive")
+        self._rate_per_ms = rate_per_s / 1000
+        self._burst = burst
+        self._clock = time
+        self._tokens = burst
+        self._filled_ms = time.now_ms()
+
+    def take(self) -> bool:
+        """Takes a token; returns False if there is none."""
+        self._fill()
+        if self._tokens < 1:
+            return False
+        self._tokens -= 1
+        return True
+
+    def wait_ms(self) -> int:
+        """Returns in how many ms the next token is there, 0 for now."""
+        self._fill()
+        missing = 1 - self._tokens
+        if missing <= 0:
+            return 0
+        return int(missing / self._rate_per_ms) + 1
+
+    def _fill(self) -> None:
+        now_ms = self._clock.now_ms()
+        grown = (now_ms - self._filled_ms) * self._rate_per_ms
+        self._tokens = min(self._burst, self._tokens + max(0.0, grown))
+        self._filled_ms = now_ms
+
+
+class RetryBudget:
+    """Keeps a host's retries at a share of its calls plus a small floor."""
+
+    def __init__(self, time: clock.Clock):
+        self._floor = TokenBucket(RETRY_FLOOR_PER_S, RETRY_FLOOR_PER_S, time)
+        self._saved = 0.0
+
+    def note_call(self) -> None:
+        """Counts a first try of a call."""
+        self._saved = min(MAX_SAVED_RETRIES, self._saved + RETRY_SHARE)
+
+    def take(self) -> bool:
+        """Whether a retry may be sent now; it counts as sent if so."""
+        # Sums of 0.1 fall just short of 1 in binary.
+        if self._saved > 1 - 1e-9:
+            self._saved -= 1
+            return True
+        return self._floor.take()
+
+    def wait_ms(self) -> int:
+        """Returns in how many ms a retry is allowed at the latest."""
+        if self._saved > 1 - 1e-9:
+            return 0
+        return self._floor.wait_ms()
+
+
+class Backoff:
+    """Pauses between retries that double and are spread at random."""
+
+    def __init__(self, first_ms: int, last_ms: int, random_source):
+        """Prepares pauses from `first_ms` up to `last_ms`.
+
+        Args:
+          first_ms: bound of the first pause.
+          last_ms: bound of every later pause.
+          random_source: a `random.Random`.
+        """
+        self._first_ms = first_ms
+        self._last_ms = last_ms
+        self._random = random_source
+        self._bound_ms = first_ms
+
+    def next_ms(self) -> int:
+        """Returns the next pause: between half its bound and its bound."""
+        bound_ms = self._bound_ms
+        self._bound_ms = min(self._last_ms, bound_ms * 2)
+        return self._random.randint(bound_ms // 2, bound_ms)
+
+    def reset(self) -> None:
+        """Starts again with the first pause, after a success."""
+        self._bound_ms = self._first_ms
--- /dev/null
+++ b/packages/core/tests/test_appender.py
@@ -0,0 +1,66 @@
+"""Guards the way of records into the log."""
+
+from laburnumgate_core import appender
+from laburnumgate_core import model
+from laburnumgate_core import records
+
+
+def submitted(number: int, payload: str = "") -> records.Submitted:
+    spec = model.JobSpec("k", 1, 1, 1, payload=payload)
+    return records.Submitted(f"a/{number}", "a", spec, "z", "h", 1, 1, 0)
+
+
+def ended(number: int) -> records.Cancelled:
+    return records.Cancelled(f"a/{number}", 1)
+
+
+def test_batches_stay_within_both_bounds():
+    """Guards against an append that the log refuses as too large."""
+    queue = appender.Appender("h")
+    for number in range(70):
+        queue.add(submitted(number))
+    for number in range(10):
+        queue.add(submitted(number, "x" * 40_000))
+    batches = []
+    while (batch := queue.next_batch()) is not None:
+        batches.append(batch)
+        queue.on_answer(len(batches))
+    assert sum(len(batch.batch) for batch in batches) == 80
+    for batch in batches:
+        assert len(batch.batch) <= appender.MAX_BATCH_RECORDS
+        size = len(records.encode_jobs(batch.batch))
+        assert size <= appender.MAX_BATCH_BYTES
+
+
+def test_a_lost_append_is_sent_again_only_behind_the_head():
+    """Guards against a resend while the first copy may still be read."""
+    queue = appender.Appender("h")
+    queue.add(submitted(1))
+    batch = queue.next_batch()
+    queue.add(submitted(2))
+    assert queue.head_reached(100) is None
+    assert queue.next_batch() is None
+    queue.on_head(7)
+    assert queue.head_reached(6) is None
+    assert queue.head_reached(7) == batch
+    assert queue.head_reached(7) is None
+    queue.on_head(8)
+    assert queue.on_entry(batch.append_id) == batch
+    assert queue.head_reached(9) is None
+    assert queue.next_batch().append_id != batch.append_id
+
+
+def test_the_bound_leaves_room_for_the_ends_of_running_work():
+    """Guards against new requests that crowd out outcomes in an outage."""
+    queue = appender.Appender("h")
+    new = 0
+    while not isinstance(queue.add(submitted(new)), appender.Full):
+        new += 1
+    assert new == appender.MAX_PENDING_RECORDS - appender.RESERVED_RECORDS
+    more = 0
+    while not isinstance(queue.add(ended(more)), appender.Full):
+        more += 1
+    assert len(queue) == appender.MAX_PENDING_RECORDS
+    batch = queue.next_batch()
+    queue.on_entry(batch.append_id)
+    assert len(queue) == appender.MAX_PENDING_RECORDS - len(batch.batch)
--- a/packages/host/src/laburnumgate_host/host.py
+++ b/packages/host/src/laburnumgate_host/host.py
@@ -12,6 +12,7 @@
 from laburnumgate_core import clock
 from laburnumgate_core import config
 from laburnumgate_core import jobs
+from laburnumgate_core import limits
 from laburnumgate_core import membership
 from laburnumgate_core import ownership
 from laburnumgate_core import records
@@ -51,6 +52,7 @@
             own.host.host_id,
             own.timing.log_timeout_ms,
         )
+        self.retries = limits.RetryBudget(time)
         self.jobs = jobs.JobTable()
         self.config = config.ConfigTable()
         self.members = membership.MemberTable(own.host.host_id)
@@ -67,6 +69,8 @@
             self.jobs,
             time,
             own.timing.log_timeout_ms,
+            own.limits.appends_per_s,
+            self.retries,
         )
         self.endpoints = endpoints.EndpointClient(
             session, own.host.host_id, own.timing.endpoint_timeout_ms, time
--- a/packages/host/src/laburnumgate_host/journal.py
+++ b/packages/host/src/laburnumgate_host/journal.py
@@ -3,21 +3,27 @@
 import asyncio
 import dataclasses
 import logging
+import random
 
 from laburnumgate_core import actions
 from laburnumgate_core import appender
 from laburnumgate_core import clock
 from laburnumgate_core import jobs
+from laburnumgate_core import limits
 from laburnumgate_core import records
 
 from laburnumgate_host import events
 from laburnumgate_host import platform
 
 _LOGGER = logging.getLogger(__name__)
-# A sent batch that was not read back for this long is sent again.
-RESEND_AFTER_MS = 3_000
-SEND_PAUSE_MS = 20
-RETRY_PAUSE_MS = 500
+PROBE_EVERY_MS = 500
+# How long a provisional record waits for a log that is known to be out.
+OUTAGE_WAIT_MS = 50
+# Spreads the first appends of all hosts when the log returns.
+MAX_FLUSH_DELAY_MS = 2_000
+BACKOFF_FIRST_MS = 200
+BACKOFF_LAST_MS = 5_000
+APPENDS_PER_S = 20
 
 
 @dataclasses.dataclass(frozen=True)
@@ -28,7 +34,12 @@
 
 
 class Journal:
-    """The way of job records to the log and back."""
+    """The way of job records to the log and back.
+
+    `reachable` is False while appends fail and while they are slow: a log that
+    answers after longer than `timeout_ms` holds idempotent work up as much as
+    one that is down.
+    """
 
     def __init__(
         self,
@@ -37,16 +48,36 @@
         table: jobs.JobTable,
         time: clock.Clock,
         timeout_ms: int,
+        appends_per_s: int = APPENDS_PER_S,
+        retries: limits.RetryBudget | None = None,
     ):
+        """Prepares the way to the log.
+
+        Args:
+          name: unique to this process's start.
+          client: the log's client.
+          table: the fold of the stream `jobs`.
+          time: the clock of rates and durations.
+          timeout_ms: how long a record that may be used provisionally waits
+            to be read back.
+          appends_per_s: this host's share of the log's rate.
+          retries: the host's budget of retries.
+        """
         self.reachable = True
         self._client = client
         self._table = table
         self._clock = time
         self._timeout_ms = timeout_ms
+        self._random = random.Random(name)
+        self._rate = limits.TokenBucket(appends_per_s, appends_per_s, time)
+        self._retries = retries or limits.RetryBudget(time)
+        self._backoff = limits.Backoff(
+            BACKOFF_FIRST_MS, BACKOFF_LAST_MS, self._random
+        )
         self._appender = appender.Appender(name)
         self._waiting_by_key: dict[appender.Key, asyncio.Future] = {}
-        self._sent_ms_by_id: dict[str, int] = {}
         self._work = asyncio.Event()
+        self._progress = asyncio.Event()
 
     def __len__(self) -> int:
         return len(self._appender)
@@ -60,21 +91,29 @@
           record: the record to append.
           provisional: whether it may be used before the log has it. If not,
             the call waits for as long as the log is out.
+
+        Returns:
+          Whether the table took the record, or `Unsent` for a new request
+          while too many records wait. Other records wait for room, since
+          what they tell of a run would be lost.
         """
         key = self._appender.add(record)
-        if isinstance(key, appender.Full):
-            return Unsent(key.reason)
+        while isinstance(key, appender.Full):
+            if isinstance(record, records.Submitted | records.Refused):
+                return Unsent(key.reason)
+            await self._wait_for(self._progress, PROBE_EVERY_MS)
+            key = self._appender.add(record)
         future = asyncio.get_running_loop().create_future()
         self._waiting_by_key[key] = future
         self._work.set()
         if not provisional:
-            taken = await future
-            return actions.Appended(record, taken)
-        timeout_s = self._timeout_ms / 1000 if self.reachable else 0.05
+            return actions.Appended(record, await future)
+        wait_ms = self._timeout_ms if self.reachable else OUTAGE_WAIT_MS
         try:
-            taken = await asyncio.wait_for(future, timeout_s)
+            taken = await asyncio.wait_for(future, wait_ms / 1000)
         except TimeoutError:
             self._waiting_by_key.pop(key, None)
+            self._note_unreachable(f"not read back within {wait_ms} ms")
             taken = self._table.add_provisional(
                 key.append_id, key.index, record
             )
@@ -83,38 +122,115 @@
 
     def on_entry(self, entry: records.Entry, taken: tuple[bool, ...]) -> None:
         """Notes an entry that the table has just applied."""
-        if not self._appender.on_entry(entry.append_id):
-            return
-        self._sent_ms_by_id.pop(entry.append_id, None)
-        for index, flag in enumerate(taken):
-            key = appender.Key(entry.append_id, index)
-            future = self._waiting_by_key.pop(key, None)
-            if future is not None and not future.done():
-                future.set_result(flag)
+        batch = self._appender.on_entry(entry.append_id)
+        if batch is not None:
+            self._settle(batch, taken)
+        self._wake()
+
+    def on_state(self) -> None:
+        """Notes that the table took a snapshot, which may pass over entries.
+
+        A batch that the log took and the table is beyond will not be read
+        back; whether its records took effect is seen in the table. One that
+        went unanswered is sent again and read back then.
+        """
+        for batch in self._appender.passed(self._table.offset):
+            self._appender.on_entry(batch.append_id)
+            self._settle(batch, (False,) * len(batch.batch))
+        self._wake()
 
     async def run(self) -> None:
         """Sends batches until cancelled."""
         while True:
-            self._resend_lost()
+            if self._appender.unanswered:
+                await self._settle_unanswered()
+                continue
             batch = self._appender.next_batch()
             if batch is None:
                 self._work.clear()
-                await self._wait_for_work()
-                continue
-            self._sent_ms_by_id[batch.append_id] = self._clock.now_ms()
-            answer = await self._client.append(
-                records.JOBS_STREAM,
-                batch.append_id,
-                records.encode_jobs(batch.batch),
-            )
-            if isinstance(answer, platform.Unavailable):
-                self._note_unreachable(answer.reason)
-                await asyncio.sleep(RETRY_PAUSE_MS / 1000)
+                await self._wait_for(self._work, PROBE_EVERY_MS)
+                await self._probe()
                 continue
-            await asyncio.sleep(SEND_PAUSE_MS / 1000)
+            self._retries.note_call()
+            await self._send(batch)
 
     def note_reachable(self) -> None:
-        """Notes that the log has answered."""
+        """Notes that the log answered a read.
+
+        A log may answer reads while it takes no appends, so this alone does
+        not end an outage while a record waits.
+        """
+        if not len(self._appender):
+            self._work.set()
+
+    async def _send(self, batch: appender.Batch) -> None:
+        while not self._rate.take():
+            await asyncio.sleep(self._rate.wait_ms() / 1000)
+        sent_ms = self._clock.now_ms()
+        answer = await self._client.append(
+            records.JOBS_STREAM,
+            batch.append_id,
+            records.encode_jobs(batch.batch),
+        )
+        if isinstance(answer, platform.Unavailable):
+            self._note_unreachable(answer.reason)
+            return
+        self._appender.on_answer(answer)
+        self._note_append(self._clock.now_ms() - sent_ms)
+
+    async def _settle_unanswered(self) -> None:
+        """Looks an unanswered append up and sends it again if it is lost.
+
+        The head is read after the append timed out. Only once the stream was
+        followed up to it without the append is the append sent again.
+        """
+        await asyncio.sleep(self._backoff.next_ms() / 1000)
+        while not self._retries.take():
+            await asyncio.sleep(self._retries.wait_ms() / 1000)
+        head = await self._client.head(records.JOBS_STREAM)
+        if isinstance(head, platform.Unavailable):
+            self._note_unreachable(head.reason)
+            return
+        if not self.reachable:
+            delay_ms = self._random.randint(0, MAX_FLUSH_DELAY_MS)
+            await asyncio.sleep(delay_ms / 1000)
+        self._appender.on_head(head)
+        while self._appender.unanswered:
+            batch = self._appender.head_reached(self._table.offset)
+            if batch is not None:
+                await self._send(batch)
+                return
+            await self._wait_for(self._progress, PROBE_EVERY_MS)
+
+    async def _probe(self) -> None:
+        """Finds out whether a log that was out is back, with no append."""
+        if self.reachable or len(self._appender):
+            return
+        sent_ms = self._clock.now_ms()
+        head = await self._client.head(records.JOBS_STREAM)
+        if not isinstance(head, platform.Unavailable):
+            self._note_append(self._clock.now_ms() - sent_ms)
+
+    def _settle(self, batch: appender.Batch, taken: tuple[bool, ...]) -> None:
+        # An entry that could not be decoded has no flags: nothing was taken.
+        flags = taken or (False,) * len(batch.batch)
+        for key, record, flag in zip(
+            batch.keys, batch.batch, flags, strict=True
+        ):
+            future = self._waiting_by_key.pop(key, None)
+            if future is None or future.done():
+                continue
+            if not flag:
+                # An earlier copy of the append may have had the effect.
+                job = self._table.committed(record.job_id)
+                flag = jobs.reflects(job, record)
+            future.set_result(flag)
+
+    def _note_append(self, took_ms: int) -> None:
+        if took_ms > self._timeout_ms // 2:
+            self._note_unreachable(f"an answer took {took_ms} ms")
+            return
+        self._backoff.reset()
         if not self.reachable:
             events.emit(_LOGGER, events.Event.LOG_REACHABLE)
         self.reachable = True
@@ -129,15 +245,12 @@
             )
         self.reachable = False
 
-    async def _wait_for_work(self) -> None:
+    def _wake(self) -> None:
+        self._progress.set()
+        self._progress.clear()
+
+    async def _wait_for(self, event: asyncio.Event, wait_ms: int) -> None:
         try:
-            await asyncio.wait_for(self._work.wait(), RETRY_PAUSE_MS / 1000)
+            await asyncio.wait_for(event.wait(), wait_ms / 1000)
         except TimeoutError:
             return
-
-    def _resend_lost(self) -> None:
-        now_ms = self._clock.now_ms()
-        for batch in self._appender.unread():
-            sent_ms = self._sent_ms_by_id.get(batch.append_id, 0)
-            if now_ms - sent_ms > RESEND_AFTER_MS:
-                self._appender.retry(batch.append_id)
--- a/packages/host/src/laburnumgate_host/platform.py
+++ b/packages/host/src/laburnumgate_host/platform.py
@@ -7,6 +7,10 @@
 from laburnumgate_core import model
 from laburnumgate_core import records
 
+PAGE_ENTRIES = 500
+# The largest integer that every JSON parser keeps exactly.
+BEYOND_EVERY_OFFSET = 2**53 - 1
+
 
 @dataclasses.dataclass(frozen=True)
 class Unavailable:
@@ -75,15 +79,22 @@
             return answer
         return answer["offset"]
 
+    async def head(self, stream: str) -> int | Unavailable:
+        """Returns the last offset of a stream, 0 if nothing was appended."""
+        page = await self.read(stream, BEYOND_EVERY_OFFSET, 0, limit=1)
+        if isinstance(page, Unavailable):
+            return page
+        return page.next_offset - 1
+
     async def read(
-        self, stream: str, start: int, wait_ms: int
+        self, stream: str, start: int, wait_ms: int, limit: int = PAGE_ENTRIES
     ) -> Page | Unavailable:
         """Reads entries from offset `start` on, waiting for the first."""
         answer = await self._call(
             "GET",
             f"{self._log_url}/streams/{stream}/records",
             self._timeout_ms + wait_ms,
-            params={"from": start, "limit": 500, "wait_ms": wait_ms},
+            params={"from": start, "limit": limit, "wait_ms": wait_ms},
         )
         if isinstance(answer, Unavailable):
             return answer
