Fold configuration at a cost that follows the change, not the whole

A change of a zone's or an endpoint's state now checks one value; an account renders one promise; guarantees are checked together only when a shape or a zone's declaration changes. A key may occur once in a publication. Bounds of a parameter that is not an integer no longer raise TypeError in the fold.

--- a/packages/core/src/laburnumgate_core/config.py
+++ b/packages/core/src/laburnumgate_core/config.py
@@ -17,6 +17,7 @@
 ENDPOINT_STATES = ("active", "draining")
 # Outcomes are kept for operators who ask late: more than one day's changes.
 MAX_OUTCOMES = 40_000
+MAX_REASON_LENGTH = 500
 
 
 @dataclasses.dataclass(frozen=True)
@@ -46,8 +47,48 @@
 Outcome = Accepted | Rejected
 
 
+@dataclasses.dataclass(frozen=True)
+class ConfigValue:
+    """One key of a `ConfigState`."""
+
+    key: str
+    versioned: Versioned
+
+
+@dataclasses.dataclass(frozen=True)
+class ChangeOutcome:
+    """One publication's outcome in a `ConfigState`, oldest first."""
+
+    change_id: str
+    outcome: Outcome
+
+
+@dataclasses.dataclass(frozen=True)
+class ConfigState:
+    """The fold up to `offset`, with one value for each key."""
+
+    offset: int
+    values: tuple[ConfigValue, ...]
+    outcomes: tuple[ChangeOutcome, ...]
+
+
+@dataclasses.dataclass(frozen=True)
+class _Effect:
+    """What a publication would replace; None removes the entry."""
+
+    values: dict[str, Versioned | None]
+    promises: dict[str, model.Promise | None]
+    zones: dict[str, model.Zone | None]
+
+
 class ConfigTable:
-    """Configuration by key, with what follows from it."""
+    """Configuration by key, with what follows from it.
+
+    A publication costs as much as what it touches: a state of a zone or an
+    endpoint checks one value, an account renders one promise, a template
+    renders those of its accounts. Guarantees are checked together only if a
+    shape or a zone's declaration changes.
+    """
 
     def __init__(self):
         self.offset = 0
@@ -58,6 +99,7 @@
         self.outcomes_by_change_id: collections.OrderedDict[str, Outcome] = (
             collections.OrderedDict()
         )
+        self._accounts_by_template: dict[str, set[str]] = {}
 
     def apply_entry(self, entry: records.Entry) -> Outcome | None:
         """Applies one append; returns None if it is old or malformed."""
@@ -76,6 +118,45 @@
         self._remember(publication.change_id, outcome)
         return outcome
 
+    def state(self) -> ConfigState:
+        """Returns the fold for a snapshot."""
+        return ConfigState(
+            offset=self.offset,
+            values=tuple(
+                ConfigValue(key, versioned)
+                for key, versioned in self.values_by_key.items()
+            ),
+            outcomes=tuple(
+                ChangeOutcome(change_id, outcome)
+                for change_id, outcome in self.outcomes_by_change_id.items()
+            ),
+        )
+
+    def adopt(self, state: ConfigState) -> bool:
+        """Replaces the fold by a newer one.
+
+        Returns:
+          False, and nothing changes, if the table is at `state` or beyond, or
+          a value in it is not valid.
+        """
+        if state.offset <= self.offset:
+            return False
+        fresh = ConfigTable()
+        values = {item.key: item.versioned for item in state.values}
+        try:
+            fresh._put(fresh._effect(values))
+        except template.DeclarationError:
+            return False
+        self.offset = state.offset
+        self.values_by_key = fresh.values_by_key
+        self.promises_by_account = fresh.promises_by_account
+        self.zones_by_name = fresh.zones_by_name
+        self._accounts_by_template = fresh._accounts_by_template
+        self.outcomes_by_change_id = collections.OrderedDict(
+            (item.change_id, item.outcome) for item in state.outcomes
+        )
+        return True
+
     def zone_in_service(self, zone: str) -> bool:
         """Whether operators have the zone in service."""
         return self._state(f"zone-state/{zone}", "in") == "in"
@@ -96,7 +177,7 @@
         if conflict:
             return conflict
         try:
-            self._derive(self._with(changes, self.offset + 1), changes)
+            self._plan(changes, self.offset + 1)
         except template.DeclarationError as error:
             return str(error)
         return ""
@@ -109,14 +190,11 @@
         conflict = self._conflict(publication.changes)
         if conflict:
             return Rejected(offset, conflict, conflict=True)
-        values = self._with(publication.changes, offset)
         try:
-            promises, zones = self._derive(values, publication.changes)
+            effect = self._plan(publication.changes, offset)
         except template.DeclarationError as error:
-            return Rejected(offset, str(error))
-        self.values_by_key = values
-        self.promises_by_account = promises
-        self.zones_by_name = zones
+            return Rejected(offset, str(error)[:MAX_REASON_LENGTH])
+        self._put(effect)
         return Accepted(offset)
 
     def _conflict(self, changes: tuple[records.Change, ...]) -> str:
@@ -129,50 +207,123 @@
                 )
         return ""
 
-    def _with(
+    def _plan(
         self, changes: tuple[records.Change, ...], offset: int
-    ) -> dict[str, Versioned]:
-        values = dict(self.values_by_key)
-        for change in changes:
-            if change.value is None:
-                values.pop(change.key, None)
-                continue
-            values[change.key] = Versioned(offset, change.value)
-        return values
-
-    def _derive(
-        self,
-        values: dict[str, Versioned],
-        changes: tuple[records.Change, ...],
-    ) -> tuple[dict[str, model.Promise], dict[str, model.Zone]]:
-        """Checks the values and returns the promises and zones in them.
+    ) -> _Effect:
+        """Checks the changes and returns their effect; nothing changes yet.
 
         Raises:
           DeclarationError: if a value is wrong or the guarantees cannot all
             be met together.
         """
-        declared = False
+        values: dict[str, Versioned | None] = {}
         for change in changes:
-            family, _, name = change.key.partition("/")
-            if not name:
+            if change.key in values:
                 raise template.DeclarationError(
-                    f"{change.key}: a key is FAMILY/NAME"
+                    f"{change.key}: a key may be changed once"
                 )
-            declared |= family in ("template", "account", "zone")
+            values[change.key] = None
             if change.value is not None:
-                _check_value(family, name, change.value)
-        if not declared:
-            return self.promises_by_account, self.zones_by_name
-        zones = {}
+                values[change.key] = Versioned(offset, change.value)
+        effect = self._effect(values)
+        if self._guarantees_change(effect):
+            unmet = reservation.unmet_declared(
+                _replaced(self.promises_by_account, effect.promises),
+                _replaced(self.zones_by_name, effect.zones),
+            )
+            if unmet:
+                raise template.DeclarationError(unmet)
+        return effect
+
+    def _effect(self, values: dict[str, Versioned | None]) -> _Effect:
+        """Derives the promises and zones that the values replace.
+
+        Raises:
+          DeclarationError: if a value is wrong.
+        """
+        zones: dict[str, model.Zone | None] = {}
+        account_names: dict[str, None] = {}
         for key, versioned in values.items():
             family, _, name = key.partition("/")
-            if family == "zone":
-                zones[name] = template.parse_zone(name, versioned.value)
-        promises = _render_accounts(values)
-        unmet = reservation.unmet_declared(promises, zones)
-        if unmet:
-            raise template.DeclarationError(unmet)
-        return promises, zones
+            if not name:
+                raise template.DeclarationError(f"{key}: a key is FAMILY/NAME")
+            if versioned is not None:
+                _check_value(family, name, versioned.value)
+            match family:
+                case "zone":
+                    zones[name] = None
+                    if versioned is not None:
+                        zones[name] = template.parse_zone(name, versioned.value)
+                case "account":
+                    account_names[name] = None
+                case "template":
+                    for account in sorted(
+                        self._accounts_by_template.get(name, ())
+                    ):
+                        account_names[account] = None
+        promises = {name: self._render(name, values) for name in account_names}
+        return _Effect(values, promises, zones)
+
+    def _render(
+        self, name: str, values: dict[str, Versioned | None]
+    ) -> model.Promise | None:
+        account_key = f"account/{name}"
+        versioned = self._value_with(account_key, values)
+        if versioned is None:
+            return None
+        account = template.parse_account(versioned.value)
+        source = self._value_with(f"template/{account.template}", values)
+        if source is None:
+            raise template.DeclarationError(
+                f"{account_key}: template {account.template!r} does not exist"
+            )
+        try:
+            return template.render(
+                name, template.parse_template(source.value), account
+            )
+        except template.DeclarationError as error:
+            raise template.DeclarationError(f"{account_key}: {error}") from None
+
+    def _value_with(
+        self, key: str, values: dict[str, Versioned | None]
+    ) -> Versioned | None:
+        return values[key] if key in values else self.values_by_key.get(key)
+
+    def _guarantees_change(self, effect: _Effect) -> bool:
+        if effect.zones:
+            return True
+        for name, promise in effect.promises.items():
+            before = self.promises_by_account.get(name)
+            if promise is None or not promise.shapes:
+                continue
+            if before is None or before.shapes != promise.shapes:
+                return True
+            if before.zones != promise.zones:
+                return True
+        return False
+
+    def _put(self, effect: _Effect) -> None:
+        for key, versioned in effect.values.items():
+            self._index_account(key, versioned)
+            _put_one(self.values_by_key, key, versioned)
+        for name, promise in effect.promises.items():
+            _put_one(self.promises_by_account, name, promise)
+        for name, zone in effect.zones.items():
+            _put_one(self.zones_by_name, name, zone)
+
+    def _index_account(self, key: str, versioned: Versioned | None) -> None:
+        family, _, name = key.partition("/")
+        if family != "account":
+            return
+        before = self.values_by_key.get(key)
+        if before is not None:
+            used = before.value["template"]
+            self._accounts_by_template[used].discard(name)
+            if not self._accounts_by_template[used]:
+                del self._accounts_by_template[used]
+        if versioned is not None:
+            used = versioned.value["template"]
+            self._accounts_by_template.setdefault(used, set()).add(name)
 
     def _remember(self, change_id: str, outcome: Outcome) -> None:
         self.outcomes_by_change_id[change_id] = outcome
@@ -180,6 +331,27 @@
             self.outcomes_by_change_id.popitem(last=False)
 
 
+def _put_one(target: dict, name: str, value) -> None:
+    if value is None:
+        target.pop(name, None)
+    else:
+        target[name] = value
+
+
+def _replaced(current: dict, replaced: dict) -> dict:
+    """Returns the entries after a replacement, in order of their names.
+
+    The order decides between equally good places for a guaranteed shape. It
+    must not depend on history, which a host that took a snapshot has not seen.
+    """
+    merged = {**current, **replaced}
+    return {
+        name: merged[name]
+        for name in sorted(merged)
+        if merged[name] is not None
+    }
+
+
 def _check_value(family: str, name: str, value: dict[str, Any]) -> None:
     try:
         match family:
@@ -197,26 +369,3 @@
                 raise template.DeclarationError("unknown family of keys")
     except template.DeclarationError as error:
         raise template.DeclarationError(f"{family}/{name}: {error}") from None
-
-
-def _render_accounts(
-    values: dict[str, Versioned],
-) -> dict[str, model.Promise]:
-    promises = {}
-    for key, versioned in values.items():
-        family, _, name = key.partition("/")
-        if family != "account":
-            continue
-        account = template.parse_account(versioned.value)
-        source = values.get(f"template/{account.template}")
-        if source is None:
-            raise template.DeclarationError(
-                f"{key}: template {account.template!r} does not exist"
-            )
-        try:
-            promises[name] = template.render(
-                name, template.parse_template(source.value), account
-            )
-        except template.DeclarationError as error:
-            raise template.DeclarationError(f"{key}: {error}") from None
-    return promises
--- a/packages/core/src/laburnumgate_core/template.py
+++ b/packages/core/src/laburnumgate_core/template.py
@@ -147,6 +147,9 @@
         raise DeclarationError(
             f"parameter {name!r} must be of type {parameter.type}"
         )
+    if parameter.type != "integer":
+        _check_choice(name, parameter, value)
+        return
     if parameter.minimum is not None and value < parameter.minimum:
         raise DeclarationError(
             f"parameter {name!r} is {value}, below {parameter.minimum}"
@@ -155,6 +158,10 @@
         raise DeclarationError(
             f"parameter {name!r} is {value}, above {parameter.maximum}"
         )
+    _check_choice(name, parameter, value)
+
+
+def _check_choice(name: str, parameter: Parameter, value: Any) -> None:
     if parameter.choices and value not in parameter.choices:
         raise DeclarationError(
             f"parameter {name!r} is {value!r}, not one of "
--- a/packages/host/tests/test_journal.py
+++ b/packages/host/tests/test_journal.py
@@ -134,8 +134,11 @@
             await parts.journal.append(submitted(), False)
             assert not parts.journal.reachable
             parts.log.slow_s = 0.0
-            while not parts.journal.reachable:
+            for _ in range(300):
+                if parts.journal.reachable:
+                    return
                 await asyncio.sleep(0.01)
+            raise AssertionError("the journal did not notice the fast log")
 
     asyncio.run(script())
 
