--- a/packages/host/src/laburnumgate_host/events.py
+++ b/packages/host/src/laburnumgate_host/events.py
@@ -42,6 +42,24 @@
         logging.WARNING,
         ("offset",),
     )
+    SNAPSHOT_WRITTEN = (
+        204,
+        "snapshot was written to the log",
+        logging.INFO,
+        ("stream", "offset", "chunks"),
+    )
+    STATE_ADOPTED = (
+        205,
+        "state was taken from a snapshot or a peer",
+        logging.INFO,
+        ("stream", "source", "offset"),
+    )
+    STATE_UNUSABLE = (
+        206,
+        "state of a snapshot or a peer cannot be used",
+        logging.ERROR,
+        ("stream", "source", "reason"),
+    )
     CONFIG_APPLIED = (
         210,
         "configuration change is in force",
--- a/packages/host/src/laburnumgate_host/host.py
+++ b/packages/host/src/laburnumgate_host/host.py
@@ -1,8 +1,10 @@
 """One entry host: its tables, loops and what ties them together."""
 
 import asyncio
+from collections.abc import AsyncIterator
 from collections.abc import Callable
 from collections.abc import Coroutine
+import functools
 import logging
 import random
 
@@ -16,6 +18,7 @@
 from laburnumgate_core import ownership
 from laburnumgate_core import records
 from laburnumgate_core import scheduler
+from laburnumgate_core import snapshot
 from laburnumgate_core import stops
 from laburnumgate_rpc import peer_pb2
 
@@ -32,6 +35,7 @@
 from laburnumgate_host import routing
 from laburnumgate_host import settings
 from laburnumgate_host import sharing
+from laburnumgate_host import snapshots
 from laburnumgate_host import watching
 
 _LOGGER = logging.getLogger(__name__)
@@ -152,6 +156,17 @@
             lambda: self.jobs.offset + 1,
             self._apply_jobs,
         )
+        self.snapshots = snapshots.Snapshots(
+            self.platform,
+            self.config,
+            self.jobs,
+            time,
+            own.timing.snapshot_every_ms,
+            self._writes_snapshots,
+            self._state_fetches,
+            self._on_state,
+            self.retries,
+        )
         self._heard_log_ms = self.started_ms
         self._isolated = False
         self._summary_ms = 0
@@ -199,6 +214,7 @@
             self._config_follower.run,
             self._jobs_follower.run,
             self.journal.run,
+            self.snapshots.run,
             self.sharing.run,
             self._append_shared,
             self._poll_live_list,
@@ -272,6 +288,44 @@
         own = [self.settings.host.host_id] if held else []
         return peer_pb2.StopZoneReply(host_ids=own)
 
+    def on_fetch_state(
+        self, request: peer_pb2.FetchStateRequest
+    ) -> AsyncIterator[snapshot.Chunk]:
+        """Yields the state of the folds that are beyond the sender's."""
+        return self.snapshots.serve(request.config_offset, request.jobs_offset)
+
+    def _writes_snapshots(self, stream: str) -> bool:
+        ready = [
+            member.host_id
+            for member in self.members.alive(self.clock.now_ms())
+            if member.state == "ready"
+        ]
+        chosen = ownership.placing_host(f"snapshot/{stream}", ready)
+        return chosen == self.settings.host.host_id
+
+    def _state_fetches(self) -> list[snapshots.Fetch]:
+        """Returns a way to fetch the state of each ready peer."""
+        fetches = []
+        for member in self.members.alive(self.clock.now_ms()):
+            own = member.host_id == self.settings.host.host_id
+            if own or member.state != "ready":
+                continue
+            address = peers.Address(
+                member.host_id, member.zone, member.rpc_ip, member.rpc_port
+            )
+            fetches.append(functools.partial(self.peers.fetch_state, address))
+        random.shuffle(fetches)
+        return fetches
+
+    def _on_state(self, stream: str) -> None:
+        """Notes that a table took a snapshot or a peer's state."""
+        if stream == records.JOBS_STREAM:
+            self.journal.on_state()
+            self.note_job_changes()
+            return
+        self.metrics.config_offset.set({}, self.config.offset)
+        self.apply_stops()
+
     def take_stop(self, stop: stops.ZoneStop) -> None:
         """Applies a direct stop at this host."""
         if not self.stops.update(stop):
@@ -344,6 +398,7 @@
             apply,
             self._on_log_answer,
             self.settings.timing.log_poll_wait_ms,
+            lambda stream, wanted: self.snapshots.recover(stream, wanted),
         )
 
     def _on_log_answer(self, answered: bool) -> None:
--- a/packages/host/src/laburnumgate_host/peers.py
+++ b/packages/host/src/laburnumgate_host/peers.py
@@ -1,5 +1,6 @@
 """gRPC between the daemons: encoding, server and connections."""
 
+from collections.abc import AsyncIterator
 from collections.abc import Callable
 from collections.abc import Coroutine
 import dataclasses
@@ -9,13 +10,14 @@
 from grpclib import client as grpc_client
 from grpclib import server as grpc_server
 from laburnumgate_core import membership
+from laburnumgate_core import snapshot
 from laburnumgate_core import stops
 from laburnumgate_rpc import peer_grpc
 from laburnumgate_rpc import peer_pb2
 
 from laburnumgate_host import metrics
 
-_CALL_ERRORS = (
+CALL_ERRORS = (
     OSError,
     TimeoutError,
     grpclib.GRPCError,
@@ -44,6 +46,12 @@
         """Applies a direct stop of a zone's starts."""
         ...
 
+    def on_fetch_state(
+        self, request: peer_pb2.FetchStateRequest
+    ) -> AsyncIterator[snapshot.Chunk]:
+        """Yields the state of the folds that are beyond the sender's."""
+        ...
+
 
 @dataclasses.dataclass(frozen=True)
 class Address:
@@ -126,8 +134,13 @@
         await self._answer(stream, self._handler.on_zone_stop)
 
     async def FetchState(self, stream) -> None:  # noqa: N802
-        """Refuses: this host serves no snapshots."""
-        raise grpclib.GRPCError(grpclib.const.Status.UNIMPLEMENTED)
+        """Streams the state of both folds."""
+        request = await stream.recv_message()
+        self._metrics.count_peer_bytes("in", request.ByteSize())
+        async for chunk in self._handler.on_fetch_state(request):
+            message = peer_pb2.StateChunk(**dataclasses.asdict(chunk))
+            await stream.send_message(message)
+            self._metrics.count_peer_bytes("out", message.ByteSize())
 
     async def _answer(self, stream, handle: Callable) -> None:
         request = await stream.recv_message()
@@ -184,6 +197,30 @@
         stub = self._stub(address)
         return await self._call(stub.StopZone, request, timeout_ms)
 
+    async def fetch_state(
+        self, address: Address, config_offset: int, jobs_offset: int
+    ) -> AsyncIterator[snapshot.Chunk]:
+        """Yields a peer's state beyond the offsets.
+
+        Raises:
+          An error of `CALL_ERRORS` if the peer does not answer to the end.
+        """
+        request = peer_pb2.FetchStateRequest(
+            config_offset=config_offset, jobs_offset=jobs_offset
+        )
+        self._metrics.count_peer_bytes("out", request.ByteSize())
+        async with self._stub(address).FetchState.open() as stream:
+            await stream.send_message(request, end=True)
+            async for message in stream:
+                self._metrics.count_peer_bytes("in", message.ByteSize())
+                yield snapshot.Chunk(
+                    stream=message.stream,
+                    offset=message.offset,
+                    index=message.index,
+                    count=message.count,
+                    data=message.data,
+                )
+
     def close(self) -> None:
         """Closes every connection."""
         for channel in self._channels_by_address.values():
@@ -198,7 +235,7 @@
         self._metrics.count_peer_bytes("out", request.ByteSize())
         try:
             reply = await method(request, timeout=timeout_ms / 1000)
-        except _CALL_ERRORS:
+        except CALL_ERRORS:
             return None
         self._metrics.count_peer_bytes("in", reply.ByteSize())
         return reply
--- a/packages/host/src/laburnumgate_host/settings.py
+++ b/packages/host/src/laburnumgate_host/settings.py
@@ -87,6 +87,10 @@
     shutdown_grace_ms: PositiveMs = _field(
         "How long a leaving host may take to finish or undo launches."
     )
+    snapshot_every_ms: PositiveMs = _field(
+        "Time from one snapshot to the next; keep it below a quarter of the "
+        "log's retention."
+    )
     stop_starts_after_isolation_ms: int = _field(
         "A zone that has heard nothing from the log or another zone for this "
         "long starts nothing more; 0 lets it continue without end.",
--- /dev/null
+++ b/packages/host/src/laburnumgate_host/snapshots.py
@@ -0,0 +1,260 @@
+"""Writes snapshots of both folds to the log and recovers from them."""
+
+import asyncio
+from collections.abc import AsyncIterator
+from collections.abc import Callable
+import logging
+import random
+
+from laburnumgate_core import clock
+from laburnumgate_core import config
+from laburnumgate_core import jobs
+from laburnumgate_core import limits
+from laburnumgate_core import records
+from laburnumgate_core import snapshot
+
+from laburnumgate_host import events
+from laburnumgate_host import peers
+from laburnumgate_host import platform
+
+_LOGGER = logging.getLogger(__name__)
+# Chunks are up to 256 KB in the log: a page of this many stays below 4 MB.
+PAGE_CHUNKS = 16
+# Leaves most of the log's rate to the records of running work.
+CHUNK_PAUSE_MS = 100
+# An interval is checked this often, so that a snapshot is at most a quarter
+# of it late when its writer was replaced.
+CHECKS_PER_INTERVAL = 4
+FETCH_TIMEOUT_MS = 30_000
+
+Fetch = Callable[[int, int], AsyncIterator[snapshot.Chunk]]
+
+
+class Snapshots:
+    """Keeps a recent snapshot of each fold in the log.
+
+    The writer is chosen by the caller to save work; several writers do no
+    harm, since a reader takes any complete snapshot above its own offset.
+    """
+
+    def __init__(
+        self,
+        client: platform.Platform,
+        config_table: config.ConfigTable,
+        job_table: jobs.JobTable,
+        time: clock.Clock,
+        every_ms: int,
+        is_writer: Callable[[str], bool],
+        fetches: Callable[[], list[Fetch]],
+        on_state: Callable[[str], None],
+        retries: limits.RetryBudget,
+    ):
+        """Prepares to write and to recover.
+
+        Args:
+          client: the log's client.
+          config_table: the fold of the stream `config`.
+          job_table: the fold of the stream `jobs`.
+          time: the clock that stamps snapshots.
+          every_ms: the time from one snapshot to the next. Well below the
+            log's retention, so that a complete one is always there.
+          is_writer: tells whether this host writes a stream's snapshots.
+          fetches: returns a way to fetch the state of each ready peer.
+          on_state: told the stream after a table took a state.
+          retries: the host's budget of retries.
+        """
+        self._client = client
+        self._tables = {
+            records.CONFIG_STREAM: config_table,
+            records.JOBS_STREAM: job_table,
+        }
+        self._clock = time
+        self._every_ms = every_ms
+        self._is_writer = is_writer
+        self._fetches = fetches
+        self._on_state = on_state
+        self._retries = retries
+        self._serving = asyncio.Lock()
+
+    async def run(self) -> None:
+        """Writes snapshots when they are due, until cancelled."""
+        pause_ms = self._every_ms // CHECKS_PER_INTERVAL
+        while True:
+            # Hosts that start together must not check together.
+            await asyncio.sleep(random.uniform(0.5, 1) * pause_ms / 1000)
+            for stream, table in self._tables.items():
+                if table.offset and self._is_writer(stream):
+                    await self.write_if_due(stream)
+
+    async def write_if_due(self, stream: str) -> bool:
+        """Writes a snapshot unless the log holds a recent one.
+
+        It is written again even if the fold has not moved, since the last
+        one expires.
+
+        Returns:
+          Whether a complete snapshot was written.
+        """
+        due_ms = self._clock.now_ms() - self._every_ms
+        newest = await self._newest_body(stream, due_ms)
+        if newest is not None:
+            return False
+        chunks = await self._chunks(stream)
+        for chunk in chunks:
+            if not await self._append(chunk):
+                return False
+            await asyncio.sleep(CHUNK_PAUSE_MS / 1000)
+        events.emit(
+            _LOGGER,
+            events.Event.SNAPSHOT_WRITTEN,
+            stream=stream,
+            offset=chunks[0].offset,
+            chunks=len(chunks),
+        )
+        return True
+
+    async def recover(self, stream: str, wanted: int) -> bool:
+        """Brings a table forward from a snapshot, else from peers.
+
+        Args:
+          stream: the stream whose table is behind.
+          wanted: the first offset that the log still holds, 0 if the log
+            does not answer.
+
+        Returns:
+          Whether the table can be continued from the log at `wanted`; for 0,
+          whether it holds all that a ready peer holds.
+        """
+        table = self._tables[stream]
+        before = table.offset
+        body = await self._newest_body(stream, 0)
+        if body is not None:
+            self._adopt(body, "log")
+        if wanted and table.offset > before and table.offset + 1 >= wanted:
+            return True
+        for fetch in self._fetches():
+            answered = await self._fetch(fetch)
+            if answered and table.offset + 1 >= wanted:
+                return True
+        return False
+
+    async def serve(
+        self, config_offset: int, jobs_offset: int
+    ) -> AsyncIterator[snapshot.Chunk]:
+        """Yields the chunks of each fold that is beyond the offset given."""
+        offsets = {
+            records.CONFIG_STREAM: config_offset,
+            records.JOBS_STREAM: jobs_offset,
+        }
+        # One at a time: an encoded state takes tens of MB.
+        async with self._serving:
+            for stream, offset in offsets.items():
+                if self._tables[stream].offset <= offset:
+                    continue
+                for chunk in await self._chunks(stream):
+                    yield chunk
+
+    async def _chunks(self, stream: str) -> tuple[snapshot.Chunk, ...]:
+        state = self._tables[stream].state()
+        pieces = []
+        for piece in snapshot.body_steps(state):
+            pieces.append(piece)
+            # Lets callers and ticks in between two pieces.
+            await asyncio.sleep(0)
+        return snapshot.cut(stream, state.offset, b"".join(pieces))
+
+    async def _append(self, chunk: snapshot.Chunk) -> bool:
+        """Appends a chunk; a second copy after a lost answer does no harm."""
+        append_id = f"{chunk.stream}-{chunk.offset}-{chunk.index}"
+        data = snapshot.encode_stored(chunk, self._clock.now_ms())
+        self._retries.note_call()
+        while True:
+            answer = await self._client.append(
+                records.SNAPSHOT_STREAM, append_id, data
+            )
+            if not isinstance(answer, platform.Unavailable):
+                return True
+            if not self._retries.take():
+                return False
+
+    async def _newest_body(
+        self, stream: str, since_ms: int
+    ) -> snapshot.Body | None:
+        """Reads backwards until a complete snapshot is found.
+
+        Args:
+          stream: whose snapshot is wanted.
+          since_ms: ignores chunks that were written before this time.
+        """
+        head = await self._client.head(records.SNAPSHOT_STREAM)
+        if isinstance(head, platform.Unavailable):
+            return None
+        assembler = snapshot.Assembler()
+        end = head + 1
+        while end > 1:
+            start = max(1, end - PAGE_CHUNKS)
+            page = await self._client.read(
+                records.SNAPSHOT_STREAM, start, 0, limit=end - start
+            )
+            if isinstance(page, platform.Unavailable):
+                return None
+            for entry in reversed(page.entries):
+                stored = _decoded(entry)
+                if stored is None or stored.chunk.stream != stream:
+                    continue
+                if stored.at_ms < since_ms:
+                    return None
+                body = assembler.add(stored.chunk)
+                if body is not None:
+                    return body
+            if page.first_offset >= start:
+                return None
+            end = start
+        return None
+
+    async def _fetch(self, fetch: Fetch) -> bool:
+        """Takes what one peer sends and returns whether it sent all of it.
+
+        Chunks of a stream that breaks off never complete a state.
+        """
+        assembler = snapshot.Assembler()
+        offsets = [table.offset for table in self._tables.values()]
+        try:
+            async with asyncio.timeout(FETCH_TIMEOUT_MS / 1000):
+                async for chunk in fetch(*offsets):
+                    body = assembler.add(chunk)
+                    if body is not None:
+                        self._adopt(body, "peer")
+        except (*peers.CALL_ERRORS, TimeoutError):
+            return False
+        return True
+
+    def _adopt(self, body: snapshot.Body, source: str) -> None:
+        try:
+            state = snapshot.decode(body)
+        except ValueError as error:
+            events.emit(
+                _LOGGER,
+                events.Event.STATE_UNUSABLE,
+                stream=body.stream,
+                source=source,
+                reason=str(error),
+            )
+            return
+        if not self._tables[body.stream].adopt(state):
+            return
+        self._on_state(body.stream)
+        events.emit(
+            _LOGGER,
+            events.Event.STATE_ADOPTED,
+            stream=body.stream,
+            source=source,
+            offset=state.offset,
+        )
+
+
+def _decoded(entry: records.Entry) -> snapshot.Stored | None:
+    try:
+        return snapshot.decode_stored(entry.data)
+    except ValueError:
+        return None
--- /dev/null
+++ b/packages/host/tests/test_snapshots.py
@@ -0,0 +1,261 @@
+"""Guards the recovery of a host whose wanted entries have expired."""
+
+import asyncio
+import contextlib
+import dataclasses
+import functools
+import socket
+
+from laburnumgate_core import clock
+from laburnumgate_core import config
+from laburnumgate_core import jobs
+from laburnumgate_core import limits
+from laburnumgate_core import model
+from laburnumgate_core import records
+from laburnumgate_core import snapshot
+from laburnumgate_host import follower
+from laburnumgate_host import metrics
+from laburnumgate_host import peers
+from laburnumgate_host import platform
+from laburnumgate_host import snapshots
+import pytest
+
+EVERY_MS = 1_000
+SPEC = model.JobSpec("k", 1, 1, 1, payload="x" * 100)
+
+
+class FakeLog:
+    """Streams in memory whose oldest entries expire when told to."""
+
+    def __init__(self):
+        self.entries_by_stream: dict[str, list[records.Entry]] = {}
+        self.first_by_stream: dict[str, int] = {}
+        self.down = False
+
+    def put(self, stream: str, append_id: str, data: str) -> int:
+        entries = self.entries_by_stream.setdefault(stream, [])
+        entries.append(records.Entry(len(entries) + 1, append_id, data))
+        return len(entries)
+
+    def expire(self, stream: str) -> None:
+        entries = self.entries_by_stream.get(stream, [])
+        self.first_by_stream[stream] = len(entries) + 1
+
+    async def append(self, stream: str, append_id: str, data: str):
+        if self.down:
+            return platform.Unavailable("down")
+        return self.put(stream, append_id, data)
+
+    async def head(self, stream: str):
+        if self.down:
+            return platform.Unavailable("down")
+        return len(self.entries_by_stream.get(stream, []))
+
+    async def read(self, stream: str, start: int, wait_ms: int, limit=500):
+        await asyncio.sleep(0.002)
+        if self.down:
+            return platform.Unavailable("down")
+        entries = self.entries_by_stream.get(stream, [])
+        first = self.first_by_stream.get(stream, 1)
+        page = entries[max(start, first) - 1 :][:limit]
+        return platform.Page(tuple(page), first, len(entries) + 1)
+
+
+class Host:
+    """The tables of one host with what keeps them current."""
+
+    def __init__(self, log: FakeLog, time: clock.Clock, fetches=()):
+        self.jobs = jobs.JobTable()
+        self.config = config.ConfigTable()
+        self.adopted: list[str] = []
+        self.snapshots = snapshots.Snapshots(
+            log,
+            self.config,
+            self.jobs,
+            time,
+            EVERY_MS,
+            lambda stream: True,
+            lambda: list(fetches),
+            self.adopted.append,
+            limits.RetryBudget(time),
+        )
+        self.follower = follower.Follower(
+            records.JOBS_STREAM,
+            log,
+            lambda: self.jobs.offset + 1,
+            self.jobs.apply_entry,
+            lambda answered: None,
+            0,
+            self.snapshots.recover,
+        )
+
+    def on_fetch_state(self, request):
+        return self.snapshots.serve(request.config_offset, request.jobs_offset)
+
+
+@contextlib.asynccontextmanager
+async def following(host: Host):
+    task = asyncio.create_task(host.follower.run())
+    try:
+        yield
+    finally:
+        task.cancel()
+
+
+async def until(condition) -> None:
+    for _ in range(1_000):
+        if condition():
+            return
+        await asyncio.sleep(0.005)
+    raise AssertionError("the condition did not come true")
+
+
+def submit(log: FakeLog, count: int) -> None:
+    for number in range(count):
+        record = records.Submitted(f"a/{number}", "a", SPEC, "z", "h", 1, 1, 0)
+        data = records.encode_jobs((record,))
+        log.put(records.JOBS_STREAM, f"s{number}", data)
+
+
+@pytest.fixture(autouse=True)
+def short(monkeypatch):
+    monkeypatch.setattr(snapshot, "MAX_CHUNK_BYTES", 200)
+    monkeypatch.setattr(snapshots, "CHUNK_PAUSE_MS", 1)
+    monkeypatch.setattr(follower, "RETRY_FIRST_MS", 10)
+    monkeypatch.setattr(follower, "RETRY_LAST_MS", 20)
+
+
+def test_a_starting_host_continues_from_the_newest_snapshot():
+    """Guards against a host that cannot start once entries have expired."""
+
+    async def script():
+        log, time = FakeLog(), clock.ManualClock(1_000_000)
+        submit(log, 30)
+        first = Host(log, time)
+        async with following(first):
+            await until(lambda: first.follower.caught_up)
+            assert await first.snapshots.write_if_due(records.JOBS_STREAM)
+            log.expire(records.JOBS_STREAM)
+            submit(log, 40)
+            await until(lambda: first.jobs.offset == 70)
+        second = Host(log, time)
+        async with following(second):
+            await until(lambda: second.follower.caught_up)
+        assert second.jobs.state() == first.jobs.state()
+        assert second.adopted == [records.JOBS_STREAM]
+
+    asyncio.run(script())
+
+
+def test_a_snapshot_is_written_again_before_the_last_one_expires():
+    """Guards against a log that holds neither entries nor a snapshot."""
+
+    async def script():
+        log, time = FakeLog(), clock.ManualClock(1_000_000)
+        submit(log, 3)
+        host = Host(log, time)
+        async with following(host):
+            await until(lambda: host.follower.caught_up)
+        write = host.snapshots.write_if_due
+        assert await write(records.JOBS_STREAM)
+        assert not await write(records.JOBS_STREAM)
+        time.advance(EVERY_MS + 1)
+        assert await write(records.JOBS_STREAM)
+        # An incomplete snapshot does not count as one.
+        time.advance(EVERY_MS + 1)
+        chunks = snapshot.encode(host.jobs.state())
+        stored = snapshot.encode_stored(chunks[-1], time.now_ms())
+        log.put(records.SNAPSHOT_STREAM, "half", stored)
+        assert await write(records.JOBS_STREAM)
+
+    asyncio.run(script())
+
+
+def test_a_host_behind_a_gap_stays_joining_and_applies_nothing():
+    """Guards against a fold with a hole that differs from every other."""
+
+    async def script():
+        log, time = FakeLog(), clock.ManualClock(1_000_000)
+        submit(log, 30)
+        log.expire(records.JOBS_STREAM)
+        submit(log, 5)
+        log.put(records.SNAPSHOT_STREAM, "x", "not a chunk")
+        old = snapshot.encode(jobs.JobsState(20, 1, ()))
+        for chunk in (*old, dataclasses.replace(old[0], offset=34)):
+            data = snapshot.encode_stored(chunk, 1)
+            log.put(records.SNAPSHOT_STREAM, "old", data)
+        host = Host(log, time)
+        async with following(host):
+            await asyncio.sleep(0.2)
+            assert not host.follower.caught_up
+            assert host.jobs.offset == 20
+            complete = snapshot.encode(jobs.JobsState(30, 1, ()))
+            for chunk in complete:
+                data = snapshot.encode_stored(chunk, 1)
+                log.put(records.SNAPSHOT_STREAM, "new", data)
+            await until(lambda: host.follower.caught_up)
+            assert host.jobs.offset == 35
+
+    asyncio.run(script())
+
+
+@contextlib.asynccontextmanager
+async def served(host: Host):
+    """Serves a host's state over gRPC and yields a way to fetch it."""
+    with socket.socket() as probe:
+        probe.bind(("127.0.0.1", 0))
+        port = probe.getsockname()[1]
+    client = peers.Peers(metrics.Metrics())
+    server = await client.serve(host, "127.0.0.1", port)
+    address = peers.Address("p", "z", "127.0.0.1", port)
+    try:
+        yield functools.partial(client.fetch_state, address)
+    finally:
+        client.close()
+        server.close()
+        await server.wait_closed()
+
+
+@pytest.mark.parametrize("down", [False, True])
+def test_a_host_recovers_from_a_peer_without_snapshots(down):
+    """Guards against an outage that outlasts the log's retention."""
+
+    async def script():
+        log, time = FakeLog(), clock.ManualClock(1_000_000)
+        submit(log, 30)
+        first = Host(log, time)
+        async with following(first):
+            await until(lambda: first.follower.caught_up)
+        log.expire(records.JOBS_STREAM)
+        log.down = down
+        async with served(first) as fetch:
+            second = Host(log, time, [fetch])
+            async with following(second):
+                await until(lambda: second.follower.caught_up)
+            assert second.jobs.state() == first.jobs.state()
+            # A peer that is behind changes nothing.
+            behind = Host(log, time)
+            async with served(behind) as stale:
+                assert [c async for c in stale(0, 0)] == []
+
+    asyncio.run(script())
+
+
+def test_a_peer_that_breaks_off_leaves_no_state():
+    """Guards against half of a peer's state in a table."""
+
+    async def script():
+        log, time = FakeLog(), clock.ManualClock(1_000_000)
+        log.down = True
+        chunks = snapshot.encode(jobs.JobsState(30, 1, ()))
+
+        async def broken(config_offset, jobs_offset):
+            for chunk in chunks[:-1]:
+                yield chunk
+            raise OSError("connection lost")
+
+        host = Host(log, time, [broken])
+        assert not await host.snapshots.recover(records.JOBS_STREAM, 0)
+        assert host.jobs.offset == 0
+
+    asyncio.run(script())
