--- a/packages/host/tests/test_journal.py
+++ b/packages/host/tests/test_journal.py
@@ -64,10 +64,11 @@
 
 
 @contextlib.asynccontextmanager
-async def running(timeout_ms: int = 400):
+async def running(timeout_ms: int = 400, time=None, appends_per_s: int = 20):
     log = FakeLog()
     table = jobs.JobTable()
-    made = journal.Journal("h", log, table, clock.SystemClock(), timeout_ms)
+    time = time or clock.SystemClock()
+    made = journal.Journal("h", log, table, time, timeout_ms, appends_per_s)
     parts = Parts(log, table, made)
     tasks = [
         asyncio.create_task(parts.follow()),
@@ -183,3 +184,21 @@
             assert (await waiting).taken
 
     asyncio.run(script())
+
+
+def test_appends_keep_to_their_share_of_the_logs_rate():
+    """Guards against hosts that overload a log that has just returned."""
+
+    async def script():
+        time = clock.ManualClock(1)
+        async with running(time=time, appends_per_s=1) as parts:
+            await parts.journal.append(submitted(), False)
+            waiting = asyncio.create_task(
+                parts.journal.append(submitted(2), False)
+            )
+            await asyncio.sleep(0.05)
+            assert len(parts.log.entries) == 1
+            time.advance(1_001)
+            assert (await waiting).taken
+
+    asyncio.run(script())
--- a/packages/host/tests/test_snapshots.py
+++ b/packages/host/tests/test_snapshots.py
@@ -259,3 +259,26 @@
         assert host.jobs.offset == 0
 
     asyncio.run(script())
+
+
+def test_a_state_that_does_not_reach_the_gap_is_no_recovery():
+    """Guards against a host that asks for expired entries without a pause."""
+
+    async def script():
+        log, time = FakeLog(), clock.ManualClock(1_000_000)
+
+        async def behind(config_offset, jobs_offset):
+            for chunk in snapshot.encode(jobs.JobsState(25, 1, ())):
+                yield chunk
+
+        for chunk in snapshot.encode(jobs.JobsState(20, 1, ())):
+            data = snapshot.encode_stored(chunk, 1)
+            log.put(records.SNAPSHOT_STREAM, "old", data)
+        alone = Host(log, time)
+        assert not await alone.snapshots.recover(records.JOBS_STREAM, 31)
+        host = Host(log, time, [behind])
+        assert not await host.snapshots.recover(records.JOBS_STREAM, 31)
+        assert host.jobs.offset == 25
+        assert await Host(log, time).snapshots.recover(records.JOBS_STREAM, 21)
+
+    asyncio.run(script())
--- a/packages/standins/src/laburnumgate_standins/log.py
+++ b/packages/standins/src/laburnumgate_standins/log.py
@@ -1,7 +1,8 @@
 """Stand-in for the platform's append-only log service.
 
 Run as `python -m laburnumgate_standins.log --port N`. `POST /faults` makes it
-unreachable, slow, or lose the answers of appends that took effect.
+unreachable, slow, read-only, expire entries, or lose the answers of appends
+that took effect.
 """
 
 import asyncio
@@ -24,6 +25,10 @@
     down: bool = False
     slow_ms: int = 0
     lose_answers: int = 0
+    # Reads are answered, appends are not taken.
+    refuse_appends: bool = False
+    # Entries that are older expire; 0 keeps all.
+    retention_ms: int = 0
     cut_sources: tuple[str, ...] = ()
 
 
@@ -40,11 +45,11 @@
 class Stream:
     """Appends of one stream; offsets start at 1 and never repeat."""
 
-    def __init__(self, retention_ms: int):
+    def __init__(self, faults: Faults):
         self.entries: list[Stored] = []
         self.next_offset = 1
         self.grown = asyncio.Event()
-        self._retention_ms = retention_ms
+        self._faults = faults
 
     def append(self, append_id: str, data: str) -> int:
         """Adds an entry and returns its offset."""
@@ -65,9 +70,10 @@
 
     def expire(self) -> None:
         """Drops entries older than the retention."""
-        if not self._retention_ms:
+        retention_ms = self._faults.retention_ms
+        if not retention_ms:
             return
-        oldest_ms = time.time_ns() // 1_000_000 - self._retention_ms
+        oldest_ms = time.time_ns() // 1_000_000 - retention_ms
         keep = 0
         while keep < len(self.entries):
             if self.entries[keep].at_ms >= oldest_ms:
@@ -85,11 +91,11 @@
     """Builds the service's application."""
     app = sanic.Sanic("standin-log", configure_logging=False)
     streams: dict[str, Stream] = {}
-    faults = Faults()
+    faults = Faults(retention_ms=retention_ms)
     window = {"second": 0, "appends": 0}
 
     def stream(name: str) -> Stream:
-        return streams.setdefault(name, Stream(retention_ms))
+        return streams.setdefault(name, Stream(faults))
 
     def cut(request: sanic.Request) -> bool:
         source = request.headers.get("x-host-id", "")
@@ -105,7 +111,7 @@
     @app.post("/streams/<name>/records")
     async def append(request: sanic.Request, name: str):
         await asyncio.sleep(faults.slow_ms / 1000)
-        if cut(request):
+        if cut(request) or faults.refuse_appends:
             return sanic.json({"error": "unavailable"}, status=503)
         if over_rate():
             return sanic.json({"error": "too many appends"}, status=429)
