--- /dev/null
+++ b/packages/standins/tests/test_recovery.py
@@ -0,0 +1,102 @@
+"""Guards the recovery of hosts on real processes."""
+
+import asyncio
+import signal
+
+import aiohttp
+from laburnumgate_standins import cluster as cluster_module
+from laburnumgate_standins import layout
+
+TRIES = 150
+
+
+async def until(read, condition) -> dict:
+    """Reads until the condition holds; the last answer if it never does."""
+    answer = None
+    for _ in range(TRIES):
+        try:
+            answer = await read()
+        except aiohttp.ClientError:
+            answer = None
+        if answer is not None and condition(answer):
+            return answer
+        await asyncio.sleep(0.2)
+    raise AssertionError(f"the last answer was {answer}")
+
+
+def holds_both(page: dict) -> bool:
+    """Whether a page of the log has snapshots of both streams."""
+    text = " ".join(item["data"] for item in page["records"])
+    return '"stream":"jobs"' in text and '"stream":"config"' in text
+
+
+async def script() -> None:
+    cluster = cluster_module.Cluster(
+        layout.BY_NAME["hai-phong"], timing={"snapshot_every_ms": 1_000}
+    )
+    session = aiohttp.ClientSession()
+
+    async def get(url: str):
+        async with session.get(url) as response:
+            return await response.json()
+
+    async def restart(host_id: str) -> str:
+        cluster.signal(host_id, signal.SIGKILL)
+        cluster.processes_by_name[host_id].wait()
+        cluster.start_host(host_id)
+        url = cluster.hosts_by_id[host_id].url
+        await until(
+            lambda: get(f"{url}/v1/ready"), lambda a: a["state"] == "ready"
+        )
+        return url
+
+    async def check(url: str) -> None:
+        shown = await get(f"{url}/v1/operator/config")
+        assert shown["values"]["zone-state/spare"]["revision"] == 1
+        known = await get(f"{url}/v1/requests/nobody/r1")
+        assert known["verdict"]["kind"] == "not_run"
+
+    async def fault(**values) -> None:
+        async with session.post(f"{cluster.log_url}/faults", json=values) as r:
+            assert r.status == 200
+
+    try:
+        await cluster.start()
+        first, second, *_ = cluster.hosts_by_id
+        url = cluster.hosts_by_id[first].url
+        change = {
+            "key": "zone-state/spare",
+            "value": {"state": "out"},
+            "replaces": 0,
+        }
+        body = {"operator": "ana", "changes": [change]}
+        async with session.post(
+            f"{url}/v1/operator/publications", json=body
+        ) as response:
+            assert response.status == 200
+        live = await get(f"{cluster.live_url}/live")
+        body = {
+            "request_id": "r1",
+            "account": "nobody",
+            "issued_at_ms": live["as_of_ms"],
+        }
+        async with session.post(f"{url}/v1/requests", json=body) as response:
+            assert response.status == 422
+        stored = f"{cluster.log_url}/streams/snapshots/records"
+        await until(lambda: get(stored), holds_both)
+        await fault(retention_ms=6_000)
+        config_url = f"{cluster.log_url}/streams/config/records"
+        await until(
+            lambda: get(config_url), lambda page: page["first_offset"] == 2
+        )
+        await check(await restart(first))
+        await fault(down=True)
+        await check(await restart(second))
+    finally:
+        await session.close()
+        cluster.stop()
+
+
+def test_restarted_hosts_recover_from_snapshots_and_from_peers():
+    """Guards against a host that cannot join once entries have expired."""
+    asyncio.run(script())
