Append a peer's submission before records that follow from it

The log ignored a start and an end that a placing host had appended before the submission of a host that died during a log outage.

--- a/packages/host/src/laburnumgate_host/execution.py
+++ b/packages/host/src/laburnumgate_host/execution.py
@@ -30,6 +30,7 @@
         counts: metrics.Metrics,
         spawn: Callable[[Coroutine], asyncio.Task],
         note_job_changes: Callable[[], None],
+        append_held: Callable[[str], None],
     ):
         self._client = client
         self._journal = log
@@ -38,6 +39,7 @@
         self._metrics = counts
         self._spawn = spawn
         self._note_job_changes = note_job_changes
+        self._append_held = append_held
         self._turns_by_endpoint: dict[str, asyncio.Semaphore] = {}
 
     def carry_out(self, wanted: list[actions.Action]) -> None:
@@ -75,6 +77,10 @@
     ) -> actions.Appended | None:
         job = self._jobs.get(record.job_id)
         provisional = job is None or job.spec.idempotent
+        if self._jobs.committed(record.job_id) is None:
+            self._append_held(record.job_id)
+            # Lets those records enter the journal's queue first.
+            await asyncio.sleep(0)
         answer = await self._journal.append(record, provisional)
         self._note_job_changes()
         if isinstance(answer, journal.Unsent):
--- a/packages/host/src/laburnumgate_host/host.py
+++ b/packages/host/src/laburnumgate_host/host.py
@@ -137,6 +137,7 @@
             self.metrics,
             self.spawn,
             self.note_job_changes,
+            self._append_held_of,
         )
         self.watch = watching.Watch(
             self.endpoints,
@@ -420,6 +421,10 @@
             self.sharing.drop(key)
         self.note_job_changes()
 
+    def _append_held_of(self, job_id: str) -> None:
+        for key, record in self.sharing.take_of(job_id):
+            self.spawn(self._append_held(key, record))
+
     def _append_move(self, record: records.Moved) -> None:
         if self.journal.reachable:
             self.spawn(self.journal.append(record, provisional=False))
--- a/packages/host/src/laburnumgate_host/sharing.py
+++ b/packages/host/src/laburnumgate_host/sharing.py
@@ -178,6 +178,22 @@
             overdue.append((key, held.record))
         return overdue
 
+    def take_of(
+        self, job_id: str
+    ) -> list[tuple[appender.Key, records.JobRecord]]:
+        """Returns the records of peers for one job, in order of arrival.
+
+        The log ignores a start or an end that comes before the submission, so
+        a host that appends for such a job appends these first.
+        """
+        now_ms = self._clock.now_ms()
+        found = []
+        for key, held in self._held_by_key.items():
+            if held.record.job_id == job_id:
+                self._held_by_key[key] = _Held(held.record, now_ms)
+                found.append((key, held.record))
+        return found
+
     def drop(self, key: appender.Key) -> None:
         """Forgets a peer's record that is in the log under another key."""
         self._held_by_key.pop(key, None)
--- a/packages/standins/src/laburnumgate_standins/trial.py
+++ b/packages/standins/src/laburnumgate_standins/trial.py
@@ -7,6 +7,7 @@
 import contextlib
 import dataclasses
 import json
+import time
 from typing import Any
 
 import aiohttp
@@ -81,6 +82,7 @@
             "account": "surveys",
             "accelerators_per_part": 2,
             "run_ms": work_ms,
+            "issued_at_ms": time.time_ns() // 1_000_000,
             "payload": payload,
             **fields,
         }
