--- a/packages/standins/src/laburnumgate_standins/endpoint.py
+++ b/packages/standins/src/laburnumgate_standins/endpoint.py
@@ -62,6 +62,9 @@
         self.fail_all = False
         self.unreachable = False
         self.lose_answers = 0
+        # Faults by call kind, see `_kind`: answers to lose, delay in ms.
+        self.lose_answers_by_kind: dict[str, int] = {}
+        self.delay_ms_by_kind: dict[str, int] = {}
         self.slow_stop_ms = 0
         # Every start of real work, for checks of at-most-once.
         self.resumed: list[str] = []
@@ -73,6 +76,13 @@
         self.changed.set()
         self.changed = asyncio.Event()
 
+    def reboot(self) -> None:
+        """Loses all tasks and the lease; tokens are never given twice."""
+        self.tasks.clear()
+        self.lease = None
+        self.boot_id = uuid.uuid4().hex
+        self.rev = 1
+
     def free(self) -> int:
         """Accelerators not used by held or running tasks."""
         used = sum(
@@ -126,214 +136,245 @@
     }
 
 
-def build(endpoints: dict[str, Endpoint]) -> sanic.Sanic:
-    """Builds the application of a rack's endpoints."""
-    app = sanic.Sanic("standin-endpoint", configure_logging=False)
+def _kind(request: sanic.Request) -> str:
+    """Returns `lease`, `tasks`, `throttle`, `checkpoint`, `stop` and so on."""
+    segments = request.path.strip("/").split("/")
+    if len(segments) > 1 and segments[1] == "lease":
+        return "lease"
+    return segments[-1]
 
-    @app.middleware("request")
-    async def check_reachable(request: sanic.Request):
-        name = request.path.split("/")[1]
-        endpoint = endpoints.get(name)
-        if endpoint is None:
-            return sanic.json({"error": "no such endpoint"}, status=404)
-        if endpoint.unreachable and not request.path.endswith("/faults"):
-            await asyncio.sleep(10)
-            return sanic.json({"error": "unreachable"}, status=503)
-        return None
 
-    @app.middleware("response")
-    async def lose_answer(request: sanic.Request, response):
-        endpoint = endpoints.get(request.path.split("/")[1])
-        if endpoint is None or request.method == "GET":
-            return None
-        if endpoint.lose_answers > 0 and "/tasks" in request.path:
-            endpoint.lose_answers -= 1
-            return sanic.json({"error": "answer lost"}, status=504)
-        return None
+async def _check_reachable(request: sanic.Request):
+    name = request.path.split("/")[1]
+    endpoint = request.app.ctx.endpoints.get(name)
+    if endpoint is None:
+        return sanic.json({"error": "no such endpoint"}, status=404)
+    if endpoint.unreachable and not request.path.endswith("/faults"):
+        await asyncio.sleep(10)
+        return sanic.json({"error": "unreachable"}, status=503)
+    delay_ms = endpoint.delay_ms_by_kind.get(_kind(request), 0)
+    if delay_ms:
+        await asyncio.sleep(delay_ms / 1000)
+    return None
 
-    @app.post("/<name>/lease")
-    async def take_lease(request: sanic.Request, name: str):
-        endpoint = endpoints[name]
-        endpoint.step(0)
-        body = request.json
-        now_ms = _now_ms()
-        held = endpoint.lease
-        if held is not None:
-            return sanic.json(
-                {
-                    "holder": held["holder"],
-                    "retry_in_ms": held["until_ms"] - now_ms,
-                },
-                status=409,
-            )
-        token = endpoint.next_token
-        endpoint.next_token += 1
-        endpoint.lease = {
-            "holder": body["holder"],
-            "token": token,
-            "until_ms": now_ms + body["ttl_ms"],
-        }
+
+async def _lose_answer(request: sanic.Request, response):
+    endpoint = request.app.ctx.endpoints.get(request.path.split("/")[1])
+    if endpoint is None or request.method == "GET":
+        return None
+    if endpoint.lose_answers > 0 and "/tasks" in request.path:
+        endpoint.lose_answers -= 1
+        return sanic.json({"error": "answer lost"}, status=504)
+    left = endpoint.lose_answers_by_kind.get(_kind(request), 0)
+    if left > 0:
+        endpoint.lose_answers_by_kind[_kind(request)] = left - 1
+        return sanic.json({"error": "answer lost"}, status=504)
+    return None
+
+
+async def _take_lease(request: sanic.Request, name: str):
+    endpoint = request.app.ctx.endpoints[name]
+    endpoint.step(0)
+    body = request.json
+    now_ms = _now_ms()
+    held = endpoint.lease
+    if held is not None:
         return sanic.json(
             {
-                "token": token,
-                "boot_id": endpoint.boot_id,
-                "free_accelerators": endpoint.free(),
-            }
-        )
-
-    @app.delete("/<name>/lease/<token:int>")
-    async def release_lease(request: sanic.Request, name: str, token: int):
-        endpoint = endpoints[name]
-        if endpoint.lease is not None and endpoint.lease["token"] == token:
-            endpoint.lease = None
-        return sanic.json({})
-
-    @app.post("/<name>/tasks")
-    async def hold(request: sanic.Request, name: str):
-        endpoint = endpoints[name]
-        endpoint.step(0)
-        body = request.json
-        known = endpoint.tasks.get(body["task_id"])
-        if known is not None:
-            return sanic.json(_view(known))
-        lease = endpoint.lease
-        if lease is None or lease["token"] != body["token"]:
-            return sanic.json({"error": "lease is not held"}, status=409)
-        if endpoint.free() < body["accelerators"]:
-            return sanic.json({"error": "no capacity"}, status=507)
-        payload = json.loads(body["payload"] or "{}")
-        percent = body["throttle_percent"]
-        done_ms = (
-            float(body["checkpoint"].split("=")[1].split(";")[0])
-            if ("=" in body["checkpoint"])
-            else 0.0
+                "holder": held["holder"],
+                "retry_in_ms": held["until_ms"] - now_ms,
+            },
+            status=409,
         )
-        task = Task(
-            task_id=body["task_id"],
-            accelerators=body["accelerators"],
-            cpus=body["cpus"],
-            memory_mb=body["memory_mb"],
-            payload=payload,
-            lease_until_ms=_now_ms() + body["lease_ms"],
-            throttle_percent=percent,
-            left_ms=payload.get("work_ms", 100) - done_ms,
-            state="running" if percent else "held",
-            rev=0,
-            holder=body["holder"],
-        )
-        endpoint.tasks[task.task_id] = task
+    token = endpoint.next_token
+    endpoint.next_token += 1
+    endpoint.lease = {
+        "holder": body["holder"],
+        "token": token,
+        "until_ms": now_ms + body["ttl_ms"],
+    }
+    return sanic.json(
+        {
+            "token": token,
+            "boot_id": endpoint.boot_id,
+            "free_accelerators": endpoint.free(),
+        }
+    )
+
+
+async def _release_lease(request: sanic.Request, name: str, token: int):
+    endpoint = request.app.ctx.endpoints[name]
+    if endpoint.lease is not None and endpoint.lease["token"] == token:
+        endpoint.lease = None
+    return sanic.json({})
+
+
+async def _hold(request: sanic.Request, name: str):
+    endpoint = request.app.ctx.endpoints[name]
+    endpoint.step(0)
+    body = request.json
+    known = endpoint.tasks.get(body["task_id"])
+    if known is not None:
+        return sanic.json(_view(known))
+    lease = endpoint.lease
+    if lease is None or lease["token"] != body["token"]:
+        return sanic.json({"error": "lease is not held"}, status=409)
+    if endpoint.free() < body["accelerators"]:
+        return sanic.json({"error": "no capacity"}, status=507)
+    payload = json.loads(body["payload"] or "{}")
+    percent = body["throttle_percent"]
+    done_ms = (
+        float(body["checkpoint"].split("=")[1])
+        if ("=" in body["checkpoint"])
+        else 0.0
+    )
+    task = Task(
+        task_id=body["task_id"],
+        accelerators=body["accelerators"],
+        cpus=body["cpus"],
+        memory_mb=body["memory_mb"],
+        payload=payload,
+        lease_until_ms=_now_ms() + body["lease_ms"],
+        throttle_percent=percent,
+        left_ms=payload.get("work_ms", 100) - done_ms,
+        state="running" if percent else "held",
+        rev=0,
+        holder=body["holder"],
+    )
+    endpoint.tasks[task.task_id] = task
+    endpoint.touch(task)
+    return sanic.json(_view(task), status=201)
+
+
+async def _throttle(request: sanic.Request, name: str, task_id: str):
+    endpoint = request.app.ctx.endpoints[name]
+    endpoint.step(0)
+    task = endpoint.tasks.get(task_id)
+    if task is None:
+        return sanic.json({"error": "no such task"}, status=404)
+    if task.state in _OVER:
+        return sanic.json(_view(task))
+    body = request.json
+    task.throttle_percent = body["percent"]
+    task.lease_until_ms = _now_ms() + body["lease_ms"]
+    if task.state == "held" and body["percent"]:
+        task.state = "running"
+        endpoint.resumed.append(task_id)
         endpoint.touch(task)
-        return sanic.json(_view(task), status=201)
+    return sanic.json(_view(task))
 
-    @app.post("/<name>/tasks/<task_id:path>/throttle")
-    async def throttle(request: sanic.Request, name: str, task_id: str):
-        endpoint = endpoints[name]
-        endpoint.step(0)
-        task = endpoint.tasks.get(task_id)
-        if task is None:
-            return sanic.json({"error": "no such task"}, status=404)
-        if task.state in _OVER:
-            return sanic.json(_view(task))
-        body = request.json
-        task.throttle_percent = body["percent"]
-        task.lease_until_ms = _now_ms() + body["lease_ms"]
-        if task.state == "held" and body["percent"]:
-            task.state = "running"
-            endpoint.resumed.append(task_id)
-            endpoint.touch(task)
+
+async def _checkpoint(request: sanic.Request, name: str, task_id: str):
+    endpoint = request.app.ctx.endpoints[name]
+    task = endpoint.tasks.get(task_id)
+    if task is None:
+        return sanic.json({"error": "no such task"}, status=404)
+    if task.state in _OVER:
         return sanic.json(_view(task))
+    done_ms = task.payload.get("work_ms", 100) - task.left_ms
+    task.checkpoint = f"done_ms={done_ms:.0f}"
+    if request.json.get("stop"):
+        task.state = "checkpointed"
+    endpoint.touch(task)
+    return sanic.json(_view(task))
+
+
+async def _stop(request: sanic.Request, name: str, task_id: str):
+    endpoint = request.app.ctx.endpoints[name]
+    if endpoint.slow_stop_ms:
+        await asyncio.sleep(endpoint.slow_stop_ms / 1000)
+    task = endpoint.tasks.get(task_id)
+    if task is None:
+        return sanic.json({"error": "no such task"}, status=404)
+    if task.state not in _OVER:
+        task.state = "stopped"
+        endpoint.touch(task)
+    return sanic.json(_view(task))
 
-    @app.post("/<name>/tasks/<task_id:path>/checkpoint")
-    async def checkpoint(request: sanic.Request, name: str, task_id: str):
-        endpoint = endpoints[name]
+
+async def _renew(request: sanic.Request, name: str):
+    endpoint = request.app.ctx.endpoints[name]
+    endpoint.step(0)
+    renewed = []
+    for task_id in request.json["task_ids"]:
         task = endpoint.tasks.get(task_id)
-        if task is None:
-            return sanic.json({"error": "no such task"}, status=404)
-        if task.state in _OVER:
-            return sanic.json(_view(task))
-        done_ms = task.payload.get("work_ms", 100) - task.left_ms
-        task.checkpoint = f"done_ms={done_ms:.0f}"
-        if request.json.get("stop"):
-            task.state = "checkpointed"
-        endpoint.touch(task)
-        return sanic.json(_view(task))
+        if task is None or task.state in _OVER:
+            continue
+        task.lease_until_ms = _now_ms() + request.json["lease_ms"]
+        renewed.append(task_id)
+    return sanic.json({"task_ids": renewed})
 
-    @app.post("/<name>/tasks/<task_id:path>/stop")
-    async def stop(request: sanic.Request, name: str, task_id: str):
-        endpoint = endpoints[name]
-        if endpoint.slow_stop_ms:
-            await asyncio.sleep(endpoint.slow_stop_ms / 1000)
+
+async def _acknowledge(request: sanic.Request, name: str):
+    endpoint = request.app.ctx.endpoints[name]
+    for task_id in request.json["task_ids"]:
         task = endpoint.tasks.get(task_id)
-        if task is None:
-            return sanic.json({"error": "no such task"}, status=404)
-        if task.state not in _OVER:
-            task.state = "stopped"
-            endpoint.touch(task)
-        return sanic.json(_view(task))
+        if task is not None and task.state in _OVER:
+            del endpoint.tasks[task_id]
+    return sanic.json({})
+
+
+async def _report(request: sanic.Request, name: str):
+    endpoint = request.app.ctx.endpoints[name]
+    since = int(request.args.get("since", "0"))
+    wait_ms = min(MAX_WAIT_MS, int(request.args.get("wait_ms", "0")))
+    if endpoint.rev <= since and wait_ms:
+        with contextlib.suppress(TimeoutError):
+            await asyncio.wait_for(endpoint.changed.wait(), wait_ms / 1000)
+    if endpoint.unreachable:
+        return sanic.json({"error": "unreachable"}, status=503)
+    changed = [
+        _view(task) for task in endpoint.tasks.values() if task.rev > since
+    ]
+    return sanic.json(
+        {
+            "boot_id": endpoint.boot_id,
+            "rev": endpoint.rev,
+            "tasks": changed,
+            "usage": {"free_accelerators": endpoint.free()},
+        }
+    )
 
-    @app.post("/<name>/renew")
-    async def renew(request: sanic.Request, name: str):
-        endpoint = endpoints[name]
-        endpoint.step(0)
-        renewed = []
-        for task_id in request.json["task_ids"]:
-            task = endpoint.tasks.get(task_id)
-            if task is None or task.state in _OVER:
-                continue
-            task.lease_until_ms = _now_ms() + request.json["lease_ms"]
-            renewed.append(task_id)
-        return sanic.json({"task_ids": renewed})
-
-    @app.post("/<name>/ack")
-    async def acknowledge(request: sanic.Request, name: str):
-        endpoint = endpoints[name]
-        for task_id in request.json["task_ids"]:
-            task = endpoint.tasks.get(task_id)
-            if task is not None and task.state in _OVER:
-                del endpoint.tasks[task_id]
-        return sanic.json({})
-
-    @app.get("/<name>/report")
-    async def report(request: sanic.Request, name: str):
-        endpoint = endpoints[name]
-        since = int(request.args.get("since", "0"))
-        wait_ms = min(MAX_WAIT_MS, int(request.args.get("wait_ms", "0")))
-        if endpoint.rev <= since and wait_ms:
-            with contextlib.suppress(TimeoutError):
-                await asyncio.wait_for(endpoint.changed.wait(), wait_ms / 1000)
-        if endpoint.unreachable:
-            return sanic.json({"error": "unreachable"}, status=503)
-        changed = [
-            _view(task) for task in endpoint.tasks.values() if task.rev > since
-        ]
-        return sanic.json(
-            {
-                "boot_id": endpoint.boot_id,
-                "rev": endpoint.rev,
-                "tasks": changed,
-                "usage": {"free_accelerators": endpoint.free()},
-            }
-        )
 
-    @app.post("/<name>/faults")
-    async def set_faults(request: sanic.Request, name: str):
-        endpoint = endpoints[name]
-        for field, value in request.json.items():
-            if field == "reboot":
-                endpoint.tasks.clear()
-                endpoint.lease = None
-                endpoint.boot_id = uuid.uuid4().hex
-                endpoint.rev = 1
-                continue
-            setattr(endpoint, field, value)
-        endpoint.changed.set()
-        endpoint.changed = asyncio.Event()
-        return sanic.json({})
+async def _set_faults(request: sanic.Request, name: str):
+    endpoint = request.app.ctx.endpoints[name]
+    for field, value in request.json.items():
+        if field == "reboot":
+            endpoint.reboot()
+            continue
+        setattr(endpoint, field, value)
+    endpoint.changed.set()
+    endpoint.changed = asyncio.Event()
+    return sanic.json({})
+
+
+async def _history(request: sanic.Request, name: str):
+    return sanic.json({"resumed": request.app.ctx.endpoints[name].resumed})
 
-    @app.get("/<name>/history")
-    async def history(request: sanic.Request, name: str):
-        return sanic.json({"resumed": endpoints[name].resumed})
 
+_ROUTES = (
+    ("POST", "/<name>/lease", _take_lease),
+    ("DELETE", "/<name>/lease/<token:int>", _release_lease),
+    ("POST", "/<name>/tasks", _hold),
+    ("POST", "/<name>/tasks/<task_id:path>/throttle", _throttle),
+    ("POST", "/<name>/tasks/<task_id:path>/checkpoint", _checkpoint),
+    ("POST", "/<name>/tasks/<task_id:path>/stop", _stop),
+    ("POST", "/<name>/renew", _renew),
+    ("POST", "/<name>/ack", _acknowledge),
+    ("GET", "/<name>/report", _report),
+    ("POST", "/<name>/faults", _set_faults),
+    ("GET", "/<name>/history", _history),
+)
+
+
+def build(endpoints: dict[str, Endpoint]) -> sanic.Sanic:
+    """Builds the application of a rack's endpoints."""
+    app = sanic.Sanic("standin-endpoint", configure_logging=False)
+    app.ctx.endpoints = endpoints
+    app.register_middleware(_check_reachable, "request")
+    app.register_middleware(_lose_answer, "response")
+    for method, path, handler in _ROUTES:
+        app.add_route(handler, path, methods=[method])
     return app
 
 
--- /dev/null
+++ b/packages/standins/tests/test_endpoint.py
@@ -0,0 +1,45 @@
+"""Guards the faults of the stand-in endpoint that other tests rely on."""
+
+import asyncio
+
+import aiohttp
+from laburnumgate_standins import endpoint
+
+
+def serve(work):
+    """Runs `work(session, url, endpoint)` against one served endpoint."""
+
+    async def run():
+        worker = endpoint.Endpoint("e-1", 8, 1.0)
+        app = endpoint.build({"e-1": worker})
+        server = await app.create_server(
+            host="127.0.0.1",
+            port=0,
+            return_asyncio_server=True,
+            access_log=False,
+        )
+        await server.startup()
+        await server.start_serving()
+        port = server.server.sockets[0].getsockname()[1]
+        async with aiohttp.ClientSession() as session:
+            url = f"http://127.0.0.1:{port}/e-1"
+            await work(session, url, worker)
+        server.close()
+        await server.wait_closed()
+
+    asyncio.run(run())
+
+
+def test_lost_answer_of_one_kind_takes_effect_and_others_answer():
+    """Guards against fault tests that lose the call instead of the answer."""
+
+    async def work(session, url, worker):
+        worker.lose_answers_by_kind = {"lease": 1}
+        body = {"holder": "h", "ttl_ms": 5_000}
+        async with session.post(f"{url}/lease", json=body) as response:
+            assert response.status == 504
+        assert worker.lease is not None
+        async with session.post(f"{url}/lease", json=body) as response:
+            assert response.status == 409
+
+    serve(work)
