Check that queued work stays put behind a direct stop of a cut-off zone

Cause: the test passed with the scheduler's stop commented out, because nothing waited in the zone. A first stronger version waited for ever, since it stopped the zone before both requests that fill it were running, and one of them stayed queued as it should.

With apply_stops commented out the test fails on the starts in zone-a.

--- a/packages/standins/tests/test_failures.py
+++ b/packages/standins/tests/test_failures.py
@@ -48,12 +48,13 @@
     ]
 
 
-async def _running(trial: Trial, host_id: str) -> None:
-    async def has_run() -> bool:
+async def _running(trial: Trial, host_id: str, count: int = 1) -> None:
+    async def has_runs() -> bool:
         runs = (await trial.state(host_id)).get("runs", ())
-        return any(run["phase"] == "running" for run in runs)
+        running = [run for run in runs if run["phase"] == "running"]
+        return len(running) >= count
 
-    await trial.until(f"{host_id} runs something", has_run)
+    await trial.until(f"{host_id} runs {count} or more", has_runs)
 
 
 async def _ready(trial: Trial, host_id: str) -> None:
@@ -313,11 +314,21 @@
             for host in trial.cluster.hosts_by_id.values()
             if host.zone == "zone-a"
         ]
-        await trial.placing("zone-a")
+        placing = await trial.placing("zone-a")
         await trial.log_faults(cut_sources=hosts)
         zone = trial.urls("zone-a")
         first = trial.request()
         told = [await trial.outcome(first, zone)]
+        # Two requests fill the zone; those behind them must not start.
+        filling = [
+            trial.request(4_000, accelerators_per_part=8) for _ in range(2)
+        ]
+        for request in filling:
+            await trial.submit(request, zone)
+        await _running(trial, placing, len(filling))
+        behind = [trial.request() for _ in range(3)]
+        for request in behind:
+            await trial.submit(request, zone)
         order = {"operator": "ana", "stopped": True, "wait_ms": 5_000}
         path = "/v1/operator/zones/zone-a/stop"
         answer = await trial.call("POST", zone[0] + path, order)
@@ -328,6 +339,7 @@
         refused = await trial.call("POST", f"{zone[0]}/v1/requests", body)
         assert refused.status == 503
         assert refused.body["verdict"]["kind"] == "may_have_run"
+        told += await trial.outcomes(filling, zone)
         told += await trial.outcomes(_mixed(trial, 4), trial.urls("zone-b"))
         assert await trial.resumed("zone-a") == started
 
@@ -342,7 +354,7 @@
         assert answer.body["not_reached"] == []
         for host_id in trial.cluster.hosts_by_id:
             assert (await trial.state(host_id))["stops"] == []
-        told.append(await trial.outcome(body, zone))
+        told += await trial.outcomes([body, *behind], zone)
         assert await trial.wrong(told) == []
         assert {one.verdict["kind"] for one in told} == {"ran"}
 
