Tell other zones of the largest free endpoint and let placing hosts move jobs

Cause: a zone's summary told the free accelerators of a rack only, so 31 free on each of eight endpoints looked like room for a part of 33, and jobs waited there while other zones had whole endpoints free. The scheduler's own moves of waiting jobs never ran in the daemon, since nothing told it of other zones.

Ruled out: a stale summary; the same happened with summaries of this second.

--- a/packages/core/src/laburnumgate_core/capacity.py
+++ b/packages/core/src/laburnumgate_core/capacity.py
@@ -22,6 +22,7 @@
     free_accelerators: int
     largest_free_rack: int
     waiting_jobs: int
+    largest_free_endpoint: int = 0
     waiting_accelerators: int = 0
     accelerators: int = 0
     # Accelerators of the rack with the most capacity that is owed to nobody.
@@ -90,6 +91,7 @@
         fits = (
             not summary.waiting_jobs
             and room >= spec.accelerators
+            and summary.largest_free_endpoint >= spec.accelerators_per_part
             and _can_ever(spec, summary)
         )
         if not owed and not fits:
--- a/packages/core/src/laburnumgate_core/digest.py
+++ b/packages/core/src/laburnumgate_core/digest.py
@@ -136,5 +136,6 @@
     return (
         summary.free_accelerators,
         summary.largest_free_rack,
+        summary.largest_free_endpoint,
         summary.waiting_jobs,
     )
--- a/packages/core/src/laburnumgate_core/membership.py
+++ b/packages/core/src/laburnumgate_core/membership.py
@@ -39,6 +39,11 @@
     free_accelerators: int
     largest_free_rack: int
     waiting_jobs: int
+    largest_free_endpoint: int
+    waiting_accelerators: int
+    accelerators: int
+    largest_unreserved: int
+    speed: float
 
 
 @dataclasses.dataclass(frozen=True)
--- a/packages/core/src/laburnumgate_core/placement.py
+++ b/packages/core/src/laburnumgate_core/placement.py
@@ -96,6 +96,18 @@
         """Free accelerators of the rack that has most of them."""
         return max((rack.free for rack in self._racks.values()), default=0)
 
+    @property
+    def largest_free_endpoint(self) -> int:
+        """Free accelerators of the endpoint that has most of them."""
+        return max(
+            (
+                free
+                for rack in self._racks.values()
+                for free in rack.rows_by_free
+            ),
+            default=0,
+        )
+
     def put(self, endpoint: model.Endpoint) -> None:
         """Adds an endpoint, all of it free."""
         row = Row(endpoint)
--- a/packages/core/src/laburnumgate_core/routing.py
+++ b/packages/core/src/laburnumgate_core/routing.py
@@ -21,10 +21,10 @@
 class ZoneView:
     """A zone as one host sees it now.
 
-    `free_accelerators` and `largest_free_rack` are None if no recent summary
-    is known. `returned_for_ms` is the time since the zone came back into
-    service, None if it has been in service for long. `sent_jobs` and
-    `sent_accelerators` are of jobs that this host has sent to the zone since
+    The three free amounts are None if no recent summary is known.
+    `returned_for_ms` is the time since the zone came back into service, None
+    if it has been in service for long. `sent_jobs` and `sent_accelerators` are
+    of jobs that this host has sent to the zone since
     the other figures were taken.
     """
 
@@ -34,6 +34,7 @@
     waiting_jobs: int
     free_accelerators: int | None = None
     largest_free_rack: int | None = None
+    largest_free_endpoint: int | None = None
     returned_for_ms: int | None = None
     sent_jobs: int = 0
     sent_accelerators: int = 0
@@ -124,6 +125,8 @@
     """Whether the newest summary shows room and nobody waits for it."""
     if view.free_accelerators is None or view.waiting_jobs:
         return False
+    if view.largest_free_endpoint < spec.accelerators_per_part:
+        return False
     needed = spec.accelerators + view.sent_accelerators
     if spec.adjacency is model.Adjacency.RACK:
         return view.largest_free_rack >= needed
--- a/packages/core/src/laburnumgate_core/scheduler.py
+++ b/packages/core/src/laburnumgate_core/scheduler.py
@@ -253,6 +253,7 @@
             free_accelerators=self._free.free,
             largest_free_rack=self._free.largest_free_rack,
             waiting_jobs=len(self._queue),
+            largest_free_endpoint=self._free.largest_free_endpoint,
             waiting_accelerators=self._queue.accelerators,
             accelerators=self._total(),
             largest_unreserved=self._largest_unreserved,
--- a/packages/core/tests/test_routing.py
+++ b/packages/core/tests/test_routing.py
@@ -27,6 +27,7 @@
                 waiting_jobs=draw(st.integers(0, MAX_WAITING + 20)),
                 free_accelerators=draw(st.integers(0, 64)),
                 largest_free_rack=draw(st.integers(0, 32)),
+                largest_free_endpoint=draw(st.integers(0, 8)),
                 returned_for_ms=draw(
                     st.none() | st.integers(0, 2 * routing.RAMP_MS)
                 ),
@@ -73,7 +74,12 @@
 
 def _view(name: str, waiting: int = 0, **changes) -> routing.ZoneView:
     zone = model.Zone(name, "r", (model.Rack(f"{name}-1", 8, 8),))
-    return routing.ZoneView(zone, True, True, waiting, 64, 64, **changes)
+    free = {
+        "free_accelerators": 64,
+        "largest_free_rack": 64,
+        "largest_free_endpoint": 8,
+    }
+    return routing.ZoneView(zone, True, True, waiting, **(free | changes))
 
 
 def _choose(views: list[routing.ZoneView], job_id: str = "j"):
@@ -91,6 +97,16 @@
     assert _choose([_view("a", 1), _view("b", 0)]) == "b"
 
 
+def test_fragments_are_no_room_for_a_part():
+    """Guards against waiting at a zone whose free accelerators are scattered.
+
+    Found under load: jobs queued at a zone with 31 of 64 accelerators free on
+    each endpoint, while other zones had whole endpoints free.
+    """
+    scattered = _view("a", largest_free_endpoint=7)
+    assert _choose([scattered, _view("b")]) == "b"
+
+
 def test_full_queues_are_told_from_zones_out_of_service():
     """Guards against telling a caller to retry where that cannot help."""
     full = _choose([_view("a", MAX_WAITING)])
--- a/packages/host/src/laburnumgate_host/host.py
+++ b/packages/host/src/laburnumgate_host/host.py
@@ -586,8 +586,14 @@
                 free_accelerators=max(0, summary.free_accelerators),
                 largest_free_rack=max(0, summary.largest_free_rack),
                 waiting_jobs=summary.waiting_jobs,
+                largest_free_endpoint=max(0, summary.largest_free_endpoint),
+                waiting_accelerators=summary.waiting_accelerators,
+                accelerators=summary.accelerators,
+                largest_unreserved=max(0, summary.largest_unreserved),
+                speed=summary.speed,
             )
         )
+        self.scheduler.update_peers(self.router.capacities())
         self.metrics.waiting_jobs.set({}, summary.waiting_jobs)
         self.metrics.running_runs.set({}, len(self.scheduler.runs.runs_by_id))
         self.metrics.free_accelerators.set({}, summary.free_accelerators)
--- a/packages/host/src/laburnumgate_host/peers.py
+++ b/packages/host/src/laburnumgate_host/peers.py
@@ -96,6 +96,11 @@
         free_accelerators=message.free_accelerators,
         largest_free_rack=message.largest_free_rack,
         waiting_jobs=message.waiting_jobs,
+        largest_free_endpoint=message.largest_free_endpoint,
+        waiting_accelerators=message.waiting_accelerators,
+        accelerators=message.accelerators,
+        largest_unreserved=message.largest_unreserved,
+        speed=message.speed,
     )
 
 
--- a/packages/host/src/laburnumgate_host/routing.py
+++ b/packages/host/src/laburnumgate_host/routing.py
@@ -4,6 +4,7 @@
 from collections.abc import Callable
 import logging
 
+from laburnumgate_core import capacity
 from laburnumgate_core import clock
 from laburnumgate_core import config
 from laburnumgate_core import jobs
@@ -99,6 +100,28 @@
         """Returns every declared zone as this host sees it."""
         return [self._view(z) for z in self._config.zones_by_name.values()]
 
+    def capacities(self) -> dict[str, capacity.Summary]:
+        """Returns the free capacity of other zones that take jobs now."""
+        now_ms = self._clock.now_ms()
+        summaries = {}
+        for zone, summary in self._members.summaries_by_zone.items():
+            if zone == self._own_zone or not self._reachable(zone):
+                continue
+            if now_ms - summary.as_of_ms > routing.SUMMARY_MAX_AGE_MS:
+                continue
+            summaries[zone] = capacity.Summary(
+                free_accelerators=summary.free_accelerators,
+                largest_free_rack=summary.largest_free_rack,
+                waiting_jobs=summary.waiting_jobs,
+                largest_free_endpoint=summary.largest_free_endpoint,
+                waiting_accelerators=summary.waiting_accelerators,
+                accelerators=summary.accelerators,
+                largest_unreserved=summary.largest_unreserved,
+                speed=summary.speed,
+                in_service=self.in_service(zone),
+            )
+        return summaries
+
     def in_service(self, zone: str) -> bool:
         """Whether neither the configuration nor a direct stop forbids it."""
         if self._stops.is_stopped(zone):
@@ -197,11 +220,13 @@
         waiting = self.load.waiting_by_zone.get(zone.name, 0)
         free = None
         largest = None
+        endpoint = None
         if summary is not None:
             waiting = max(waiting, summary.waiting_jobs)
             if now_ms - summary.as_of_ms <= routing.SUMMARY_MAX_AGE_MS:
                 free = summary.free_accelerators
                 largest = summary.largest_free_rack
+                endpoint = summary.largest_free_endpoint
         sent = self.load.sent_by_zone.get(zone.name, ())
         returned_ms = self._returned_ms_by_zone.get(zone.name)
         return routing.ZoneView(
@@ -211,6 +236,7 @@
             waiting_jobs=waiting,
             free_accelerators=free,
             largest_free_rack=largest,
+            largest_free_endpoint=endpoint,
             returned_for_ms=(
                 None if returned_ms is None else now_ms - returned_ms
             ),
--- a/packages/host/tests/test_heartbeats.py
+++ b/packages/host/tests/test_heartbeats.py
@@ -123,6 +123,11 @@
                 2_000 - second,
                 64,
                 9_000 + second,
+                8,
+                50_000,
+                2_100,
+                64,
+                1.0,
             )
             network.nodes[f"host-{zone}-0"].table.update_summary(summary)
         network.run(1)
