--- a/packages/host/src/laburnumgate_host/command.py
+++ b/packages/host/src/laburnumgate_host/command.py
@@ -20,6 +20,7 @@
 from laburnumgate_host import operators
 from laburnumgate_host import settings
 from laburnumgate_host import shutdown
+from laburnumgate_host import sockets
 
 _LOGGER = logging.getLogger(__name__)
 
@@ -74,8 +75,7 @@
     callers.add_routes(app, host)
     operators.add_routes(app, host)
     server = await app.create_server(
-        host=own.host.ip,
-        port=own.host.http_port,
+        sock=sockets.bind(own.host.ip, own.host.http_port),
         return_asyncio_server=True,
         access_log=False,
     )
--- a/packages/host/src/laburnumgate_host/peers.py
+++ b/packages/host/src/laburnumgate_host/peers.py
@@ -16,6 +16,7 @@
 from laburnumgate_rpc import peer_pb2
 
 from laburnumgate_host import metrics
+from laburnumgate_host import sockets
 
 CALL_ERRORS = (
     OSError,
@@ -169,7 +170,7 @@
     ) -> grpc_server.Server:
         """Starts the gRPC server."""
         server = grpc_server.Server([PeerService(handler, self._metrics)])
-        await server.start(ip, port)
+        await server.start(sock=sockets.bind(ip, port))
         return server
 
     async def heartbeat(
--- a/packages/standins/src/laburnumgate_standins/serve.py
+++ b/packages/standins/src/laburnumgate_standins/serve.py
@@ -3,6 +3,7 @@
 import asyncio
 from collections.abc import Coroutine
 import signal
+import socket
 
 import sanic
 import uvloop
@@ -18,6 +19,14 @@
     uvloop.run(_serve(app, ip, port, background))
 
 
+def _bind(ip: str, port: int) -> socket.socket:
+    """Binds a socket; uvloop starts resolver threads for a host and a port."""
+    bound = socket.socket()
+    bound.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    bound.bind((ip, port))
+    return bound
+
+
 async def _serve(
     app: sanic.Sanic, ip: str, port: int, background: Coroutine | None
 ) -> None:
@@ -26,7 +35,7 @@
     for number in (signal.SIGTERM, signal.SIGINT):
         loop.add_signal_handler(number, stopping.set)
     server = await app.create_server(
-        host=ip, port=port, return_asyncio_server=True, access_log=False
+        sock=_bind(ip, port), return_asyncio_server=True, access_log=False
     )
     await server.startup()
     await server.start_serving()
