Use one token bucket for fences, and log readiness and ends of jobs

The daemon had a rate limit of its own beside laburnumgate_core.limits. Events 401 and 500 were in the catalogue but nothing emitted them; they are removed. Events 101 and 310 are now emitted, 310 by the zone's placing host alone.

--- a/packages/host/src/laburnumgate_host/callers.py
+++ b/packages/host/src/laburnumgate_host/callers.py
@@ -257,7 +257,7 @@
     """Refuses for good: the log's first record of the id says so."""
     if not host.journal.reachable:
         return _refuse_now(host, request, 503, reason)
-    if not host.fences.take(host.clock.now_ms()):
+    if not host.fences.take():
         return _refuse_now(host, request, 429, reason)
     record = records.Refused(
         job_id=request.job_id,
--- a/packages/host/src/laburnumgate_host/events.py
+++ b/packages/host/src/laburnumgate_host/events.py
@@ -101,15 +101,13 @@
         logging.INFO,
         ("count",),
     )
-    JOB_ENDED = (310, "job ended")
+    JOB_ENDED = (310, "job ended", logging.INFO, ("job", "verdict"))
     ENDPOINT_LOST = (
         400,
         "endpoint does not answer",
         logging.WARNING,
         ("endpoint",),
     )
-    ENDPOINT_FAILED = (401, "call to an endpoint failed", logging.WARNING)
-    PEER_UNREACHABLE = (500, "peer does not answer", logging.WARNING)
     TASK_CRASHED = (
         900,
         "internal task failed and is restarted",
--- a/packages/host/src/laburnumgate_host/host.py
+++ b/packages/host/src/laburnumgate_host/host.py
@@ -29,7 +29,6 @@
 from laburnumgate_host import follower
 from laburnumgate_host import heartbeats
 from laburnumgate_host import journal
-from laburnumgate_host import limits
 from laburnumgate_host import metrics
 from laburnumgate_host import peers
 from laburnumgate_host import platform
@@ -68,7 +67,8 @@
         self.leaving = False
         # Launches were finished or undone, or their time is up.
         self.launches_over = False
-        self.fences = limits.Rate(own.limits.fences_per_s)
+        per_s = own.limits.fences_per_s
+        self.fences = core_limits.TokenBucket(per_s, per_s, time)
         self.open_requests = 0
         self.open_polls = 0
         self.started_ms = time.now_ms()
@@ -178,6 +178,7 @@
         self._heard_log_ms = self.started_ms
         self._failed_reads = 0
         self._isolated = False
+        self._was_ready = False
         self._summary_ms = 0
         self._changed_by_id: dict[str, asyncio.Event] = {}
         self._tasks: set[asyncio.Task] = set()
@@ -268,10 +269,21 @@
         changed_ids = self.jobs.take_changes()
         self.scheduler.note_changes(changed_ids)
         for job_id in changed_ids:
+            self._note_end(job_id)
             changed = self._changed_by_id.pop(job_id, None)
             if changed is not None:
                 changed.set()
 
+    def _note_end(self, job_id: str) -> None:
+        """Logs the outcome of a job of this host's zone, at one host."""
+        job = self.jobs.committed(job_id)
+        if not self.scheduler.active or job is None or job.outcome is None:
+            return
+        if job.zone == self.scheduler.zone:
+            kind = job.outcome.kind
+            event = events.Event.JOB_ENDED
+            events.emit(_LOGGER, event, job=job_id, verdict=kind)
+
     def apply_stops(self) -> None:
         """Puts the direct stops in force in this host's scheduler."""
         self.scheduler.stopped_by_operator = bool(self.starts_stopped)
@@ -526,12 +538,18 @@
     async def _run_ticks(self) -> None:
         while True:
             self.heartbeats.check_pause()
+            self._note_ready()
             self._check_isolation()
             self._choose_placing_host()
             self._execution.carry_out(self.scheduler.tick())
             self._summarize()
             await asyncio.sleep(self.settings.timing.tick_ms / 1000)
 
+    def _note_ready(self) -> None:
+        if self.ready and not self._was_ready:
+            self._was_ready = True
+            events.emit(_LOGGER, events.Event.HOST_READY)
+
     def _check_isolation(self) -> None:
         limit_ms = self.settings.timing.stop_starts_after_isolation_ms
         if not limit_ms:
