Move jobs between zones through the log alone

Cause: the move of a waiting job was used provisionally while the log was out. The zone that gave the job up stopped placing it, and the other zone could not learn of it, so the caller waited until the log returned.

--- a/packages/host/src/laburnumgate_host/execution.py
+++ b/packages/host/src/laburnumgate_host/execution.py
@@ -77,6 +77,11 @@
     ) -> actions.Appended | None:
         job = self._jobs.get(record.job_id)
         provisional = job is None or job.spec.idempotent
+        if isinstance(record, records.Moved):
+            # Only the log tells the other zone of the job.
+            provisional = False
+            if not self._journal.reachable:
+                return actions.Appended(record, taken=False, durable=False)
         if self._jobs.committed(record.job_id) is None:
             self._append_held(record.job_id)
             # Lets those records enter the journal's queue first.
--- a/packages/host/src/laburnumgate_host/host.py
+++ b/packages/host/src/laburnumgate_host/host.py
@@ -611,7 +611,10 @@
                 speed=summary.speed,
             )
         )
-        self.scheduler.update_peers(self.router.capacities())
+        # Without the log no other zone would learn of a job moved to it.
+        reachable = self.journal.reachable
+        peers_now = self.router.capacities() if reachable else {}
+        self.scheduler.update_peers(peers_now)
         self.metrics.waiting_jobs.set({}, summary.waiting_jobs)
         self.metrics.running_runs.set({}, len(self.scheduler.runs.runs_by_id))
         self.metrics.free_accelerators.set({}, summary.free_accelerators)
--- /dev/null
+++ b/packages/host/tests/test_execution.py
@@ -0,0 +1,57 @@
+"""Guards what becomes of the scheduler's records while the log is out."""
+
+import asyncio
+import types
+
+from laburnumgate_core import actions
+from laburnumgate_core import jobs
+from laburnumgate_core import records
+from laburnumgate_host import execution
+from laburnumgate_host import metrics
+
+
+class _Journal:
+    def __init__(self, reachable: bool):
+        self.reachable = reachable
+        self.appended: list[tuple[records.JobRecord, bool]] = []
+
+    async def append(self, record, provisional):
+        self.appended.append((record, provisional))
+        return actions.Appended(record, taken=True)
+
+
+async def _carry_out_move(reachable: bool) -> _Journal:
+    journal = _Journal(reachable)
+    loop = asyncio.get_running_loop()
+    done = []
+
+    def on_result(result):
+        done.append(result)
+        return []
+
+    runner = execution.Execution(
+        types.SimpleNamespace(),
+        journal,
+        jobs.JobTable(),
+        types.SimpleNamespace(active=True, on=on_result),
+        metrics.Metrics(),
+        loop.create_task,
+        lambda: None,
+        lambda job_id: None,
+    )
+    moved = records.Moved("a/r", "zone-a", "zone-b", 1)
+    runner.carry_out([actions.Append(moved)])
+    while not done:
+        await asyncio.sleep(0)
+    return journal
+
+
+def test_no_job_moves_to_a_zone_that_cannot_learn_of_it():
+    """Guards a job that a provisional move left without any placing host.
+
+    Found in test_log_down_and_back: the job waited for as long as the log was
+    out, since no other zone knew of it.
+    """
+    assert asyncio.run(_carry_out_move(reachable=False)).appended == []
+    journal = asyncio.run(_carry_out_move(reachable=True))
+    assert [provisional for _, provisional in journal.appended] == [False]
