--- /dev/null
+++ b/packages/core/src/laburnumgate_core/backoff.py
@@ -0,0 +1,47 @@
+"""Pauses between the tries to start a job."""
+
+import dataclasses
+import random
+
+BACKOFF_MIN_MS = 200
+BACKOFF_MAX_MS = 3_200
+
+
+@dataclasses.dataclass(frozen=True)
+class _Pause:
+    """When a job may be tried again, and the pause without its jitter."""
+
+    until_ms: int
+    pause_ms: int
+
+
+class BackoffTable:
+    """Pauses by job id: they double, with jitter, up to a bound."""
+
+    def __init__(self, rng: random.Random):
+        """Starts without pauses; `rng` is the source of jitter."""
+        self._rng = rng
+        self._pauses_by_id: dict[str, _Pause] = {}
+
+    def pause(self, job_id: str, now_ms: int) -> int:
+        """Notes a try that failed and returns when the next may follow."""
+        last = self._pauses_by_id.get(job_id)
+        pause_ms = BACKOFF_MIN_MS
+        if last is not None:
+            pause_ms = min(BACKOFF_MAX_MS, last.pause_ms * 2)
+        until_ms = now_ms + pause_ms + self._rng.randrange(pause_ms)
+        self._pauses_by_id[job_id] = _Pause(until_ms, pause_ms)
+        return until_ms
+
+    def is_paused(self, job_id: str, now_ms: int) -> bool:
+        """Whether the job has to wait before its next try."""
+        pause = self._pauses_by_id.get(job_id)
+        return pause is not None and now_ms < pause.until_ms
+
+    def forget(self, job_id: str) -> None:
+        """Lets the next failure of a job begin with the shortest pause."""
+        self._pauses_by_id.pop(job_id, None)
+
+    def clear(self) -> None:
+        """Forgets every job."""
+        self._pauses_by_id.clear()
--- /dev/null
+++ b/packages/core/src/laburnumgate_core/ramp.py
@@ -0,0 +1,30 @@
+"""Limits the starts in a zone that has just returned to service."""
+
+RAMP_MS = 10_000
+# Share of the zone's accelerators that may be used at once on the return.
+FIRST_SHARE = 0.1
+
+
+class Ramp:
+    """Lets the starts of a returned zone grow evenly to its full size."""
+
+    def __init__(self):
+        self._from_ms = -RAMP_MS
+        self._used = 0
+
+    def restart(self, now_ms: int) -> None:
+        """Begins anew when the zone returns."""
+        self._from_ms = now_ms
+        self._used = 0
+
+    def note_start(self, accelerators: int) -> None:
+        """Counts the accelerators of a start."""
+        self._used += accelerators
+
+    def allows(self, total: int, now_ms: int) -> bool:
+        """Whether a zone of `total` accelerators may start one more job."""
+        elapsed_ms = now_ms - self._from_ms
+        if elapsed_ms >= RAMP_MS:
+            return True
+        share = FIRST_SHARE + elapsed_ms / RAMP_MS
+        return self._used < share * total
--- a/packages/core/src/laburnumgate_core/scheduler.py
+++ b/packages/core/src/laburnumgate_core/scheduler.py
@@ -12,6 +12,7 @@
 
 from laburnumgate_core import actions
 from laburnumgate_core import backfill
+from laburnumgate_core import backoff
 from laburnumgate_core import capacity
 from laburnumgate_core import clock
 from laburnumgate_core import config
@@ -19,18 +20,18 @@
 from laburnumgate_core import gang
 from laburnumgate_core import jobs
 from laburnumgate_core import model
+from laburnumgate_core import moves
 from laburnumgate_core import ordering
 from laburnumgate_core import placement
 from laburnumgate_core import quarantine
 from laburnumgate_core import quota
+from laburnumgate_core import ramp
 from laburnumgate_core import reclaim
 from laburnumgate_core import records
 from laburnumgate_core import reservation
 from laburnumgate_core import runs
 from laburnumgate_core import verdict
 
-BACKOFF_MIN_MS = 200
-BACKOFF_MAX_MS = 3_200
 # Waiting jobs that one pass looks at. A job further back waits until those
 # before it start, so a long queue does not make a pass longer.
 JOBS_PER_PASS = 256
@@ -40,16 +41,6 @@
 PLANS_PER_SLOT = 3
 # A pass is made at least this often while jobs wait.
 PASS_EVERY_MS = 1_000
-# Waiting jobs are offered to other zones this often.
-MOVE_EVERY_MS = 1_000
-# A moved job stays at least this long, so that two zones do not pass it back
-# and forth on outdated summaries.
-MOVE_PAUSE_MS = 5_000
-MOVES_PER_PASS = 64
-# A returning zone may start 10% of its accelerators at once and the rest
-# evenly over this time.
-RAMP_MS = 10_000
-RAMP_FIRST_SHARE = 0.1
 # An endpoint that confirmed a stop late is avoided in reclaims for this long.
 SLOW_STOP_FORGET_MS = 60_000
 # A gang gets a reservation once it has waited as long as it runs, at the latest
@@ -69,14 +60,6 @@
 Summary = capacity.Summary
 
 
-@dataclasses.dataclass(frozen=True)
-class _Backoff:
-    """When a job may be tried again, and the pause that led to it."""
-
-    until_ms: int
-    pause_ms: int
-
-
 @dataclasses.dataclass(frozen=True)
 class _Claim:
     """Capacity taken ahead for a job that waits for stops."""
@@ -121,17 +104,16 @@
         self._jobs = job_table
         self._config = config_table
         self._clock = time
-        self._rng = rng
         self._queue = ordering.Queue(age_ms)
         self._free = placement.FreeTable()
         self._slots = reservation.SlotTable(self._free)
         self._usage = quota.UsageTable()
-        self._backoff_by_id: dict[str, _Backoff] = {}
+        self._backoff = backoff.BackoffTable(rng)
+        self._moves = moves.MoveTable(zone)
+        self._ramp = ramp.Ramp()
         self._wakeups: list[tuple[int, str]] = []
         self._claims_by_job: dict[str, _Claim] = {}
         self._exposed_ids: set[str] = set()
-        self._peers_by_zone: dict[str, Summary] = {}
-        self._moved_ms_by_id: dict[str, int] = {}
         self._owed_since_by_id: dict[str, int] = {}
         self._slow_until_by_id: dict[str, int] = {}
         self._stopping_ms_by_id: dict[str, int] = {}
@@ -142,16 +124,13 @@
         # Whether runs of an earlier placing host are still without slots.
         self._adopting = False
         self._in_service = True
-        self._ramp_from_ms = -RAMP_MS
-        self._ramp_used = 0
         self._dirty = True
         self._next_pass_ms = 0
-        self._next_move_ms = 0
 
     def activate(self) -> None:
         """Becomes the placing host: starts nothing until all reported."""
         self.active = True
-        self._backoff_by_id.clear()
+        self._backoff.clear()
         self.runs.adopt(self.endpoints_by_id, self._clock.now_ms())
         self._adopting = True
         self._rebuild()
@@ -184,11 +163,7 @@
 
     def update_peers(self, summaries_by_zone: dict[str, Summary]) -> None:
         """Takes what other zones last told of their free capacity."""
-        self._peers_by_zone = {
-            zone: summary
-            for zone, summary in summaries_by_zone.items()
-            if zone != self.zone
-        }
+        self._moves.update_peers(summaries_by_zone)
 
     def note_changes(self, job_ids: Iterable[str]) -> None:
         """Takes the ids of jobs, of any zone, that changed in the fold."""
@@ -275,8 +250,7 @@
         summaries_by_zone: dict[str, Summary],
     ) -> str:
         """Returns the zone that should place a new request."""
-        promise = self._config.promises_by_account.get(account)
-        allowed = promise.zones if promise is not None else ()
+        allowed = self._allowed(account)
         return capacity.choose_zone(account, spec, allowed, summaries_by_zone)
 
     # Tables.
@@ -318,8 +292,7 @@
             self._config_offset = self._config.offset
             in_service = self._config.zone_in_service(self.zone)
             if in_service and not self._in_service:
-                self._ramp_from_ms = now_ms
-                self._ramp_used = 0
+                self._ramp.restart(now_ms)
             self._in_service = in_service
             for endpoint_id in self._free.rows_by_id:
                 self._enable(endpoint_id, now_ms)
@@ -412,8 +385,8 @@
         if claim is not None:
             self._unclaim(claim)
         if job.state is jobs.JobState.ENDED:
-            self._backoff_by_id.pop(job.job_id, None)
-            self._moved_ms_by_id.pop(job.job_id, None)
+            self._backoff.forget(job.job_id)
+            self._moves.forget(job.job_id)
         self._owed_since_by_id.pop(job.job_id, None)
 
     def _learn(self, job: jobs.Job) -> None:
@@ -447,7 +420,7 @@
         self._take(run, 1)
         self._expose(run)
         self._usage.update(job, True)
-        self._ramp_used += job.spec.accelerators
+        self._ramp.note_start(job.spec.accelerators)
         return wanted
 
     def _take(self, run: gang.Run, sign: int) -> None:
@@ -504,7 +477,7 @@
             if run.outcome is None:
                 self._back_off(run, now_ms)
             else:
-                self._backoff_by_id.pop(job_id, None)
+                self._backoff.forget(job_id)
             job = self._jobs.get(job_id)
             if job is not None:
                 self._usage.update(job, False)
@@ -534,12 +507,7 @@
             # The run was stopped, not refused: nothing speaks against a new
             # start at once.
             return
-        last = self._backoff_by_id.get(job_id)
-        pause_ms = BACKOFF_MIN_MS
-        if last is not None:
-            pause_ms = min(BACKOFF_MAX_MS, last.pause_ms * 2)
-        until_ms = now_ms + pause_ms + self._rng.randrange(pause_ms)
-        self._backoff_by_id[job_id] = _Backoff(until_ms, pause_ms)
+        until_ms = self._backoff.pause(job_id, now_ms)
         heapq.heappush(self._wakeups, (until_ms, job_id))
 
     def _wake(self, now_ms: int) -> None:
@@ -574,8 +542,7 @@
         return promise.quota_accelerators if promise is not None else 0
 
     def _may_try(self, job: jobs.Job, now_ms: int) -> bool:
-        backoff = self._backoff_by_id.get(job.job_id)
-        if backoff is not None and now_ms < backoff.until_ms:
+        if self._backoff.is_paused(job.job_id, now_ms):
             return False
         if job.job_id in self._claims_by_job:
             return False
@@ -583,14 +550,9 @@
         used = self._usage.used(job.account)
         if used + needed > self._quota(job.account):
             return False
-        return not self.stopped_by_operator and self._ramp_allows(now_ms)
-
-    def _ramp_allows(self, now_ms: int) -> bool:
-        elapsed_ms = now_ms - self._ramp_from_ms
-        if elapsed_ms >= RAMP_MS:
-            return True
-        share = RAMP_FIRST_SHARE + elapsed_ms / RAMP_MS
-        return self._ramp_used < share * self._total()
+        if self.stopped_by_operator:
+            return False
+        return self._ramp.allows(self._total(), now_ms)
 
     def _avoided(self, job: jobs.Job) -> tuple[str, ...]:
         """Endpoints on which the job failed, unless it needs most of them."""
@@ -974,52 +936,37 @@
                     self._stop(job_id, "the zone left service", now_ms)
                 )
         for index, job in enumerate(self._first_jobs()):
-            if index >= MOVES_PER_PASS:
+            if index >= moves.MOVES_PER_PASS:
                 break
-            zone = self.choose_zone(job.account, job.spec, self._peers_by_zone)
-            if zone and now_ms >= self._may_move_ms(job):
-                wanted.append(self._move(job, zone, now_ms))
+            moved = self._moves.away(job, self._allowed(job.account), now_ms)
+            if moved is not None:
+                wanted.append(actions.Append(moved))
         return wanted
 
     def _offer_jobs(self, now_ms: int) -> list[actions.Action]:
         """Moves waiting jobs to zones that can start them at once."""
-        if now_ms < self._next_move_ms or not self._queue:
+        if not self._queue or not self._moves.take_pass(now_ms):
             return []
-        self._next_move_ms = now_ms + MOVE_EVERY_MS
-        peers = dict(self._peers_by_zone)
         wanted: list[actions.Action] = []
         for job in self._first_jobs():
-            if len(wanted) >= MOVES_PER_PASS:
+            if len(wanted) >= moves.MOVES_PER_PASS:
                 break
             if job.job_id in self._claims_by_job:
                 continue
-            if now_ms < self._may_move_ms(job):
+            if not self._moves.may_move(job, now_ms):
                 continue
             used = self._usage.used(job.account) + job.spec.accelerators
             if used > self._quota(job.account):
                 continue
-            promise = self._config.promises_by_account.get(job.account)
-            zones = promise.zones if promise is not None else ()
-            zone = capacity.starts_at_once(job.account, job.spec, zones, peers)
-            if not zone:
-                continue
-            peers[zone] = capacity.after(
-                peers[zone], job.account, job.spec.accelerators
-            )
-            wanted.append(self._move(job, zone, now_ms))
+            allowed = self._allowed(job.account)
+            moved = self._moves.to_free_capacity(job, allowed, now_ms)
+            if moved is not None:
+                wanted.append(actions.Append(moved))
         return wanted
 
-    def _may_move_ms(self, job: jobs.Job) -> int:
-        moved_ms = self._moved_ms_by_id.get(job.job_id)
-        if moved_ms is None:
-            return 0
-        return moved_ms + MOVE_PAUSE_MS
-
-    def _move(self, job: jobs.Job, zone: str, now_ms: int) -> actions.Append:
-        self._moved_ms_by_id[job.job_id] = now_ms
-        return actions.Append(
-            records.Moved(job.job_id, self.zone, zone, now_ms)
-        )
+    def _allowed(self, account: str) -> tuple[str, ...]:
+        promise = self._config.promises_by_account.get(account)
+        return moves.allowed_zones(promise)
 
 
 def _safest(
--- /dev/null
+++ b/packages/core/tests/test_backoff.py
@@ -0,0 +1,19 @@
+"""Guards the pauses between tries to start a job."""
+
+import random
+
+from laburnumgate_core import backoff
+
+
+def test_pauses_double_up_to_their_bound_and_start_again():
+    """Guards two placing hosts against taking each other's leases for ever."""
+    table = backoff.BackoffTable(random.Random(1))
+    now_ms = 0
+    for expected_ms in (200, 400, 800, 1_600, 3_200, 3_200):
+        until_ms = table.pause("a/r", now_ms)
+        assert expected_ms <= until_ms - now_ms < 2 * expected_ms
+        assert table.is_paused("a/r", until_ms - 1)
+        assert not table.is_paused("a/r", until_ms)
+        now_ms = until_ms
+    table.forget("a/r")
+    assert table.pause("a/r", now_ms) - now_ms < 400
