--- a/packages/core/src/laburnumgate_core/jobs.py
+++ b/packages/core/src/laburnumgate_core/jobs.py
@@ -428,6 +428,23 @@
         self._note_change(before, after)
         return True
 
+    def is_pending(self, append_id: str, index: int) -> bool:
+        """Whether a provisional record has not been seen in the log."""
+        return (append_id, index) in self._pending_by_key
+
+    def drop_provisional(self, append_id: str, index: int) -> None:
+        """Removes a record that is in the log under another key."""
+        key = (append_id, index)
+        record = self._pending_by_key.pop(key, None)
+        if record is None:
+            return
+        before = self.get(record.job_id)
+        self._pending_keys_by_id[record.job_id].pop(key, None)
+        self._rebuild_overlay(record.job_id)
+        after = self.get(record.job_id)
+        if after is not before:
+            self._note_change(before, after)
+
     def _commit(self, key: tuple[str, int], record: records.JobRecord) -> bool:
         job_id = record.job_id
         shown_before = self.get(job_id)
--- a/packages/core/tests/test_jobs.py
+++ b/packages/core/tests/test_jobs.py
@@ -160,3 +160,14 @@
     assert not table.adopt(old)
     assert not table.adopt(dataclasses.replace(old, offset=1))
     assert table.get("r1") is not None
+
+
+def test_a_dropped_provisional_record_leaves_the_logs_view():
+    """Guards against an overlay that stays after its record came twice."""
+    table = jobs.JobTable()
+    table.add_provisional("p-0", 0, submitted("mine"))
+    assert table.is_pending("p-0", 0)
+    table.drop_provisional("p-0", 0)
+    table.drop_provisional("p-0", 0)
+    assert not table.is_pending("p-0", 0)
+    assert table.get("r1") is None
--- a/packages/host/src/laburnumgate_host/sharing.py
+++ b/packages/host/src/laburnumgate_host/sharing.py
@@ -45,24 +45,6 @@
         self.on_created(appender.Key(append_id, index), record)
         return taken
 
-    def is_pending(self, key: appender.Key) -> bool:
-        """Whether the log has not been seen to hold the record."""
-        return (key.append_id, key.index) in self._pending_by_key
-
-    def drop_provisional(self, key: appender.Key) -> None:
-        """Removes a record that is in the log under another key."""
-        pending_key = (key.append_id, key.index)
-        record = self._pending_by_key.pop(pending_key, None)
-        if record is None:
-            return
-        job_id = record.job_id
-        before = self.get(job_id)
-        self._pending_keys_by_id[job_id].pop(pending_key, None)
-        self._rebuild_overlay(job_id)
-        after = self.get(job_id)
-        if after is not before:
-            self._note_change(before, after)
-
     def add_shared(
         self, append_id: str, index: int, record: records.JobRecord
     ) -> bool:
@@ -169,7 +151,7 @@
         for key, held in list(self._held_by_key.items()):
             if len(overdue) >= APPENDS_PER_PASS:
                 break
-            if not self._table.is_pending(key):
+            if not self._table.is_pending(key.append_id, key.index):
                 del self._held_by_key[key]
                 continue
             if now_ms - held.since_ms < APPEND_HELD_AFTER_MS:
@@ -197,7 +179,7 @@
     def drop(self, key: appender.Key) -> None:
         """Forgets a peer's record that is in the log under another key."""
         self._held_by_key.pop(key, None)
-        self._table.drop_provisional(key)
+        self._table.drop_provisional(key.append_id, key.index)
 
     def delay_overdue(self) -> None:
         """Starts the waiting time anew: the log has only just come back."""
