--- a/packages/standins/tests/test_failures.py
+++ b/packages/standins/tests/test_failures.py
@@ -161,6 +161,37 @@
     _run(scenario)
 
 
+def test_sigterm_of_the_placing_host_while_the_log_is_out():
+    """Guards provisional work of a host that is replaced in an outage."""
+
+    async def scenario(trial: Trial) -> None:
+        placing = await trial.placing("zone-a")
+        url = trial.cluster.hosts_by_id[placing].url
+        others = [u for u in trial.urls("zone-a") if u != url]
+        await trial.log_faults(down=True)
+
+        async def is_out() -> bool:
+            states = [await trial.state(h) for h in trial.cluster.hosts_by_id]
+            return not any(state["log_reachable"] for state in states)
+
+        await trial.until("every host finds the log out", is_out)
+        bodies = [trial.request(2_000) for _ in range(4)]
+        for body in bodies:
+            answer = await trial.submit(body, [url])
+            assert answer.body["durability"] == "zone-peers", answer
+        await _running(trial, placing)
+        trial.cluster.signal(placing, signal.SIGTERM)
+        code = await asyncio.to_thread(trial.cluster.wait, placing, EXIT_WAIT_S)
+        assert code == 0
+        told = await trial.outcomes(bodies, others)
+        await trial.log_faults(down=False)
+        told += await trial.outcomes(_mixed(trial, 6), others)
+        assert await trial.wrong(told) == []
+        assert {one.verdict["kind"] for one in told} == {"ran"}
+
+    _run(scenario)
+
+
 def _path(body: dict) -> str:
     return f"/v1/requests/{body['account']}/{body['request_id']}"
 
