--- a/packages/host/src/laburnumgate_host/callers.py
+++ b/packages/host/src/laburnumgate_host/callers.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import dataclasses
-from http import HTTPStatus
+import http
 import logging
 
 from laburnumgate_core import jobs
@@ -23,10 +23,10 @@
 # may have run and been forgotten.
 # Statuses of bodies or paths that no host accepts under any configuration.
 _NEVER_ACCEPTED = (
-    HTTPStatus.BAD_REQUEST,
-    HTTPStatus.NOT_FOUND,
-    HTTPStatus.METHOD_NOT_ALLOWED,
-    HTTPStatus.REQUEST_ENTITY_TOO_LARGE,
+    http.HTTPStatus.BAD_REQUEST,
+    http.HTTPStatus.NOT_FOUND,
+    http.HTTPStatus.METHOD_NOT_ALLOWED,
+    http.HTTPStatus.REQUEST_ENTITY_TOO_LARGE,
 )
 
 
@@ -43,8 +43,8 @@
     }
     headers = {}
     if status in (
-        HTTPStatus.TOO_MANY_REQUESTS,
-        HTTPStatus.SERVICE_UNAVAILABLE,
+        http.HTTPStatus.TOO_MANY_REQUESTS,
+        http.HTTPStatus.SERVICE_UNAVAILABLE,
     ):
         headers["retry-after"] = str(refusals.RETRY_AFTER_S)
     return sanic.json(body, status=status, headers=headers)
@@ -167,7 +167,7 @@
     known = _known(host, request)
     if known is None:
         return _undecided(request)
-    if not appended.taken or known.status != HTTPStatus.OK:
+    if not appended.taken or known.status != http.HTTPStatus.OK:
         return known
     durability = "log"
     if not appended.durable:
@@ -230,7 +230,7 @@
     if job.body_hash != requests.body_hash(request):
         reason = "request_id: the id was used for a different request"
         result = verdict.MayHaveRun(reason)
-        return answer(request.job_id, result, HTTPStatus.CONFLICT)
+        return answer(request.job_id, result, http.HTTPStatus.CONFLICT)
     return answer(request.job_id, verdict_of(host, job), 200)
 
 
