--- a/packages/core/src/laburnumgate_core/clock.py
+++ b/packages/core/src/laburnumgate_core/clock.py
@@ -46,3 +46,30 @@
 
 def _monotonic_ms() -> int:
     return time.monotonic_ns() // 1_000_000
+
+
+class SteadyClock:
+    """Time since boot, which also counts while the machine is suspended.
+
+    Leases and the age of beliefs are measured on it, so that a process that
+    was frozen notices on waking that its rights have expired.
+    """
+
+    def now_ms(self) -> int:
+        """Returns the time in ms since the machine was booted."""
+        return time.clock_gettime_ns(time.CLOCK_BOOTTIME) // 1_000_000
+
+
+class WallClock:
+    """The time of day at the start of the process, advanced steadily.
+
+    Steps of the machine's clock after the start have no effect on it.
+    """
+
+    def __init__(self):
+        self._steady = SteadyClock()
+        self._offset_ms = time.time_ns() // 1_000_000 - self._steady.now_ms()
+
+    def now_ms(self) -> int:
+        """Returns the time in ms since the Unix epoch."""
+        return self._steady.now_ms() + self._offset_ms
--- /dev/null
+++ b/packages/placer/src/laburnumgate_placer/config_table.py
@@ -0,0 +1,96 @@
+"""The configuration in force, and the zones that are taken out."""
+
+import dataclasses
+import logging
+
+from laburnumgate_placer import events
+from laburnumgate_placer import model
+
+_LOGGER = logging.getLogger(__name__)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class NoQueue:
+    """No queue has this host name and path."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class UnknownKey:
+    """The queue needs a key, and no account has this one."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Admitted:
+    """The caller may use the queue.
+
+    Attributes:
+      queue: the queue.
+      account: the caller's account, empty on a public queue without a key.
+      rest: the path after the queue's prefix.
+    """
+
+    queue: model.Queue
+    account: str
+    rest: str
+
+
+class ConfigTable:
+    """Newest configuration; versions never go back within a process."""
+
+    def __init__(self):
+        self.current: model.Configuration | None = None
+        self.zones_out: set[str] = set()
+        self._offset = -1
+
+    def publish(self, offset: int, config: model.Configuration) -> bool:
+        """Puts a configuration in force unless a newer one is."""
+        if offset <= self._offset:
+            return False
+        if self.current and config.version < self.current.version:
+            return False
+        self._offset = offset
+        changed = self.current is None or config.version != self.current.version
+        self.current = config
+        if changed:
+            events.emit(
+                _LOGGER,
+                events.Event.CONFIG_IN_FORCE,
+                version=config.version,
+                offset=offset,
+            )
+        return changed
+
+    def set_zone(self, zone: str, out: bool) -> None:
+        """Takes a zone out of service or back."""
+        if out == (zone in self.zones_out):
+            return
+        if out:
+            self.zones_out.add(zone)
+        else:
+            self.zones_out.discard(zone)
+        events.emit(
+            _LOGGER, events.Event.ZONE_CHANGED, zone=zone, out_of_service=out
+        )
+
+    def admit(
+        self, hostname: str, path: str, key: str | None
+    ) -> Admitted | NoQueue | UnknownKey:
+        """Finds the queue of a call and checks the caller's key.
+
+        The longest matching prefix decides. Needs a configuration.
+        """
+        best: model.Queue | None = None
+        for queue in self.current.queues_by_name.values():
+            if queue.hostname != hostname:
+                continue
+            if not path.startswith(queue.path_prefix):
+                continue
+            if best and len(best.path_prefix) >= len(queue.path_prefix):
+                continue
+            best = queue
+        if best is None:
+            return NoQueue()
+        account = self.current.account_by_key.get(key or "")
+        if account is None and not best.public:
+            return UnknownKey()
+        return Admitted(best, account or "", path[len(best.path_prefix) :])
--- /dev/null
+++ b/packages/placer/src/laburnumgate_placer/endpoint_table.py
@@ -0,0 +1,165 @@
+"""Endpoints as the leader sees them: capacity in use, leases, health."""
+
+import dataclasses
+import logging
+
+from laburnumgate_placer import events
+from laburnumgate_placer import model
+from laburnumgate_placer import progress
+
+_LOGGER = logging.getLogger(__name__)
+
+# An endpoint's clock may run this share slower than true time.
+SLOWEST_CLOCK = 0.98
+# Failures in a row from at least two jobs after which an endpoint is avoided.
+SUSPECT_AFTER = 2
+# An avoided endpoint gets one task to prove itself after this pause.
+FIRST_AVOID_MS = 4_000
+LONGEST_AVOID_MS = 30_000
+
+
+@dataclasses.dataclass(eq=False, slots=True)
+class EndpointState:
+    """One life of an endpoint under the current leader.
+
+    Attributes:
+      info: what it says of itself.
+      listed: it is in the live list.
+      contacted: it has seen this leader's fencing token.
+      answering: its newest call was answered.
+      clock_ms: its clock at `clock_at_ms`.
+      clock_at_ms: steady time of that reading.
+      deadline_ms: latest lease deadline that was sent, on its clock.
+      lease_bound_ms: steady time at which leases given by earlier leaders
+        are surely over.
+      contact_ms: steady time of its newest answer.
+      seen_end: highest number among the ends that were handled.
+      acked_end: highest end that may be acknowledged.
+      members: members that may be present, by task and run.
+      strays: room taken by runs that no job accounts for.
+      over: its life has ended; nothing runs there.
+      failing_jobs: jobs that failed there since the newest success.
+      avoid_until_ms: steady time until which it gets no task.
+      avoid_pause_ms: length of the newest such pause.
+      speed: work per time relative to the mean endpoint.
+    """
+
+    info: model.Endpoint
+    listed: bool = True
+    contacted: bool = False
+    answering: bool = True
+    clock_ms: int = 0
+    clock_at_ms: int = 0
+    deadline_ms: int = 0
+    lease_bound_ms: int = 0
+    contact_ms: int = 0
+    seen_end: int = 0
+    acked_end: int = 0
+    members: dict[tuple[model.TaskKey, int], progress.Member] = (
+        dataclasses.field(default_factory=dict)
+    )
+    strays: dict[tuple[model.TaskKey, int], model.Room] = dataclasses.field(
+        default_factory=dict
+    )
+    over: bool = False
+    failing_jobs: set[str] = dataclasses.field(default_factory=set)
+    avoid_until_ms: int = 0
+    avoid_pause_ms: int = 0
+    speed: float = 1.0
+    used: model.Room = dataclasses.field(default_factory=model.Room)
+
+    def free(self) -> model.Room:
+        """Returns the capacity that no run may be using."""
+        return self.info.capacity.plus(self.used, -1)
+
+    def charge(self, member: progress.Member) -> None:
+        """Counts a member's room as taken."""
+        key = (member.task, member.run.number)
+        if key in self.members:
+            return
+        self.members[key] = member
+        self.used = self.used.plus(member.run.unit.step.charged)
+
+    def release(self, member: progress.Member) -> None:
+        """Gives a member's room back."""
+        if self.members.pop((member.task, member.run.number), None) is None:
+            return
+        self.used = self.used.plus(member.run.unit.step.charged, -1)
+
+    def now_there_ms(self, now_ms: int) -> int:
+        """Estimates the endpoint's clock at a steady time."""
+        return self.clock_ms + now_ms - self.clock_at_ms
+
+    def read_clock(self, clock_ms: int, now_ms: int) -> None:
+        """Notes a reading of the endpoint's clock."""
+        self.clock_ms = clock_ms
+        self.clock_at_ms = now_ms
+        self.contact_ms = now_ms
+
+    def grant(self, lease_ms: int, now_ms: int) -> int:
+        """Returns the deadline of a lease that is sent now."""
+        deadline_ms = self.now_there_ms(now_ms) + lease_ms
+        self.deadline_ms = max(self.deadline_ms, deadline_ms)
+        return deadline_ms
+
+    def leases_over_ms(self) -> int:
+        """Returns the steady time at which all leases are surely over."""
+        if not self.contacted:
+            return self.lease_bound_ms
+        left_ms = max(0, self.deadline_ms - self.clock_ms) / SLOWEST_CLOCK
+        return max(self.lease_bound_ms, self.clock_at_ms + int(left_ms) + 1)
+
+    def failed(self, job_id: str, now_ms: int) -> None:
+        """Notes a failed run; avoids the endpoint if several jobs fail."""
+        self.failing_jobs.add(job_id)
+        if len(self.failing_jobs) < SUSPECT_AFTER:
+            return
+        self.avoid(now_ms, "runs of several jobs failed")
+
+    def avoid(self, now_ms: int, reason: str) -> None:
+        """Gives the endpoint no task for a pause that doubles each time."""
+        if now_ms < self.avoid_until_ms:
+            return
+        self.avoid_pause_ms = min(
+            LONGEST_AVOID_MS, max(FIRST_AVOID_MS, 2 * self.avoid_pause_ms)
+        )
+        self.avoid_until_ms = now_ms + self.avoid_pause_ms
+        events.emit(
+            _LOGGER,
+            events.Event.ENDPOINT_SUSPECT,
+            endpoint=self.info.endpoint_id,
+            pause_ms=self.avoid_pause_ms,
+            jobs=sorted(self.failing_jobs),
+            reason=reason,
+        )
+
+    def succeeded(self) -> None:
+        """Notes a run that was done, which ends all suspicion."""
+        self.failing_jobs.clear()
+        self.avoid_until_ms = 0
+        self.avoid_pause_ms = 0
+
+
+class EndpointTable:
+    """Lives of endpoints by id; a new life replaces the one before it."""
+
+    def __init__(self):
+        self.by_id: dict[str, EndpointState] = {}
+
+    def usable(
+        self, service: str, zones_out: set[str], now_ms: int
+    ) -> list[EndpointState]:
+        """Returns the endpoints of a pool that may be given new runs."""
+        found = []
+        for state in self.by_id.values():
+            info = state.info
+            if info.service != service or info.draining:
+                continue
+            if not (state.contacted and state.answering and state.listed):
+                continue
+            if state.over or info.zone in zones_out or state.strays:
+                continue
+            if now_ms < state.avoid_until_ms:
+                continue
+            found.append(state)
+        return found
--- /dev/null
+++ b/packages/placer/src/laburnumgate_placer/events.py
@@ -0,0 +1,68 @@
+"""Numbered log events; docs/placer-events.md is their catalogue.
+
+Numbers 1xxx belong to hosts that run on a platform: 10xx the process, 11xx
+the log and the configuration, 12xx callers' requests, 13xx placement, 14xx
+endpoints. A number is never used again for another meaning.
+"""
+
+import enum
+import logging
+
+
+class Event(enum.Enum):
+    """Number, message and level of each event."""
+
+    STARTED = (1000, "host started")
+    READY = (1001, "host is ready")
+    STOPPING = (1002, "host is stopping")
+    STOPPED = (1003, "host stopped")
+    SETTINGS_RELOADED = (1004, "settings were read again")
+    SETTINGS_REFUSED = (1005, "settings cannot be used", logging.WARNING)
+    LINES_DROPPED = (1006, "log lines were dropped", logging.WARNING)
+    TASK_FAILED = (1007, "a background task failed", logging.ERROR)
+    FEED_LOST = (1100, "the log does not answer", logging.WARNING)
+    FEED_REGAINED = (1101, "the log answers again")
+    RECORD_SKIPPED = (1102, "unreadable record skipped", logging.WARNING)
+    HISTORY_GONE = (1103, "records expired; reading the newest ones")
+    CONFIG_IN_FORCE = (1104, "configuration is in force")
+    ZONE_CHANGED = (1105, "zone was taken out of service or back")
+    LEAD_TAKEN = (1110, "this host leads")
+    LEAD_LOST = (1111, "this host no longer leads")
+    LEAD_RECOVERED = (1112, "the leader has read the state of all jobs")
+    ACCEPTED = (1200, "job accepted")
+    REFUSED = (1201, "request refused")
+    CANCELLED = (1202, "job cancelled by its caller")
+    REPEATED = (1203, "job was submitted before")
+    IN_DOUBT = (1204, "the fate of a submission is unknown", logging.WARNING)
+    RELAYED = (1205, "records were handed to another host")
+    ASSIGNED = (1300, "run assigned")
+    STARTED_RUN = (1301, "run started")
+    START_FAILED = (1302, "run could not be started", logging.WARNING)
+    RUN_STOPPED = (1303, "run is being stopped")
+    RUN_ENDED = (1304, "run ended")
+    JOB_STATE = (1305, "job changed its state")
+    RUN_ADOPTED = (1306, "run of an earlier leader adopted")
+    STRAY_STOPPED = (1307, "unknown run is being stopped", logging.WARNING)
+    PACED = (1308, "pace of a task changed")
+    NOT_PLACED = (1309, "unit waits for capacity")
+    ENDPOINT_FOUND = (1400, "endpoint joined the live list")
+    ENDPOINT_CHANGED = (1401, "endpoint changed its state")
+    ENDPOINT_LOST = (1402, "endpoint does not answer", logging.WARNING)
+    ENDPOINT_REGAINED = (1403, "endpoint answers again")
+    ENDPOINT_OVER = (1404, "the endpoint's life is over")
+    ENDPOINT_SUSPECT = (1405, "endpoint is avoided", logging.WARNING)
+    UPKEEP_ORDERED = (1500, "upkeep of a machine ordered")
+    WAVE_STATE = (1501, "a wave of upkeep changed its state")
+
+    def __init__(self, number: int, text: str, level: int = logging.INFO):
+        self.number = number
+        self.text = text
+        self.level = level
+
+
+def emit(logger: logging.Logger, event: Event, **fields) -> None:
+    """Writes one log line with the event's number and the given fields."""
+    if logger.isEnabledFor(event.level):
+        logger.log(
+            event.level, event.text, extra={"event": event.number, **fields}
+        )
--- /dev/null
+++ b/packages/placer/src/laburnumgate_placer/feed.py
@@ -0,0 +1,205 @@
+"""Follows a topic of the log and hands its records on in order."""
+
+import asyncio
+from collections.abc import Callable
+import logging
+
+from laburnumgate_core import clock
+
+from laburnumgate_placer import events
+from laburnumgate_placer import ports
+
+_LOGGER = logging.getLogger(__name__)
+
+# A read is given up this long after the log should have answered. A slow log
+# takes up to 0.25 s; a silent one must not delay a new connection for long.
+ANSWER_SLACK_MS = 1_000
+RETRY_MS = 100
+
+
+class Feed:
+    """One topic: the newest record of each key first, then all that follow.
+
+    Attributes:
+      topic: name of the topic.
+      next_offset: offset of the next record to read.
+      fresh_ms: steady time at which the applied records were known to be all;
+        0 before the first.
+      loaded: is set once the newest records were read.
+      down: the newest call was not answered.
+    """
+
+    def __init__(
+        self,
+        log: ports.Log,
+        steady: clock.SteadyClock,
+        topic: str,
+        apply: Callable[[ports.Entry], None],
+        *,
+        wait_ms: int,
+        keyed: bool = True,
+        pause_ms: int = 0,
+    ):
+        """Prepares a feed.
+
+        Args:
+          log: the log service.
+          steady: clock of `fresh_ms`.
+          topic: name of the topic.
+          apply: is called with each entry, in order.
+          wait_ms: how long a read waits for a first record.
+          keyed: whether the topic keeps the newest record of each key.
+          pause_ms: least time between two reads, to bound their rate.
+        """
+        self.topic = topic
+        self.next_offset = 0
+        self.fresh_ms = 0
+        self.loaded = asyncio.Event()
+        self._log = log
+        self._steady = steady
+        self._apply = apply
+        self._wait_ms = wait_ms
+        self._keyed = keyed
+        self._pause_ms = pause_ms
+        self.down = False
+        self._known: set[str] = set()
+        self._progress = asyncio.Condition()
+
+    async def run(self) -> None:
+        """Follows the topic until cancelled."""
+        while True:
+            if not self.loaded.is_set():
+                if not await self._load():
+                    await asyncio.sleep(RETRY_MS / 1000)
+                    continue
+                self.loaded.set()
+            if not await self._read():
+                await asyncio.sleep(RETRY_MS / 1000)
+            elif self._pause_ms:
+                await asyncio.sleep(self._pause_ms / 1000)
+
+    async def reached(self, offset: int, timeout_ms: int) -> bool:
+        """Waits until all records before `offset` are applied."""
+        try:
+            async with asyncio.timeout(timeout_ms / 1000):
+                async with self._progress:
+                    await self._progress.wait_for(
+                        lambda: self.next_offset >= offset
+                    )
+        except TimeoutError:
+            return False
+        return True
+
+    def age_ms(self) -> int:
+        """Returns how old the newest proof of completeness is, in ms."""
+        return self._steady.now_ms() - self.fresh_ms
+
+    async def _load(self) -> bool:
+        sent_ms = self._steady.now_ms()
+        if not self._keyed:
+            answer = await self._log.read(
+                self.topic, 0, wait_ms=0, timeout_ms=ANSWER_SLACK_MS
+            )
+            match answer:
+                case ports.Batch(entries, end_offset):
+                    self._hand_on(entries)
+                    await self._advance(end_offset)
+                    return True
+                case ports.Expired(first_offset):
+                    await self._advance(first_offset)
+                    return True
+            return self._lost(answer)
+        after = ""
+        end_offset: int | None = None
+        missing = set(self._known)
+        while True:
+            page = await self._log.newest(
+                self.topic, after, timeout_ms=2 * ANSWER_SLACK_MS
+            )
+            if isinstance(page, ports.Unknown):
+                return self._lost(page)
+            if end_offset is None:
+                end_offset = page.end_offset
+            self._hand_on(page.entries)
+            missing.difference_update(entry.key for entry in page.entries)
+            if not page.more or not page.entries:
+                break
+            after = page.entries[-1].key
+        # Keys that were dropped while the records of it expired.
+        self._hand_on(
+            tuple(ports.Entry(end_offset, key, None) for key in missing)
+        )
+        # Pages are no snapshot: what was written since the first one is read
+        # again from its end on.
+        await self._advance(end_offset)
+        self.fresh_ms = sent_ms
+        return True
+
+    async def _read(self) -> bool:
+        sent_ms = self._steady.now_ms()
+        answer = await self._log.read(
+            self.topic,
+            self.next_offset,
+            wait_ms=self._wait_ms,
+            timeout_ms=self._wait_ms + ANSWER_SLACK_MS,
+        )
+        match answer:
+            case ports.Batch(entries, end_offset):
+                self._regained()
+                self._hand_on(entries)
+                if entries:
+                    await self._advance(entries[-1].offset + 1)
+                if self.next_offset >= end_offset:
+                    self.fresh_ms = sent_ms
+                return True
+            case ports.Expired(first_offset):
+                events.emit(
+                    _LOGGER,
+                    events.Event.HISTORY_GONE,
+                    topic=self.topic,
+                    wanted=self.next_offset,
+                    first=first_offset,
+                )
+                self.loaded.clear()
+                return True
+        return self._lost(answer)
+
+    def _hand_on(self, entries: tuple[ports.Entry, ...]) -> None:
+        for entry in entries:
+            if entry.value is None:
+                self._known.discard(entry.key)
+            elif self._keyed:
+                self._known.add(entry.key)
+            try:
+                self._apply(entry)
+            except Exception as error:  # A bad record must not stop the feed.
+                events.emit(
+                    _LOGGER,
+                    events.Event.RECORD_SKIPPED,
+                    topic=self.topic,
+                    offset=entry.offset,
+                    key=entry.key,
+                    reason=str(error),
+                )
+
+    async def _advance(self, offset: int) -> None:
+        async with self._progress:
+            self.next_offset = max(self.next_offset, offset)
+            self._progress.notify_all()
+
+    def _lost(self, answer: ports.Unknown) -> bool:
+        if not self.down:
+            self.down = True
+            events.emit(
+                _LOGGER,
+                events.Event.FEED_LOST,
+                topic=self.topic,
+                reason=answer.reason,
+                age_ms=self.age_ms() if self.fresh_ms else None,
+            )
+        return False
+
+    def _regained(self) -> None:
+        if self.down:
+            self.down = False
+            events.emit(_LOGGER, events.Event.FEED_REGAINED, topic=self.topic)
--- /dev/null
+++ b/packages/placer/src/laburnumgate_placer/host.py
@@ -0,0 +1,207 @@
+"""One host: follows the log, answers callers, and leads when it is its turn."""
+
+import asyncio
+from collections.abc import Callable
+import logging
+
+from laburnumgate_core import clock
+
+from laburnumgate_placer import config_table
+from laburnumgate_placer import feed
+from laburnumgate_placer import intake
+from laburnumgate_placer import job_table
+from laburnumgate_placer import leader
+from laburnumgate_placer import leadership
+from laburnumgate_placer import limits
+from laburnumgate_placer import metrics
+from laburnumgate_placer import model
+from laburnumgate_placer import ports
+from laburnumgate_placer import records
+from laburnumgate_placer import topics
+from laburnumgate_placer import writer
+
+_LOGGER = logging.getLogger(__name__)
+
+# The configuration has to be proved fresh several times within the time in
+# which a removed key must be refused.
+CONFIG_WAIT_MS = 500
+JOBS_WAIT_MS = 1_000
+RETRY_MS = 50
+
+
+class Host:
+    """Parts of one process, wired together."""
+
+    def __init__(
+        self,
+        host_id: str,
+        log: ports.Log,
+        endpoints: ports.Endpoints,
+        decode_endpoint: Callable[[ports.Entry], model.Endpoint | None],
+        apply_operator_entry: Callable[
+            [config_table.ConfigTable, ports.Entry], None
+        ],
+        bounds: limits.Bounds,
+        *,
+        operator_topic: str,
+        list_topic: str,
+        claim_delay_ms: int,
+        first_start: bool,
+    ):
+        """Wires the parts of a host.
+
+        Args:
+          host_id: unique for each start of a process.
+          log: the log service.
+          endpoints: calls to endpoints.
+          decode_endpoint: reads an entry of the live list.
+          apply_operator_entry: applies what operators published.
+          bounds: time bounds of the deployment.
+          operator_topic: topic that operators write to.
+          list_topic: topic of the live list.
+          claim_delay_ms: how long this host lets others lead first.
+          first_start: the whole system starts for the first time.
+        """
+        self.steady = clock.SteadyClock()
+        self.wall = clock.WallClock()
+        self.config = config_table.ConfigTable()
+        self.jobs = job_table.JobTable()
+        self.leader: leader.Leader | None = None
+        self.stopping = False
+        self._log = log
+        self._endpoints = endpoints
+        self._decode_endpoint = decode_endpoint
+        self._bounds = bounds
+        self._list_topic = list_topic
+        self.config_feed = feed.Feed(
+            log,
+            self.steady,
+            operator_topic,
+            lambda entry: apply_operator_entry(self.config, entry),
+            wait_ms=CONFIG_WAIT_MS,
+        )
+        self.jobs_feed = feed.Feed(
+            log,
+            self.steady,
+            topics.JOBS,
+            self._apply_job,
+            wait_ms=JOBS_WAIT_MS,
+        )
+        self.submissions = writer.Writer(
+            log, self.steady, topics.JOBS, f"host-{host_id}", 1
+        )
+        self.lead = leadership.Leadership(
+            log, self.steady, host_id, claim_delay_ms, first_start
+        )
+        self.intake = intake.Intake(
+            self.config,
+            self.config_feed,
+            self.jobs,
+            self.jobs_feed,
+            self.submissions,
+            self.wall,
+            bounds,
+        )
+
+    def ready(self) -> bool:
+        """Whether new callers should be sent to this host."""
+        return not self.stopping and self.intake.ready()
+
+    async def run(self) -> None:
+        """Runs all parts until cancelled or one of them fails."""
+        async with asyncio.TaskGroup() as group:
+            group.create_task(self.config_feed.run())
+            group.create_task(self.jobs_feed.run())
+            group.create_task(self.lead.feed.run())
+            group.create_task(self.submissions.run())
+            group.create_task(self.lead.run())
+            group.create_task(self._lead_forever())
+
+    async def stop(self) -> None:
+        """Hands the lead over and asks callers to go to other hosts."""
+        self.stopping = True
+        await self.lead.resign()
+
+    async def _lead_forever(self) -> None:
+        await self.jobs_feed.loaded.wait()
+        while True:
+            if self.lead.own is None or self.config.current is None:
+                await asyncio.sleep(RETRY_MS / 1000)
+                continue
+            self.lead.changed.clear()
+            self.leader = leader.Leader(
+                self._log,
+                self._endpoints,
+                self._decode_endpoint,
+                self.lead,
+                self.steady,
+                self.wall,
+                self.config,
+                self.jobs,
+                self.jobs_feed,
+                self._bounds,
+                self._list_topic,
+            )
+            try:
+                await self._lead_once(self.leader)
+            finally:
+                self.leader = None
+
+    async def _lead_once(self, tenure: leader.Leader) -> None:
+        token = self.lead.own.token
+        work = asyncio.create_task(tenure.run())
+        while self.lead.own is not None and self.lead.own.token == token:
+            changed = asyncio.create_task(self.lead.changed.wait())
+            await asyncio.wait(
+                {work, changed}, return_when=asyncio.FIRST_COMPLETED
+            )
+            changed.cancel()
+            self.lead.changed.clear()
+            if work.done():
+                break
+        work.cancel()
+        try:
+            await work
+        except asyncio.CancelledError:
+            if not work.cancelled():
+                raise
+        except leader.OvertakenError as error:
+            self.lead.overtaken(str(error))
+
+    def _apply_job(self, entry: ports.Entry) -> None:
+        record = records.decode(entry.key, entry.value)
+        if not self.jobs.apply(record):
+            return
+        if self.leader is not None:
+            self.leader.job_changed(record)
+
+    def state(self) -> dict:
+        """Returns a dump of this process's state for operators."""
+        claim = self.lead.current
+        config = self.config.current
+        metrics.CONFIG_VERSION.set({}, config.version if config else 0)
+        dump = {
+            "ready": self.ready(),
+            "config_version": config.version if config else None,
+            "config_age_ms": self.config_feed.age_ms(),
+            "jobs": len(self.jobs.jobs_by_id),
+            "jobs_age_ms": self.jobs_feed.age_ms(),
+            "leader": claim.host if claim else None,
+            "token": claim.token if claim else None,
+            "zones_out": sorted(self.config.zones_out),
+        }
+        if self.leader is not None:
+            dump["open_jobs"] = len(self.leader.tables.entries_by_id)
+            dump["endpoints"] = {
+                endpoint_id: {
+                    "answering": state.answering,
+                    "draining": state.info.draining,
+                    "runs": len(state.members),
+                    "speed": round(state.speed, 2),
+                }
+                for endpoint_id, state in (
+                    self.leader.tables.endpoints.by_id.items()
+                )
+                if not state.over
+            }
+        return dump
--- /dev/null
+++ b/packages/placer/src/laburnumgate_placer/job_table.py
@@ -0,0 +1,88 @@
+"""Fold of the jobs topic: what every host knows of each job."""
+
+import collections
+import logging
+
+from laburnumgate_placer import model
+from laburnumgate_placer import records
+
+_LOGGER = logging.getLogger(__name__)
+
+
+class JobTable:
+    """Jobs by id, as the records up to the newest applied one say."""
+
+    def __init__(self):
+        self.jobs_by_id: dict[str, model.Job] = {}
+        self._states_by_id: dict[str, records.StateChanged] = {}
+        self._cancelled_ids: set[str] = set()
+        self._pending_by_queue: collections.Counter[str] = collections.Counter()
+
+    def apply(self, record: records.JobRecord) -> bool:
+        """Applies a record; returns whether it changed anything."""
+        match record:
+            case records.Submitted(job):
+                return self._submit(job)
+            case records.Cancelled(job_id):
+                if job_id in self._cancelled_ids:
+                    return False
+                self._change(job_id, lambda: self._cancelled_ids.add(job_id))
+                return True
+            case records.StateChanged(job_id):
+                old = self._states_by_id.get(job_id)
+                if old is not None and old.state.final:
+                    return False
+                self._change(job_id, lambda: self._set_state(record))
+                return True
+            case records.Dropped(job_id):
+                self._change(job_id, lambda: self._drop(job_id))
+                return True
+
+    def state(self, job_id: str) -> model.JobState | None:
+        """Returns the job's state, None if it is unknown."""
+        if job_id not in self.jobs_by_id:
+            return None
+        changed = self._states_by_id.get(job_id)
+        if changed is not None and changed.state.final:
+            return changed.state
+        if job_id in self._cancelled_ids:
+            return model.JobState.CANCELLED
+        return changed.state if changed else model.JobState.QUEUED
+
+    def cancelled(self, job_id: str) -> bool:
+        """Whether a caller cancelled the job."""
+        return job_id in self._cancelled_ids
+
+    def recorded(self, job_id: str) -> records.StateChanged | None:
+        """Returns the newest state that a leader recorded."""
+        return self._states_by_id.get(job_id)
+
+    def pending(self, queue: str) -> int:
+        """Returns how many jobs of a queue have not started a task."""
+        return self._pending_by_queue[queue]
+
+    def _submit(self, job: model.Job) -> bool:
+        if job.job_id in self.jobs_by_id:
+            return False
+        self.jobs_by_id[job.job_id] = job
+        if self.state(job.job_id) == model.JobState.QUEUED:
+            self._pending_by_queue[job.queue.name] += 1
+        return True
+
+    def _set_state(self, record: records.StateChanged) -> None:
+        self._states_by_id[record.job_id] = record
+
+    def _drop(self, job_id: str) -> None:
+        self.jobs_by_id.pop(job_id, None)
+        self._states_by_id.pop(job_id, None)
+        self._cancelled_ids.discard(job_id)
+
+    def _change(self, job_id: str, change) -> None:
+        # Keeps the number of pending jobs in step with the states.
+        job = self.jobs_by_id.get(job_id)
+        before = self.state(job_id)
+        change()
+        if job is None or before != model.JobState.QUEUED:
+            return
+        if self.state(job_id) != model.JobState.QUEUED:
+            self._pending_by_queue[job.queue.name] -= 1
--- /dev/null
+++ b/packages/placer/src/laburnumgate_placer/leader.py
@@ -0,0 +1,472 @@
+"""One tenure of the lead: recovers the state of all jobs, then places."""
+
+import asyncio
+from collections.abc import Callable
+from collections.abc import Coroutine
+import logging
+
+from laburnumgate_core import clock
+
+from laburnumgate_placer import config_table
+from laburnumgate_placer import endpoint_table
+from laburnumgate_placer import events
+from laburnumgate_placer import feed
+from laburnumgate_placer import job_table
+from laburnumgate_placer import launcher
+from laburnumgate_placer import leadership
+from laburnumgate_placer import lifecycle
+from laburnumgate_placer import limits
+from laburnumgate_placer import metrics
+from laburnumgate_placer import model
+from laburnumgate_placer import ports
+from laburnumgate_placer import progress
+from laburnumgate_placer import recorder
+from laburnumgate_placer import records
+from laburnumgate_placer import scheduling
+from laburnumgate_placer import tables as tables_module
+from laburnumgate_placer import topics
+from laburnumgate_placer import watcher
+
+_LOGGER = logging.getLogger(__name__)
+
+# Least time between two looks at what may be placed, and the longest one:
+# occurrences fall due and jobs become late without any event.
+PASS_PAUSE_MS = 2
+IDLE_PASS_MS = 100
+RETRY_MS = 100
+# Endpoints write to the live list every 1.5 s; reading it more often than
+# this only costs calls.
+LIST_WAIT_MS = 1_000
+LIST_PAUSE_MS = 150
+FENCE_TIMEOUT_MS = 800
+# Jobs that ended are dropped from the log at this pace.
+CLEAN_UP_MS = 20_000
+
+
+class OvertakenError(Exception):
+    """Another host leads."""
+
+
+class Leader:
+    """Places jobs for as long as this host leads."""
+
+    def __init__(
+        self,
+        log: ports.Log,
+        endpoints: ports.Endpoints,
+        decode_endpoint: Callable[[ports.Entry], model.Endpoint | None],
+        lead: leadership.Leadership,
+        steady: clock.Clock,
+        wall: clock.Clock,
+        config: config_table.ConfigTable,
+        jobs: job_table.JobTable,
+        jobs_feed: feed.Feed,
+        bounds: limits.Bounds,
+        list_topic: str,
+    ):
+        """Prepares a tenure under the current claim of `lead`."""
+        self._log = log
+        self._endpoints = endpoints
+        self._decode_endpoint = decode_endpoint
+        self._lead = lead
+        self._claim = lead.own
+        self._jobs_feed = jobs_feed
+        self._claimed_ms = steady.now_ms()
+        self.tables = tables_module.Tables(
+            self._claim.token, steady, wall, config, jobs, bounds
+        )
+        self._recorder = recorder.Recorder(log, self.tables)
+        self._scheduler = scheduling.Scheduler(self.tables)
+        self._orders = launcher.Launcher(endpoints, self.tables, lead.overtaken)
+        self._listed_by_id: dict[str, model.Endpoint] = {}
+        self._list_feed = feed.Feed(
+            log,
+            steady,
+            list_topic,
+            self._apply_entry,
+            wait_ms=LIST_WAIT_MS,
+            pause_ms=LIST_PAUSE_MS,
+        )
+        self._tasks: set[asyncio.Task] = set()
+        self._due = asyncio.Event()
+        self.recovered = False
+
+    async def run(self) -> None:
+        """Recovers and places until this host no longer leads."""
+        metrics.LEADING.set({}, 1)
+        try:
+            progress_by_id = await self._recover_log()
+            self._spawn(self._list_feed.run())
+            await self._list_feed.loaded.wait()
+            self._restore(progress_by_id)
+            self._spawn(self._recorder.run_writers())
+            self.recovered = True
+            took_ms = self.tables.steady.now_ms() - self._claimed_ms
+            metrics.RECOVERY_SECONDS.observe(took_ms / 1000)
+            events.emit(
+                _LOGGER,
+                events.Event.LEAD_RECOVERED,
+                token=self._claim.token,
+                jobs=len(self.tables.entries_by_id),
+                endpoints=len(self.tables.endpoints.by_id),
+                took_ms=took_ms,
+            )
+            self._spawn(self._record_forever())
+            self._spawn(self._clean_up_forever())
+            await self._place_forever()
+        finally:
+            metrics.LEADING.set({}, 0)
+            for task in self._tasks:
+                task.cancel()
+
+    def job_changed(self, record: records.JobRecord) -> None:
+        """Reacts to a record of the jobs topic that had an effect."""
+        if not self.recovered:
+            return
+        match record:
+            case records.Submitted(job):
+                state = self.tables.jobs.state(job.job_id)
+                if state is not None and not state.final:
+                    lifecycle.open_job(self.tables, job)
+            case records.Cancelled(job_id):
+                lifecycle.cancel_job(self.tables, job_id)
+
+    def _may_renew(self) -> bool:
+        """Whether the newest heartbeat is fresh enough to extend leases.
+
+        A later leader waits out this span before it gives up runs on
+        endpoints that it cannot reach.
+        """
+        age_ms = self.tables.steady.now_ms() - self._lead.confirmed_ms()
+        return age_ms < self.tables.bounds.max_lease_ms
+
+    async def _recover_log(self) -> dict[str, bytes]:
+        """Fences earlier leaders off and reads what they recorded."""
+        ends = {}
+        for topic in (topics.JOBS, topics.PROGRESS):
+            ends[topic] = await self._fence(topic)
+        progress_by_id: dict[str, bytes] = {}
+
+        def keep(entry: ports.Entry) -> None:
+            if entry.value:
+                progress_by_id[entry.key] = entry.value
+            else:
+                progress_by_id.pop(entry.key, None)
+
+        reader = feed.Feed(
+            self._log, self.tables.steady, topics.PROGRESS, keep, wait_ms=0
+        )
+        task = self._spawn(reader.run())
+        while not await reader.reached(ends[topics.PROGRESS], RETRY_MS):
+            self._check()
+        task.cancel()
+        while not await self._jobs_feed.reached(ends[topics.JOBS], RETRY_MS):
+            self._check()
+        return progress_by_id
+
+    async def _fence(self, topic: str) -> int:
+        sequence = ports.Sequence(recorder.PRODUCER, self._claim.token, 0)
+        while True:
+            self._check()
+            outcome = await self._log.append(
+                topic, [], timeout_ms=FENCE_TIMEOUT_MS, sequence=sequence
+            )
+            match outcome:
+                case ports.Appended(_, end_offset):
+                    return end_offset
+                case ports.Fenced(reason):
+                    self._lead.overtaken(reason)
+                    raise OvertakenError(reason)
+            await asyncio.sleep(RETRY_MS / 1000)
+
+    def _check(self) -> None:
+        if self._lead.own != self._claim:
+            raise OvertakenError("another host leads")
+
+    def _restore(self, progress_by_id: dict[str, bytes]) -> None:
+        tables = self.tables
+        now_ms = tables.steady.now_ms()
+        for job_id, job in tables.jobs.jobs_by_id.items():
+            state = tables.jobs.state(job_id)
+            recorded = tables.jobs.recorded(job_id)
+            value = progress_by_id.get(job_id)
+            if recorded is not None:
+                self._recorder.know(job_id, recorded.state)
+            if recorded is not None and recorded.state.final and not value:
+                continue
+            entry = progress.JobEntry(job, now_ms)
+            waited_ms = max(0, tables.wall.now_ms() - job.accepted_ms)
+            entry.arrived_ms = now_ms - waited_ms
+            self._restore_entry(entry, value, now_ms)
+            if recorded is not None:
+                entry.state = recorded.state
+            tables.entries_by_id[job_id] = entry
+            self._adopt(entry)
+            if tables.jobs.cancelled(job_id):
+                lifecycle.cancel_job(tables, job_id)
+            if entry.state.final:
+                for run in entry.runs():
+                    lifecycle.stop_run(tables, run, "the job has ended")
+                tables.touch(job_id)
+            elif entry.finished():
+                lifecycle.set_state(tables, entry, model.JobState.COMPLETED)
+
+    def _restore_entry(
+        self, entry: progress.JobEntry, value: bytes | None, now_ms: int
+    ) -> None:
+        unix_ms = self.tables.wall.now_ms()
+        if value is not None:
+            try:
+                progress.restore(entry, value, unix_ms, now_ms)
+            except (ValueError, KeyError, TypeError) as error:
+                events.emit(
+                    _LOGGER,
+                    events.Event.RECORD_SKIPPED,
+                    topic=topics.PROGRESS,
+                    key=entry.job.job_id,
+                    reason=str(error),
+                )
+        entry.open_due(unix_ms, now_ms)
+
+    def _adopt(self, entry: progress.JobEntry) -> None:
+        """Takes over recorded runs; their endpoints decide what is there."""
+        for run in entry.runs():
+            for member in run.members:
+                state = self._state_of(member)
+                if state.info.born_ms != member.born_ms:
+                    lifecycle.member_gone(self.tables, member)
+                    continue
+                member.settled_ms = 1
+                state.charge(member)
+            events.emit(
+                _LOGGER,
+                events.Event.RUN_ADOPTED,
+                job=run.unit.key.job_id,
+                step=run.unit.key.step,
+                index=run.unit.key.index,
+                run=run.number,
+                endpoints=sorted({m.endpoint_id for m in run.members}),
+            )
+
+    def _state_of(
+        self, member: progress.Member
+    ) -> endpoint_table.EndpointState:
+        by_id = self.tables.endpoints.by_id
+        state = by_id.get(member.endpoint_id)
+        if state is not None:
+            return state
+        # The endpoint has left the list. Its address is unknown, so that its
+        # runs count as present until no lease can be valid.
+        info = model.Endpoint(
+            member.endpoint_id,
+            member.born_ms,
+            "",
+            "",
+            "",
+            "",
+            frozenset(),
+            model.Room(),
+        )
+        state = self._add_state(info)
+        state.listed = False
+        state.answering = False
+        return state
+
+    def _add_state(self, info: model.Endpoint) -> endpoint_table.EndpointState:
+        tables = self.tables
+        state = endpoint_table.EndpointState(info)
+        state.contact_ms = tables.steady.now_ms()
+        # An earlier leader renews until its right is stale, and its leases
+        # last as long as endpoints allow.
+        longest_ms = tables.bounds.max_lease_ms
+        state.lease_bound_ms = self._claimed_ms + int(
+            longest_ms + longest_ms / endpoint_table.SLOWEST_CLOCK
+        )
+        tables.endpoints.by_id[info.endpoint_id] = state
+        loop = watcher.Watcher(
+            self._endpoints,
+            tables,
+            state,
+            self._orders,
+            self._may_renew,
+            self._lead.overtaken,
+        )
+        self._spawn(loop.run())
+        return state
+
+    def _apply_entry(self, entry: ports.Entry) -> None:
+        """Applies a record of the live list."""
+        endpoint = None
+        if entry.value is not None:
+            endpoint = self._decode_endpoint(entry)
+        state = self.tables.endpoints.by_id.get(entry.key)
+        if endpoint is None:
+            self._listed_by_id.pop(entry.key, None)
+            if state is not None and state.listed:
+                state.listed = False
+                self._changed(state, "it is no longer listed")
+            return
+        self._listed_by_id[entry.key] = endpoint
+        self._follow(endpoint)
+
+    def _follow(self, endpoint: model.Endpoint) -> None:
+        by_id = self.tables.endpoints.by_id
+        state = by_id.get(endpoint.endpoint_id)
+        if state is not None and state.info.born_ms != endpoint.born_ms:
+            if state.members and not state.over:
+                # The watcher sees the new life and voids orders to the old.
+                return
+            if endpoint.born_ms < state.info.born_ms:
+                return
+            state.over = True
+            state = None
+        if state is None:
+            self._end_earlier_lives(endpoint)
+            self._add_state(endpoint)
+            events.emit(
+                _LOGGER,
+                events.Event.ENDPOINT_FOUND,
+                endpoint=endpoint.endpoint_id,
+                zone=endpoint.zone,
+                rack=endpoint.rack,
+                draining=endpoint.draining,
+            )
+            return
+        if state.over:
+            return
+        draining = endpoint.draining and not state.info.draining
+        relisted = not state.listed
+        state.info = endpoint
+        state.listed = True
+        if draining:
+            self._changed(state, "it is leaving")
+            self._move_off(state)
+        elif relisted:
+            self._changed(state, "it is listed again")
+            self.tables.wake.set()
+
+    def _end_earlier_lives(self, endpoint: model.Endpoint) -> None:
+        """Ends lives of the same machine under other ids."""
+        if not endpoint.machine:
+            return
+        for state in list(self.tables.endpoints.by_id.values()):
+            if state.info.machine != endpoint.machine:
+                continue
+            if state.info.born_ms < endpoint.born_ms:
+                lifecycle.life_over(
+                    self.tables, state, "its machine has a newer endpoint"
+                )
+
+    def _move_off(self, state: endpoint_table.EndpointState) -> None:
+        """Stops runs that resume elsewhere and would not finish here."""
+        tables = self.tables
+        now_ms = tables.steady.now_ms()
+        for member in list(state.members.values()):
+            run = member.run
+            if run.phase != progress.Phase.RUNNING:
+                continue
+            step = run.unit.step
+            if not step.checkpointing and not step.long_running:
+                continue
+            left_ms = tables.durations.remaining_ms(run, now_ms)
+            if step.long_running or left_ms > state.info.remaining_ms:
+                lifecycle.stop_run(tables, run, "its endpoint is leaving")
+
+    def _changed(
+        self, state: endpoint_table.EndpointState, reason: str
+    ) -> None:
+        events.emit(
+            _LOGGER,
+            events.Event.ENDPOINT_CHANGED,
+            endpoint=state.info.endpoint_id,
+            reason=reason,
+            runs=len(state.members),
+            remaining_ms=state.info.remaining_ms,
+        )
+
+    async def _place_forever(self) -> None:
+        tables = self.tables
+        while True:
+            try:
+                async with asyncio.timeout(IDLE_PASS_MS / 1000):
+                    await tables.wake.wait()
+            except TimeoutError:
+                self._open_due()
+            tables.wake.clear()
+            self._check()
+            for endpoint in list(self._listed_by_id.values()):
+                state = tables.endpoints.by_id.get(endpoint.endpoint_id)
+                if state is None or state.over:
+                    self._follow(endpoint)
+            self._scheduler.run()
+            metrics.OPEN_JOBS.set({}, len(tables.entries_by_id))
+            self._send_stops()
+            if tables.dirty or self._ends_due():
+                self._due.set()
+            await asyncio.sleep(PASS_PAUSE_MS / 1000)
+
+    def _ends_due(self) -> bool:
+        return any(
+            state.seen_end > state.acked_end
+            for state in self.tables.endpoints.by_id.values()
+        )
+
+    def _open_due(self) -> None:
+        unix_ms = self.tables.wall.now_ms()
+        now_ms = self.tables.steady.now_ms()
+        for entry in self.tables.entries_by_id.values():
+            if entry.job.scheduled and not entry.state.final:
+                entry.open_due(unix_ms, now_ms)
+
+    def _send_stops(self) -> None:
+        stops, self.tables.stops = self.tables.stops, []
+        for member in stops:
+            self._spawn(self._orders.stop(member))
+
+    async def _record_forever(self) -> None:
+        while True:
+            await self._due.wait()
+            self._due.clear()
+            runs = await self._recorder.flush()
+            if runs is None:
+                self._lead.overtaken("its records were refused")
+                self.tables.wake.set()
+                return
+            for run in runs:
+                self._spawn(self._orders.launch(run))
+
+    async def _clean_up_forever(self) -> None:
+        while True:
+            await asyncio.sleep(CLEAN_UP_MS / 1000)
+            tables = self.tables
+            limit_ms = tables.wall.now_ms() - 2 * tables.bounds.keep_state_ms
+            old = []
+            for job_id in tables.jobs.jobs_by_id:
+                changed = tables.jobs.recorded(job_id)
+                if changed is None or not changed.state.final:
+                    continue
+                if changed.at_ms < limit_ms:
+                    old.append(job_id)
+            if old:
+                await self._recorder.drop(old)
+
+    def _spawn(self, work: Coroutine) -> asyncio.Task:
+        task = asyncio.create_task(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._finished)
+        return task
+
+    def _finished(self, task: asyncio.Task) -> None:
+        self._tasks.discard(task)
+        if task.cancelled() or task.exception() is None:
+            return
+        error = task.exception()
+        events.emit(
+            _LOGGER,
+            events.Event.TASK_FAILED,
+            task=task.get_coro().__qualname__,
+            reason=repr(error),
+        )
+        # A part of the leader that failed must not leave the rest running on
+        # its own; the next tenure starts from the log.
+        self._lead.overtaken("a task of the leader failed")
--- /dev/null
+++ b/packages/placer/src/laburnumgate_placer/leadership.py
@@ -0,0 +1,200 @@
+"""Which host places jobs: a claim in the log, kept up by heartbeats.
+
+The offset of a claim is the leader's fencing token: it rises with every
+change of leader and is never given twice, whatever the hosts lose.
+"""
+
+import asyncio
+import dataclasses
+import logging
+
+from laburnumgate_core import clock
+import orjson
+
+from laburnumgate_placer import events
+from laburnumgate_placer import feed
+from laburnumgate_placer import ports
+from laburnumgate_placer import topics
+
+_LOGGER = logging.getLogger(__name__)
+
+HEARTBEAT_MS = 400
+# Without a record of the leader for this long, others claim its place: three
+# heartbeats and the answer of a slow log.
+SILENCE_MS = 1_500
+APPEND_TIMEOUT_MS = 800
+CHECK_MS = 50
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Claim:
+    """A claim that holds until a later one.
+
+    Attributes:
+      host: id of the host, unique for each start of a process.
+      token: fencing token.
+    """
+
+    host: str
+    token: int
+
+
+class Leadership:
+    """Follows claims and heartbeats, and claims the lead when it is free."""
+
+    def __init__(
+        self,
+        log: ports.Log,
+        steady: clock.SteadyClock,
+        host: str,
+        claim_delay_ms: int,
+        first_start: bool,
+    ):
+        """Prepares a candidate.
+
+        Args:
+          log: the log service.
+          steady: clock of the right to lead.
+          host: this process, unique for each start.
+          claim_delay_ms: how long this host lets others claim first.
+          first_start: whether the system starts for the first time, so that
+            no earlier leader can be there.
+        """
+        self.feed = feed.Feed(
+            log,
+            steady,
+            topics.LEADER,
+            self._apply,
+            wait_ms=1_000,
+            keyed=False,
+        )
+        self.current: Claim | None = None
+        self.changed = asyncio.Event()
+        self._log = log
+        self._steady = steady
+        self._host = host
+        self._delay_ms = claim_delay_ms
+        self._heard_ms = 0 if first_start else steady.now_ms()
+        self._vacant = first_start
+        self._confirmed_ms = 0
+        self._own: Claim | None = None
+        self._stopping = False
+
+    @property
+    def own(self) -> Claim | None:
+        """This host's claim while no later one is known."""
+        return self._own
+
+    def confirmed_ms(self) -> int:
+        """Returns when the newest heartbeat that the log took was sent."""
+        return self._confirmed_ms
+
+    async def run(self) -> None:
+        """Claims and keeps the lead until cancelled."""
+        await self.feed.loaded.wait()
+        while True:
+            if self._own is not None:
+                await self._beat()
+                await asyncio.sleep(HEARTBEAT_MS / 1000)
+                continue
+            if not self._stopping and self._free():
+                await self._claim()
+            await asyncio.sleep(CHECK_MS / 1000)
+
+    async def resign(self) -> None:
+        """Gives the lead up, so that another host takes it at once."""
+        self._stopping = True
+        if self._own is None:
+            return
+        own = self._lose("stopping")
+        await self._log.append(
+            topics.LEADER,
+            [_encode("resign", own.host, own.token)],
+            timeout_ms=APPEND_TIMEOUT_MS,
+        )
+
+    def overtaken(self, reason: str) -> None:
+        """Notes that an order was refused for a higher fencing token."""
+        if self._own is not None:
+            self._lose(reason)
+
+    def _free(self) -> bool:
+        silent_ms = self._steady.now_ms() - self._heard_ms
+        if self._vacant:
+            return silent_ms >= self._delay_ms
+        # A host that cannot read the log hears no leader either.
+        if self.feed.age_ms() > SILENCE_MS:
+            return False
+        return silent_ms >= SILENCE_MS + self._delay_ms
+
+    async def _claim(self) -> None:
+        at_offset = self.feed.next_offset
+        sent_ms = self._steady.now_ms()
+        outcome = await self._log.append(
+            topics.LEADER,
+            [_encode("claim", self._host, 0)],
+            timeout_ms=APPEND_TIMEOUT_MS,
+            at_offset=at_offset,
+        )
+        match outcome:
+            case ports.Appended(offset):
+                self._win(Claim(self._host, offset + 1), sent_ms)
+            case ports.Unknown():
+                # The claim may stand: it is seen when it is read back.
+                await self.feed.reached(at_offset + 1, APPEND_TIMEOUT_MS)
+
+    def _win(self, claim: Claim, sent_ms: int) -> None:
+        if self._own == claim:
+            return
+        if self.current is not None and self.current.token > claim.token:
+            return
+        self._own = claim
+        self.current = claim
+        self._confirmed_ms = sent_ms
+        self._vacant = False
+        events.emit(_LOGGER, events.Event.LEAD_TAKEN, token=claim.token)
+        self.changed.set()
+
+    async def _beat(self) -> None:
+        own = self._own
+        sent_ms = self._steady.now_ms()
+        outcome = await self._log.append(
+            topics.LEADER,
+            [_encode("beat", own.host, own.token)],
+            timeout_ms=APPEND_TIMEOUT_MS,
+        )
+        if isinstance(outcome, ports.Appended) and self._own == own:
+            self._confirmed_ms = sent_ms
+
+    def _lose(self, reason: str) -> Claim:
+        own = self._own
+        self._own = None
+        self._heard_ms = self._steady.now_ms()
+        events.emit(
+            _LOGGER, events.Event.LEAD_LOST, token=own.token, reason=reason
+        )
+        self.changed.set()
+        return own
+
+    def _apply(self, entry: ports.Entry) -> None:
+        kind, host, token = orjson.loads(entry.value or b"null")
+        now_ms = self._steady.now_ms()
+        if kind == "claim":
+            claim = Claim(host, entry.offset + 1)
+            self.current = claim
+            self._heard_ms = now_ms
+            self._vacant = False
+            if host == self._host:
+                self._win(claim, now_ms)
+            elif self._own is not None and self._own.token < claim.token:
+                self._lose("another host leads")
+            return
+        if self.current is not None and token < self.current.token:
+            return
+        self._heard_ms = now_ms
+        if kind == "resign":
+            self._vacant = True
+
+
+def _encode(kind: str, host: str, token: int) -> bytes:
+    return orjson.dumps([kind, host, token])
--- /dev/null
+++ b/packages/placer/src/laburnumgate_placer/lifecycle.py
@@ -0,0 +1,293 @@
+"""Transitions of jobs, units, runs and members. No I/O."""
+
+import logging
+
+from laburnumgate_placer import endpoint_table
+from laburnumgate_placer import events
+from laburnumgate_placer import model
+from laburnumgate_placer import progress
+from laburnumgate_placer import tables as tables_module
+
+_LOGGER = logging.getLogger(__name__)
+
+# Pause before a unit whose run failed or could not start is tried again.
+RETRY_PAUSE_MS = 100
+
+
+def open_job(tables: tables_module.Tables, job: model.Job) -> progress.JobEntry:
+    """Adds a job that is not open yet, and opens its first steps."""
+    now_ms = tables.steady.now_ms()
+    entry = progress.JobEntry(job, now_ms)
+    entry.open_due(tables.wall.now_ms(), now_ms)
+    tables.entries_by_id[job.job_id] = entry
+    tables.wake.set()
+    return entry
+
+
+def cancel_job(tables: tables_module.Tables, job_id: str) -> None:
+    """Stops all runs of a job that its caller cancelled."""
+    entry = tables.entries_by_id.get(job_id)
+    if entry is None or entry.state.final:
+        return
+    set_state(tables, entry, model.JobState.CANCELLED, "by its caller")
+    _stop_all(tables, entry, "job cancelled")
+
+
+def set_state(
+    tables: tables_module.Tables,
+    entry: progress.JobEntry,
+    state: model.JobState,
+    reason: str = "",
+) -> None:
+    """Moves a job to another state."""
+    if entry.state == state or entry.state.final:
+        return
+    entry.state = state
+    entry.reason = reason
+    events.emit(
+        _LOGGER,
+        events.Event.JOB_STATE,
+        job=entry.job.job_id,
+        account=entry.job.account,
+        queue=entry.job.queue.name,
+        state=state.value,
+        reason=reason,
+        age_ms=tables.steady.now_ms() - entry.arrived_ms,
+        token=tables.token,
+    )
+    tables.touch(entry.job.job_id)
+
+
+def assign(
+    tables: tables_module.Tables,
+    unit: progress.Unit,
+    endpoint_ids: list[str],
+    tickets_by_endpoint: dict[str, str] | None = None,
+) -> progress.Run:
+    """Gives a unit its next run; it starts once its record is stored."""
+    now_ms = tables.steady.now_ms()
+    unit.last_run += 1
+    unit.state = progress.UnitState.ACTIVE
+    run = progress.Run(unit, unit.last_run, [], assigned_ms=now_ms)
+    run.tickets_by_endpoint = tickets_by_endpoint or {}
+    for task, endpoint_id in zip(unit.tasks(), endpoint_ids, strict=True):
+        state = tables.endpoints.by_id[endpoint_id]
+        member = progress.Member(task, endpoint_id, state.info.born_ms, run)
+        run.members.append(member)
+        state.charge(member)
+    unit.run = run
+    tables.assigned.append(run)
+    tables.touch(unit.key.job_id)
+    events.emit(
+        _LOGGER,
+        events.Event.ASSIGNED,
+        job=unit.key.job_id,
+        occurrence=unit.key.occurrence,
+        step=unit.key.step,
+        index=unit.key.index,
+        run=run.number,
+        endpoints=sorted(set(endpoint_ids)),
+        checkpoint=unit.checkpoint,
+        waited_ms=now_ms - unit.ready_ms,
+    )
+    return run
+
+
+def stop_run(
+    tables: tables_module.Tables, run: progress.Run, reason: str
+) -> None:
+    """Stops a run; members that were never ordered are gone at once."""
+    if run.phase == progress.Phase.STOPPING:
+        return
+    run.phase = progress.Phase.STOPPING
+    key = run.unit.key
+    events.emit(
+        _LOGGER,
+        events.Event.RUN_STOPPED,
+        job=key.job_id,
+        occurrence=key.occurrence,
+        step=key.step,
+        index=key.index,
+        run=run.number,
+        percent=run.percent(),
+        reason=reason,
+    )
+    for member in run.members:
+        if member.gone:
+            continue
+        if not member.ordered:
+            member_gone(tables, member)
+            continue
+        member.stopping = True
+        tables.stops.append(member)
+    tables.touch(key.job_id)
+
+
+def member_gone(tables: tables_module.Tables, member: progress.Member) -> None:
+    """Notes that a member is surely not running and never will be."""
+    if member.gone:
+        return
+    member.gone = True
+    state = tables.endpoints.by_id.get(member.endpoint_id)
+    if state is not None:
+        state.release(member)
+    run = member.run
+    tables.wake.set()
+    if run.over():
+        _run_over(tables, run)
+    elif run.unit.state != progress.UnitState.DONE:
+        stop_run(tables, run, f"task {member.task.index} is gone")
+
+
+def ended(
+    tables: tables_module.Tables,
+    state: endpoint_table.EndpointState,
+    row: model.EndedRow,
+) -> None:
+    """Applies an end that an endpoint reported."""
+    entry = tables.entries_by_id.get(row.task.job_id)
+    unit = entry.unit_of(row.task) if entry else None
+    if unit is None:
+        return
+    member = _find(unit, state.info.endpoint_id, row)
+    events.emit(
+        _LOGGER,
+        events.Event.RUN_ENDED,
+        job=row.task.job_id,
+        occurrence=row.task.occurrence,
+        step=row.task.step,
+        index=row.task.index,
+        run=row.run,
+        end=row.kind.value,
+        endpoint=state.info.endpoint_id,
+        number=row.number,
+        current=member is not None,
+    )
+    tables.touch(row.task.job_id)
+    done = row.kind == model.EndKind.DONE and not unit.step.long_running
+    if member is None:
+        if done and unit.state != progress.UnitState.DONE:
+            # The run was given up while its endpoint could not be asked, but
+            # it did end as done before its lease expired.
+            _unit_done(tables, entry, unit)
+            if unit.run is not None:
+                stop_run(tables, unit.run, "an earlier run was done")
+        return
+    run = member.run
+    if done:
+        run.result = row.kind
+        if unit.state != progress.UnitState.DONE:
+            _learn(tables, run, state)
+            _unit_done(tables, entry, unit)
+    else:
+        if row.checkpoint:
+            unit.checkpoint = row.checkpoint
+        if run.result is None or row.kind == model.EndKind.FAILED:
+            run.result = row.kind
+        if row.kind == model.EndKind.FAILED:
+            state.failed(row.task.job_id, tables.steady.now_ms())
+            unit.avoid.add(state.info.endpoint_id)
+    member_gone(tables, member)
+
+
+def life_over(
+    tables: tables_module.Tables,
+    state: endpoint_table.EndpointState,
+    reason: str,
+) -> None:
+    """Gives up all runs of an endpoint's life that has ended."""
+    if state.over:
+        return
+    state.over = True
+    events.emit(
+        _LOGGER,
+        events.Event.ENDPOINT_OVER,
+        endpoint=state.info.endpoint_id,
+        born_ms=state.info.born_ms,
+        reason=reason,
+        runs=len(state.members),
+        contact_age_ms=tables.steady.now_ms() - state.contact_ms,
+    )
+    for member in list(state.members.values()):
+        if member.run.result is None:
+            member.run.result = model.EndKind.LAPSED
+        member_gone(tables, member)
+
+
+def close_ended(tables: tables_module.Tables) -> None:
+    """Drops jobs that have ended and have no runs left."""
+    for job_id, entry in list(tables.entries_by_id.items()):
+        if not entry.state.final or job_id in tables.dirty:
+            continue
+        if not entry.runs():
+            del tables.entries_by_id[job_id]
+
+
+def _find(
+    unit: progress.Unit, endpoint_id: str, row: model.EndedRow
+) -> progress.Member | None:
+    run = unit.run
+    if run is None or run.number != row.run:
+        return None
+    for member in run.members:
+        if member.gone or member.task != row.task:
+            continue
+        if member.endpoint_id == endpoint_id:
+            return member
+    return None
+
+
+def _unit_done(
+    tables: tables_module.Tables,
+    entry: progress.JobEntry,
+    unit: progress.Unit,
+) -> None:
+    entry.unit_done(unit)
+    if entry.state.final:
+        return
+    if entry.finished():
+        set_state(tables, entry, model.JobState.COMPLETED)
+        return
+    entry.open_due(tables.wall.now_ms(), tables.steady.now_ms())
+
+
+def _run_over(tables: tables_module.Tables, run: progress.Run) -> None:
+    unit = run.unit
+    entry = unit.entry
+    unit.run = None
+    tables.touch(unit.key.job_id)
+    if unit.state == progress.UnitState.DONE:
+        return
+    unit.state = progress.UnitState.WAITING
+    unit.ready_ms = tables.steady.now_ms()
+    if entry.state.final:
+        return
+    if run.result == model.EndKind.FAILED and not unit.step.long_running:
+        unit.failures += 1
+        unit.pause_until_ms = unit.ready_ms + RETRY_PAUSE_MS
+        attempts = tables.queue_of(entry.job).attempts
+        if unit.failures >= attempts:
+            reason = f"{unit.failures} runs of step {unit.key.step} failed"
+            set_state(tables, entry, model.JobState.FAILED, reason)
+            _stop_all(tables, entry, "job failed")
+        return
+    if run.result is None:
+        unit.pause_until_ms = unit.ready_ms + RETRY_PAUSE_MS
+
+
+def _learn(
+    tables: tables_module.Tables,
+    run: progress.Run,
+    state: endpoint_table.EndpointState,
+) -> None:
+    state.succeeded()
+    if run.started_ms and not run.unit.checkpoint:
+        ran_ms = tables.steady.now_ms() - run.started_ms
+        tables.durations.learn(run, state, ran_ms)
+
+
+def _stop_all(
+    tables: tables_module.Tables, entry: progress.JobEntry, reason: str
+) -> None:
+    for run in entry.runs():
+        stop_run(tables, run, reason)
--- /dev/null
+++ b/packages/placer/src/laburnumgate_placer/metrics.py
@@ -0,0 +1,69 @@
+"""Counters and latency histograms of a host; times are in seconds."""
+
+from collections.abc import Iterator
+import contextlib
+import time
+
+import aioprometheus
+
+REGISTRY = aioprometheus.Registry()
+
+
+def _counter(name: str, doc: str) -> aioprometheus.Counter:
+    return aioprometheus.Counter(name, doc, registry=REGISTRY)
+
+
+def _gauge(name: str, doc: str) -> aioprometheus.Gauge:
+    return aioprometheus.Gauge(name, doc, registry=REGISTRY)
+
+
+class Timing:
+    """A histogram of durations in seconds."""
+
+    def __init__(self, name: str, doc: str):
+        self._histogram = aioprometheus.Histogram(name, doc, registry=REGISTRY)
+
+    def observe(self, seconds: float, **labels: str) -> None:
+        """Counts one duration."""
+        self._histogram.observe(labels, max(0.0, float(seconds)))
+
+    @contextlib.contextmanager
+    def time(self, **labels: str) -> Iterator[None]:
+        """Counts the duration of a block."""
+        began = time.monotonic()
+        try:
+            yield
+        finally:
+            self.observe(time.monotonic() - began, **labels)
+
+
+REQUESTS = _counter(
+    "laburnumgate_requests_total", "Callers' requests by call and status."
+)
+ENDPOINT_CALLS = _counter(
+    "laburnumgate_endpoint_calls_total", "Calls to endpoints by outcome."
+)
+LOG_CALLS = _counter(
+    "laburnumgate_log_calls_total", "Calls to the log by call and outcome."
+)
+RUN_ENDS = _counter(
+    "laburnumgate_run_ends_total", "Ends of tasks by how they ended."
+)
+LEADING = _gauge("laburnumgate_leading", "1 while this host leads.")
+OPEN_JOBS = _gauge("laburnumgate_open_jobs", "Jobs that the leader places.")
+CONFIG_VERSION = _gauge(
+    "laburnumgate_config_version", "Version of the configuration in force."
+)
+ACCEPT_SECONDS = Timing(
+    "laburnumgate_accept_seconds", "From a submission to its answer."
+)
+START_SECONDS = Timing(
+    "laburnumgate_start_seconds",
+    "From a unit's turn until all its tasks are started.",
+)
+RECORD_SECONDS = Timing(
+    "laburnumgate_record_seconds", "Storing the leader's decisions."
+)
+RECOVERY_SECONDS = Timing(
+    "laburnumgate_recovery_seconds", "From a claim to the first placement."
+)
--- /dev/null
+++ b/packages/placer/src/laburnumgate_placer/ordering.py
@@ -0,0 +1,150 @@
+"""The order in which waiting units are placed."""
+
+import dataclasses
+import enum
+
+from laburnumgate_placer import progress
+from laburnumgate_placer import tables as tables_module
+
+# A job that takes up to this many times its objective is late, not lost.
+LATE_FACTOR = 3.0
+
+
+class Stage(enum.IntEnum):
+    """What a job's caller can still get if it starts now."""
+
+    ON_TIME = 0
+    LATE = 1
+    TOO_LATE = 2
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Rank:
+    """Place of a unit in the order, lowest first.
+
+    Attributes:
+      guaranteed: its account is owed the capacity right now.
+      stage: what can still be earned.
+      priority: of its queue, 0 first.
+      due_ms: steady time by which it should start.
+    """
+
+    guaranteed: bool
+    stage: Stage
+    priority: int
+    due_ms: float
+
+    def sort_key(self) -> tuple:
+        """Returns the key to sort by."""
+        return (not self.guaranteed, self.stage, self.priority, self.due_ms)
+
+
+def guaranteed_jobs(tables: tables_module.Tables) -> set[str]:
+    """Returns the ids of open jobs that fit their accounts' guarantees.
+
+    Jobs of priority 0 count in order of arrival, each with the most
+    accelerators that one of its steps takes.
+    """
+    config = tables.config.current
+    if config is None:
+        return set()
+    left_by_account = {
+        name: account.guaranteed_gpu
+        for name, account in config.accounts_by_name.items()
+    }
+    owed = set()
+    for entry in sorted(
+        tables.entries_by_id.values(), key=lambda e: e.job.accepted_ms
+    ):
+        if entry.state.final:
+            continue
+        if tables.queue_of(entry.job).priority != 0:
+            continue
+        need = max(s.count * s.room.gpu for s in entry.job.steps)
+        left = left_by_account.get(entry.job.account, 0)
+        if need > left:
+            continue
+        left_by_account[entry.job.account] = left - need
+        owed.add(entry.job.job_id)
+    return owed
+
+
+def objective_ms(
+    tables: tables_module.Tables, entry: progress.JobEntry
+) -> float:
+    """Returns how long the job may take and still be on time."""
+    queue = tables.queue_of(entry.job)
+    chain_ms = tables.durations.chain_ms(entry.job)
+    return queue.stretch * chain_ms + queue.objective_ms
+
+
+def rank(
+    tables: tables_module.Tables,
+    unit: progress.Unit,
+    guaranteed: set[str],
+    now_ms: int,
+) -> Rank:
+    """Returns the unit's place in the order."""
+    entry = unit.entry
+    queue = tables.queue_of(entry.job)
+    began_ms = _began_ms(tables, unit, now_ms)
+    limit_ms = objective_ms(tables, entry)
+    left_ms = _left_ms(tables, unit)
+    due_ms = began_ms + limit_ms - left_ms
+    stage = Stage.ON_TIME
+    if now_ms > due_ms:
+        stage = Stage.LATE
+        due_ms = began_ms + LATE_FACTOR * limit_ms - left_ms
+        if now_ms > due_ms:
+            stage = Stage.TOO_LATE
+    return Rank(entry.job.job_id in guaranteed, stage, queue.priority, due_ms)
+
+
+def _began_ms(
+    tables: tables_module.Tables, unit: progress.Unit, now_ms: int
+) -> int:
+    """Returns the steady time from which the job's time counts."""
+    job = unit.entry.job
+    if not job.scheduled:
+        return unit.entry.arrived_ms
+    late_ms = tables.wall.now_ms() - job.due_ms(unit.key.occurrence)
+    return now_ms - late_ms
+
+
+def _left_ms(tables: tables_module.Tables, unit: progress.Unit) -> float:
+    """Returns the work from this unit to the end of its chain."""
+    job = unit.entry.job
+    queue = job.queue.name
+    ends: dict[int, float] = {}
+    for number in range(len(job.steps) - 1, unit.key.step - 1, -1):
+        later = [
+            ends[n]
+            for n in range(number + 1, len(job.steps))
+            if number in job.steps[n].after
+        ]
+        own = tables.durations.expected_ms(queue, job.steps[number])
+        ends[number] = own + max(later, default=0.0)
+    return ends[unit.key.step]
+
+
+def waiting_units(
+    tables: tables_module.Tables, now_ms: int
+) -> list[tuple[Rank, progress.Unit]]:
+    """Returns the units that may start now, in order."""
+    guaranteed = guaranteed_jobs(tables)
+    ranked = []
+    for entry in tables.entries_by_id.values():
+        if entry.state.final:
+            continue
+        rank_by_step: dict[tuple[int, int], Rank] = {}
+        for place in entry.open_steps:
+            for unit in entry.step_units(place):
+                if unit.state != progress.UnitState.WAITING:
+                    continue
+                if unit.pause_until_ms > now_ms:
+                    continue
+                if place not in rank_by_step:
+                    rank_by_step[place] = rank(tables, unit, guaranteed, now_ms)
+                ranked.append((rank_by_step[place], unit))
+    ranked.sort(key=lambda pair: (pair[0].sort_key(), pair[1].key))
+    return ranked
--- /dev/null
+++ b/packages/placer/src/laburnumgate_placer/reclaim.py
@@ -0,0 +1,146 @@
+"""Chooses which runs to stop so that a guaranteed unit can start."""
+
+import dataclasses
+
+from laburnumgate_placer import endpoint_table
+from laburnumgate_placer import model
+from laburnumgate_placer import placement
+from laburnumgate_placer import progress
+from laburnumgate_placer import tables as tables_module
+
+# An accelerator counts as this many cores when lost work is weighed, as the
+# platform's price of wasted work does.
+CORES_PER_GPU = 8
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Plan:
+    """Runs to stop, and the endpoints that are kept for the unit."""
+
+    victims: tuple[progress.Run, ...]
+    endpoint_ids: frozenset[str]
+    lost: float
+
+
+def plan(
+    tables: tables_module.Tables,
+    unit: progress.Unit,
+    endpoints: list[endpoint_table.EndpointState],
+    protected: set[str],
+    now_ms: int,
+) -> Plan | None:
+    """Finds the runs whose stop loses the least work.
+
+    Args:
+      tables: the leader's tables.
+      unit: the unit that has to start.
+      endpoints: endpoints that may be given work of its queue.
+      protected: ids of jobs that are owed their capacity as well.
+      now_ms: steady time.
+
+    Returns:
+      A plan, with no victims if stops that are under way suffice; None if
+      nothing that may be stopped makes room.
+    """
+    best: Plan | None = None
+    for group in _groups(unit, endpoints):
+        found = _plan_group(tables, unit, group, protected, now_ms)
+        if found is None:
+            continue
+        if best is None or found.lost < best.lost:
+            best = found
+    return best
+
+
+def lost_work(
+    tables: tables_module.Tables, run: progress.Run, now_ms: int
+) -> float:
+    """Returns the core-seconds that a stop of the run throws away."""
+    step = run.unit.step
+    ran_ms = max(0, now_ms - (run.started_ms or now_ms))
+    if step.checkpointing:
+        ran_ms = min(ran_ms, tables.bounds.restore_ms)
+    cores = step.room.cpu / 1000 + CORES_PER_GPU * step.room.gpu
+    return len(run.members) * cores * ran_ms / 1000
+
+
+def _groups(
+    unit: progress.Unit, endpoints: list[endpoint_table.EndpointState]
+) -> list[list[endpoint_table.EndpointState]]:
+    if not unit.step.same_rack:
+        return [endpoints]
+    by_rack: dict[str, list[endpoint_table.EndpointState]] = {}
+    for state in endpoints:
+        by_rack.setdefault(state.info.rack, []).append(state)
+    return list(by_rack.values())
+
+
+def _plan_group(
+    tables: tables_module.Tables,
+    unit: progress.Unit,
+    group: list[endpoint_table.EndpointState],
+    protected: set[str],
+    now_ms: int,
+) -> Plan | None:
+    free_by_id = {s.info.endpoint_id: s.free() for s in group}
+    runs: dict[int, progress.Run] = {}
+    for state in group:
+        for member in state.members.values():
+            run = member.run
+            if run.phase == progress.Phase.STOPPING:
+                _give_back(free_by_id, member)
+                continue
+            entry = run.unit.entry
+            if entry.job.job_id in protected or run.unit.step.long_running:
+                continue
+            if run.phase != progress.Phase.RUNNING:
+                continue
+            runs[id(run)] = run
+    chosen = placement.choose(unit, group, free_by_id)
+    victims: list[progress.Run] = []
+    lost = 0.0
+    candidates = sorted(
+        runs.values(), key=lambda r: _price(tables, r, free_by_id, now_ms)
+    )
+    for run in candidates:
+        if chosen is not None:
+            break
+        for member in run.members:
+            if not member.gone:
+                _give_back(free_by_id, member)
+        victims.append(run)
+        chosen = placement.choose(unit, group, free_by_id)
+    if chosen is None:
+        return None
+    kept = frozenset(chosen)
+    victims = [
+        run
+        for run in victims
+        if any(m.endpoint_id in kept for m in run.members)
+    ]
+    lost = sum(lost_work(tables, run, now_ms) for run in victims)
+    return Plan(tuple(victims), kept, lost)
+
+
+def _give_back(
+    free_by_id: dict[str, model.Room], member: progress.Member
+) -> None:
+    free = free_by_id.get(member.endpoint_id)
+    if free is not None:
+        room = member.run.unit.step.charged
+        free_by_id[member.endpoint_id] = free.plus(room)
+
+
+def _price(
+    tables: tables_module.Tables,
+    run: progress.Run,
+    free_by_id: dict[str, model.Room],
+    now_ms: int,
+) -> float:
+    """Returns lost work per accelerator that a stop frees in the group."""
+    freed = sum(
+        max(1, run.unit.step.room.gpu)
+        for member in run.members
+        if member.endpoint_id in free_by_id and not member.gone
+    )
+    return lost_work(tables, run, now_ms) / max(1, freed)
--- /dev/null
+++ b/packages/placer/src/laburnumgate_placer/recorder.py
@@ -0,0 +1,115 @@
+"""Stores what the leader decided before any of it takes effect."""
+
+import asyncio
+import logging
+
+from laburnumgate_placer import lifecycle
+from laburnumgate_placer import metrics
+from laburnumgate_placer import model
+from laburnumgate_placer import ports
+from laburnumgate_placer import progress
+from laburnumgate_placer import records
+from laburnumgate_placer import tables as tables_module
+from laburnumgate_placer import topics
+from laburnumgate_placer import writer
+
+_LOGGER = logging.getLogger(__name__)
+
+# The leader's producer, under which its token fences earlier leaders.
+PRODUCER = "leader"
+# The leader waits this long for a record before it tries to go on; the record
+# itself is repeated until its fate is known.
+RECORD_TIMEOUT_MS = 600_000
+
+
+class Recorder:
+    """Writes progress and states of changed jobs, then lets runs start."""
+
+    def __init__(self, log: ports.Log, tables: tables_module.Tables):
+        """Prepares the writers of one tenure."""
+        self._tables = tables
+        self._writers_by_topic = {
+            topic: writer.Writer(
+                log, tables.steady, topic, PRODUCER, tables.token
+            )
+            for topic in (topics.JOBS, topics.PROGRESS)
+        }
+        self._recorded_by_id: dict[str, model.JobState] = {}
+
+    async def run_writers(self) -> None:
+        """Sends records until cancelled."""
+        await asyncio.gather(
+            *(each.run() for each in self._writers_by_topic.values())
+        )
+
+    def know(self, job_id: str, state: model.JobState) -> None:
+        """Notes the state that is already recorded for a job."""
+        self._recorded_by_id[job_id] = state
+
+    async def flush(self) -> list[progress.Run] | None:
+        """Records all changes.
+
+        Returns:
+          The runs that may start now, or None if another leader took over.
+        """
+        tables = self._tables
+        job_ids, tables.dirty = tables.dirty, set()
+        runs, tables.assigned = tables.assigned, []
+        ends_by_id = {
+            endpoint_id: state.seen_end
+            for endpoint_id, state in tables.endpoints.by_id.items()
+            if state.seen_end > state.acked_end
+        }
+        detail, states = self._encode(job_ids)
+        with metrics.RECORD_SECONDS.time():
+            outcomes = await asyncio.gather(
+                self._append(topics.PROGRESS, detail),
+                self._append(topics.JOBS, states),
+            )
+        if not all(isinstance(o, ports.Appended) for o in outcomes):
+            return None
+        for endpoint_id, number in ends_by_id.items():
+            state = tables.endpoints.by_id.get(endpoint_id)
+            if state is not None and number <= state.seen_end:
+                state.acked_end = number
+        lifecycle.close_ended(tables)
+        return runs
+
+    async def drop(self, job_ids: list[str]) -> None:
+        """Removes jobs that ended long ago from the jobs topic."""
+        dropped = []
+        for job_id in job_ids:
+            dropped.extend(records.dropped(job_id))
+            self._recorded_by_id.pop(job_id, None)
+        await self._append(topics.JOBS, dropped)
+
+    def _encode(self, job_ids: set[str]) -> tuple[list[bytes], list[bytes]]:
+        detail = []
+        states = []
+        for job_id in job_ids:
+            entry = self._tables.entries_by_id.get(job_id)
+            if entry is None:
+                continue
+            value = b""
+            if not entry.state.final or entry.runs():
+                value = progress.encode(entry)
+            detail.append(records.keyed(job_id, value))
+            if self._recorded_by_id.get(job_id) == entry.state:
+                continue
+            if entry.state == model.JobState.QUEUED:
+                continue
+            self._recorded_by_id[job_id] = entry.state
+            change = records.StateChanged(
+                job_id, entry.state, self._tables.wall.now_ms(), entry.reason
+            )
+            states.append(records.encode(change))
+        return detail, states
+
+    async def _append(
+        self, topic: str, encoded: list[bytes]
+    ) -> ports.AppendOutcome:
+        if not encoded:
+            return ports.Appended(0, 0)
+        return await self._writers_by_topic[topic].append(
+            encoded, RECORD_TIMEOUT_MS
+        )
--- /dev/null
+++ b/packages/placer/src/laburnumgate_placer/records.py
@@ -0,0 +1,151 @@
+"""Records of the product's own topics: encoding and decoding.
+
+Keys of the jobs topic are `s/ID` (submission), `c/ID` (cancellation) and
+`e/ID` (state, written by the leader). Keys of the progress topic are job ids.
+"""
+
+import dataclasses
+import struct
+
+import orjson
+
+from laburnumgate_placer import model
+
+_KEY_LENGTH = struct.Struct("B")
+
+
+class RecordError(Exception):
+    """A record cannot be read."""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Submitted:
+    """A caller handed in a job."""
+
+    job: model.Job
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Cancelled:
+    """A caller cancelled a job."""
+
+    job_id: str
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class StateChanged:
+    """The leader moved a job to another state.
+
+    Attributes:
+      job_id: the job.
+      state: its new state.
+      at_ms: Unix ms of the change.
+      reason: why, empty where the state says it.
+    """
+
+    job_id: str
+    state: model.JobState
+    at_ms: int
+    reason: str = ""
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Dropped:
+    """A key was removed because its job ended long ago."""
+
+    job_id: str
+
+
+JobRecord = Submitted | Cancelled | StateChanged | Dropped
+
+
+def keyed(key: str, value: bytes) -> bytes:
+    """Returns a record of a topic with keys; no value drops the key."""
+    encoded = key.encode()
+    return _KEY_LENGTH.pack(len(encoded)) + encoded + value
+
+
+def encode(record: JobRecord) -> bytes:
+    """Returns the record for the jobs topic."""
+    match record:
+        case Submitted(job):
+            return keyed(f"s/{job.job_id}", orjson.dumps(_job_value(job)))
+        case Cancelled(job_id):
+            return keyed(f"c/{job_id}", b"1")
+        case StateChanged(job_id, state, at_ms, reason):
+            value = [state.value, at_ms, reason]
+            return keyed(f"e/{job_id}", orjson.dumps(value))
+        case Dropped():
+            raise RecordError("a dropped job has three records")
+
+
+def dropped(job_id: str) -> list[bytes]:
+    """Returns the records that remove a job from the jobs topic."""
+    return [keyed(f"{kind}/{job_id}", b"") for kind in "sce"]
+
+
+def decode(key: str, value: bytes | None) -> JobRecord:
+    """Reads a record of the jobs topic.
+
+    Raises:
+      RecordError: if it is none.
+    """
+    kind, _, job_id = key.partition("/")
+    if not job_id:
+        raise RecordError(f"key {key!r} names no job")
+    if value is None:
+        return Dropped(job_id)
+    try:
+        match kind:
+            case "s":
+                return Submitted(_read_job(job_id, orjson.loads(value)))
+            case "c":
+                return Cancelled(job_id)
+            case "e":
+                state, at_ms, reason = orjson.loads(value)
+                return StateChanged(
+                    job_id, model.JobState(state), at_ms, reason
+                )
+    except (ValueError, KeyError, TypeError) as error:
+        raise RecordError(f"record {key!r} is malformed: {error}") from error
+    raise RecordError(f"key {key!r} is of no known kind")
+
+
+_JOB_FIELDS = (
+    "account",
+    "payload",
+    "accepted_ms",
+    "first_start_ms",
+    "interval_ms",
+    "occurrences",
+    "scheduled",
+)
+
+
+def _job_value(job: model.Job) -> dict:
+    value = {name: getattr(job, name) for name in _JOB_FIELDS}
+    value["queue"] = dataclasses.asdict(job.queue)
+    value["steps"] = [_step_value(step) for step in job.steps]
+    return value
+
+
+def _step_value(step: model.Step) -> dict:
+    value = {}
+    for field in dataclasses.fields(step):
+        content = getattr(step, field.name)
+        if isinstance(content, model.Room):
+            content = [content.cpu, content.mem_mb, content.gpu]
+        elif not content:
+            continue
+        value[field.name] = content
+    return value
+
+
+def _read_job(job_id: str, value: dict) -> model.Job:
+    steps = []
+    for given in value.pop("steps"):
+        room = model.Room(*given.pop("room"))
+        after = tuple(given.pop("after", ()))
+        steps.append(model.Step(room=room, after=after, **given))
+    queue = model.Queue(**value.pop("queue"))
+    return model.Job(job_id=job_id, queue=queue, steps=tuple(steps), **value)
--- /dev/null
+++ b/packages/placer/src/laburnumgate_placer/reports.py
@@ -0,0 +1,101 @@
+"""Compares an endpoint's report with the runs that should be there."""
+
+import logging
+
+from laburnumgate_placer import endpoint_table
+from laburnumgate_placer import events
+from laburnumgate_placer import lifecycle
+from laburnumgate_placer import model
+from laburnumgate_placer import progress
+from laburnumgate_placer import tables as tables_module
+
+_LOGGER = logging.getLogger(__name__)
+
+
+def apply(
+    tables: tables_module.Tables,
+    state: endpoint_table.EndpointState,
+    report: model.Report,
+    sent_ms: int,
+) -> list[model.RunningRow]:
+    """Applies a report of the endpoint's current life.
+
+    Args:
+      tables: the leader's tables.
+      state: the endpoint.
+      report: what it said.
+      sent_ms: steady time at which it was asked.
+
+    Returns:
+      Runs that no job accounts for and that have to be stopped.
+    """
+    now_ms = tables.steady.now_ms()
+    state.read_clock(report.clock_ms, now_ms)
+    state.contacted = True
+    for row in sorted(report.ended, key=lambda r: r.number):
+        if row.number <= state.seen_end:
+            continue
+        state.seen_end = row.number
+        lifecycle.ended(tables, state, row)
+    rows = {(row.task, row.run): row for row in report.running}
+    for key, member in list(state.members.items()):
+        row = rows.pop(key, None)
+        if row is not None:
+            _seen(member, row, now_ms)
+            continue
+        if member.settled_ms and member.settled_ms < sent_ms:
+            lifecycle.member_gone(tables, member)
+    return _strays(tables, state, rows)
+
+
+def _seen(member: progress.Member, row: model.RunningRow, now_ms: int) -> None:
+    member.present = True
+    member.percent = row.percent
+    member.seen_ms = now_ms
+    member.load = row.load
+    if row.checkpoint:
+        member.run.unit.checkpoint = row.checkpoint
+
+
+def _strays(
+    tables: tables_module.Tables,
+    state: endpoint_table.EndpointState,
+    rows: dict[tuple[model.TaskKey, int], model.RunningRow],
+) -> list[model.RunningRow]:
+    found = []
+    strays = {}
+    for key, row in rows.items():
+        if _belongs(tables, state, row):
+            continue
+        strays[key] = model.Room()
+        if key not in state.strays:
+            found.append(row)
+            events.emit(
+                _LOGGER,
+                events.Event.STRAY_STOPPED,
+                job=row.task.job_id,
+                step=row.task.step,
+                index=row.task.index,
+                run=row.run,
+                endpoint=state.info.endpoint_id,
+            )
+    if state.strays and not strays:
+        tables.wake.set()
+    state.strays = strays
+    return found
+
+
+def _belongs(
+    tables: tables_module.Tables,
+    state: endpoint_table.EndpointState,
+    row: model.RunningRow,
+) -> bool:
+    """Whether a listed run became a member's or ended a moment ago."""
+    entry = tables.entries_by_id.get(row.task.job_id)
+    unit = entry.unit_of(row.task) if entry else None
+    if unit is None or unit.run is None or unit.run.number != row.run:
+        return False
+    for member in unit.run.members:
+        if member.task == row.task:
+            return member.endpoint_id == state.info.endpoint_id
+    return False
--- /dev/null
+++ b/packages/placer/src/laburnumgate_placer/scheduling.py
@@ -0,0 +1,144 @@
+"""One placement pass: gives waiting units to endpoints in order."""
+
+import dataclasses
+import logging
+
+from laburnumgate_placer import endpoint_table
+from laburnumgate_placer import lifecycle
+from laburnumgate_placer import model
+from laburnumgate_placer import ordering
+from laburnumgate_placer import placement
+from laburnumgate_placer import progress
+from laburnumgate_placer import reclaim
+from laburnumgate_placer import tables as tables_module
+
+_LOGGER = logging.getLogger(__name__)
+
+# Time kept for recording, starting and stopping when capacity is reclaimed
+# within its bound.
+RECLAIM_MARGIN_MS = 900
+
+
+@dataclasses.dataclass(slots=True)
+class _Pool:
+    """Endpoints of one service during a pass, and what they have left."""
+
+    endpoints: list[endpoint_table.EndpointState]
+    free_by_id: dict[str, model.Room]
+    failed_shapes: set[tuple]
+    held_ids: set[str]
+
+
+class Scheduler:
+    """Runs placement passes over the leader's tables."""
+
+    def __init__(self, tables: tables_module.Tables):
+        self._tables = tables
+        self._kept_by_unit: dict[model.UnitKey, frozenset[str]] = {}
+
+    def run(self) -> None:
+        """Places what fits, and reclaims guaranteed capacity."""
+        tables = self._tables
+        now_ms = tables.steady.now_ms()
+        pools: dict[str, _Pool] = {}
+        ranked = ordering.waiting_units(tables, now_ms)
+        waiting = {unit.key for _, unit in ranked}
+        for key in list(self._kept_by_unit):
+            if key not in waiting:
+                del self._kept_by_unit[key]
+        protected = ordering.guaranteed_jobs(tables) if ranked else set()
+        for rank, unit in ranked:
+            queue = tables.queue_of(unit.entry.job)
+            pool = pools.get(queue.service)
+            if pool is None:
+                pool = self._pool(queue.service, now_ms)
+                pools[queue.service] = pool
+            self._place(pool, rank, unit, protected, now_ms)
+
+    def _pool(self, service: str, now_ms: int) -> _Pool:
+        tables = self._tables
+        usable = tables.endpoints.usable(
+            service, tables.config.zones_out, now_ms
+        )
+        free = {s.info.endpoint_id: s.free() for s in usable}
+        return _Pool(usable, free, set(), set())
+
+    def _place(
+        self,
+        pool: _Pool,
+        rank: ordering.Rank,
+        unit: progress.Unit,
+        protected: set[str],
+        now_ms: int,
+    ) -> None:
+        shape = _shape(unit)
+        if shape not in pool.failed_shapes:
+            chosen = placement.choose(
+                unit,
+                self._open_to(pool),
+                pool.free_by_id,
+            )
+            if chosen is not None:
+                self._take(pool, unit, chosen)
+                return
+            pool.failed_shapes.add(shape)
+        if rank.guaranteed:
+            self._reclaim(pool, unit, protected, now_ms)
+
+    def _open_to(self, pool: _Pool) -> list[endpoint_table.EndpointState]:
+        """Returns endpoints that no unit before this one is kept for."""
+        if not pool.held_ids:
+            return pool.endpoints
+        return [
+            state
+            for state in pool.endpoints
+            if state.info.endpoint_id not in pool.held_ids
+        ]
+
+    def _take(
+        self, pool: _Pool, unit: progress.Unit, chosen: list[str]
+    ) -> None:
+        room = unit.step.charged
+        for endpoint_id in chosen:
+            free = pool.free_by_id[endpoint_id]
+            pool.free_by_id[endpoint_id] = free.plus(room, -1)
+        self._kept_by_unit.pop(unit.key, None)
+        lifecycle.assign(self._tables, unit, chosen)
+
+    def _reclaim(
+        self,
+        pool: _Pool,
+        unit: progress.Unit,
+        protected: set[str],
+        now_ms: int,
+    ) -> None:
+        tables = self._tables
+        bounds = tables.bounds
+        kept = self._kept_by_unit.get(unit.key)
+        waited_ms = now_ms - unit.entry.arrived_ms
+        pause_ms = bounds.reclaim_ms - bounds.stop_ms - RECLAIM_MARGIN_MS
+        if waited_ms < pause_ms:
+            return
+        plan = reclaim.plan(tables, unit, pool.endpoints, protected, now_ms)
+        if plan is not None:
+            for run in plan.victims:
+                lifecycle.stop_run(
+                    tables, run, f"reclaimed for {unit.key.job_id}"
+                )
+            kept = plan.endpoint_ids
+            self._kept_by_unit[unit.key] = kept
+        pool.held_ids.update(kept or ())
+
+
+def _shape(unit: progress.Unit) -> tuple:
+    """Returns what decides whether a unit fits, for units that look alike."""
+    step = unit.step
+    if step.max_per_endpoint:
+        return (unit.key.job_id, unit.key.occurrence, unit.key.step)
+    return (
+        unit.size,
+        step.charged,
+        step.label,
+        step.same_rack,
+        step.data_rack,
+    )
--- /dev/null
+++ b/packages/placer/src/laburnumgate_placer/telemetry.py
@@ -0,0 +1,78 @@
+"""Structured logs to standard output that never block the event loop."""
+
+import asyncio
+import collections
+import logging
+import os
+import time
+
+from pythonjsonlogger import json as jsonlogger
+
+from laburnumgate_placer import events
+
+_LOGGER = logging.getLogger(__name__)
+
+# Lines that wait while nobody reads standard output; more are dropped and
+# counted. 4,000 lines of 250 bytes are 1 MB.
+MAX_WAITING_LINES = 4_000
+FLUSH_MS = 100
+
+
+class LineQueue(logging.Handler):
+    """Keeps formatted lines until the descriptor takes them."""
+
+    def __init__(self, descriptor: int):
+        """Prepares a queue for a descriptor, which becomes non-blocking."""
+        super().__init__()
+        os.set_blocking(descriptor, False)
+        self.dropped = 0
+        self._descriptor = descriptor
+        self._lines: collections.deque[bytes] = collections.deque()
+        self._rest = b""
+
+    def emit(self, record: logging.LogRecord) -> None:
+        """Queues a record, or counts it as dropped."""
+        if len(self._lines) >= MAX_WAITING_LINES:
+            self.dropped += 1
+            return
+        self._lines.append(self.format(record).encode() + b"\n")
+
+    def write(self) -> None:
+        """Writes what the descriptor takes without waiting."""
+        while self._rest or self._lines:
+            if not self._rest:
+                self._rest = b"".join(self._lines)
+                self._lines.clear()
+            try:
+                written = os.write(self._descriptor, self._rest)
+            except BlockingIOError:
+                return
+            self._rest = self._rest[written:]
+        if self.dropped:
+            dropped, self.dropped = self.dropped, 0
+            events.emit(_LOGGER, events.Event.LINES_DROPPED, count=dropped)
+
+
+def set_up(descriptor: int, host_id: str, level: str) -> LineQueue:
+    """Sends all records as JSON lines to a descriptor."""
+    queue = LineQueue(descriptor)
+    formatter = jsonlogger.JsonFormatter(
+        "%(levelname)s %(message)s",
+        rename_fields={"levelname": "level"},
+        timestamp="time",
+        static_fields={"host": host_id},
+    )
+    formatter.converter = time.gmtime
+    queue.setFormatter(formatter)
+    root = logging.getLogger()
+    root.handlers[:] = [queue]
+    root.setLevel(level)
+    logging.getLogger("aiohttp").setLevel(logging.ERROR)
+    return queue
+
+
+async def flush_forever(queue: LineQueue) -> None:
+    """Writes queued lines at a fixed pace until cancelled."""
+    while True:
+        queue.write()
+        await asyncio.sleep(FLUSH_MS / 1000)
--- /dev/null
+++ b/packages/placer/src/laburnumgate_placer/topics.py
@@ -0,0 +1,8 @@
+"""Names of the topics in the log that belong to the product."""
+
+# Submissions, cancellations and states of jobs; every host follows it.
+JOBS = "keyed.laburnumgate-jobs"
+# Runs of each open job; only the leader reads it, when it takes over.
+PROGRESS = "keyed.laburnumgate-progress"
+# Claims and heartbeats of the leader.
+LEADER = "laburnumgate-leader"
--- /dev/null
+++ b/packages/placer/src/laburnumgate_placer/watcher.py
@@ -0,0 +1,227 @@
+"""Keeps leases alive and reads reports, one loop an endpoint in use."""
+
+import asyncio
+import logging
+
+from laburnumgate_placer import endpoint_table
+from laburnumgate_placer import events
+from laburnumgate_placer import launcher
+from laburnumgate_placer import lifecycle
+from laburnumgate_placer import model
+from laburnumgate_placer import ports
+from laburnumgate_placer import reports
+from laburnumgate_placer import tables as tables_module
+
+_LOGGER = logging.getLogger(__name__)
+
+# A renewal waits this long for an end; the lease is renewed as often.
+RENEW_WAIT_MS = 750
+ANSWER_SLACK_MS = 450
+RETRY_MS = 150
+# While a stop or an acknowledgement is due the next report is asked for soon.
+SOON_MS = 20
+# An endpoint without runs is asked this often while it has not answered.
+IDLE_MS = 100
+
+
+class Watcher:
+    """Watches one endpoint for as long as its life and the tenure last."""
+
+    def __init__(
+        self,
+        endpoints: ports.Endpoints,
+        tables: tables_module.Tables,
+        state: endpoint_table.EndpointState,
+        orders: launcher.Launcher,
+        may_renew,
+        overtaken,
+    ):
+        """Prepares a watcher.
+
+        Args:
+          endpoints: calls to endpoints.
+          tables: the leader's tables.
+          state: the endpoint.
+          orders: carries out stops.
+          may_renew: whether the right to lead is fresh enough to renew.
+          overtaken: is called when the endpoint has seen a higher token.
+        """
+        self._endpoints = endpoints
+        self._tables = tables
+        self._state = state
+        self._orders = orders
+        self._may_renew = may_renew
+        self._overtaken = overtaken
+
+    async def run(self) -> None:
+        """Renews and reads until the endpoint's life is over."""
+        state = self._state
+        while not state.over:
+            if not self._wanted():
+                await asyncio.sleep(IDLE_MS / 1000)
+                continue
+            if not state.info.address:
+                self._check_lease()
+                await asyncio.sleep(RETRY_MS / 1000)
+                continue
+            if not await self._ask():
+                self._check_lease()
+                await asyncio.sleep(RETRY_MS / 1000)
+
+    def _wanted(self) -> bool:
+        state = self._state
+        if state.members or state.strays:
+            return True
+        if not state.listed:
+            return bool(state.info.address) and not state.contacted
+        if not state.contacted or not state.answering:
+            return True
+        return state.acked_end < state.seen_end or self._ack_due
+
+    _ack_due = False
+
+    async def _ask(self) -> bool:
+        state = self._state
+        tables = self._tables
+        sent_ms = tables.steady.now_ms()
+        deadline_ms = None
+        if state.contacted and state.members and self._may_renew():
+            deadline_ms = state.grant(self._orders.lease_ms, sent_ms)
+        wait_ms = self._wait_ms()
+        acked = state.acked_end
+        answer = await self._endpoints.renew(
+            state.info,
+            deadline_ms=deadline_ms,
+            fencing_token=tables.token,
+            ack_cursor=acked,
+            wait_ms=wait_ms,
+            timeout_ms=wait_ms + ANSWER_SLACK_MS,
+        )
+        match answer:
+            case model.Report():
+                return await self._take(answer, sent_ms, acked)
+            case ports.Refused(ports.Refusal.FENCED):
+                self._overtaken("a renewal was refused for its token")
+                return False
+            case ports.Refused(ports.Refusal.OTHER_INSTANCE):
+                lifecycle.life_over(
+                    tables, state, "another endpoint at its address"
+                )
+                return True
+            case ports.Refused(refusal):
+                self._silent(refusal.value)
+            case ports.Unknown(reason):
+                self._silent(reason)
+        return False
+
+    async def _take(
+        self, report: model.Report, sent_ms: int, acked: int
+    ) -> bool:
+        state = self._state
+        tables = self._tables
+        if report.born_ms and report.born_ms != state.info.born_ms:
+            if not state.info.born_ms:
+                pass
+            elif report.born_ms > state.info.born_ms:
+                await self._reborn(report)
+                return True
+            else:
+                return False
+        if not state.answering:
+            state.answering = True
+            events.emit(
+                _LOGGER,
+                events.Event.ENDPOINT_REGAINED,
+                endpoint=state.info.endpoint_id,
+                silent_ms=tables.steady.now_ms() - state.contact_ms,
+            )
+        fresh = not state.contacted
+        for row in reports.apply(tables, state, report, sent_ms):
+            await self._endpoints.stop(
+                state.info,
+                row.task,
+                row.run,
+                tables.token,
+                timeout_ms=launcher.ORDER_TIMEOUT_MS,
+            )
+        self._ack_due = bool(report.ended) and state.seen_end > acked
+        if fresh:
+            tables.wake.set()
+        if state.seen_end > state.acked_end:
+            tables.wake.set()
+            await self._recorded()
+        return True
+
+    async def _recorded(self) -> None:
+        """Waits until the ends of the last report may be acknowledged."""
+        state = self._state
+        waited_ms = 0
+        while state.acked_end < state.seen_end and not state.over:
+            await asyncio.sleep(SOON_MS / 4 / 1000)
+            waited_ms += SOON_MS // 4
+            if waited_ms >= RENEW_WAIT_MS:
+                return
+
+    def _wait_ms(self) -> int:
+        state = self._state
+        if not state.contacted or state.acked_end < state.seen_end:
+            return 0
+        if any(m.stopping and m.settled_ms for m in state.members.values()):
+            return SOON_MS
+        if not state.members:
+            return 0
+        return RENEW_WAIT_MS
+
+    def _silent(self, reason: str) -> None:
+        state = self._state
+        if state.answering:
+            state.answering = False
+            events.emit(
+                _LOGGER,
+                events.Event.ENDPOINT_LOST,
+                endpoint=state.info.endpoint_id,
+                reason=reason,
+                contact_age_ms=self._tables.steady.now_ms() - state.contact_ms,
+                leases_left_ms=state.leases_over_ms()
+                - self._tables.steady.now_ms(),
+                runs=len(state.members),
+            )
+
+    def _check_lease(self) -> None:
+        """Gives runs up once no lease can keep them alive."""
+        state = self._state
+        tables = self._tables
+        if not state.members:
+            return
+        if tables.steady.now_ms() <= state.leases_over_ms():
+            return
+        for member in list(state.members.values()):
+            if member.run.result is None:
+                member.run.result = model.EndKind.LAPSED
+            lifecycle.member_gone(tables, member)
+
+    async def _reborn(self, report: model.Report) -> None:
+        """Starts anew with an endpoint that was restarted under its id.
+
+        A start that was on its way to the life before could still be carried
+        out by the new one, which knows no fencing token yet; a stop of the
+        same run voids it.
+        """
+        state = self._state
+        tables = self._tables
+        voided = list(state.members.values())
+        for member in voided:
+            if not member.ordered:
+                continue
+            answer = await self._endpoints.stop(
+                state.info,
+                member.task,
+                member.run.number,
+                tables.token,
+                timeout_ms=launcher.ORDER_TIMEOUT_MS,
+            )
+            if not isinstance(answer, ports.Done | ports.Refused):
+                return
+        lifecycle.life_over(
+            tables, state, f"restarted under its id at {report.born_ms}"
+        )
