--- a/packages/placer/src/laburnumgate_placer/leader.py
+++ b/packages/placer/src/laburnumgate_placer/leader.py
@@ -187,7 +187,6 @@
         tables = self.tables
         now_ms = tables.steady.now_ms()
         for job_id, job in tables.jobs.jobs_by_id.items():
-            state = tables.jobs.state(job_id)
             recorded = tables.jobs.recorded(job_id)
             value = progress_by_id.get(job_id)
             if recorded is not None:
