Test the placer over a log and endpoints in memory, and end a tenure with its host

A tenure went on after its host's tasks were cancelled: the test of a new leader that waits out unknown leases showed a second start by the old one.

--- a/packages/placer/src/laburnumgate_placer/host.py
+++ b/packages/placer/src/laburnumgate_placer/host.py
@@ -150,16 +150,19 @@
     async def _lead_once(self, tenure: leader.Leader) -> None:
         token = self.lead.own.token
         work = asyncio.create_task(tenure.run())
-        while self.lead.own is not None and self.lead.own.token == token:
-            changed = asyncio.create_task(self.lead.changed.wait())
-            await asyncio.wait(
-                {work, changed}, return_when=asyncio.FIRST_COMPLETED
-            )
-            changed.cancel()
-            self.lead.changed.clear()
-            if work.done():
-                break
-        work.cancel()
+        try:
+            while self.lead.own is not None and self.lead.own.token == token:
+                changed = asyncio.create_task(self.lead.changed.wait())
+                await asyncio.wait(
+                    {work, changed}, return_when=asyncio.FIRST_COMPLETED
+                )
+                changed.cancel()
+                self.lead.changed.clear()
+                if work.done():
+                    break
+        finally:
+            # A tenure that outlives the lead would go on giving orders.
+            work.cancel()
         try:
             await work
         except asyncio.CancelledError:
--- /dev/null
+++ b/packages/placer/tests/builders.py
@@ -0,0 +1,127 @@
+"""Builds entities and tables for tests, and runs coroutines."""
+
+import asyncio
+import dataclasses
+
+from laburnumgate_core import clock
+from laburnumgate_placer import config_table
+from laburnumgate_placer import endpoint_table
+from laburnumgate_placer import job_table
+from laburnumgate_placer import limits
+from laburnumgate_placer import model
+from laburnumgate_placer import tables as tables_module
+
+QUEUE = model.Queue(
+    "reviews", "h.example", "/reviews/", "pool", attempts=3, stretch=2.0
+)
+ACCOUNT = model.Account("mina", frozenset({"key-1"}), guaranteed_gpu=16)
+
+
+def config(*queues, accounts=(ACCOUNT,), version=1) -> model.Configuration:
+    queues = queues or (QUEUE,)
+    return model.Configuration(
+        version,
+        {queue.name: queue for queue in queues},
+        {account.name: account for account in accounts},
+        {key: a.name for a in accounts for key in a.keys},
+        100_000,
+    )
+
+
+def step(count=1, gpu=1, **fields) -> model.Step:
+    room = model.Room(1_000, 1_000, gpu)
+    fields.setdefault("estimate_ms", 1_000)
+    return model.Step(count=count, room=room, **fields)
+
+
+def job(job_id="00000000000000a1", *steps, queue=QUEUE, **fields) -> model.Job:
+    return model.Job(
+        job_id=job_id,
+        queue=queue,
+        account=fields.pop("account", "mina"),
+        payload="text",
+        steps=steps or (step(),),
+        accepted_ms=fields.pop("accepted_ms", 0),
+        **fields,
+    )
+
+
+def endpoint(endpoint_id="e1", **fields) -> model.Endpoint:
+    values = {
+        "endpoint_id": endpoint_id,
+        "born_ms": 1,
+        "service": "pool",
+        "address": f"{endpoint_id}:1",
+        "zone": "a",
+        "rack": "r1",
+        "labels": frozenset({"k", "r1"}),
+        "capacity": model.Room(32_000, 64_000, 8),
+    }
+    return model.Endpoint(**(values | fields))
+
+
+def tables(*queues, accounts=(ACCOUNT,), bounds=None) -> tables_module.Tables:
+    """Returns empty tables with manual clocks under token 7."""
+    steady = clock.ManualClock(100_000)
+    in_force = config_table.ConfigTable()
+    in_force.publish(1, config(*queues, accounts=accounts))
+    return tables_module.Tables(
+        7,
+        steady,
+        clock.ManualClock(1_000_000),
+        in_force,
+        job_table.JobTable(),
+        bounds or limits.Bounds(),
+    )
+
+
+def add_endpoint(
+    tables, endpoint_id="e1", **fields
+) -> endpoint_table.EndpointState:
+    """Adds an endpoint that this leader has already spoken to."""
+    state = endpoint_table.EndpointState(endpoint(endpoint_id, **fields))
+    state.contacted = True
+    state.read_clock(50_000, tables.steady.now_ms())
+    tables.endpoints.by_id[endpoint_id] = state
+    return state
+
+
+def start(tables, run) -> None:
+    """Marks a run as started on all its endpoints."""
+    from laburnumgate_placer import progress
+
+    run.phase = progress.Phase.RUNNING
+    run.started_ms = tables.steady.now_ms()
+    for member in run.members:
+        member.ordered = True
+        member.present = True
+        member.settled_ms = tables.steady.now_ms()
+
+
+def report(state, *running, ended=(), clock_ms=60_000, born_ms=0):
+    return model.Report(clock_ms, born_ms, tuple(running), tuple(ended))
+
+
+def row(member, percent=10, checkpoint="") -> model.RunningRow:
+    return model.RunningRow(
+        member.task, member.run.number, checkpoint, percent, 0.0
+    )
+
+
+def end(member, number, kind, checkpoint="") -> model.EndedRow:
+    return model.EndedRow(
+        number, member.task, member.run.number, kind, checkpoint
+    )
+
+
+def run(coroutine, seconds=20):
+    """Runs a coroutine to its end, or fails after `seconds`."""
+
+    async def bounded():
+        async with asyncio.timeout(seconds):
+            return await coroutine
+
+    return asyncio.run(bounded())
+
+
+replace = dataclasses.replace
--- /dev/null
+++ b/packages/placer/tests/fakelog.py
@@ -0,0 +1,116 @@
+"""The log service in memory, with faults that tests switch on."""
+
+import asyncio
+
+from laburnumgate_placer import ports
+
+
+class FakeLog:
+    """Keeps records of topics with one partition each.
+
+    Attributes:
+      lose_answers: number of appends that are done and not answered.
+      refuse: number of appends that are refused without effect.
+      silent: no call is answered or done.
+    """
+
+    def __init__(self):
+        self.records_by_topic: dict[str, list[bytes]] = {}
+        self.lose_answers = 0
+        self.refuse = 0
+        self.silent = False
+        self.appends: list[tuple[str, ports.Sequence | None]] = []
+        self.first_by_topic: dict[str, int] = {}
+        self._epochs: dict[tuple[str, str], int] = {}
+        self._answers: dict[tuple, ports.Appended] = {}
+        self._grown = asyncio.Event()
+
+    def end(self, topic: str) -> int:
+        return len(self.records_by_topic.get(topic, []))
+
+    def put(self, topic: str, record: bytes) -> None:
+        self.records_by_topic.setdefault(topic, []).append(record)
+        self._grown.set()
+        self._grown = asyncio.Event()
+
+    async def append(
+        self, topic, records, *, timeout_ms, sequence=None, at_offset=None
+    ):
+        self.appends.append((topic, sequence))
+        if self.silent:
+            await asyncio.sleep(timeout_ms / 1000)
+            return ports.Unknown("silent")
+        await asyncio.sleep(0)
+        if self.refuse:
+            self.refuse -= 1
+            return ports.NotAppended("refused")
+        outcome = self._append(topic, records, sequence, at_offset)
+        if self.lose_answers and isinstance(outcome, ports.Appended):
+            self.lose_answers -= 1
+            return ports.Unknown("the answer was lost")
+        return outcome
+
+    def _append(self, topic, records, sequence, at_offset):
+        end = self.end(topic)
+        if at_offset is not None and at_offset != end:
+            return ports.Conflict(end)
+        if sequence is not None:
+            who = (topic, sequence.producer)
+            if sequence.epoch < self._epochs.get(who, 0):
+                return ports.Fenced("a higher epoch was seen")
+            self._epochs[who] = sequence.epoch
+            known = self._answers.get((*who, sequence.epoch, sequence.number))
+            if known is not None and records:
+                return known
+        for record in records:
+            self.put(topic, record)
+        outcome = ports.Appended(end, self.end(topic))
+        if sequence is not None and records:
+            key = (topic, sequence.producer, sequence.epoch, sequence.number)
+            self._answers[key] = outcome
+        return outcome
+
+    async def read(self, topic, from_offset, *, wait_ms, timeout_ms):
+        if self.silent:
+            await asyncio.sleep(timeout_ms / 1000)
+            return ports.Unknown("silent")
+        first = self.first_by_topic.get(topic, 0)
+        if from_offset < first:
+            return ports.Expired(first)
+        if self.end(topic) <= from_offset:
+            grown = self._grown
+            try:
+                async with asyncio.timeout(wait_ms / 1000 + 0.001):
+                    await grown.wait()
+            except TimeoutError:
+                pass
+        if self.silent:
+            return ports.Unknown("silent")
+        return ports.Batch(self._entries(topic, from_offset), self.end(topic))
+
+    async def newest(self, topic, after, *, timeout_ms):
+        if self.silent:
+            await asyncio.sleep(timeout_ms / 1000)
+            return ports.Unknown("silent")
+        await asyncio.sleep(0)
+        newest = {e.key: e for e in self._entries(topic, 0)}
+        entries = [
+            newest[key]
+            for key in sorted(newest)
+            if key > after and newest[key].value is not None
+        ]
+        return ports.Page(tuple(entries), False, self.end(topic))
+
+    def _entries(self, topic, from_offset):
+        entries = []
+        records = self.records_by_topic.get(topic, [])
+        for offset in range(from_offset, len(records)):
+            record = records[offset]
+            if not topic.startswith("keyed."):
+                entries.append(ports.Entry(offset, "", record))
+                continue
+            end = 1 + record[0]
+            entries.append(
+                ports.Entry(offset, record[1:end].decode(), record[end:] or None)
+            )
+        return tuple(entries)
--- /dev/null
+++ b/packages/placer/tests/fakeworkers.py
@@ -0,0 +1,152 @@
+"""Endpoints in memory that follow the rules of leases, fences and runs."""
+
+import asyncio
+import dataclasses
+
+from laburnumgate_placer import model
+from laburnumgate_placer import ports
+
+
+@dataclasses.dataclass
+class FakeWorker:
+    """One life of an endpoint.
+
+    Attributes:
+      cut: no call reaches it.
+      mute: calls are carried out and not answered.
+      clock_ms: its clock, moved by the test or by real time.
+    """
+
+    endpoint_id: str
+    born_ms: int = 1
+    token: int = 0
+    cut: bool = False
+    mute: bool = False
+    unhealthy: bool = False
+    running: dict = dataclasses.field(default_factory=dict)
+    ended: list = dataclasses.field(default_factory=list)
+    stopped: dict = dataclasses.field(default_factory=dict)
+    starts: list = dataclasses.field(default_factory=list)
+    paces: list = dataclasses.field(default_factory=list)
+    next_end: int = 1
+    acked: int = 0
+    percent: int = 10
+    checkpoint: str = ""
+    changed: asyncio.Event = dataclasses.field(default_factory=asyncio.Event)
+
+    def end(self, task, run, kind, checkpoint="") -> None:
+        self.running.pop((task, run), None)
+        self.stopped[task] = max(run, self.stopped.get(task, 0))
+        self.ended.append(
+            model.EndedRow(self.next_end, task, run, kind, checkpoint)
+        )
+        self.next_end += 1
+        self.changed.set()
+
+    def end_all(self, kind=model.EndKind.DONE) -> None:
+        for task, run in list(self.running):
+            self.end(task, run, kind)
+
+    def restart(self) -> None:
+        """Begins a new life under the same id."""
+        self.born_ms += 1
+        self.token = 0
+        self.running.clear()
+        self.ended.clear()
+        self.stopped.clear()
+        self.next_end = 1
+        self.acked = 0
+
+
+class FakeEndpoints:
+    """`ports.Endpoints` over fake workers by id."""
+
+    def __init__(self, *workers: FakeWorker):
+        self.by_id = {worker.endpoint_id: worker for worker in workers}
+
+    async def start(self, endpoint, order, *, timeout_ms):
+        worker = self.by_id[endpoint.endpoint_id]
+        refused = await self._reach(worker, order.fencing_token, timeout_ms)
+        if refused is not None:
+            return refused
+        if worker.unhealthy:
+            return ports.Refused(ports.Refusal.UNHEALTHY)
+        key = (order.task, order.run)
+        if key not in worker.running:
+            if worker.stopped.get(order.task, 0) >= order.run:
+                return ports.Refused(ports.Refusal.SUPERSEDED, 1_000)
+            worker.running[key] = order
+            worker.starts.append(order)
+        return await self._answer(worker, timeout_ms, ports.Done(1_000))
+
+    async def stop(self, endpoint, task, run, fencing_token, *, timeout_ms):
+        worker = self.by_id[endpoint.endpoint_id]
+        refused = await self._reach(worker, fencing_token, timeout_ms)
+        if refused is not None:
+            return refused
+        if (task, run) in worker.running:
+            worker.end(task, run, model.EndKind.STOPPED, worker.checkpoint)
+        worker.stopped[task] = max(run, worker.stopped.get(task, 0))
+        return await self._answer(worker, timeout_ms, ports.Done(1_000))
+
+    async def pace(
+        self, endpoint, task, run, percent, fencing_token, *, timeout_ms
+    ):
+        worker = self.by_id[endpoint.endpoint_id]
+        worker.paces.append((task, percent))
+        return ports.Done(1_000)
+
+    async def renew(
+        self,
+        endpoint,
+        *,
+        deadline_ms,
+        fencing_token,
+        ack_cursor,
+        wait_ms,
+        timeout_ms,
+    ):
+        worker = self.by_id[endpoint.endpoint_id]
+        refused = await self._reach(worker, fencing_token, timeout_ms)
+        if refused is not None:
+            return refused
+        worker.acked = max(worker.acked, ack_cursor)
+        worker.ended = [e for e in worker.ended if e.number > worker.acked]
+        if not worker.ended and wait_ms:
+            worker.changed.clear()
+            try:
+                async with asyncio.timeout(wait_ms / 1000):
+                    await worker.changed.wait()
+            except TimeoutError:
+                pass
+        if worker.cut:
+            await asyncio.sleep(timeout_ms / 1000)
+            return ports.Unknown("cut")
+        report = model.Report(
+            1_000,
+            worker.born_ms,
+            tuple(
+                model.RunningRow(
+                    task, run, worker.checkpoint, worker.percent, 0.0
+                )
+                for task, run in worker.running
+            ),
+            tuple(worker.ended),
+        )
+        return await self._answer(worker, timeout_ms, report)
+
+    async def _reach(self, worker, token, timeout_ms):
+        await asyncio.sleep(0)
+        if worker.cut:
+            await asyncio.sleep(timeout_ms / 1000)
+            return ports.Unknown("cut")
+        if token < worker.token:
+            return ports.Refused(ports.Refusal.FENCED, 1_000)
+        worker.token = token
+        return None
+
+    async def _answer(self, worker, timeout_ms, answer):
+        if worker.mute:
+            await asyncio.sleep(timeout_ms / 1000)
+            return ports.Unknown("mute")
+        return answer
--- /dev/null
+++ b/packages/placer/tests/test_leader.py
@@ -0,0 +1,310 @@
+"""Whole tenures over a log and endpoints in memory."""
+
+import asyncio
+
+import builders
+import fakelog
+import fakeworkers
+from laburnumgate_placer import config_table
+from laburnumgate_placer import host as host_module
+from laburnumgate_placer import intake
+from laburnumgate_placer import limits
+from laburnumgate_placer import model
+from laburnumgate_placer import records
+from laburnumgate_placer import topics
+import pytest
+
+_BOUNDS = limits.Bounds(max_lease_ms=600, gang_ms=1_000)
+_OPERATORS = "keyed.test-operators"
+_LIST = "keyed.test-list"
+
+
+class _System:
+    """Hosts over one log and some workers."""
+
+    def __init__(self, *worker_ids):
+        self.log = fakelog.FakeLog()
+        self.workers = fakeworkers.FakeEndpoints(
+            *(fakeworkers.FakeWorker(worker_id) for worker_id in worker_ids)
+        )
+        self.log.put(_OPERATORS, records.keyed("config", b"1"))
+        for worker_id in worker_ids:
+            self.list_worker(worker_id)
+        self.tasks = {}
+
+    def list_worker(self, worker_id, present=True):
+        born = self.workers.by_id[worker_id].born_ms
+        value = str(born).encode() if present else b""
+        self.log.put(_LIST, records.keyed(worker_id, value))
+
+    def add_host(self, name, first_start=False) -> host_module.Host:
+        host = host_module.Host(
+            name,
+            self.log,
+            self.workers,
+            lambda entry: builders.endpoint(
+                entry.key, born_ms=int(entry.value)
+            ),
+            _apply_config,
+            _BOUNDS,
+            operator_topic=_OPERATORS,
+            list_topic=_LIST,
+            claim_delay_ms=0,
+            first_start=first_start,
+        )
+        self.tasks[name] = asyncio.create_task(host.run())
+        return host
+
+    def kill(self, name):
+        self.tasks.pop(name).cancel()
+
+    def worker(self, worker_id) -> fakeworkers.FakeWorker:
+        return self.workers.by_id[worker_id]
+
+    def starts(self):
+        return [
+            (worker.endpoint_id, order)
+            for worker in self.workers.by_id.values()
+            for order in worker.starts
+        ]
+
+
+def _apply_config(table: config_table.ConfigTable, entry):
+    table.publish(entry.offset, builders.config())
+
+
+async def _until(condition):
+    while not condition():
+        await asyncio.sleep(0.005)
+
+
+async def _first(*worker_ids):
+    system = _System(*worker_ids)
+    host = system.add_host("h1", first_start=True)
+    await _until(lambda: host.leader and host.leader.recovered)
+    return system, host
+
+
+async def _submit(host, job):
+    await _until(host.ready)
+    assert await host.intake.submit(job, 3_000) == intake.Accepted()
+
+
+def test_a_job_runs_to_its_end_and_its_caller_is_told():
+    """Guards against a path with a part missing."""
+
+    async def work():
+        system, host = await _first("e1", "e2")
+        step = builders.step(count=2, gpu=8, gang=True)
+        job = builders.job("a" * 16, step, builders.step(after=(0,)))
+        await _submit(host, job)
+        await _until(lambda: len(system.starts()) == 2)
+        assert host.intake.pending("reviews") in (0, 1)
+        for worker_id in ("e1", "e2"):
+            system.worker(worker_id).end_all()
+        await _until(lambda: len(system.starts()) == 3)
+        for worker_id in ("e1", "e2"):
+            system.worker(worker_id).end_all()
+        await _until(
+            lambda: host.jobs.state("a" * 16) == model.JobState.COMPLETED
+        )
+        await _until(lambda: not system.worker("e1").ended)
+        assert {o.run for _, o in system.starts()} == {1}
+
+    builders.run(work())
+
+
+def test_a_new_leader_adopts_what_runs():
+    """Guards against a run that is started again by the next leader."""
+
+    async def work():
+        system, host = await _first("e1", "e2")
+        await _submit(host, builders.job("a" * 16, builders.step(gpu=8)))
+        await _until(lambda: len(system.starts()) == 1)
+        await asyncio.sleep(0.05)
+        system.kill("h1")
+        second = system.add_host("h2")
+        await _until(lambda: second.leader and second.leader.recovered)
+        await asyncio.sleep(0.2)
+        assert len(system.starts()) == 1
+        system.worker(system.starts()[0][0]).end_all()
+        await _until(
+            lambda: second.jobs.state("a" * 16) == model.JobState.COMPLETED
+        )
+
+    builders.run(work())
+
+
+def test_a_run_on_an_endpoint_out_of_reach_waits_for_its_lease():
+    """Guards against two runs of one task on either side of a cut."""
+
+    async def work():
+        system, host = await _first("e1")
+        await _submit(host, builders.job("a" * 16, builders.step(gpu=8)))
+        await _until(lambda: len(system.starts()) == 1)
+        await asyncio.sleep(0.05)
+        system.worker("e1").cut = True
+        system.workers.by_id["e2"] = fakeworkers.FakeWorker("e2")
+        system.list_worker("e2")
+        loop = asyncio.get_running_loop()
+        began = loop.time()
+        await _until(lambda: len(system.starts()) == 2)
+        # The lease was renewed for 600 ms just before the cut.
+        assert loop.time() - began > 0.55
+        runs = [order.run for _, order in system.starts()]
+        assert runs == [1, 2]
+
+    builders.run(work())
+
+
+def test_a_new_leader_waits_out_leases_that_it_does_not_know():
+    """Guards against a second run while a cut-off leader renews the first."""
+
+    async def work():
+        system, host = await _first("e1", "e2")
+        await _submit(host, builders.job("a" * 16, builders.step(gpu=8)))
+        await _until(lambda: len(system.starts()) == 1)
+        await asyncio.sleep(0.05)
+        system.worker(system.starts()[0][0]).cut = True
+        system.kill("h1")
+        second = system.add_host("h2")
+        await _until(lambda: second.leader and second.leader.recovered)
+        loop = asyncio.get_running_loop()
+        began = loop.time()
+        await _until(lambda: len(system.starts()) == 2)
+        assert loop.time() - began > 2 * _BOUNDS.max_lease_ms / 1000 - 0.1
+
+    builders.run(work())
+
+
+def test_a_restart_under_the_same_id_voids_old_orders():
+    """Guards against a late order that the new life carries out."""
+
+    async def work():
+        system, host = await _first("e1")
+        await _submit(host, builders.job("a" * 16, builders.step(gpu=8)))
+        await _until(lambda: len(system.starts()) == 1)
+        task = system.starts()[0][1].task
+        await asyncio.sleep(0.05)
+        system.worker("e1").restart()
+        system.list_worker("e1")
+        await _until(lambda: len(system.starts()) == 2)
+        assert system.worker("e1").stopped[task] == 1
+        assert system.starts()[1][1].run == 2
+
+    builders.run(work())
+
+
+def test_nothing_starts_before_its_record_is_stored():
+    """Guards against a run that the next leader knows nothing of."""
+
+    async def work():
+        system, host = await _first("e1")
+        await _until(host.ready)
+        tables = host.leader.tables
+        system.log.silent = True
+        job = builders.job("a" * 16)
+        host.leader.job_changed(records.Submitted(job))
+        host.jobs.apply(records.Submitted(job))
+        host.leader.job_changed(records.Submitted(job))
+        await _until(lambda: tables.entries_by_id["a" * 16].runs())
+        await asyncio.sleep(0.2)
+        assert not system.starts()
+        system.log.silent = False
+        await _until(lambda: len(system.starts()) == 1)
+        value = system.log.records_by_topic[topics.PROGRESS][-1]
+        assert b"a" * 16 in value
+
+    builders.run(work())
+
+
+def test_ends_are_acknowledged_only_when_they_are_stored():
+    """Guards against an end that is lost with the leader."""
+
+    async def work():
+        system, host = await _first("e1")
+        await _submit(host, builders.job("a" * 16))
+        await _until(lambda: len(system.starts()) == 1)
+        await asyncio.sleep(0.05)
+        system.log.silent = True
+        system.worker("e1").end_all()
+        await asyncio.sleep(0.3)
+        assert system.worker("e1").acked == 0
+        system.log.silent = False
+        await _until(lambda: system.worker("e1").acked == 1)
+
+    builders.run(work())
+
+
+def test_a_cancelled_job_is_stopped_and_not_started_again():
+    """Guards against work that goes on after its caller cancelled it."""
+
+    async def work():
+        system, host = await _first("e1")
+        await _submit(host, builders.job("a" * 16, builders.step(gpu=8)))
+        await _until(lambda: system.worker("e1").running)
+        verdict = await host.intake.cancel("a" * 16, "mina", 3_000)
+        assert verdict == intake.Accepted()
+        await _until(lambda: not system.worker("e1").running)
+        await asyncio.sleep(0.2)
+        assert len(system.starts()) == 1
+        found = await host.intake.state("a" * 16, "mina")
+        assert found == intake.Found(model.JobState.CANCELLED)
+
+    builders.run(work())
+
+
+def test_a_gang_that_cannot_start_whole_is_stopped_whole():
+    """Guards against a part of a gang that waits alone."""
+
+    async def work():
+        system, host = await _first("e1", "e2")
+        system.worker("e2").mute = False
+        system.worker("e2").unhealthy = True
+        step = builders.step(count=2, gpu=8, gang=True)
+        await _submit(host, builders.job("a" * 16, step))
+        await _until(lambda: len(system.starts()) == 1)
+        await _until(lambda: not system.worker("e1").running)
+
+    builders.run(work())
+
+
+@pytest.mark.parametrize("lost", [1, 3])
+def test_lost_answers_of_the_log_change_nothing(lost):
+    """Guards against decisions that depend on an answer's arrival."""
+
+    async def work():
+        system, host = await _first("e1")
+        await _until(host.ready)
+        system.log.lose_answers = lost
+        await _submit(host, builders.job("a" * 16))
+        await _until(lambda: len(system.starts()) == 1)
+        system.worker("e1").end_all()
+        await _until(
+            lambda: host.jobs.state("a" * 16) == model.JobState.COMPLETED
+        )
+        assert len(system.starts()) == 1
+
+    builders.run(work())
+
+
+def test_a_host_without_the_log_refuses_at_once():
+    """Guards against callers that are held until their time is up."""
+
+    async def work():
+        system, host = await _first("e1")
+        await _until(host.ready)
+        system.log.silent = True
+        first = asyncio.create_task(
+            host.intake.submit(builders.job("a" * 16), 3_000)
+        )
+        await asyncio.sleep(1.3)
+        loop = asyncio.get_running_loop()
+        began = loop.time()
+        verdict = await host.intake.submit(builders.job("b" * 16), 3_000)
+        assert isinstance(verdict, intake.NotRun)
+        assert verdict.come_back_ms > 0
+        assert loop.time() - began < 0.5
+        first.cancel()
+
+    builders.run(work())
--- /dev/null
+++ b/packages/placer/tests/test_leadership.py
@@ -0,0 +1,113 @@
+"""One host leads; its token rises with every change."""
+
+import asyncio
+
+import builders
+import fakelog
+from laburnumgate_core import clock
+from laburnumgate_placer import leadership
+from laburnumgate_placer import topics
+import orjson
+
+
+class _Candidate:
+    def __init__(self, log, host, delay_ms=0, first_start=False):
+        self.lead = leadership.Leadership(
+            log, clock.SteadyClock(), host, delay_ms, first_start
+        )
+        self.tasks = [
+            asyncio.create_task(self.lead.feed.run()),
+            asyncio.create_task(self.lead.run()),
+        ]
+
+    def kill(self):
+        for task in self.tasks:
+            task.cancel()
+
+
+async def _until(condition):
+    while not condition():
+        await asyncio.sleep(0.01)
+
+
+def _tokens(log):
+    found = []
+    for offset, record in enumerate(log.records_by_topic[topics.LEADER]):
+        if orjson.loads(record)[0] == "claim":
+            found.append(offset + 1)
+    return found
+
+
+def test_of_several_candidates_one_leads():
+    """Guards against two hosts that both believe they lead."""
+
+    async def work():
+        log = fakelog.FakeLog()
+        hosts = [_Candidate(log, f"h{n}", first_start=True) for n in range(4)]
+        await _until(lambda: any(h.lead.own for h in hosts))
+        await asyncio.sleep(0.3)
+        assert sum(h.lead.own is not None for h in hosts) == 1
+        assert len(_tokens(log)) == 1
+
+    builders.run(work())
+
+
+def test_a_silent_leader_is_replaced_under_a_higher_token():
+    """Guards against a system without a leader, and a reused token."""
+
+    async def work():
+        log = fakelog.FakeLog()
+        first = _Candidate(log, "h1", first_start=True)
+        await _until(lambda: first.lead.own)
+        second = _Candidate(log, "h2")
+        await asyncio.sleep(leadership.SILENCE_MS * 1.2 / 1000)
+        assert second.lead.own is None
+        first.kill()
+        await _until(lambda: second.lead.own)
+        assert second.lead.own.token > first.lead.own.token
+
+    builders.run(work())
+
+
+def test_a_leader_that_stops_is_replaced_at_once():
+    """Guards against a planned stop that costs a whole timeout."""
+
+    async def work():
+        log = fakelog.FakeLog()
+        first = _Candidate(log, "h1", first_start=True)
+        await _until(lambda: first.lead.own)
+        second = _Candidate(log, "h2", delay_ms=20)
+        await asyncio.sleep(0.2)
+        await first.lead.resign()
+        async with asyncio.timeout(leadership.SILENCE_MS / 2 / 1000):
+            await _until(lambda: second.lead.own)
+        assert first.lead.own is None
+
+    builders.run(work())
+
+
+def test_a_claim_whose_answer_was_lost_is_found_by_reading():
+    """Guards against a claim that holds and that nobody acts on."""
+
+    async def work():
+        log = fakelog.FakeLog()
+        log.lose_answers = 1
+        first = _Candidate(log, "h1", first_start=True)
+        await _until(lambda: first.lead.own)
+        assert first.lead.own.token == 1
+
+    builders.run(work())
+
+
+def test_a_leader_gives_way_when_it_reads_a_later_claim():
+    """Guards against a leader that goes on after it was replaced."""
+
+    async def work():
+        log = fakelog.FakeLog()
+        first = _Candidate(log, "h1", first_start=True)
+        await _until(lambda: first.lead.own)
+        log.put(topics.LEADER, orjson.dumps(["claim", "h2", 0]))
+        await _until(lambda: first.lead.own is None)
+        assert first.lead.current.host == "h2"
+
+    builders.run(work())
--- /dev/null
+++ b/packages/placer/tests/test_lifecycle.py
@@ -0,0 +1,227 @@
+"""Transitions of jobs, units and runs."""
+
+import builders
+from laburnumgate_placer import lifecycle
+from laburnumgate_placer import model
+from laburnumgate_placer import progress
+from laburnumgate_placer import reports
+
+_DONE = model.EndKind.DONE
+_FAILED = model.EndKind.FAILED
+
+
+def _started(tables, *steps, endpoints=None):
+    entry = lifecycle.open_job(tables, builders.job("a" * 16, *steps))
+    unit = next(iter(entry.units_by_key.values()))
+    run = lifecycle.assign(tables, unit, endpoints or ["e1"] * unit.size)
+    builders.start(tables, run)
+    return entry, unit, run
+
+
+def test_a_step_waits_for_all_tasks_of_the_steps_before_it():
+    """Guards against a task that starts before its input is there."""
+    tables = builders.tables()
+    state = builders.add_endpoint(tables)
+    first = builders.step(count=2)
+    entry, _, run = _started(tables, first, builders.step(after=(0,)))
+    assert entry.open_steps == {(0, 0)}
+    lifecycle.ended(tables, state, builders.end(run.members[0], 1, _DONE))
+    assert entry.open_steps == {(0, 0)}
+    other = entry.units_by_key[model.UnitKey("a" * 16, 0, 0, 1)]
+    second = lifecycle.assign(tables, other, ["e1"])
+    builders.start(tables, second)
+    lifecycle.ended(tables, state, builders.end(second.members[0], 2, _DONE))
+    assert entry.open_steps == {(0, 1)}
+    assert not entry.state.final
+
+
+def test_one_end_of_a_gang_stands_for_all_its_tasks():
+    """Guards against a gang that is started again though it is done."""
+    tables = builders.tables()
+    state = builders.add_endpoint(tables)
+    other = builders.add_endpoint(tables, "e2")
+    entry, unit, run = _started(
+        tables, builders.step(count=2, gang=True), endpoints=["e1", "e2"]
+    )
+    lifecycle.ended(tables, state, builders.end(run.members[0], 1, _DONE))
+    assert entry.state == model.JobState.COMPLETED
+    assert not tables.stops
+    assert other.used.gpu == 1
+    lifecycle.ended(tables, other, builders.end(run.members[1], 1, _DONE))
+    assert other.used.gpu == 0
+    assert unit.run is None
+
+
+def test_a_failed_gang_counts_one_failure_and_stops_the_rest():
+    """Guards against a gang whose attempts are used up by one failure."""
+    tables = builders.tables()
+    state = builders.add_endpoint(tables)
+    _, unit, run = _started(tables, builders.step(count=3, gang=True))
+    broken = model.EndKind.BROKEN
+    lifecycle.ended(tables, state, builders.end(run.members[0], 1, broken))
+    assert [m.task.index for m in tables.stops] == [1, 2]
+    lifecycle.ended(tables, state, builders.end(run.members[1], 2, _FAILED))
+    lifecycle.ended(tables, state, builders.end(run.members[2], 3, broken))
+    assert unit.failures == 1
+    assert unit.state == progress.UnitState.WAITING
+
+
+def test_a_job_fails_after_its_last_attempt_and_not_before():
+    """Guards against a start beyond the attempts that a queue allows."""
+    tables = builders.tables()
+    state = builders.add_endpoint(tables)
+    entry, unit, run = _started(tables, builders.step())
+    for number in range(1, 4):
+        assert not entry.state.final
+        end = builders.end(run.members[0], number, _FAILED)
+        lifecycle.ended(tables, state, end)
+        if number < 3:
+            run = lifecycle.assign(tables, unit, ["e1"])
+            builders.start(tables, run)
+    assert entry.state == model.JobState.FAILED
+
+
+def test_a_lapsed_run_uses_up_no_attempt():
+    """Guards against a job that fails because its endpoints were lost."""
+    tables = builders.tables()
+    state = builders.add_endpoint(tables)
+    _, unit, run = _started(tables, builders.step())
+    lapsed = model.EndKind.LAPSED
+    lifecycle.ended(tables, state, builders.end(run.members[0], 1, lapsed))
+    assert unit.failures == 0
+    assert unit.state == progress.UnitState.WAITING
+
+
+def test_a_lasting_task_is_started_again_however_it_ends():
+    """Guards against a lasting task that is taken for completed."""
+    tables = builders.tables()
+    state = builders.add_endpoint(tables)
+    for kind in (_DONE, _FAILED, _FAILED, _FAILED, _FAILED):
+        if not tables.entries_by_id:
+            entry, unit, run = _started(
+                tables, builders.step(long_running=True)
+            )
+        else:
+            run = lifecycle.assign(tables, unit, ["e1"])
+            builders.start(tables, run)
+        end = builders.end(run.members[0], state.seen_end + 1, kind)
+        lifecycle.ended(tables, state, end)
+        assert unit.state == progress.UnitState.WAITING
+        assert not entry.state.final
+
+
+def test_room_is_free_only_when_a_stopped_run_is_gone():
+    """Guards against an endpoint that is filled beyond its capacity."""
+    tables = builders.tables()
+    state = builders.add_endpoint(tables)
+    _, _, run = _started(tables, builders.step(gpu=8))
+    member = run.members[0]
+    lifecycle.stop_run(tables, run, "test")
+    assert state.free().gpu == 0
+    report = builders.report(state, builders.row(member))
+    reports.apply(tables, state, report, tables.steady.now_ms())
+    assert state.free().gpu == 0
+    ended = builders.end(member, 1, model.EndKind.STOPPED, "saved")
+    report = builders.report(state, ended=[ended])
+    reports.apply(tables, state, report, tables.steady.now_ms())
+    assert state.free().gpu == 8
+    assert run.unit.checkpoint == "saved"
+
+
+def test_a_report_asked_for_before_an_order_was_answered_decides_nothing():
+    """Guards against a run that is started twice.
+
+    The report may have been made before the start arrived.
+    """
+    tables = builders.tables()
+    state = builders.add_endpoint(tables)
+    _, unit, run = _started(tables, builders.step())
+    sent_ms = tables.steady.now_ms()
+    run.members[0].settled_ms = sent_ms
+    reports.apply(tables, state, builders.report(state), sent_ms)
+    assert unit.run is run
+    reports.apply(tables, state, builders.report(state), sent_ms + 1)
+    assert unit.run is None
+
+
+def test_an_unanswered_start_is_never_taken_for_absent():
+    """Guards against a start that is carried out late, beside a new run."""
+    tables = builders.tables()
+    state = builders.add_endpoint(tables)
+    _, unit, run = _started(tables, builders.step())
+    run.members[0].settled_ms = 0
+    run.members[0].present = False
+    sent_ms = tables.steady.now_ms() + 10_000
+    reports.apply(tables, state, builders.report(state), sent_ms)
+    assert unit.run is run
+
+
+def test_an_unknown_run_is_stopped_and_blocks_its_endpoint():
+    """Guards against a run that nobody asked for and that takes room."""
+    tables = builders.tables()
+    state = builders.add_endpoint(tables)
+    _, _, run = _started(tables, builders.step())
+    task = model.TaskKey("b" * 16, 0, 0, 0)
+    stray = model.RunningRow(task, 4, "", 0, 0.0)
+    report = builders.report(state, stray, builders.row(run.members[0]))
+    found = reports.apply(tables, state, report, tables.steady.now_ms())
+    assert [row.task for row in found] == [task]
+    assert tables.endpoints.usable("pool", set(), 200_000) == []
+
+
+def test_a_run_that_was_done_before_its_lease_expired_counts():
+    """Guards against work that is done twice after a cut."""
+    tables = builders.tables()
+    state = builders.add_endpoint(tables)
+    other = builders.add_endpoint(tables, "e2")
+    entry, unit, run = _started(tables, builders.step())
+    late = builders.end(run.members[0], 1, _DONE)
+    lifecycle.life_over(tables, state, "test")
+    again = lifecycle.assign(tables, unit, ["e2"])
+    builders.start(tables, again)
+    lifecycle.ended(tables, state, late)
+    assert entry.state == model.JobState.COMPLETED
+    assert [m.endpoint_id for m in tables.stops] == ["e2"]
+    assert other.used.gpu == 1
+
+
+def test_occurrences_open_when_they_are_due():
+    """Guards against a repeated job that starts before its time."""
+    tables = builders.tables()
+    unix_ms = tables.wall.now_ms()
+    job = builders.job(
+        first_start_ms=unix_ms + 500,
+        interval_ms=1_000,
+        occurrences=2,
+        scheduled=True,
+    )
+    entry = lifecycle.open_job(tables, job)
+    assert not entry.open_steps
+    assert not entry.open_due(unix_ms + 499, 0)
+    assert entry.open_due(unix_ms + 500, 0)
+    assert entry.open_steps == {(0, 0)}
+    assert entry.open_due(unix_ms + 1_500, 0)
+    assert entry.open_steps == {(0, 0), (1, 0)}
+
+
+def test_progress_is_restored_from_its_record():
+    """Guards against a new leader that forgets runs, ends or failures."""
+    tables = builders.tables()
+    state = builders.add_endpoint(tables)
+    entry, unit, run = _started(
+        tables, builders.step(), builders.step(after=(0,))
+    )
+    lifecycle.ended(tables, state, builders.end(run.members[0], 1, _FAILED))
+    run = lifecycle.assign(tables, unit, ["e1"])
+    builders.start(tables, run)
+    unit.checkpoint = "saved"
+    restored = progress.JobEntry(entry.job, 0)
+    progress.restore(restored, progress.encode(entry), 1_000_000, 0)
+    copy = restored.units_by_key[unit.key]
+    assert (copy.failures, copy.last_run, copy.checkpoint) == (1, 2, "saved")
+    assert [m.endpoint_id for m in copy.run.members] == ["e1"]
+    lifecycle.ended(tables, state, builders.end(run.members[0], 2, _DONE))
+    restored = progress.JobEntry(entry.job, 0)
+    progress.restore(restored, progress.encode(entry), 1_000_000, 0)
+    assert restored.done_steps == {(0, 0)}
+    assert restored.open_steps == {(0, 1)}
--- /dev/null
+++ b/packages/placer/tests/test_records.py
@@ -0,0 +1,67 @@
+"""Records survive encoding; unreadable ones are refused."""
+
+import builders
+from hypothesis import given
+from hypothesis import strategies as st
+from laburnumgate_placer import model
+from laburnumgate_placer import records
+import pytest
+
+_STEPS = st.builds(
+    model.Step,
+    count=st.integers(1, 50),
+    room=st.builds(
+        model.Room,
+        st.integers(0, 64_000),
+        st.integers(0, 99_999),
+        st.integers(0, 8),
+    ),
+    estimate_ms=st.integers(0, 99_999),
+    after=st.lists(st.integers(0, 3)).map(tuple),
+    gang=st.booleans(),
+    same_rack=st.booleans(),
+    checkpointing=st.booleans(),
+    label=st.text(max_size=5),
+    max_per_endpoint=st.integers(0, 4),
+    long_running=st.booleans(),
+    may_miss=st.integers(0, 3),
+    image=st.text(max_size=5),
+)
+
+
+def _decode(encoded: bytes) -> records.JobRecord:
+    end = 1 + encoded[0]
+    return records.decode(encoded[1:end].decode(), encoded[end:] or None)
+
+
+@given(st.lists(_STEPS, min_size=1, max_size=3), st.text(max_size=20))
+def test_a_submission_is_read_back_as_it_was(steps, payload):
+    """Guards against a field of a job that is lost in the log."""
+    job = builders.replace(
+        builders.job("00000000000000a1", *steps), payload=payload
+    )
+    assert _decode(records.encode(records.Submitted(job))).job == job
+
+
+@pytest.mark.parametrize(
+    "record",
+    [
+        records.Cancelled("00000000000000a1"),
+        records.StateChanged(
+            "00000000000000a1", model.JobState.FAILED, 12, "why"
+        ),
+    ],
+)
+def test_other_records_are_read_back(record):
+    """Guards against a state or cancellation that is lost in the log."""
+    assert _decode(records.encode(record)) == record
+
+
+@pytest.mark.parametrize(
+    ("key", "value"),
+    [("s/1", b"{"), ("s/1", b"{}"), ("e/1", b"[1]"), ("x/1", b"1"), ("s", b"1")],
+)
+def test_an_unreadable_record_is_refused(key, value):
+    """Guards against a malformed record that ends the feed."""
+    with pytest.raises(records.RecordError):
+        records.decode(key, value)
--- /dev/null
+++ b/packages/placer/tests/test_scheduling.py
@@ -0,0 +1,214 @@
+"""Placement passes: capacity, racks, order and reclaims."""
+
+import builders
+from hypothesis import given
+from hypothesis import strategies as st
+from laburnumgate_placer import lifecycle
+from laburnumgate_placer import model
+from laburnumgate_placer import ordering
+from laburnumgate_placer import progress
+from laburnumgate_placer import scheduling
+
+_URGENT = builders.replace(
+    builders.QUEUE, name="urgent", path_prefix="/u/", priority=0
+)
+_BATCH = builders.replace(
+    builders.QUEUE, name="batch", path_prefix="/b/", priority=2
+)
+
+
+def _tables(endpoints=3, **fields):
+    tables = builders.tables(_URGENT, _BATCH, **fields)
+    for number in range(endpoints):
+        builders.add_endpoint(tables, f"e{number}", rack=f"r{number % 2}")
+    return tables
+
+
+def _open(tables, job_id, step, queue=_BATCH):
+    job = builders.job(
+        job_id * 16, step, queue=queue, accepted_ms=tables.wall.now_ms()
+    )
+    return lifecycle.open_job(tables, job)
+
+
+def _run_of(entry) -> progress.Run | None:
+    return next(iter(entry.units_by_key.values())).run
+
+
+@given(
+    st.lists(
+        st.tuples(
+            st.integers(1, 6),
+            st.integers(0, 8),
+            st.booleans(),
+            st.booleans(),
+            st.integers(0, 2),
+        ),
+        min_size=1,
+        max_size=8,
+    )
+)
+def test_no_endpoint_is_filled_beyond_its_capacity(shapes):
+    """Guards against starts that bring an endpoint over its capacity."""
+    tables = _tables()
+    for number, (count, gpu, gang, same_rack, most) in enumerate(shapes):
+        step = builders.step(
+            count=count,
+            gpu=gpu,
+            gang=gang,
+            same_rack=same_rack,
+            max_per_endpoint=most,
+        )
+        _open(tables, "abcdef12"[number], step)
+    scheduling.Scheduler(tables).run()
+    for state in tables.endpoints.by_id.values():
+        free = state.free()
+        assert min(free.cpu, free.mem_mb, free.gpu) >= 0
+    for entry in tables.entries_by_id.values():
+        step = entry.job.steps[0]
+        runs = entry.runs()
+        by_endpoint = {}
+        for run in runs:
+            assert len(run.members) == run.unit.size
+            for member in run.members:
+                seen = by_endpoint.get(member.endpoint_id, 0)
+                by_endpoint[member.endpoint_id] = seen + 1
+        if step.max_per_endpoint and by_endpoint:
+            assert max(by_endpoint.values()) <= step.max_per_endpoint
+
+
+def test_a_gang_of_one_rack_is_not_spread():
+    """Guards against a gang that is slowed down by running on two racks."""
+    tables = _tables(4)
+    entry = _open(
+        tables, "a", builders.step(count=2, gpu=8, gang=True, same_rack=True)
+    )
+    scheduling.Scheduler(tables).run()
+    racks = {
+        tables.endpoints.by_id[m.endpoint_id].info.rack
+        for m in _run_of(entry).members
+    }
+    assert len(racks) == 1
+
+
+def test_a_gang_that_no_rack_can_hold_is_spread():
+    """Guards against a gang that waits forever for a rack of its size."""
+    tables = _tables(3)
+    step = builders.step(count=3, gpu=8, gang=True, same_rack=True)
+    entry = _open(tables, "a", step)
+    scheduling.Scheduler(tables).run()
+    assert len(_run_of(entry).members) == 3
+
+
+def test_nothing_starts_where_it_must_not():
+    """Guards against starts on leaving, silent or evacuated endpoints."""
+    tables = _tables(0)
+    builders.add_endpoint(tables, "e1", draining=True)
+    builders.add_endpoint(tables, "e2", zone="out")
+    builders.add_endpoint(tables, "e3", service="other")
+    builders.add_endpoint(tables, "e4").contacted = False
+    builders.add_endpoint(tables, "e5").answering = False
+    builders.add_endpoint(tables, "e6").listed = False
+    builders.add_endpoint(tables, "e7").over = True
+    builders.add_endpoint(tables, "e8").avoid_until_ms = 999_999
+    tables.config.set_zone("out", True)
+    entry = _open(tables, "a", builders.step())
+    scheduling.Scheduler(tables).run()
+    assert _run_of(entry) is None
+
+
+def test_a_label_is_required():
+    """Guards against a task on an endpoint of the wrong kind."""
+    tables = _tables(2)
+    builders.add_endpoint(tables, "e9", labels=frozenset({"fast"}))
+    entry = _open(tables, "a", builders.step(label="fast"))
+    scheduling.Scheduler(tables).run()
+    assert [m.endpoint_id for m in _run_of(entry).members] == ["e9"]
+
+
+def _fill(tables, scheduler):
+    entries = []
+    for job_id in "abc":
+        entry = _open(tables, job_id, builders.step(gpu=8))
+        entries.append(entry)
+    scheduler.run()
+    for entry in entries:
+        builders.start(tables, _run_of(entry))
+    return entries
+
+
+def test_a_guaranteed_job_reclaims_its_capacity_in_time():
+    """Guards against a guarantee that others keep for themselves."""
+    tables = _tables(3)
+    scheduler = scheduling.Scheduler(tables)
+    batch = _fill(tables, scheduler)
+    urgent = _open(tables, "d", builders.step(gpu=8), _URGENT)
+    tables.steady.advance(tables.bounds.reclaim_ms - 1_000)
+    scheduler.run()
+    stopped = [
+        entry
+        for entry in batch
+        if _run_of(entry).phase == progress.Phase.STOPPING
+    ]
+    assert len(stopped) == 1
+    member = _run_of(stopped[0]).members[0]
+    lifecycle.member_gone(tables, member)
+    scheduler.run()
+    assert [m.endpoint_id for m in _run_of(urgent).members] == [
+        member.endpoint_id
+    ]
+
+
+def test_reclaimed_room_is_not_given_to_others():
+    """Guards against reclaimed capacity that goes to a smaller job."""
+    tables = _tables(3)
+    scheduler = scheduling.Scheduler(tables)
+    batch = _fill(tables, scheduler)
+    step = builders.step(count=2, gpu=8, gang=True)
+    _open(tables, "d", step, _URGENT)
+    small = _open(tables, "e", builders.step(gpu=1))
+    tables.steady.advance(tables.bounds.reclaim_ms - 1_000)
+    scheduler.run()
+    stopping = [
+        _run_of(entry)
+        for entry in batch
+        if _run_of(entry).phase == progress.Phase.STOPPING
+    ]
+    assert len(stopping) == 2
+    lifecycle.member_gone(tables, stopping[0].members[0])
+    scheduler.run()
+    assert _run_of(small) is None
+
+
+def test_a_job_beyond_its_guarantee_stops_nobody():
+    """Guards against work that is thrown away for an unowed job."""
+    tables = _tables(3, accounts=())
+    scheduler = scheduling.Scheduler(tables)
+    batch = _fill(tables, scheduler)
+    _open(tables, "d", builders.step(gpu=8), _URGENT)
+    tables.steady.advance(5_000)
+    scheduler.run()
+    assert all(
+        _run_of(entry).phase == progress.Phase.RUNNING for entry in batch
+    )
+
+
+def test_work_that_can_still_be_on_time_goes_first():
+    """Guards against a queue in which lost causes delay the others."""
+    tables = _tables(1)
+    old = _open(tables, "a", builders.step(gpu=8, estimate_ms=1_000))
+    tables.steady.advance(60_000)
+    new = _open(tables, "b", builders.step(gpu=8, estimate_ms=1_000))
+    ranked = ordering.waiting_units(tables, tables.steady.now_ms())
+    assert [unit.entry for _, unit in ranked] == [new, old]
+    assert ranked[1][0].stage == ordering.Stage.TOO_LATE
+
+
+def test_a_guarantee_covers_jobs_up_to_its_size():
+    """Guards against an account that reclaims more than it is owed."""
+    account = model.Account("mina", frozenset(), guaranteed_gpu=16)
+    tables = _tables(3, accounts=(account,))
+    for job_id in "abc":
+        tables.wall.advance(1)
+        _open(tables, job_id, builders.step(gpu=8), _URGENT)
+    assert ordering.guaranteed_jobs(tables) == {"a" * 16, "b" * 16}
--- /dev/null
+++ b/packages/placer/tests/test_writer.py
@@ -0,0 +1,91 @@
+"""Appends happen exactly once, and verdicts on them are true."""
+
+import asyncio
+
+import builders
+import fakelog
+from laburnumgate_core import clock
+from laburnumgate_placer import ports
+from laburnumgate_placer import writer
+
+
+async def _with_writer(log, work, epoch=1):
+    own = writer.Writer(log, clock.SteadyClock(), "t", "p", epoch)
+    task = asyncio.create_task(own.run())
+    try:
+        return await work(own)
+    finally:
+        task.cancel()
+
+
+def test_a_record_whose_answer_was_lost_is_stored_once():
+    """Guards against a job that is stored twice by a repeated append."""
+    log = fakelog.FakeLog()
+    log.lose_answers = 2
+
+    async def work(own):
+        return await own.append([b"one"], 2_000)
+
+    outcome = builders.run(_with_writer(log, work))
+    assert outcome == ports.Appended(0, 1)
+    assert log.records_by_topic["t"] == [b"one"]
+
+
+def test_a_refused_record_is_tried_again_within_its_time():
+    """Guards against giving up on a log that is busy for a moment."""
+    log = fakelog.FakeLog()
+    log.refuse = 3
+
+    async def work(own):
+        return await own.append([b"one"], 2_000)
+
+    assert isinstance(builders.run(_with_writer(log, work)), ports.Appended)
+
+
+def test_not_appended_is_said_only_if_no_call_may_take_effect():
+    """Guards against refusing a job that the log stores later."""
+    log = fakelog.FakeLog()
+
+    async def work(own):
+        log.silent = True
+        first = asyncio.create_task(own.append([b"one"], 100))
+        await asyncio.sleep(0.02)
+        second = asyncio.create_task(own.append([b"two"], 100))
+        return await first, await second
+
+    first, second = builders.run(_with_writer(log, work))
+    assert isinstance(first, ports.Unknown)
+    assert isinstance(second, ports.NotAppended)
+
+
+def test_dropped_records_are_not_sent_later():
+    """Guards against a job that runs though its caller was refused."""
+    log = fakelog.FakeLog()
+
+    async def work(own):
+        log.silent = True
+        first = asyncio.create_task(own.append([b"one"], 3_000))
+        await asyncio.sleep(0.02)
+        second = await own.append([b"two"], 50)
+        log.silent = False
+        await first
+        third = await own.append([b"three"], 2_000)
+        return second, third
+
+    second, third = builders.run(_with_writer(log, work))
+    assert isinstance(second, ports.NotAppended)
+    assert isinstance(third, ports.Appended)
+    assert log.records_by_topic["t"] == [b"one", b"three"]
+
+
+def test_an_older_epoch_is_fenced():
+    """Guards against records of a leader that was replaced."""
+    log = fakelog.FakeLog()
+
+    async def work(own):
+        return await own.append([b"one"], 1_000)
+
+    builders.run(_with_writer(log, work, epoch=5))
+    outcome = builders.run(_with_writer(log, work, epoch=4))
+    assert isinstance(outcome, ports.Fenced)
+    assert log.records_by_topic["t"] == [b"one"]
