Give up a silent endpoint when its lease is over, and an undelivered order at once

Each unanswered renewal moved the lease's bound, so that it never came. Ruled out: the live list, which had dropped the endpoint after 4.5 s. A refused connection now ends the start at once, and the deadline stands still while an endpoint is silent.

--- a/deploy/tests/test_callers.py
+++ b/deploy/tests/test_callers.py
@@ -70,12 +70,15 @@
         headers = {"Host": hostname, "X-Laburnumgate-Deadline-Ms": "2000"}
         if key:
             headers["X-Laburnumgate-Credential"] = key
-        async with aiohttp.ClientSession() as session, session.request(
-            method,
-            f"http://127.0.0.1:{port}{path}",
-            data=body,
-            headers=headers,
-        ) as response:
+        async with (
+            aiohttp.ClientSession() as session,
+            session.request(
+                method,
+                f"http://127.0.0.1:{port}{path}",
+                data=body,
+                headers=headers,
+            ) as response,
+        ):
             return response.status, await response.read(), response.headers
 
     return builders.run(_serving(host, work))
--- a/packages/placer/src/laburnumgate_placer/endpoint_table.py
+++ b/packages/placer/src/laburnumgate_placer/endpoint_table.py
@@ -94,11 +94,17 @@
         self.clock_at_ms = now_ms
         self.contact_ms = now_ms
 
-    def grant(self, lease_ms: int, now_ms: int) -> int:
-        """Returns the deadline of a lease that is sent now."""
-        deadline_ms = self.now_there_ms(now_ms) + lease_ms
-        self.deadline_ms = max(self.deadline_ms, deadline_ms)
-        return deadline_ms
+    def lease(self, lease_ms: int, now_ms: int) -> int:
+        """Returns the deadline of a lease that is sent now.
+
+        While the endpoint is silent the deadline does not move: calls may
+        reach it though no answer comes back, and the time at which its leases
+        are over has to come.
+        """
+        if self.answering:
+            deadline_ms = self.now_there_ms(now_ms) + lease_ms
+            self.deadline_ms = max(self.deadline_ms, deadline_ms)
+        return self.deadline_ms
 
     def leases_over_ms(self) -> int:
         """Returns the steady time at which all leases are surely over."""
@@ -107,6 +113,21 @@
         left_ms = max(0, self.deadline_ms - self.clock_ms) / SLOWEST_CLOCK
         return max(self.lease_bound_ms, self.clock_at_ms + int(left_ms) + 1)
 
+    def silent(self, now_ms: int, reason: str) -> None:
+        """Notes a call that was not answered."""
+        if not self.answering:
+            return
+        self.answering = False
+        events.emit(
+            _LOGGER,
+            events.Event.ENDPOINT_LOST,
+            endpoint=self.info.endpoint_id,
+            reason=reason,
+            contact_age_ms=now_ms - self.contact_ms,
+            leases_left_ms=self.leases_over_ms() - now_ms,
+            runs=len(self.members),
+        )
+
     def failed(self, job_id: str, now_ms: int) -> None:
         """Notes a failed run; avoids the endpoint if several jobs fail."""
         self.failing_jobs.add(job_id)
--- a/packages/placer/src/laburnumgate_placer/launcher.py
+++ b/packages/placer/src/laburnumgate_placer/launcher.py
@@ -59,8 +59,6 @@
         now_ms = tables.steady.now_ms()
         run.started_ms = now_ms
         until_ms = now_ms + int(tables.bounds.gang_ms * START_SHARE)
-        for member in run.members:
-            member.ordered = True
         reasons = await asyncio.gather(
             *(self._start(member, until_ms) for member in run.members)
         )
@@ -138,6 +136,8 @@
             if now_ms >= until_ms:
                 return reason
             state = tables.endpoints.by_id[member.endpoint_id]
+            first = not member.ordered
+            member.ordered = True
             answer = await self._endpoints.start(
                 state.info,
                 self._order(member, state, now_ms),
@@ -166,7 +166,14 @@
                     if refusal == ports.Refusal.UNHEALTHY:
                         state.avoid(tables.steady.now_ms(), refusal.value)
                     return refusal.value
+                case ports.Undelivered(why):
+                    state.silent(tables.steady.now_ms(), why)
+                    if first:
+                        member.ordered = False
+                        return why
+                    reason = why
                 case ports.Unknown(why):
+                    state.silent(tables.steady.now_ms(), why)
                     reason = f"its start was not answered: {why}"
             await asyncio.sleep(RETRY_MS / 1000)
         return reason
@@ -182,7 +189,7 @@
             task=member.task,
             run=member.run.number,
             payload=unit.entry.job.payload,
-            deadline_ms=state.grant(self.lease_ms, now_ms),
+            deadline_ms=state.lease(self.lease_ms, now_ms),
             fencing_token=self._tables.token,
             checkpoint=unit.checkpoint,
             ticket=member.run.tickets_by_endpoint.get(member.endpoint_id, ""),
--- a/packages/placer/src/laburnumgate_placer/ports.py
+++ b/packages/placer/src/laburnumgate_placer/ports.py
@@ -43,6 +43,13 @@
     reason: str
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Undelivered:
+    """No connection could be made, so that the call has no effect."""
+
+    reason: str
+
+
 AppendOutcome = Appended | NotAppended | Conflict | Fenced | Unknown
 
 
@@ -184,7 +191,7 @@
 
     async def start(
         self, endpoint: model.Endpoint, order: StartOrder, *, timeout_ms: int
-    ) -> Done | Refused | Unknown:
+    ) -> Done | Refused | Undelivered | Unknown:
         """Starts a run; repeating the order has no further effect."""
         ...
 
@@ -196,7 +203,7 @@
         fencing_token: int,
         *,
         timeout_ms: int,
-    ) -> Done | Refused | Unknown:
+    ) -> Done | Refused | Undelivered | Unknown:
         """Stops a run, and voids an order for it that is still on its way."""
         ...
 
@@ -209,7 +216,7 @@
         fencing_token: int,
         *,
         timeout_ms: int,
-    ) -> Done | Refused | Unknown:
+    ) -> Done | Refused | Undelivered | Unknown:
         """Bounds the share of time during which a task works."""
         ...
 
@@ -222,6 +229,6 @@
         ack_cursor: int,
         wait_ms: int,
         timeout_ms: int,
-    ) -> model.Report | Refused | Unknown:
+    ) -> model.Report | Refused | Undelivered | Unknown:
         """Renews the lease of all runs there and returns its report."""
         ...
--- a/packages/placer/src/laburnumgate_placer/watcher.py
+++ b/packages/placer/src/laburnumgate_placer/watcher.py
@@ -86,7 +86,7 @@
         sent_ms = tables.steady.now_ms()
         deadline_ms = None
         if state.contacted and state.members and self._may_renew():
-            deadline_ms = state.grant(self._orders.lease_ms, sent_ms)
+            deadline_ms = state.lease(self._orders.lease_ms, sent_ms)
         wait_ms = self._wait_ms()
         acked = state.acked_end
         answer = await self._endpoints.renew(
@@ -109,9 +109,9 @@
                 )
                 return True
             case ports.Refused(refusal):
-                self._silent(refusal.value)
-            case ports.Unknown(reason):
-                self._silent(reason)
+                state.silent(tables.steady.now_ms(), refusal.value)
+            case ports.Undelivered(reason) | ports.Unknown(reason):
+                state.silent(tables.steady.now_ms(), reason)
         return False
 
     async def _take(
@@ -172,21 +172,6 @@
             return 0
         return RENEW_WAIT_MS
 
-    def _silent(self, reason: str) -> None:
-        state = self._state
-        if state.answering:
-            state.answering = False
-            events.emit(
-                _LOGGER,
-                events.Event.ENDPOINT_LOST,
-                endpoint=state.info.endpoint_id,
-                reason=reason,
-                contact_age_ms=self._tables.steady.now_ms() - state.contact_ms,
-                leases_left_ms=state.leases_over_ms()
-                - self._tables.steady.now_ms(),
-                runs=len(state.members),
-            )
-
     def _check_lease(self) -> None:
         """Gives runs up once no lease can keep them alive."""
         state = self._state
--- a/packages/placer/tests/fakeworkers.py
+++ b/packages/placer/tests/fakeworkers.py
@@ -13,6 +13,7 @@
 
     Attributes:
       cut: no call reaches it.
+      refusing: no connection to it can be made.
       mute: calls are carried out and not answered.
       clock_ms: its clock, moved by the test or by real time.
     """
@@ -22,6 +23,7 @@
     token: int = 0
     cut: bool = False
     mute: bool = False
+    refusing: bool = False
     unhealthy: bool = False
     running: dict = dataclasses.field(default_factory=dict)
     ended: list = dataclasses.field(default_factory=list)
@@ -137,6 +139,8 @@
 
     async def _reach(self, worker, token, timeout_ms):
         await asyncio.sleep(0)
+        if worker.refusing:
+            return ports.Undelivered("refused")
         if worker.cut:
             await asyncio.sleep(timeout_ms / 1000)
             return ports.Unknown("cut")
--- a/packages/placer/tests/test_leader.py
+++ b/packages/placer/tests/test_leader.py
@@ -308,3 +308,39 @@
         first.cancel()
 
     builders.run(work())
+
+
+def test_a_silent_endpoint_is_given_up_when_its_lease_is_over():
+    """Guards against leases that unanswered renewals extend without end.
+
+    A crashed endpoint's runs were kept for a minute, since each try to renew
+    might have reached it.
+    """
+
+    async def work():
+        system, host = await _first("e1")
+        await _submit(host, builders.job("a" * 16, builders.step(gpu=8)))
+        await _until(lambda: len(system.starts()) == 1)
+        system.worker("e1").refusing = True
+        tables = host.leader.tables
+        async with asyncio.timeout(3):
+            await _until(lambda: not tables.entries_by_id["a" * 16].runs())
+
+    builders.run(work())
+
+
+def test_an_order_that_was_not_delivered_is_given_up_at_once():
+    """Guards against a gang that waits for an endpoint that is gone."""
+
+    async def work():
+        system, host = await _first("e1", "e2", "e3")
+        system.worker("e2").refusing = True
+        step = builders.step(count=2, gpu=8, gang=True)
+        await _submit(host, builders.job("a" * 16, step))
+        loop = asyncio.get_running_loop()
+        began = loop.time()
+        await _until(lambda: len(system.worker("e3").running) == 1)
+        await _until(lambda: len(system.worker("e1").running) == 1)
+        assert loop.time() - began < _BOUNDS.gang_ms / 2_000
+
+    builders.run(work())
