Keep endpoints for gangs that do not fit yet

Two gangs per pool hold the endpoints on which they are expected to start first; others may use these for work that ends before.

--- /dev/null
+++ b/packages/placer/src/laburnumgate_placer/reservation.py
@@ -0,0 +1,78 @@
+"""Keeps endpoints for a unit that does not fit yet, without idling them.
+
+Without it small units take every gap and a large gang waits for all of them
+to be free at once. Others may still use a kept endpoint for work that is
+expected to end before the unit could start.
+"""
+
+import dataclasses
+
+from laburnumgate_placer import endpoint_table
+from laburnumgate_placer import model
+from laburnumgate_placer import placement
+from laburnumgate_placer import progress
+from laburnumgate_placer import tables as tables_module
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Reservation:
+    """Endpoints that are kept, and the steady time until which others may.
+
+    Attributes:
+      start_ms: steady time at which the unit is expected to start.
+      endpoint_ids: endpoints that it is expected to take.
+    """
+
+    start_ms: float
+    endpoint_ids: frozenset[str]
+
+
+def plan(
+    tables: tables_module.Tables,
+    unit: progress.Unit,
+    endpoints: list[endpoint_table.EndpointState],
+    wish: placement.Wish,
+    now_ms: int,
+) -> Reservation | None:
+    """Finds the earliest time at which the unit is expected to fit.
+
+    Runs end in the order of their expected times; after each end the unit is
+    tried again. Returns None if it would not fit even then.
+    """
+    free_by_id = {s.info.endpoint_id: s.free() for s in endpoints}
+    ends: list[tuple[float, str, model.Room]] = []
+    left_by_run: dict[int, float] = {}
+    for state in endpoints:
+        for member in state.members.values():
+            run = member.run
+            left_ms = left_by_run.get(id(run))
+            if left_ms is None:
+                left_ms = _left_ms(tables, run, now_ms)
+                left_by_run[id(run)] = left_ms
+            ends.append(
+                (left_ms, state.info.endpoint_id, run.unit.step.charged)
+            )
+    ends.sort(key=lambda end: end[:2])
+    place = 0
+    while place < len(ends):
+        left_ms = ends[place][0]
+        while place < len(ends) and ends[place][0] <= left_ms:
+            _, endpoint_id, room = ends[place]
+            free_by_id[endpoint_id] = free_by_id[endpoint_id].plus(room)
+            place += 1
+        chosen = placement.choose(
+            unit, endpoints, free_by_id, tables.durations.speeds, wish
+        )
+        if chosen is not None:
+            return Reservation(now_ms + left_ms, frozenset(chosen))
+    return None
+
+
+def _left_ms(
+    tables: tables_module.Tables, run: progress.Run, now_ms: int
+) -> float:
+    if run.phase == progress.Phase.STOPPING:
+        return float(tables.bounds.stop_ms)
+    if run.unit.step.long_running:
+        return float("inf")
+    return tables.durations.remaining_ms(run, now_ms)
--- a/packages/placer/src/laburnumgate_placer/scheduling.py
+++ b/packages/placer/src/laburnumgate_placer/scheduling.py
@@ -10,6 +10,7 @@
 from laburnumgate_placer import placement
 from laburnumgate_placer import progress
 from laburnumgate_placer import reclaim
+from laburnumgate_placer import reservation
 from laburnumgate_placer import tables as tables_module
 
 _LOGGER = logging.getLogger(__name__)
@@ -17,6 +18,9 @@
 # Time kept for recording, starting and stopping when capacity is reclaimed
 # within its bound.
 RECLAIM_MARGIN_MS = 900
+# Gangs for which endpoints are kept at the same time, per pool. More would
+# leave too little for the work that fits.
+MAX_RESERVATIONS = 2
 
 
 @dataclasses.dataclass(slots=True)
@@ -27,6 +31,7 @@
     free_by_id: dict[str, model.Room]
     failed_shapes: set[tuple]
     held_ids: set[str]
+    reservations: list[reservation.Reservation]
 
 
 class Scheduler:
@@ -62,7 +67,7 @@
             service, tables.config.zones_out, now_ms
         )
         free = {s.info.endpoint_id: s.free() for s in usable}
-        return _Pool(usable, free, set(), set())
+        return _Pool(usable, free, set(), set(), [])
 
     def _place(
         self,
@@ -76,7 +81,7 @@
         if shape not in pool.failed_shapes:
             chosen = placement.choose(
                 unit,
-                self._open_to(pool),
+                self._open_to(pool, unit, now_ms),
                 pool.free_by_id,
                 self._tables.durations.speeds,
                 rank.wish(),
@@ -87,15 +92,34 @@
             pool.failed_shapes.add(shape)
         if rank.guaranteed:
             self._reclaim(pool, rank, unit, protected, now_ms)
-
-    def _open_to(self, pool: _Pool) -> list[endpoint_table.EndpointState]:
-        """Returns endpoints that no unit before this one is kept for."""
-        if not pool.held_ids:
+        if len(pool.reservations) >= MAX_RESERVATIONS:
+            return
+        if unit.size > 1 and rank.stage != ordering.Stage.TOO_LATE:
+            kept = reservation.plan(
+                self._tables, unit, pool.endpoints, rank.wish(), now_ms
+            )
+            if kept is not None:
+                pool.reservations.append(kept)
+
+    def _open_to(
+        self, pool: _Pool, unit: progress.Unit, now_ms: int
+    ) -> list[endpoint_table.EndpointState]:
+        """Returns endpoints that are kept for no unit before this one."""
+        closed = set(pool.held_ids)
+        if pool.reservations:
+            table = self._tables.durations
+            work_ms = table.expected_ms(unit.entry.job, unit.key.step)
+            for kept in pool.reservations:
+                for endpoint_id in kept.endpoint_ids:
+                    speed = table.speeds.speed(endpoint_id)
+                    if now_ms + work_ms / speed > kept.start_ms:
+                        closed.add(endpoint_id)
+        if not closed:
             return pool.endpoints
         return [
             state
             for state in pool.endpoints
-            if state.info.endpoint_id not in pool.held_ids
+            if state.info.endpoint_id not in closed
         ]
 
     def _take(
--- a/packages/placer/tests/test_scheduling.py
+++ b/packages/placer/tests/test_scheduling.py
@@ -233,3 +233,52 @@
     scheduling.Scheduler(tables).run()
     assert _run_of(urgent).members[0].endpoint_id == "e1"
     assert _run_of(batch).members[0].endpoint_id == "e0"
+
+
+def test_a_large_gang_is_not_passed_forever_by_small_work():
+    """Guards against a gang that starves while small jobs take each gap."""
+    tables = _tables(3, accounts=())
+    scheduler = scheduling.Scheduler(tables)
+    batch = _fill(tables, scheduler)
+    gang = builders.step(count=3, gpu=8, gang=True, estimate_ms=5_000)
+    large = _open(tables, "d", gang)
+    for number in range(3):
+        state = tables.endpoints.by_id[
+            _run_of(batch[number]).members[0].endpoint_id
+        ]
+        small = _open(
+            tables,
+            "123"[number],
+            builders.step(gpu=8, estimate_ms=9_000),
+        )
+        lifecycle.ended(
+            tables,
+            state,
+            builders.end(
+                _run_of(batch[number]).members[0], 1, model.EndKind.DONE
+            ),
+        )
+        scheduler.run()
+        assert _run_of(small) is None
+    assert len(_run_of(large).members) == 3
+
+
+def test_short_work_may_use_what_is_kept_for_a_gang():
+    """Guards against endpoints that idle while a gang waits for others."""
+    tables = _tables(3, accounts=())
+    scheduler = scheduling.Scheduler(tables)
+    batch = [
+        _open(tables, "a", builders.step(gpu=8, estimate_ms=20_000)),
+        _open(tables, "b", builders.step(gpu=8, estimate_ms=20_000)),
+    ]
+    scheduler.run()
+    for entry in batch:
+        builders.start(tables, _run_of(entry))
+    gang = builders.step(count=3, gpu=8, gang=True, estimate_ms=5_000)
+    _open(tables, "d", gang)
+    short = _open(tables, "e", builders.step(gpu=8, estimate_ms=1_000))
+    tables.steady.advance(1)
+    long = _open(tables, "f", builders.step(gpu=8, estimate_ms=60_000))
+    scheduler.run()
+    assert _run_of(short) is not None
+    assert _run_of(long) is None
