Replace a silent leader after 0.9 s, and write logs in chunks that pipes keep whole

Heartbeats come every 250 ms now; where a slow log spaces them out, 2.5 of the longest recent gaps have to pass instead.

--- a/packages/placer/src/laburnumgate_placer/leadership.py
+++ b/packages/placer/src/laburnumgate_placer/leadership.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+import collections
 import dataclasses
 import logging
 
@@ -18,10 +19,15 @@
 
 _LOGGER = logging.getLogger(__name__)
 
-HEARTBEAT_MS = 400
+HEARTBEAT_MS = 250
 # Without a record of the leader for this long, others claim its place: three
-# heartbeats and the answer of a slow log.
-SILENCE_MS = 1_500
+# heartbeats and their way through the log.
+SILENCE_MS = 900
+# A slow log spaces heartbeats out; this many of their recent longest gaps have
+# to pass instead, but no more than the bound.
+GAPS = 2.5
+LONGEST_SILENCE_MS = 3_000
+REMEMBERED_GAPS = 8
 APPEND_TIMEOUT_MS = 800
 CHECK_MS = 50
 
@@ -79,6 +85,9 @@
         self._confirmed_ms = 0
         self._own: Claim | None = None
         self._stopping = False
+        self._gaps_ms: collections.deque[int] = collections.deque(
+            maxlen=REMEMBERED_GAPS
+        )
 
     @property
     def own(self) -> Claim | None:
@@ -123,9 +132,13 @@
         if self._vacant:
             return silent_ms >= self._delay_ms
         # A host that cannot read the log hears no leader either.
-        if self.feed.age_ms() > SILENCE_MS:
+        if self.feed.age_ms() > self._silence_ms():
             return False
-        return silent_ms >= SILENCE_MS + self._delay_ms
+        return silent_ms >= self._silence_ms() + self._delay_ms
+
+    def _silence_ms(self) -> float:
+        gap_ms = max(self._gaps_ms, default=0)
+        return min(LONGEST_SILENCE_MS, max(SILENCE_MS, GAPS * gap_ms))
 
     async def _claim(self) -> None:
         at_offset = self.feed.next_offset
@@ -181,6 +194,7 @@
         now_ms = self._steady.now_ms()
         if kind == "claim":
             claim = Claim(host, entry.offset + 1)
+            self._gaps_ms.clear()
             self.current = claim
             self._heard_ms = now_ms
             self._vacant = False
@@ -191,6 +205,7 @@
             return
         if self.current is not None and token < self.current.token:
             return
+        self._gaps_ms.append(now_ms - self._heard_ms)
         self._heard_ms = now_ms
         if kind == "resign":
             self._vacant = True
--- a/packages/placer/src/laburnumgate_placer/telemetry.py
+++ b/packages/placer/src/laburnumgate_placer/telemetry.py
@@ -16,6 +16,8 @@
 # counted. 4,000 lines of 250 bytes are 1 MB.
 MAX_WAITING_LINES = 4_000
 FLUSH_MS = 100
+# Writes of up to this many bytes to a pipe are not mixed with others.
+CHUNK_BYTES = 4_096
 
 
 class LineQueue(logging.Handler):
@@ -41,8 +43,7 @@
         """Writes what the descriptor takes without waiting."""
         while self._rest or self._lines:
             if not self._rest:
-                self._rest = b"".join(self._lines)
-                self._lines.clear()
+                self._rest = self._chunk()
             try:
                 written = os.write(self._descriptor, self._rest)
             except BlockingIOError:
@@ -52,6 +53,14 @@
             dropped, self.dropped = self.dropped, 0
             events.emit(_LOGGER, events.Event.LINES_DROPPED, count=dropped)
 
+    def _chunk(self) -> bytes:
+        chunk = self._lines.popleft()
+        while self._lines:
+            if len(chunk) + len(self._lines[0]) > CHUNK_BYTES:
+                break
+            chunk += self._lines.popleft()
+        return chunk
+
 
 def set_up(descriptor: int, host_id: str, level: str) -> LineQueue:
     """Sends all records as JSON lines to a descriptor."""
--- /dev/null
+++ b/packages/placer/tests/test_telemetry.py
@@ -0,0 +1,53 @@
+"""Logs are bounded, and never block."""
+
+import logging
+import os
+
+from laburnumgate_placer import telemetry
+
+
+def _queue():
+    reader, writer = os.pipe()
+    queue = telemetry.LineQueue(writer)
+    queue.setFormatter(logging.Formatter("%(message)s"))
+    return reader, queue
+
+
+def _record(text):
+    return logging.LogRecord("n", logging.INFO, "p", 1, text, None, None)
+
+
+def test_a_reader_that_does_not_read_blocks_nobody():
+    """Guards against a host that stops because its log is not read."""
+    reader, queue = _queue()
+    for number in range(3 * telemetry.MAX_WAITING_LINES):
+        queue.emit(_record(f"{number} " + "x" * 100))
+        if number % 100 == 0:
+            queue.write()
+    assert queue.dropped > 0
+    os.close(reader)
+
+
+def test_lines_come_out_whole_and_in_order():
+    """Guards against lines that are cut where one write ends."""
+    reader, queue = _queue()
+    lines = [f"{number} " + "x" * (number % 300) for number in range(300)]
+    for line in lines:
+        queue.emit(_record(line))
+    read = b""
+    while len(read) < sum(len(line) + 1 for line in lines):
+        queue.write()
+        read += os.read(reader, 10_000)
+    assert read.decode().splitlines() == lines
+
+
+def test_no_write_is_longer_than_a_pipe_keeps_together():
+    """Guards against lines of two processes that are mixed."""
+    reader, queue = _queue()
+    for number in range(200):
+        queue.emit(_record("x" * 90))
+    sizes = []
+    while queue._lines:
+        sizes.append(len(queue._chunk()))
+    assert max(sizes) <= telemetry.CHUNK_BYTES
+    os.close(reader)
