--- a/packages/placer/src/laburnumgate_placer/leadership.py
+++ b/packages/placer/src/laburnumgate_placer/leadership.py
@@ -28,6 +28,8 @@
 GAPS = 2.5
 LONGEST_SILENCE_MS = 3_000
 REMEMBERED_GAPS = 8
+# Silence has to be proved by reads that are younger than itself.
+READ_WAIT_MS = 350
 APPEND_TIMEOUT_MS = 800
 CHECK_MS = 50
 
@@ -71,7 +73,7 @@
             steady,
             topics.LEADER,
             self._apply,
-            wait_ms=1_000,
+            wait_ms=READ_WAIT_MS,
             keyed=False,
         )
         self.current: Claim | None = None
--- a/packages/placer/tests/test_telemetry.py
+++ b/packages/placer/tests/test_telemetry.py
@@ -44,7 +44,7 @@
 def test_no_write_is_longer_than_a_pipe_keeps_together():
     """Guards against lines of two processes that are mixed."""
     reader, queue = _queue()
-    for number in range(200):
+    for _ in range(200):
         queue.emit(_record("x" * 90))
     sizes = []
     while queue._lines:
