--- a/packages/placer/src/laburnumgate_placer/leader.py
+++ b/packages/placer/src/laburnumgate_placer/leader.py
@@ -6,6 +6,7 @@
 import logging
 
 from laburnumgate_core import clock
+import orjson
 
 from laburnumgate_placer import config_table
 from laburnumgate_placer import endpoint_table
@@ -41,6 +42,8 @@
 FENCE_TIMEOUT_MS = 800
 # Jobs that ended are dropped from the log at this pace.
 CLEAN_UP_MS = 20_000
+# Speeds are recorded this often while they change.
+SAVE_SPEEDS_MS = 2_000
 
 
 class OvertakenError(Exception):
@@ -113,6 +116,7 @@
             )
             self._spawn(self._record_forever())
             self._spawn(self._clean_up_forever())
+            self._spawn(self._save_speeds_forever())
             await self._place_forever()
         finally:
             metrics.LEADING.set({}, 0)
@@ -185,6 +189,7 @@
 
     def _restore(self, progress_by_id: dict[str, bytes]) -> None:
         tables = self.tables
+        self._restore_speeds(progress_by_id.pop(topics.SPEEDS_KEY, None))
         now_ms = tables.steady.now_ms()
         for job_id, job in tables.jobs.jobs_by_id.items():
             recorded = tables.jobs.recorded(job_id)
@@ -210,6 +215,20 @@
             elif entry.finished():
                 lifecycle.set_state(tables, entry, model.JobState.COMPLETED)
 
+    def _restore_speeds(self, value: bytes | None) -> None:
+        if value is None:
+            return
+        try:
+            self.tables.durations.speeds.restore(orjson.loads(value))
+        except (ValueError, TypeError, AttributeError) as error:
+            events.emit(
+                _LOGGER,
+                events.Event.RECORD_SKIPPED,
+                topic=topics.PROGRESS,
+                key=topics.SPEEDS_KEY,
+                reason=str(error),
+            )
+
     def _restore_entry(
         self, entry: progress.JobEntry, value: bytes | None, now_ms: int
     ) -> None:
@@ -434,6 +453,15 @@
             for run in runs:
                 self._spawn(self._orders.launch(run))
 
+    async def _save_speeds_forever(self) -> None:
+        saved: dict[str, float] = {}
+        while True:
+            await asyncio.sleep(SAVE_SPEEDS_MS / 1000)
+            speeds = self.tables.durations.speeds.dump()
+            if speeds != saved:
+                await self._recorder.save_speeds()
+                saved = speeds
+
     async def _clean_up_forever(self) -> None:
         while True:
             await asyncio.sleep(CLEAN_UP_MS / 1000)
--- a/packages/placer/src/laburnumgate_placer/recorder.py
+++ b/packages/placer/src/laburnumgate_placer/recorder.py
@@ -3,6 +3,8 @@
 import asyncio
 import logging
 
+import orjson
+
 from laburnumgate_placer import lifecycle
 from laburnumgate_placer import metrics
 from laburnumgate_placer import model
@@ -75,6 +77,12 @@
         lifecycle.close_ended(tables)
         return runs
 
+    async def save_speeds(self) -> None:
+        """Records the endpoints' speeds for the next leader."""
+        value = orjson.dumps(self._tables.durations.speeds.dump())
+        record = records.keyed(topics.SPEEDS_KEY, value)
+        await self._append(topics.PROGRESS, [record])
+
     async def drop(self, job_ids: list[str]) -> None:
         """Removes jobs that ended long ago from the jobs topic."""
         dropped = []
--- a/packages/placer/src/laburnumgate_placer/topics.py
+++ b/packages/placer/src/laburnumgate_placer/topics.py
@@ -4,5 +4,8 @@
 JOBS = "keyed.laburnumgate-jobs"
 # Runs of each open job; only the leader reads it, when it takes over.
 PROGRESS = "keyed.laburnumgate-progress"
+# Key in the progress topic under which endpoints' speeds are kept; job ids
+# are hexadecimal, so that it cannot be one.
+SPEEDS_KEY = "speeds"
 # Claims and heartbeats of the leader.
 LEADER = "laburnumgate-leader"
