Add a fault soak of real processes, and drop progress only after a job's end is stored

Ruled out: the fence and the sequence numbers of the store. An end without a stored state, as after the last failed attempt, is restored from the progress record.

--- /dev/null
+++ b/deploy/tests/soak.py
@@ -0,0 +1,485 @@
+"""Runs real hosts against stand-ins and injects faults from outside them."""
+
+import asyncio
+import os
+import pathlib
+import random
+import shutil
+import signal
+import socket
+import sys
+import tempfile
+import time
+
+import aiohttp
+from aiohttp import web
+import click
+import orjson
+import standin_store
+import standin_worker
+
+_ROOT = pathlib.Path(__file__).resolve().parents[2]
+_KEY = "soak-key"
+_HOSTNAME = "soak.example"
+# Bounds of the promises, in seconds, as the settings below give them.
+_FINISH_S = 45.0
+_FAULTS = (
+    "kill",
+    "kill_all",
+    "stop",
+    "term",
+    "hup",
+    "store_link",
+    "worker_link",
+    "reset",
+    "reborn",
+    "lose",
+    "late",
+    "refuse",
+    "slow",
+    "orders",
+    "history",
+)
+_SETTINGS = """
+node_name = "{name}"
+zone = "{zone}"
+ip = "127.0.0.1"
+port_range = [{metrics}, {metrics}]
+bootstrap = {first}
+[listen_addrs]
+front = "127.0.0.1:{front}"
+ready_addr = "127.0.0.1:{ready}"
+[limits]
+cpu_share = 1.0
+cores = {cores}
+[bounds]
+max_hold_ms = 3000
+stop_timeout_ms = 200
+gang_timeout_ms = 3000
+reclaim_ms = 2700
+revoke_ms = 5000
+visible_ms = 3000
+grace_s = 4
+[platform]
+address = "127.0.0.1:{store}"
+"""
+
+
+class Proxy:
+    """Forwards connections to a port, and disturbs them on demand.
+
+    Attributes:
+      mode: None, or `delay`, `silent`, `one_way` or `refuse`.
+    """
+
+    def __init__(self, target: int):
+        self.target = target
+        self.mode: str | None = None
+        self.port = 0
+        self._writers: set[asyncio.StreamWriter] = set()
+
+    async def start(self) -> None:
+        """Listens on a free port."""
+        server = await asyncio.start_server(self._serve, "127.0.0.1", 0)
+        self.port = server.sockets[0].getsockname()[1]
+
+    def reset(self) -> None:
+        """Resets all connections."""
+        for writer in list(self._writers):
+            writer.transport.abort()
+
+    async def _serve(self, reader, writer) -> None:
+        if self.mode == "refuse":
+            writer.transport.abort()
+            return
+        try:
+            far_reader, far_writer = await asyncio.open_connection(
+                "127.0.0.1", self.target
+            )
+        except OSError:
+            writer.transport.abort()
+            return
+        self._writers |= {writer, far_writer}
+        await asyncio.gather(
+            self._pump(reader, far_writer, False),
+            self._pump(far_reader, writer, True),
+        )
+        self._writers -= {writer, far_writer}
+
+    async def _pump(self, reader, writer, back: bool) -> None:
+        try:
+            while data := await reader.read(65_536):
+                # What is held back by a cut is lost with the connection.
+                while self.mode == "silent" or (
+                    back and self.mode == "one_way"
+                ):
+                    await asyncio.sleep(0.05)
+                if self.mode == "delay":
+                    await asyncio.sleep(0.15)
+                writer.write(data)
+                await writer.drain()
+        except (ConnectionError, OSError):
+            pass  # A disturbed connection ends like this on purpose.
+        finally:
+            writer.close()
+
+
+class HostProcess:
+    """One real host, started and stopped by its id."""
+
+    def __init__(self, folder: pathlib.Path, name: str, values: dict):
+        self.name = name
+        self.values = values
+        self.front = values["front"]
+        self._path = folder / f"{name}.toml"
+        self._log = folder / f"{name}.log"
+        self._process: asyncio.subprocess.Process | None = None
+
+    async def start(self, first: bool = False) -> None:
+        """Starts the program with settings of its own."""
+        text = _SETTINGS.format(**self.values, first=str(first).lower())
+        self._path.write_text(text)
+        with self._log.open("ab") as log:
+            self._process = await asyncio.create_subprocess_exec(
+                sys.executable,
+                str(_ROOT / "platform" / "laburnumgated.py"),
+                env={**os.environ, "LABURNUMGATE_BOOT": str(self._path)},
+                stdout=log,
+                stderr=log,
+            )
+
+    def send(self, number: signal.Signals) -> None:
+        """Sends a signal if the process is there."""
+        if self._process and self._process.returncode is None:
+            self._process.send_signal(number)
+
+    async def restart(self, number: signal.Signals) -> None:
+        """Ends the process by a signal and starts it again."""
+        self.send(number)
+        await self._process.wait()
+        await asyncio.sleep(0.1)
+        await self.start()
+
+    async def end(self) -> None:
+        """Ends the process for good."""
+        self.send(signal.SIGCONT)
+        self.send(signal.SIGKILL)
+        if self._process:
+            await self._process.wait()
+
+
+class Soak:
+    """One seeded run."""
+
+    def __init__(self, seed: int, hosts: int, workers: int):
+        self.rng = random.Random(seed)
+        self.folder = pathlib.Path(tempfile.mkdtemp(prefix="soak-"))
+        self.store = standin_store.Store(self.rng)
+        self.fleet = standin_worker.Fleet(self.rng)
+        self.host_count = hosts
+        self.worker_count = workers
+        self.hosts: list[HostProcess] = []
+        self.store_proxies: list[Proxy] = []
+        self.worker_proxies: list[Proxy] = []
+        self.answers: dict[str, list[int]] = {}
+        self.cancelled: set[str] = set()
+        self.cut_off: list[str] = []
+        self.faults: list[str] = []
+        self._tasks: set[asyncio.Task] = set()
+
+    async def run(self, seconds: float) -> list[str]:
+        """Runs under faults, heals, and returns the broken promises."""
+        try:
+            await self._set_up()
+            async with aiohttp.ClientSession(
+                timeout=aiohttp.ClientTimeout(total=4)
+            ) as session:
+                until = time.monotonic() + seconds
+                await asyncio.gather(
+                    self._submit_until(session, until),
+                    self._disturb_until(until),
+                )
+                self._heal()
+                return await self._settle(session)
+        finally:
+            for host in self.hosts:
+                await host.end()
+            for task in self._tasks:
+                task.cancel()
+
+    async def _set_up(self) -> None:
+        store_port = await self._listen(self.store.handle)
+        config = {
+            "version": 1,
+            "routes": [
+                {
+                    "name": "jobs",
+                    "hostname": _HOSTNAME,
+                    "path_prefix": "/jobs/",
+                    "service": "pool",
+                    "priority": 1,
+                    "attempts": 4,
+                    "stretch": 3.0,
+                }
+            ],
+            "tenants": [{"name": "t", "api_keys": [_KEY]}],
+        }
+        self.store.put("keyed.op", "config", orjson.dumps(config))
+        for number in range(self.worker_count):
+            worker = standin_worker.Worker(
+                self.fleet, f"w{number}", 8, self.rng.uniform(0.98, 1.02)
+            )
+            proxy = Proxy(await self._listen(worker.handle))
+            await proxy.start()
+            self.worker_proxies.append(proxy)
+        self._spawn(self._beat())
+        self._spawn(self._tick())
+        for number in range(self.host_count):
+            proxy = Proxy(store_port)
+            await proxy.start()
+            self.store_proxies.append(proxy)
+            values = {
+                "name": f"h{number}",
+                "zone": f"z{number % 3}",
+                "store": proxy.port,
+                "cores": 1 + number % 2,
+                "front": _free_port(),
+                "ready": _free_port(),
+                "metrics": _free_port(),
+            }
+            host = HostProcess(self.folder, f"h{number}", values)
+            self.hosts.append(host)
+            await host.start(first=True)
+
+    async def _listen(self, handle) -> int:
+        loop = asyncio.get_running_loop()
+        server = web.Server(handle, access_log=None)
+        listener = await loop.create_server(server, "127.0.0.1", 0)
+        return listener.sockets[0].getsockname()[1]
+
+    async def _beat(self) -> None:
+        """Keeps the workers' entries in the live list."""
+        while True:
+            for number, worker in enumerate(self.fleet.workers):
+                entry = {
+                    "service": "pool",
+                    "address": f"127.0.0.1:{self.worker_proxies[number].port}",
+                    "zone": f"z{number % 3}",
+                    "state": "ready",
+                    "capacity": {
+                        "cpu": 32_000,
+                        "mem_mb": 64_000,
+                        "gpu": worker.gpu,
+                    },
+                    "labels": ["k", f"r{number % 3}"],
+                    "born": worker.born,
+                    "machine": f"m{number}",
+                }
+                self.store.put("keyed.servers", worker.id, orjson.dumps(entry))
+            await asyncio.sleep(1.5)
+
+    async def _tick(self) -> None:
+        while True:
+            self.fleet.tick()
+            await asyncio.sleep(0.02)
+
+    async def _submit_until(self, session, until: float) -> None:
+        while time.monotonic() < until:
+            self._spawn(
+                self._client(session, f"{self.rng.getrandbits(64):016x}")
+            )
+            await asyncio.sleep(self.rng.uniform(0.1, 0.5))
+
+    async def _client(self, session, job_id: str) -> None:
+        """Submits a job as the platform's clients do, with four retries."""
+        gang = self.rng.random() < 0.5
+        counts = [self.rng.randint(1, 4) for _ in range(self.rng.randint(1, 2))]
+        gpu = self.rng.choice([1, 2, 4, 8])
+        spec = {
+            "s": self.rng.uniform(0.2, 2.0),
+            "gang": gang,
+            "counts": counts,
+            "gpu": gpu,
+            "after": {"1": [0]} if len(counts) > 1 else {},
+        }
+        steps = [
+            {
+                "count": count,
+                "cpu": 1_000,
+                "gpu": gpu,
+                "gang": gang,
+                "est_duration_ms": int(spec["s"] * 1_000),
+                "after": [0] if number else [],
+            }
+            for number, count in enumerate(counts)
+        ]
+        body = {"task_spec": orjson.dumps(spec).decode(), "steps": steps}
+        for _ in range(5):
+            status = await self._call(session, "POST", job_id, body)
+            self.answers.setdefault(job_id, []).append(status)
+            if status == 200:
+                break
+            await asyncio.sleep(0.5)
+        if self.rng.random() < 0.1:
+            await asyncio.sleep(self.rng.uniform(0, 2))
+            if await self._call(session, "DELETE", job_id) == 200:
+                self.cancelled.add(job_id)
+
+    async def _call(self, session, method, job_id, body=None) -> int:
+        """Returns the status, or 0 if no whole answer came."""
+        host = self.rng.choice(self.hosts)
+        try:
+            async with session.request(
+                method,
+                f"http://127.0.0.1:{host.front}/jobs/{job_id}",
+                data=orjson.dumps(body) if body else None,
+                headers={
+                    "Host": _HOSTNAME,
+                    "X-Laburnumgate-Credential": _KEY,
+                    "X-Laburnumgate-Deadline-Ms": "3000",
+                },
+            ) as response:
+                raw = await response.read()
+                if method == "GET" and response.status == 200:
+                    return orjson.loads(raw)["state"]
+                return response.status
+        except (aiohttp.ClientError, TimeoutError, OSError):
+            return 0
+
+    async def _disturb_until(self, until: float) -> None:
+        await asyncio.sleep(2.0)
+        while time.monotonic() < until:
+            self._spawn(self._disturb())
+            await asyncio.sleep(self.rng.uniform(0.3, 2.5))
+
+    async def _disturb(self) -> None:
+        """Injects one fault and takes it back."""
+        rng = self.rng
+        kind = rng.choice(_FAULTS)
+        for_s = rng.uniform(0.5, 4.5)
+        host = rng.choice(self.hosts)
+        mode = rng.choice(["delay", "silent", "one_way", "refuse"])
+        self.faults.append(f"{kind} {host.name} {mode} {for_s:.1f} s")
+        match kind:
+            case "kill":
+                await host.restart(signal.SIGKILL)
+            case "term":
+                await host.restart(signal.SIGTERM)
+            case "kill_all":
+                if rng.random() < 0.3:
+                    await asyncio.gather(
+                        *(h.restart(signal.SIGKILL) for h in self.hosts)
+                    )
+            case "hup":
+                host.send(signal.SIGHUP)
+            case "stop":
+                host.send(signal.SIGSTOP)
+                await asyncio.sleep(for_s)
+                host.send(signal.SIGCONT)
+            case "store_link":
+                await self._hold(rng.choice(self.store_proxies), mode, for_s)
+            case "worker_link":
+                await self._hold(rng.choice(self.worker_proxies), mode, for_s)
+            case "reset":
+                rng.choice(self.store_proxies + self.worker_proxies).reset()
+            case "reborn":
+                rng.choice(self.fleet.workers).restart()
+            case "lose" | "refuse" | "late":
+                setattr(self.store, kind, rng.uniform(0.1, 0.6))
+                await asyncio.sleep(for_s)
+                setattr(self.store, kind, 0.0)
+            case "slow":
+                self.store.delay_s = rng.uniform(0.05, 0.25)
+                await asyncio.sleep(for_s)
+                self.store.delay_s = 0.0
+            case "orders":
+                self.fleet.late = rng.uniform(0.1, 0.4)
+                await asyncio.sleep(for_s)
+                self.fleet.late = 0.0
+            case "history":
+                self.store.drop_history()
+
+    async def _hold(self, proxy: Proxy, mode: str, for_s: float) -> None:
+        proxy.mode = mode
+        await asyncio.sleep(for_s)
+        proxy.mode = None
+        if self.rng.random() < 0.5:
+            proxy.reset()
+
+    def _heal(self) -> None:
+        for proxy in self.store_proxies + self.worker_proxies:
+            proxy.mode = None
+        self.store.lose = self.store.refuse = self.store.late = 0.0
+        self.store.delay_s = self.fleet.late = 0.0
+        for host in self.hosts:
+            host.send(signal.SIGCONT)
+
+    async def _settle(self, session) -> list[str]:
+        """Waits for all accepted jobs and checks what callers were told."""
+        accepted = {j for j, a in self.answers.items() if 200 in a}
+        open_jobs = set(accepted)
+        last: dict[str, object] = {}
+        until = time.monotonic() + _FINISH_S
+        while open_jobs and time.monotonic() < until:
+            self._heal()
+            for job_id in sorted(open_jobs):
+                state = await self._call(session, "GET", job_id)
+                last[job_id] = state
+                if state in ("completed", "failed", "cancelled"):
+                    open_jobs.discard(job_id)
+            await asyncio.sleep(0.3)
+        broken = list(self.fleet.violations)
+        for job_id in sorted(open_jobs):
+            broken.append(f"{job_id} was accepted and is {last[job_id]}")
+        for job_id, answers in self.answers.items():
+            refused = all(a in (429, 503) for a in answers)
+            if refused and job_id in self.fleet.started:
+                broken.append(f"{job_id} was refused and ran")
+        return broken
+
+    def _spawn(self, work) -> None:
+        task = asyncio.create_task(work)
+        self._tasks.add(task)
+        task.add_done_callback(self._tasks.discard)
+
+
+def _free_port() -> int:
+    with socket.socket() as probe:
+        probe.bind(("127.0.0.1", 0))
+        return probe.getsockname()[1]
+
+
+def run_seed(
+    seed: int, seconds: float, hosts: int = 4, workers: int = 6
+) -> list[str]:
+    """Runs one seed; keeps the hosts' logs if a promise was broken."""
+    soak = Soak(seed, hosts, workers)
+    broken = asyncio.run(soak.run(seconds))
+    if broken:
+        broken.append(f"logs in {soak.folder}; faults: {soak.faults}")
+    else:
+        shutil.rmtree(soak.folder)
+    return broken
+
+
+@click.command()
+@click.option("--seed", default=0, help="First seed; 0 draws one.")
+@click.option("--seeds", default=1, help="Number of seeds.")
+@click.option("--seconds", default=15.0, help="Time under faults.")
+@click.option("--hosts", default=4)
+@click.option("--workers", default=6)
+def main(seed, seeds, seconds, hosts, workers) -> None:
+    """Runs seeds one after the other and reports each."""
+    seed = seed or random.SystemRandom().randrange(1, 10**6)
+    failed = 0
+    for number in range(seed, seed + seeds):
+        broken = run_seed(number, seconds, hosts, workers)
+        failed += bool(broken)
+        click.echo(f"seed {number}: {'broken' if broken else 'kept'}")
+        for line in broken:
+            click.echo(f"  {line}")
+    sys.exit(1 if failed else 0)
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/deploy/tests/standin_store.py
@@ -0,0 +1,168 @@
+"""A small stand-in of the platform's store, with faults."""
+
+import asyncio
+import base64
+import struct
+import time
+
+from aiohttp import web
+import orjson
+
+
+class Store:
+    """Topics of one partition over HTTP.
+
+    Attributes:
+      lose: share of the appends that are done and never answered.
+      refuse: share of the calls that are refused with 503.
+      delay_s: time that each call takes in addition.
+      late: share of the appends that are done a second later, unanswered.
+    """
+
+    def __init__(self, rng):
+        self.rng = rng
+        self.topics: dict[str, list[bytes]] = {}
+        self.first: dict[str, int] = {}
+        self.lose = 0.0
+        self.refuse = 0.0
+        self.late = 0.0
+        self.delay_s = 0.0
+        self._epochs: dict[tuple, int] = {}
+        self._numbers: dict[tuple, int] = {}
+        self._answers: dict[tuple, dict] = {}
+        self._grown = asyncio.Event()
+        self._tasks = set()
+
+    def put(self, topic: str, key: str, value: bytes) -> None:
+        """Writes a keyed record, as operators and workers do."""
+        encoded = key.encode()
+        self._add(topic, bytes([len(encoded)]) + encoded + value)
+
+    def drop_history(self) -> None:
+        """Deletes all records but the newest of each key."""
+        for topic, records in self.topics.items():
+            self.first[topic] = len(records)
+
+    async def handle(self, request: web.BaseRequest) -> web.Response:
+        """Answers one call."""
+        await asyncio.sleep(0.002 + self.delay_s)
+        if self.rng.random() < self.refuse:
+            return web.Response(status=503)
+        query = request.query
+        match request.path:
+            case "/-/log-append":
+                try:
+                    body = await request.read()
+                except ConnectionResetError:
+                    return web.Response(status=400)
+                return await self._append(query, body)
+            case "/-/log-read":
+                return await self._read(query)
+            case "/-/log-newest":
+                return self._newest(query)
+        return web.Response(status=404)
+
+    async def _append(self, query, body) -> web.Response:
+        if body and self.rng.random() < self.late:
+            task = asyncio.create_task(self._append_late(query, body))
+            self._tasks.add(task)
+            await asyncio.sleep(30)
+        status, answer = self._apply(query, body)
+        if status == 200 and self.rng.random() < self.lose:
+            await asyncio.sleep(30)
+        return _json(answer, status)
+
+    async def _append_late(self, query, body) -> None:
+        await asyncio.sleep(1.0)
+        self._apply(query, body)
+
+    def _apply(self, query, body) -> tuple[int, dict]:
+        topic = query["topic"]
+        end = len(self.topics.get(topic, []))
+        if "at" in query and int(query["at"]) != end:
+            return 412, {"end_offset": end}
+        who = None
+        if "producer" in query:
+            who = (topic, query["producer"])
+            epoch, number = int(query["epoch"]), int(query["seq_no"])
+            if epoch < self._epochs.get(who, 0):
+                return 409, {"reason": "fenced"}
+            if epoch > self._epochs.get(who, -1):
+                self._epochs[who] = epoch
+                self._numbers[who] = number - 1
+            if body and (*who, epoch, number) in self._answers:
+                return 200, self._answers[(*who, epoch, number)]
+            if body and number != self._numbers[who] + 1:
+                return 409, {
+                    "reason": "seq",
+                    "seq_no": self._numbers[who] + 1,
+                }
+        place = 0
+        while place < len(body):
+            (length,) = struct.unpack_from(">I", body, place)
+            self._add(topic, body[place + 4 : place + 4 + length])
+            place += 4 + length
+        answer = {"offset": end, "end_offset": len(self.topics.get(topic, []))}
+        if who is not None and body:
+            self._numbers[who] = number
+            self._answers[(*who, epoch, number)] = answer
+        return 200, answer
+
+    def _add(self, topic: str, record: bytes) -> None:
+        self.topics.setdefault(topic, []).append(record)
+        self._grown.set()
+        self._grown = asyncio.Event()
+
+    async def _read(self, query) -> web.Response:
+        topic, start = query["topic"], int(query["from"])
+        first = self.first.get(topic, 0)
+        if start < first:
+            return _json({"first_offset": first}, 410)
+        until = time.monotonic() + int(query.get("wait_ms", 0)) / 1000
+        while len(self.topics.get(topic, [])) <= start:
+            left = until - time.monotonic()
+            if left <= 0:
+                break
+            grown = self._grown
+            try:
+                async with asyncio.timeout(left):
+                    await grown.wait()
+            except TimeoutError:
+                break
+        records = self.topics.get(topic, [])
+        body = struct.pack(">QQ", len(records), first)
+        for record in records[start:]:
+            body += struct.pack(">I", len(record)) + record
+        return web.Response(body=body)
+
+    def _newest(self, query) -> web.Response:
+        records = self.topics.get(query["topic"], [])
+        newest = {}
+        for offset, record in enumerate(records):
+            key = record[1 : 1 + record[0]].decode()
+            newest[key] = (record[1 + record[0] :], offset)
+        after = query.get("after", "")
+        keys = [k for k in sorted(newest) if k > after and newest[k][0]]
+        items = [
+            {
+                "key": key,
+                "value": base64.b64encode(newest[key][0]).decode(),
+                "offset": newest[key][1],
+            }
+            for key in keys[:50]
+        ]
+        return _json(
+            {
+                "items": items,
+                "has_more": len(keys) > 50,
+                "end_offset": len(records),
+            }
+        )
+
+
+def _json(content: dict, status: int = 200) -> web.Response:
+    return web.Response(
+        body=orjson.dumps(content),
+        status=status,
+        content_type="application/json",
+    )
--- /dev/null
+++ b/deploy/tests/standin_worker.py
@@ -0,0 +1,238 @@
+"""Stand-ins of workers that check the promises while they run."""
+
+import asyncio
+import dataclasses
+import time
+
+from aiohttp import web
+import orjson
+
+GANG_S = 3.0
+LONGEST_LEASE_S = 3.0
+
+
+@dataclasses.dataclass(eq=False)
+class Run:
+    """A run of a task on a worker."""
+
+    task: str
+    number: int
+    spec: dict
+    worker: "Worker"
+    done_at: float = 0.0
+    present_at: float = dataclasses.field(default_factory=time.monotonic)
+
+    @property
+    def gang(self) -> tuple:
+        """What the members of one gang share."""
+        return (self.task.rpartition(".")[0], self.number)
+
+
+class Fleet:
+    """All workers, and what must never happen on them."""
+
+    def __init__(self, rng):
+        self.rng = rng
+        self.workers: list[Worker] = []
+        self.violations: list[str] = []
+        self.done: set[str] = set()
+        self.acked_done: set[str] = set()
+        self.started: set[str] = set()
+        self.ends: dict[str, int] = {}
+        self.late = 0.0
+
+    def started_run(self, run: Run) -> None:
+        """Checks a start against everything that runs or has ended."""
+        job_id, occurrence, step, _ = run.task.split(".")
+        self.started.add(job_id)
+        for worker in self.workers:
+            for other in worker.running.values():
+                if other is not run and other.task == run.task:
+                    self._fault(
+                        run, f"also runs as run {other.number} on {worker.id}"
+                    )
+        if run.task in self.acked_done:
+            self._fault(run, "had ended as done")
+        for before in run.spec.get("after", {}).get(step, []):
+            for index in range(run.spec["counts"][before]):
+                name = f"{job_id}.{occurrence}.{before}.{index}"
+                if name not in self.done:
+                    self._fault(run, f"started before {name} was done")
+        used = sum(r.spec["gpu"] for r in run.worker.running.values())
+        if used > run.worker.gpu:
+            self._fault(run, f"brings its worker to {used} accelerators")
+
+    def tick(self) -> None:
+        """Moves time on for all runs."""
+        now = time.monotonic()
+        gangs: dict[tuple, list[Run]] = {}
+        for worker in self.workers:
+            worker.expire(now)
+            for run in list(worker.running.values()):
+                if run.spec["gang"]:
+                    gangs.setdefault(run.gang, []).append(run)
+                elif now - run.present_at >= run.spec["s"]:
+                    worker.end(run, self._how())
+        for members in gangs.values():
+            self._gang(members, now)
+
+    def _gang(self, members: list[Run], now: float) -> None:
+        step = members[0].task.split(".")[2]
+        size = members[0].spec["counts"][int(step)]
+        began = max(run.present_at for run in members)
+        if len(members) == size and now - began >= members[0].spec["s"]:
+            how = self._how()
+            for run in members:
+                run.worker.end(run, how)
+                if how == "failed":
+                    how = "broken"
+            return
+        whole = getattr(members[0], "whole", False)
+        if len(members) == size:
+            for run in members:
+                run.whole = True
+        elif whole:
+            for run in members:
+                run.worker.end(run, "broken")
+        elif now - min(r.present_at for r in members) > GANG_S:
+            for run in members:
+                run.worker.end(run, "alone")
+
+    def _how(self) -> str:
+        return "failed" if self.rng.random() < 0.05 else "done"
+
+    def _fault(self, run: Run, text: str) -> None:
+        self.violations.append(
+            f"{run.task} run {run.number} on {run.worker.id}: {text}"
+        )
+
+
+class Worker:
+    """One worker: leases, fences, runs, and their ends."""
+
+    def __init__(self, fleet: Fleet, worker_id: str, gpu: int, rate: float):
+        self.fleet = fleet
+        self.id = worker_id
+        self.gpu = gpu
+        self.rate = rate
+        self.born = int(time.time() * 1000)
+        self._began = time.monotonic()
+        self._forget()
+        fleet.workers.append(self)
+
+    def _forget(self) -> None:
+        self.token = 0
+        self.lease_s = 0.0
+        self.running: dict[tuple, Run] = {}
+        self.ended: list[list] = []
+        self.highest: dict[str, int] = {}
+        self.next_end = 1
+        self._began = time.monotonic()
+
+    def restart(self) -> None:
+        """Begins a new life under the same id."""
+        self.born = int(time.time() * 1000)
+        self._forget()
+
+    def clock_s(self) -> float:
+        """Returns the worker's own clock."""
+        return (time.monotonic() - self._began) * self.rate
+
+    def expire(self, now: float) -> None:
+        """Ends everything once the lease is over."""
+        if self.running and self.clock_s() > self.lease_s:
+            for run in list(self.running.values()):
+                self.end(run, "lapsed")
+
+    def end(self, run: Run, how: str) -> None:
+        """Ends a run and lists its end."""
+        if self.running.pop((run.task, run.number), None) is None:
+            return
+        self.highest[run.task] = max(run.number, self.highest.get(run.task, 0))
+        if how == "done":
+            self.fleet.done.add(run.task)
+            if run.spec["gang"]:
+                step = run.task.rpartition(".")[0]
+                size = run.spec["counts"][int(step.split(".")[2])]
+                self.fleet.done.update(f"{step}.{n}" for n in range(size))
+        self.ended.append([self.next_end, run.task, run.number, how, ""])
+        self.next_end += 1
+        self.fleet.ends[how] = self.fleet.ends.get(how, 0) + 1
+
+    async def handle(self, request: web.BaseRequest) -> web.Response:
+        """Answers one call."""
+        body = orjson.loads(await request.read())
+        expected = request.headers.get("X-Laburnumgate-Expect-Instance")
+        if expected != self.id:
+            return web.Response(status=421)
+        if request.path == "/-/hold":
+            return await self._hold(body)
+        if self.fleet.rng.random() < self.fleet.late:
+            # Carried out seconds later, and never answered.
+            await asyncio.sleep(self.fleet.rng.uniform(0.5, 2.5))
+            self._order(request.path, body)
+            await asyncio.sleep(30)
+        status, answer = self._order(request.path, body)
+        return self._answer(answer, status)
+
+    def _order(self, path: str, body: dict) -> tuple[int, dict]:
+        if not self._fence(body):
+            return 409, {"reason": "fence"}
+        key = (body["task"], body["run_id"])
+        if path == "/-/run-stop":
+            if key in self.running:
+                self.end(self.running[key], "stopped")
+            self.highest[key[0]] = max(key[1], self.highest.get(key[0], 0))
+            return 200, {}
+        if body["deadline_ms"] / 1000 <= self.clock_s():
+            return 409, {"reason": "late"}
+        self._lease(body)
+        if key in self.running:
+            return 200, {}
+        if self.highest.get(key[0], 0) >= key[1]:
+            return 409, {"reason": "old"}
+        run = Run(*key, orjson.loads(body["task_spec"]), self)
+        self.running[key] = run
+        self.fleet.started_run(run)
+        return 200, {}
+
+    async def _hold(self, body: dict) -> web.Response:
+        if not self._fence(body):
+            return self._answer({"reason": "fence"}, 409)
+        self._lease(body)
+        for row in self.ended:
+            if row[0] <= body["ack_cursor"] and row[3] == "done":
+                self.fleet.acked_done.add(row[1])
+        self.ended = [r for r in self.ended if r[0] > body["ack_cursor"]]
+        until = time.monotonic() + body.get("wait_ms", 0) / 1000
+        while not self.ended and time.monotonic() < until:
+            await asyncio.sleep(0.02)
+        running = [
+            [r.task, r.number, "", self._percent(r), 0]
+            for r in self.running.values()
+        ]
+        return self._answer({"running": running, "ended": self.ended})
+
+    def _percent(self, run: Run) -> int:
+        worked = time.monotonic() - run.present_at
+        return min(100, int(100 * worked / run.spec["s"]))
+
+    def _fence(self, body: dict) -> bool:
+        if body["fencing_token"] < self.token:
+            return False
+        self.token = body["fencing_token"]
+        return True
+
+    def _lease(self, body: dict) -> None:
+        if body.get("deadline_ms"):
+            wanted = body["deadline_ms"] / 1000
+            longest = self.clock_s() + LONGEST_LEASE_S
+            self.lease_s = max(self.lease_s, min(wanted, longest))
+
+    def _answer(self, content: dict, status: int = 200) -> web.Response:
+        content |= {"clock_ms": int(self.clock_s() * 1000), "born": self.born}
+        return web.Response(
+            body=orjson.dumps(content),
+            status=status,
+            content_type="application/json",
+        )
--- a/packages/placer/src/laburnumgate_placer/leader.py
+++ b/packages/placer/src/laburnumgate_placer/leader.py
@@ -202,7 +202,7 @@
             waited_ms = max(0, tables.wall.now_ms() - job.accepted_ms)
             entry.arrived_ms = now_ms - waited_ms
             self._restore_entry(entry, value, now_ms)
-            if recorded is not None:
+            if recorded is not None and recorded.state.final:
                 entry.state = recorded.state
             tables.entries_by_id[job_id] = entry
             self._adopt(entry)
--- a/packages/placer/src/laburnumgate_placer/lifecycle.py
+++ b/packages/placer/src/laburnumgate_placer/lifecycle.py
@@ -214,13 +214,12 @@
         member_gone(tables, member)
 
 
-def close_ended(tables: tables_module.Tables) -> None:
-    """Drops jobs that have ended and have no runs left."""
-    for job_id, entry in list(tables.entries_by_id.items()):
-        if not entry.state.final or job_id in tables.dirty:
-            continue
-        if not entry.runs():
-            del tables.entries_by_id[job_id]
+def close_job(tables: tables_module.Tables, job_id: str) -> None:
+    """Forgets a job that has ended and whose progress was dropped."""
+    entry = tables.entries_by_id.get(job_id)
+    if entry is not None and entry.state.final and not entry.runs():
+        del tables.entries_by_id[job_id]
+        tables.dirty.discard(job_id)
 
 
 def _find(
--- a/packages/placer/src/laburnumgate_placer/progress.py
+++ b/packages/placer/src/laburnumgate_placer/progress.py
@@ -244,7 +244,14 @@
                 members,
             ]
         )
-    return orjson.dumps({"done": sorted(entry.done_steps), "units": rows})
+    return orjson.dumps(
+        {
+            "state": entry.state.value,
+            "reason": entry.reason,
+            "done": sorted(entry.done_steps),
+            "units": rows,
+        }
+    )
 
 
 def restore(entry: JobEntry, value: bytes, unix_ms: int, now_ms: int) -> None:
@@ -254,6 +261,8 @@
       ValueError, KeyError, TypeError: if the record is malformed.
     """
     content = orjson.loads(value)
+    entry.state = model.JobState(content["state"])
+    entry.reason = content["reason"]
     for occurrence, step in content["done"]:
         entry.done_steps.add((occurrence, step))
     entry.open_due(unix_ms, now_ms)
--- a/packages/placer/src/laburnumgate_placer/recorder.py
+++ b/packages/placer/src/laburnumgate_placer/recorder.py
@@ -62,11 +62,11 @@
             for endpoint_id, state in tables.endpoints.by_id.items()
             if state.seen_end > state.acked_end
         }
-        detail, states = self._encode(job_ids)
+        detail, states, dropped = self._encode(job_ids)
         with metrics.RECORD_SECONDS.time():
             outcomes = await asyncio.gather(
                 self._append(topics.PROGRESS, detail),
-                self._append(topics.JOBS, states),
+                self._append(topics.JOBS, [records.encode(s) for s in states]),
             )
         if not all(isinstance(o, ports.Appended) for o in outcomes):
             return None
@@ -74,7 +74,13 @@
             state = tables.endpoints.by_id.get(endpoint_id)
             if state is not None and number <= state.seen_end:
                 state.acked_end = number
-        lifecycle.close_ended(tables)
+        for change in states:
+            self.know(change.job_id, change.state)
+            if change.state.final:
+                # Its progress may go now.
+                tables.touch(change.job_id)
+        for job_id in dropped:
+            lifecycle.close_job(tables, job_id)
         return runs
 
     async def save_speeds(self) -> None:
@@ -91,27 +97,38 @@
             self._recorded_by_id.pop(job_id, None)
         await self._append(topics.JOBS, dropped)
 
-    def _encode(self, job_ids: set[str]) -> tuple[list[bytes], list[bytes]]:
+    def _encode(
+        self, job_ids: set[str]
+    ) -> tuple[list[bytes], list[records.StateChanged], list[str]]:
+        """Returns progress records, new states, and jobs that are dropped.
+
+        The progress of an ended job is dropped only once its end is stored:
+        a leader that found neither would start the job again.
+        """
         detail = []
         states = []
+        dropped = []
         for job_id in job_ids:
             entry = self._tables.entries_by_id.get(job_id)
             if entry is None:
                 continue
-            value = b""
-            if not entry.state.final or entry.runs():
-                value = progress.encode(entry)
-            detail.append(records.keyed(job_id, value))
-            if self._recorded_by_id.get(job_id) == entry.state:
+            stored = self._recorded_by_id.get(job_id) == entry.state
+            if entry.state.final and stored and not entry.runs():
+                detail.append(records.keyed(job_id, b""))
+                dropped.append(job_id)
                 continue
-            if entry.state == model.JobState.QUEUED:
+            detail.append(records.keyed(job_id, progress.encode(entry)))
+            if stored or entry.state == model.JobState.QUEUED:
                 continue
-            self._recorded_by_id[job_id] = entry.state
-            change = records.StateChanged(
-                job_id, entry.state, self._tables.wall.now_ms(), entry.reason
+            states.append(
+                records.StateChanged(
+                    job_id,
+                    entry.state,
+                    self._tables.wall.now_ms(),
+                    entry.reason,
+                )
             )
-            states.append(records.encode(change))
-        return detail, states
+        return detail, states, dropped
 
     async def _append(
         self, topic: str, encoded: list[bytes]
--- a/packages/placer/tests/fakelog.py
+++ b/packages/placer/tests/fakelog.py
@@ -12,6 +12,7 @@
       lose_answers: number of appends that are done and not answered.
       refuse: number of appends that are refused without effect.
       silent: no call is answered or done.
+      silent_appends: topics to which appends are neither answered nor done.
     """
 
     def __init__(self):
@@ -19,6 +20,7 @@
         self.lose_answers = 0
         self.refuse = 0
         self.silent = False
+        self.silent_appends: set[str] = set()
         self.appends: list[tuple[str, ports.Sequence | None]] = []
         self.first_by_topic: dict[str, int] = {}
         self._epochs: dict[tuple[str, str], int] = {}
@@ -37,7 +39,7 @@
         self, topic, records, *, timeout_ms, sequence=None, at_offset=None
     ):
         self.appends.append((topic, sequence))
-        if self.silent:
+        if self.silent or (topic in self.silent_appends and records):
             await asyncio.sleep(timeout_ms / 1000)
             return ports.Unknown("silent")
         await asyncio.sleep(0)
--- a/packages/placer/tests/test_leader.py
+++ b/packages/placer/tests/test_leader.py
@@ -364,3 +364,61 @@
         assert loop.time() - began < 1.5
 
     builders.run(work())
+
+
+def test_progress_is_dropped_only_after_the_end_is_stored():
+    """Guards against a completed job that the next leader starts again.
+
+    Soak seed 1: the drop of a job's progress was stored, the record of its
+    end came late, and a leader that took over between the two started it anew.
+    """
+
+    async def work():
+        system, host = await _first("e1")
+        await _submit(host, builders.job("a" * 16))
+        await _until(lambda: len(system.starts()) == 1)
+        await asyncio.sleep(0.1)
+        system.log.silent_appends.add(topics.JOBS)
+        system.worker("e1").end_all()
+        await asyncio.sleep(0.3)
+        system.kill("h1")
+        # The next leader cannot learn of the end from its endpoint.
+        system.worker("e1").cut = True
+        system.workers.by_id["e2"] = fakeworkers.FakeWorker("e2")
+        system.list_worker("e2")
+        second = system.add_host("h2")
+        await _until(lambda: second.leader and second.leader.recovered)
+        await asyncio.sleep(0.3)
+        system.log.silent_appends.clear()
+        await _until(
+            lambda: second.jobs.state("a" * 16) == model.JobState.COMPLETED
+        )
+        assert len(system.starts()) == 1
+
+    builders.run(work())
+
+
+def test_a_failed_job_stays_failed_under_the_next_leader():
+    """Guards against a run beyond the attempts that a queue allows."""
+
+    async def work():
+        system, host = await _first("e1")
+        await _submit(host, builders.job("a" * 16))
+        for number in (1, 2, 3):
+            await _until(lambda n=number: len(system.starts()) == n)
+            await asyncio.sleep(0.1)
+            if number == 3:
+                system.log.silent_appends.add(topics.JOBS)
+            system.worker("e1").end_all(model.EndKind.FAILED)
+        await asyncio.sleep(0.3)
+        system.kill("h1")
+        second = system.add_host("h2")
+        await _until(lambda: second.leader and second.leader.recovered)
+        await asyncio.sleep(0.5)
+        system.log.silent_appends.clear()
+        await _until(
+            lambda: second.jobs.state("a" * 16) == model.JobState.FAILED
+        )
+        assert len(system.starts()) == 3
+
+    builders.run(work())
