--- a/packages/cli/src/laburnumgate_cli/command.py
+++ b/packages/cli/src/laburnumgate_cli/command.py
@@ -19,6 +19,7 @@
 import aiohttp
 import click
 from laburnumgate_core import declarations
+from laburnumgate_placer import explain as explain_module
 
 from laburnumgate_cli import client as client_module
 from laburnumgate_cli import errors
@@ -608,6 +609,24 @@
         sys.exit(int(errors.Exit.UNREACHABLE))
 
 
+@main.command()
+@click.argument("job_id", metavar="ID")
+@click.argument("logs", nargs=-1, type=click.File("r"))
+@_json_option
+def explain(job_id: str, logs: tuple, as_json: bool) -> None:
+    """Tell a job's story from LOGS of all hosts, or from standard input."""
+    texts = (text for log in logs or (sys.stdin,) for text in log)
+    story = explain_module.tell(job_id, texts)
+    if as_json:
+        click.echo(json.dumps(dataclasses.asdict(story)))
+    for line in () if as_json else story.lines:
+        details = " ".join(f"{k}={v}" for k, v in line.details.items())
+        click.echo(f"{line.time} {line.host}: {line.text} {details}")
+    if not story.lines:
+        click.echo(f"no line names the job {job_id}", err=True)
+        sys.exit(errors.Exit.FAILED)
+
+
 @main.command()
 @click.option(
     "--json", "as_json", is_flag=True, help="Print JSON: {metrics: TEXT}."
--- a/packages/placer/src/laburnumgate_placer/events.py
+++ b/packages/placer/src/laburnumgate_placer/events.py
@@ -13,7 +13,7 @@
     """Number, message and level of each event."""
 
     STARTED = (1000, "host started")
-    READY = (1001, "host is ready")
+    READY = (1001, "host became ready or stopped being so")
     STOPPING = (1002, "host is stopping")
     STOPPED = (1003, "host stopped")
     SETTINGS_RELOADED = (1004, "settings were read again")
@@ -34,7 +34,6 @@
     CANCELLED = (1202, "job cancelled by its caller")
     REPEATED = (1203, "job was submitted before")
     IN_DOUBT = (1204, "the fate of a submission is unknown", logging.WARNING)
-    RELAYED = (1205, "records were handed to another host")
     ASSIGNED = (1300, "run assigned")
     STARTED_RUN = (1301, "run started")
     START_FAILED = (1302, "run could not be started", logging.WARNING)
@@ -43,7 +42,6 @@
     JOB_STATE = (1305, "job changed its state")
     RUN_ADOPTED = (1306, "run of an earlier leader adopted")
     STRAY_STOPPED = (1307, "unknown run is being stopped", logging.WARNING)
-    PACED = (1308, "pace of a task changed")
     NOT_PLACED = (1309, "unit waits for capacity")
     ENDPOINT_FOUND = (1400, "endpoint joined the live list")
     ENDPOINT_CHANGED = (1401, "endpoint changed its state")
@@ -51,8 +49,6 @@
     ENDPOINT_REGAINED = (1403, "endpoint answers again")
     ENDPOINT_OVER = (1404, "the endpoint's life is over")
     ENDPOINT_SUSPECT = (1405, "endpoint is avoided", logging.WARNING)
-    UPKEEP_ORDERED = (1500, "upkeep of a machine ordered")
-    WAVE_STATE = (1501, "a wave of upkeep changed its state")
 
     def __init__(self, number: int, text: str, level: int = logging.INFO):
         self.number = number
--- /dev/null
+++ b/packages/placer/src/laburnumgate_placer/explain.py
@@ -0,0 +1,91 @@
+"""Tells one job's story from the log lines of all hosts."""
+
+from collections.abc import Iterable
+import dataclasses
+
+import orjson
+
+# Fields that every line has, or that say nothing in a story.
+_COMMON = frozenset({"time", "host", "level", "message", "event", "job"})
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Line:
+    """A log line about the job.
+
+    Attributes:
+      time: as logged, in UTC.
+      host: the host that wrote it.
+      event: number of the event.
+      text: the event's message.
+      details: the other fields.
+    """
+
+    time: str
+    host: str
+    event: int
+    text: str
+    details: dict
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Story:
+    """A job's lines in order of time, and the endpoints that it ran on."""
+
+    lines: tuple[Line, ...]
+    skipped: int
+
+
+def tell(job_id: str, texts: Iterable[str]) -> Story:
+    """Collects the lines about a job and about endpoints that it used.
+
+    Args:
+      job_id: the job.
+      texts: log lines of any number of hosts, in any order; text before the
+        first brace is passed over, lines that are no JSON are counted.
+    """
+    found: list[Line] = []
+    of_endpoints: list[Line] = []
+    skipped = 0
+    for text in texts:
+        content = _parse(text)
+        if content is None:
+            skipped += bool(text.strip())
+            continue
+        line = Line(
+            content.get("time", ""),
+            content.get("host", ""),
+            content.get("event", 0),
+            content.get("message", ""),
+            {k: v for k, v in content.items() if k not in _COMMON},
+        )
+        if content.get("job") == job_id:
+            found.append(line)
+        elif "endpoint" in content and "job" not in content:
+            of_endpoints.append(line)
+    used = {
+        endpoint
+        for line in found
+        for endpoint in line.details.get("endpoints", ())
+    }
+    if found:
+        first = min(line.time for line in found)
+        last = max(line.time for line in found)
+        for line in of_endpoints:
+            if line.details["endpoint"] not in used:
+                continue
+            if first <= line.time <= last:
+                found.append(line)
+    found.sort(key=lambda line: line.time)
+    return Story(tuple(found), skipped)
+
+
+def _parse(text: str) -> dict | None:
+    start = text.find("{")
+    if start < 0:
+        return None
+    try:
+        content = orjson.loads(text[start:])
+    except orjson.JSONDecodeError:
+        return None
+    return content if isinstance(content, dict) else None
--- a/packages/placer/src/laburnumgate_placer/host.py
+++ b/packages/placer/src/laburnumgate_placer/host.py
@@ -7,6 +7,7 @@
 from laburnumgate_core import clock
 
 from laburnumgate_placer import config_table
+from laburnumgate_placer import events
 from laburnumgate_placer import feed
 from laburnumgate_placer import intake
 from laburnumgate_placer import job_table
@@ -27,6 +28,7 @@
 CONFIG_WAIT_MS = 500
 JOBS_WAIT_MS = 1_000
 RETRY_MS = 50
+REPORT_READY_MS = 200
 
 
 class Host:
@@ -116,12 +118,28 @@
             group.create_task(self.submissions.run())
             group.create_task(self.lead.run())
             group.create_task(self._lead_forever())
+            group.create_task(self._report_ready_forever())
 
     async def stop(self) -> None:
         """Hands the lead over and asks callers to go to other hosts."""
         self.stopping = True
         await self.lead.resign()
 
+    async def _report_ready_forever(self) -> None:
+        was_ready = False
+        while True:
+            ready = self.ready()
+            if ready != was_ready:
+                was_ready = ready
+                events.emit(
+                    _LOGGER,
+                    events.Event.READY,
+                    ready=ready,
+                    config_age_ms=self.config_feed.age_ms(),
+                    jobs_age_ms=self.jobs_feed.age_ms(),
+                )
+            await asyncio.sleep(REPORT_READY_MS / 1000)
+
     async def _lead_forever(self) -> None:
         await self.jobs_feed.loaded.wait()
         while True:
--- a/packages/placer/src/laburnumgate_placer/lifecycle.py
+++ b/packages/placer/src/laburnumgate_placer/lifecycle.py
@@ -4,6 +4,7 @@
 
 from laburnumgate_placer import endpoint_table
 from laburnumgate_placer import events
+from laburnumgate_placer import metrics
 from laburnumgate_placer import model
 from laburnumgate_placer import progress
 from laburnumgate_placer import tables as tables_module
@@ -163,6 +164,7 @@
         number=row.number,
         current=member is not None,
     )
+    metrics.RUN_ENDS.inc({"end": row.kind.value})
     tables.touch(row.task.job_id)
     done = row.kind == model.EndKind.DONE and not unit.step.long_running
     if member is None:
--- a/packages/placer/src/laburnumgate_placer/scheduling.py
+++ b/packages/placer/src/laburnumgate_placer/scheduling.py
@@ -4,6 +4,7 @@
 import logging
 
 from laburnumgate_placer import endpoint_table
+from laburnumgate_placer import events
 from laburnumgate_placer import lifecycle
 from laburnumgate_placer import model
 from laburnumgate_placer import ordering
@@ -40,6 +41,7 @@
     def __init__(self, tables: tables_module.Tables):
         self._tables = tables
         self._kept_by_unit: dict[model.UnitKey, frozenset[str]] = {}
+        self._told: set[tuple[str, int, int]] = set()
 
     def run(self) -> None:
         """Places what fits, and reclaims guaranteed capacity."""
@@ -52,6 +54,8 @@
         for key in list(self._kept_by_unit):
             if key not in waiting:
                 del self._kept_by_unit[key]
+        if not ranked:
+            self._told.clear()
         protected = ordering.guaranteed_jobs(tables) if ranked else set()
         for rank, unit in ranked:
             queue = tables.queue_of(unit.entry.job)
@@ -90,6 +94,7 @@
                 self._take(pool, unit, chosen)
                 return
             pool.failed_shapes.add(shape)
+            self._tell(pool, rank, unit)
         if rank.guaranteed:
             self._reclaim(pool, rank, unit, protected, now_ms)
         if len(pool.reservations) >= MAX_RESERVATIONS:
@@ -101,6 +106,31 @@
             if kept is not None:
                 pool.reservations.append(kept)
 
+    def _tell(
+        self, pool: _Pool, rank: ordering.Rank, unit: progress.Unit
+    ) -> None:
+        """Logs once for each step that its tasks have to wait."""
+        key = unit.key
+        place = (key.job_id, key.occurrence, key.step)
+        if place in self._told:
+            return
+        self._told.add(place)
+        free_gpu = sum(room.gpu for room in pool.free_by_id.values())
+        events.emit(
+            _LOGGER,
+            events.Event.NOT_PLACED,
+            job=key.job_id,
+            occurrence=key.occurrence,
+            step=key.step,
+            tasks=unit.size,
+            gpu=unit.step.room.gpu,
+            same_rack=unit.step.same_rack,
+            free_gpu=free_gpu,
+            usable=len(pool.endpoints),
+            stage=rank.stage.name.lower(),
+            guaranteed=rank.guaranteed,
+        )
+
     def _open_to(
         self, pool: _Pool, unit: progress.Unit, now_ms: int
     ) -> list[endpoint_table.EndpointState]:
--- /dev/null
+++ b/packages/placer/tests/test_explain.py
@@ -0,0 +1,34 @@
+"""A job's story is found in the logs of all hosts."""
+
+from laburnumgate_placer import explain
+import orjson
+
+
+def _line(time, host="h1", **fields):
+    content = {"time": time, "host": host, "event": 1, "message": "m"}
+    return "  3.2 h1 " + orjson.dumps(content | fields).decode()
+
+
+def test_lines_of_all_hosts_are_told_in_order_of_time():
+    """Guards against a story that lacks what another host decided."""
+    story = explain.tell(
+        "a1",
+        [
+            _line("3", host="h2", job="a1", endpoints=["e1"]),
+            _line("1", job="a1"),
+            _line("2", job="b2"),
+            _line("4", endpoint="e1", reason="silent"),
+            _line("4", endpoint="e9", reason="silent"),
+            _line("5", job="a1"),
+            "no json",
+            "{broken",
+        ],
+    )
+    assert [(line.time, line.host) for line in story.lines] == [
+        ("1", "h1"),
+        ("3", "h2"),
+        ("4", "h1"),
+        ("5", "h1"),
+    ]
+    assert story.skipped == 2
+    assert story.lines[2].details["reason"] == "silent"
