--- a/packages/placer/src/laburnumgate_placer/reclaim.py
+++ b/packages/placer/src/laburnumgate_placer/reclaim.py
@@ -11,6 +11,9 @@
 # An accelerator counts as this many cores when lost work is weighed, as the
 # platform's price of wasted work does.
 CORES_PER_GPU = 8
+# A resumable run is not stopped again this soon after its start, so that it
+# gets further between two stops.
+SETTLED_MS = 2_000
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -22,11 +25,25 @@
     lost: float
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Scope:
+    """Which runs may be stopped.
+
+    Attributes:
+      protected: ids of jobs that are owed their capacity as well.
+      resumable_below: if set, only runs that resume from a checkpoint, of
+        queues whose priority comes after this one.
+    """
+
+    protected: set[str]
+    resumable_below: int | None = None
+
+
 def plan(
     tables: tables_module.Tables,
     unit: progress.Unit,
     endpoints: list[endpoint_table.EndpointState],
-    protected: set[str],
+    scope: Scope,
     wish: placement.Wish,
     now_ms: int,
 ) -> Plan | None:
@@ -36,7 +53,7 @@
       tables: the leader's tables.
       unit: the unit that has to start.
       endpoints: endpoints that may be given work of its queue.
-      protected: ids of jobs that are owed their capacity as well.
+      scope: the runs that may be stopped.
       wish: what the unit should run on.
       now_ms: steady time.
 
@@ -46,7 +63,7 @@
     """
     best: Plan | None = None
     for group in _groups(unit, endpoints):
-        found = _plan_group(tables, unit, group, protected, wish, now_ms)
+        found = _plan_group(tables, unit, group, scope, wish, now_ms)
         if found is None:
             continue
         if best is None or found.lost < best.lost:
@@ -81,7 +98,7 @@
     tables: tables_module.Tables,
     unit: progress.Unit,
     group: list[endpoint_table.EndpointState],
-    protected: set[str],
+    scope: Scope,
     wish: placement.Wish,
     now_ms: int,
 ) -> Plan | None:
@@ -94,12 +111,8 @@
             if run.phase == progress.Phase.STOPPING:
                 _give_back(free_by_id, member)
                 continue
-            entry = run.unit.entry
-            if entry.job.job_id in protected or run.unit.step.long_running:
-                continue
-            if run.phase != progress.Phase.RUNNING:
-                continue
-            runs[id(run)] = run
+            if _may_stop(tables, run, scope, now_ms):
+                runs[id(run)] = run
     chosen = placement.choose(unit, group, free_by_id, speed_table, wish)
     victims: list[progress.Run] = []
     lost = 0.0
@@ -126,6 +139,26 @@
     return Plan(tuple(victims), kept, lost)
 
 
+def _may_stop(
+    tables: tables_module.Tables,
+    run: progress.Run,
+    scope: Scope,
+    now_ms: int,
+) -> bool:
+    if run.phase != progress.Phase.RUNNING or run.unit.step.long_running:
+        return False
+    job = run.unit.entry.job
+    if job.job_id in scope.protected:
+        return False
+    if scope.resumable_below is None:
+        return True
+    if not run.unit.step.checkpointing:
+        return False
+    if now_ms - run.started_ms < SETTLED_MS:
+        return False
+    return tables.queue_of(job).priority > scope.resumable_below
+
+
 def _give_back(
     free_by_id: dict[str, model.Room], member: progress.Member
 ) -> None:
--- a/packages/placer/src/laburnumgate_placer/scheduling.py
+++ b/packages/placer/src/laburnumgate_placer/scheduling.py
@@ -95,8 +95,7 @@
                 return
             pool.failed_shapes.add(shape)
             self._tell(pool, rank, unit)
-        if rank.guaranteed:
-            self._reclaim(pool, rank, unit, protected, now_ms)
+        self._reclaim(pool, rank, unit, protected, now_ms)
         if len(pool.reservations) >= MAX_RESERVATIONS:
             return
         if unit.size > 1 and rank.stage != ordering.Stage.TOO_LATE:
@@ -171,23 +170,46 @@
         now_ms: int,
     ) -> None:
         tables = self._tables
-        bounds = tables.bounds
         kept = self._kept_by_unit.get(unit.key)
+        scope = self._scope(rank, unit, protected, now_ms)
+        if scope is not None:
+            open_endpoints = [
+                state
+                for state in pool.endpoints
+                if state.info.endpoint_id not in pool.held_ids
+            ]
+            plan = reclaim.plan(
+                tables, unit, open_endpoints, scope, rank.wish(), now_ms
+            )
+            if plan is not None:
+                for run in plan.victims:
+                    lifecycle.stop_run(
+                        tables, run, f"reclaimed for {unit.key.job_id}"
+                    )
+                kept = plan.endpoint_ids
+                self._kept_by_unit[unit.key] = kept
+        pool.held_ids.update(kept or ())
+
+    def _scope(
+        self,
+        rank: ordering.Rank,
+        unit: progress.Unit,
+        protected: set[str],
+        now_ms: int,
+    ) -> reclaim.Scope | None:
+        """Returns what may be stopped for a unit, None for nothing.
+
+        Work that resumes from a checkpoint loses next to nothing; other work
+        is stopped only when a guarantee is about to be missed.
+        """
+        bounds = self._tables.bounds
         waited_ms = now_ms - unit.entry.arrived_ms
         pause_ms = bounds.reclaim_ms - bounds.stop_ms - RECLAIM_MARGIN_MS
-        if waited_ms < pause_ms:
-            return
-        plan = reclaim.plan(
-            tables, unit, pool.endpoints, protected, rank.wish(), now_ms
-        )
-        if plan is not None:
-            for run in plan.victims:
-                lifecycle.stop_run(
-                    tables, run, f"reclaimed for {unit.key.job_id}"
-                )
-            kept = plan.endpoint_ids
-            self._kept_by_unit[unit.key] = kept
-        pool.held_ids.update(kept or ())
+        if rank.guaranteed and waited_ms >= pause_ms:
+            return reclaim.Scope(protected)
+        if rank.guaranteed or rank.stage == ordering.Stage.ON_TIME:
+            return reclaim.Scope(protected, rank.priority)
+        return None
 
 
 def _shape(unit: progress.Unit) -> tuple:
--- a/packages/placer/tests/test_scheduling.py
+++ b/packages/placer/tests/test_scheduling.py
@@ -128,10 +128,10 @@
     assert [m.endpoint_id for m in _run_of(entry).members] == ["e9"]
 
 
-def _fill(tables, scheduler):
+def _fill(tables, scheduler, **fields):
     entries = []
     for job_id in "abc":
-        entry = _open(tables, job_id, builders.step(gpu=8))
+        entry = _open(tables, job_id, builders.step(gpu=8, **fields))
         entries.append(entry)
     scheduler.run()
     for entry in entries:
@@ -282,3 +282,30 @@
     scheduler.run()
     assert _run_of(short) is not None
     assert _run_of(long) is None
+
+
+def test_resumable_work_gives_way_at_once():
+    """Guards against an urgent job that waits for work that could resume."""
+    tables = _tables(3, accounts=())
+    scheduler = scheduling.Scheduler(tables)
+    batch = _fill(tables, scheduler, checkpointing=True, estimate_ms=60_000)
+    tables.steady.advance(5_000)
+    step = builders.step(count=2, gpu=8, gang=True)
+    _open(tables, "d", step, _URGENT)
+    _open(tables, "e", builders.step(gpu=8), _BATCH)
+    scheduler.run()
+    phases = [_run_of(entry).phase for entry in batch]
+    assert phases.count(progress.Phase.STOPPING) == 2
+
+
+def test_two_urgent_units_do_not_count_on_the_same_room():
+    """Guards against reclaimed room that is promised twice."""
+    tables = _tables(3, accounts=())
+    scheduler = scheduling.Scheduler(tables)
+    batch = _fill(tables, scheduler, checkpointing=True, estimate_ms=60_000)
+    tables.steady.advance(5_000)
+    _open(tables, "d", builders.step(gpu=8), _URGENT)
+    _open(tables, "e", builders.step(gpu=7), _URGENT)
+    scheduler.run()
+    phases = [_run_of(entry).phase for entry in batch]
+    assert phases.count(progress.Phase.STOPPING) == 2
