--- /dev/null
+++ b/packages/placer/src/laburnumgate_placer/advice.py
@@ -0,0 +1,102 @@
+"""Tickets of the service that decides which endpoints may run a step."""
+
+import dataclasses
+
+from laburnumgate_placer import model
+
+# A ticket has to last until its start is carried out.
+TICKET_MARGIN_MS = 700
+# Each endpoint named in a question delays the answer.
+MOST_ASKED = 30
+
+
+@dataclasses.dataclass(frozen=True, slots=True, order=True)
+class StepKey:
+    """One step of one occurrence of a job."""
+
+    job_id: str
+    occurrence: int
+    step: int
+
+
+def step_of(key: model.UnitKey) -> StepKey:
+    """Returns the step that a unit belongs to."""
+    return StepKey(key.job_id, key.occurrence, key.step)
+
+
+@dataclasses.dataclass(eq=False, slots=True)
+class _Known:
+    asked: set[str] = dataclasses.field(default_factory=set)
+    ticket_by_endpoint: dict[str, str] = dataclasses.field(default_factory=dict)
+    valid_until_by_endpoint: dict[str, int] = dataclasses.field(
+        default_factory=dict
+    )
+
+
+class AdviceTable:
+    """Answers by step, and the questions that are open.
+
+    Whether an endpoint may run a step never changes; tickets expire.
+    """
+
+    def __init__(self):
+        self.questions: dict[StepKey, tuple[str, ...]] = {}
+        self._known_by_step: dict[StepKey, _Known] = {}
+
+    def tickets(self, step: StepKey, now_ms: int) -> dict[str, str]:
+        """Returns tickets by endpoint that are valid for a start now."""
+        known = self._known_by_step.get(step)
+        if known is None:
+            return {}
+        return {
+            endpoint_id: ticket
+            for endpoint_id, ticket in known.ticket_by_endpoint.items()
+            if known.valid_until_by_endpoint[endpoint_id]
+            > now_ms + TICKET_MARGIN_MS
+        }
+
+    def want(self, step: StepKey, endpoint_ids: list[str], now_ms: int) -> None:
+        """Asks for tickets on endpoints, the first ones being preferred.
+
+        Endpoints that are known to be allowed are asked for again when their
+        tickets expire; those that were refused are not.
+        """
+        known = self._known_by_step.setdefault(step, _Known())
+        valid = self.tickets(step, now_ms)
+        wanted = [
+            endpoint_id
+            for endpoint_id in endpoint_ids
+            if endpoint_id not in valid
+            and (
+                endpoint_id not in known.asked
+                or endpoint_id in known.ticket_by_endpoint
+            )
+        ]
+        if wanted:
+            self.questions[step] = tuple(wanted[:MOST_ASKED])
+
+    def answered(
+        self,
+        step: StepKey,
+        endpoint_ids: tuple[str, ...],
+        ticket_by_endpoint: dict[str, str],
+        valid_until_ms: int,
+    ) -> None:
+        """Takes an answer to a question about these endpoints."""
+        known = self._known_by_step.setdefault(step, _Known())
+        known.asked.update(endpoint_ids)
+        for endpoint_id, ticket in ticket_by_endpoint.items():
+            known.ticket_by_endpoint[endpoint_id] = ticket
+            known.valid_until_by_endpoint[endpoint_id] = valid_until_ms
+
+    def refused(self, step: StepKey, endpoint_id: str) -> None:
+        """Drops a ticket that an endpoint did not accept."""
+        known = self._known_by_step.get(step)
+        if known is not None:
+            known.valid_until_by_endpoint[endpoint_id] = 0
+
+    def forget_job(self, job_id: str) -> None:
+        """Drops what is known of a job's steps."""
+        for table in (self.questions, self._known_by_step):
+            for step in [s for s in table if s.job_id == job_id]:
+                del table[step]
--- a/packages/placer/src/laburnumgate_placer/config_table.py
+++ b/packages/placer/src/laburnumgate_placer/config_table.py
@@ -40,6 +40,7 @@
     def __init__(self):
         self.current: model.Configuration | None = None
         self.zones_out: set[str] = set()
+        self.waves_by_number: dict[int, model.Wave] = {}
         self._offset = -1
 
     def publish(self, offset: int, config: model.Configuration) -> bool:
@@ -72,6 +73,13 @@
             _LOGGER, events.Event.ZONE_CHANGED, zone=zone, out_of_service=out
         )
 
+    def set_wave(self, number: int, wave: model.Wave | None) -> None:
+        """Takes an operator's wave of upkeep, or its withdrawal."""
+        if wave is None:
+            self.waves_by_number.pop(number, None)
+        else:
+            self.waves_by_number[number] = wave
+
     def admit(
         self, hostname: str, path: str, key: str | None
     ) -> Admitted | NoQueue | UnknownKey:
--- a/packages/placer/src/laburnumgate_placer/endpoint_table.py
+++ b/packages/placer/src/laburnumgate_placer/endpoint_table.py
@@ -41,6 +41,8 @@
       failing_jobs: jobs that failed there since the newest success.
       avoid_until_ms: steady time until which it gets no task.
       avoid_pause_ms: length of the newest such pause.
+      used: room that runs may be using.
+      paced_ms: steady time of the newest change of a pace there.
     """
 
     info: model.Endpoint
@@ -65,6 +67,7 @@
     avoid_until_ms: int = 0
     avoid_pause_ms: int = 0
     used: model.Room = dataclasses.field(default_factory=model.Room)
+    paced_ms: int = 0
 
     def free(self) -> model.Room:
         """Returns the capacity that no run may be using."""
@@ -164,6 +167,7 @@
 
     def __init__(self):
         self.by_id: dict[str, EndpointState] = {}
+        self.emptying_machines: set[str] = set()
 
     def usable(
         self, service: str, zones_out: set[str], now_ms: int
@@ -180,5 +184,7 @@
                 continue
             if now_ms < state.avoid_until_ms:
                 continue
+            if info.machine and info.machine in self.emptying_machines:
+                continue
             found.append(state)
         return found
--- a/packages/placer/src/laburnumgate_placer/events.py
+++ b/packages/placer/src/laburnumgate_placer/events.py
@@ -42,13 +42,17 @@
     JOB_STATE = (1305, "job changed its state")
     RUN_ADOPTED = (1306, "run of an earlier leader adopted")
     STRAY_STOPPED = (1307, "unknown run is being stopped", logging.WARNING)
+    PACED = (1308, "pace of a task changed")
     NOT_PLACED = (1309, "unit waits for capacity")
     ENDPOINT_FOUND = (1400, "endpoint joined the live list")
     ENDPOINT_CHANGED = (1401, "endpoint changed its state")
     ENDPOINT_LOST = (1402, "endpoint does not answer", logging.WARNING)
     ENDPOINT_REGAINED = (1403, "endpoint answers again")
     ENDPOINT_OVER = (1404, "the endpoint's life is over")
+    ADVICE_MISSING = (1310, "no advice on a step", logging.WARNING)
     ENDPOINT_SUSPECT = (1405, "endpoint is avoided", logging.WARNING)
+    UPKEEP_ORDERED = (1500, "upkeep of a machine ordered")
+    WAVE_STATE = (1501, "a wave of upkeep changed its state")
 
     def __init__(self, number: int, text: str, level: int = logging.INFO):
         self.number = number
--- a/packages/placer/src/laburnumgate_placer/host.py
+++ b/packages/placer/src/laburnumgate_placer/host.py
@@ -1,7 +1,6 @@
 """One host: follows the log, answers callers, and leads when it is its turn."""
 
 import asyncio
-from collections.abc import Callable
 import logging
 
 from laburnumgate_core import clock
@@ -15,9 +14,9 @@
 from laburnumgate_placer import leadership
 from laburnumgate_placer import limits
 from laburnumgate_placer import metrics
-from laburnumgate_placer import model
 from laburnumgate_placer import ports
 from laburnumgate_placer import records
+from laburnumgate_placer import services as services_module
 from laburnumgate_placer import topics
 from laburnumgate_placer import writer
 
@@ -37,16 +36,9 @@
     def __init__(
         self,
         host_id: str,
-        log: ports.Log,
-        endpoints: ports.Endpoints,
-        decode_endpoint: Callable[[ports.Entry], model.Endpoint | None],
-        apply_operator_entry: Callable[
-            [config_table.ConfigTable, ports.Entry], None
-        ],
+        services: services_module.Services,
         bounds: limits.Bounds,
         *,
-        operator_topic: str,
-        list_topic: str,
         claim_delay_ms: int,
         first_start: bool,
     ):
@@ -54,13 +46,8 @@
 
         Args:
           host_id: unique for each start of a process.
-          log: the log service.
-          endpoints: calls to endpoints.
-          decode_endpoint: reads an entry of the live list.
-          apply_operator_entry: applies what operators published.
+          services: the outside services.
           bounds: time bounds of the deployment.
-          operator_topic: topic that operators write to.
-          list_topic: topic of the live list.
           claim_delay_ms: how long this host lets others lead first.
           first_start: the whole system starts for the first time.
         """
@@ -70,16 +57,14 @@
         self.jobs = job_table.JobTable()
         self.leader: leader.Leader | None = None
         self.stopping = False
-        self._log = log
-        self._endpoints = endpoints
-        self._decode_endpoint = decode_endpoint
+        log = services.log
+        self._services = services
         self._bounds = bounds
-        self._list_topic = list_topic
         self.config_feed = feed.Feed(
             log,
             self.steady,
-            operator_topic,
-            lambda entry: apply_operator_entry(self.config, entry),
+            services.operator_topic,
+            lambda entry: services.apply_operator_entry(self.config, entry),
             wait_ms=CONFIG_WAIT_MS,
         )
         self.jobs_feed = feed.Feed(
@@ -148,9 +133,7 @@
                 continue
             self.lead.changed.clear()
             self.leader = leader.Leader(
-                self._log,
-                self._endpoints,
-                self._decode_endpoint,
+                self._services,
                 self.lead,
                 self.steady,
                 self.wall,
@@ -158,7 +141,6 @@
                 self.jobs,
                 self.jobs_feed,
                 self._bounds,
-                self._list_topic,
             )
             try:
                 await self._lead_once(self.leader)
--- a/packages/placer/src/laburnumgate_placer/launcher.py
+++ b/packages/placer/src/laburnumgate_placer/launcher.py
@@ -3,6 +3,7 @@
 import asyncio
 import logging
 
+from laburnumgate_placer import advice
 from laburnumgate_placer import endpoint_table
 from laburnumgate_placer import events
 from laburnumgate_placer import lifecycle
@@ -163,6 +164,9 @@
                     )
                     return "its endpoint is gone"
                 case ports.Refused(refusal):
+                    if refusal == ports.Refusal.NO_TICKET:
+                        step = advice.step_of(run.unit.key)
+                        tables.advice.refused(step, member.endpoint_id)
                     if refusal == ports.Refusal.UNHEALTHY:
                         state.avoid(tables.steady.now_ms(), refusal.value)
                     return refusal.value
--- a/packages/placer/src/laburnumgate_placer/leader.py
+++ b/packages/placer/src/laburnumgate_placer/leader.py
@@ -1,7 +1,6 @@
 """One tenure of the lead: recovers the state of all jobs, then places."""
 
 import asyncio
-from collections.abc import Callable
 from collections.abc import Coroutine
 import logging
 
@@ -9,6 +8,7 @@
 import orjson
 
 from laburnumgate_placer import config_table
+from laburnumgate_placer import consultant
 from laburnumgate_placer import endpoint_table
 from laburnumgate_placer import events
 from laburnumgate_placer import feed
@@ -17,6 +17,7 @@
 from laburnumgate_placer import leadership
 from laburnumgate_placer import lifecycle
 from laburnumgate_placer import limits
+from laburnumgate_placer import maintainer
 from laburnumgate_placer import metrics
 from laburnumgate_placer import model
 from laburnumgate_placer import ports
@@ -24,6 +25,7 @@
 from laburnumgate_placer import recorder
 from laburnumgate_placer import records
 from laburnumgate_placer import scheduling
+from laburnumgate_placer import services as services_module
 from laburnumgate_placer import tables as tables_module
 from laburnumgate_placer import topics
 from laburnumgate_placer import watcher
@@ -55,9 +57,7 @@
 
     def __init__(
         self,
-        log: ports.Log,
-        endpoints: ports.Endpoints,
-        decode_endpoint: Callable[[ports.Entry], model.Endpoint | None],
+        services: services_module.Services,
         lead: leadership.Leadership,
         steady: clock.Clock,
         wall: clock.Clock,
@@ -65,12 +65,11 @@
         jobs: job_table.JobTable,
         jobs_feed: feed.Feed,
         bounds: limits.Bounds,
-        list_topic: str,
     ):
         """Prepares a tenure under the current claim of `lead`."""
-        self._log = log
-        self._endpoints = endpoints
-        self._decode_endpoint = decode_endpoint
+        self._services = services
+        self._log = services.log
+        self._endpoints = services.endpoints
         self._lead = lead
         self._claim = lead.own
         self._jobs_feed = jobs_feed
@@ -78,20 +77,25 @@
         self.tables = tables_module.Tables(
             self._claim.token, steady, wall, config, jobs, bounds
         )
-        self._recorder = recorder.Recorder(log, self.tables)
+        self._recorder = recorder.Recorder(
+            services.log, self.tables, services.status_topic
+        )
         self._scheduler = scheduling.Scheduler(self.tables)
-        self._orders = launcher.Launcher(endpoints, self.tables, lead.overtaken)
+        self._orders = launcher.Launcher(
+            services.endpoints, self.tables, lead.overtaken
+        )
         self._listed_by_id: dict[str, model.Endpoint] = {}
         self._list_feed = feed.Feed(
-            log,
+            services.log,
             steady,
-            list_topic,
+            services.list_topic,
             self._apply_entry,
             wait_ms=LIST_WAIT_MS,
             pause_ms=LIST_PAUSE_MS,
         )
         self._tasks: set[asyncio.Task] = set()
         self._due = asyncio.Event()
+        self._done_by_wave: dict[str, list[str]] = {}
         self.recovered = False
 
     async def run(self) -> None:
@@ -117,6 +121,17 @@
             self._spawn(self._record_forever())
             self._spawn(self._clean_up_forever())
             self._spawn(self._save_speeds_forever())
+            if self._services.advisor is not None:
+                self._spawn(consultant.run(self._services.advisor, self.tables))
+            if self._services.machines is not None:
+                upkeep = maintainer.Maintainer(
+                    self._services,
+                    self.tables,
+                    self._recorder,
+                    self._lead.overtaken,
+                    self._done_by_wave,
+                )
+                self._spawn(upkeep.run())
             await self._place_forever()
         finally:
             metrics.LEADING.set({}, 0)
@@ -189,7 +204,9 @@
 
     def _restore(self, progress_by_id: dict[str, bytes]) -> None:
         tables = self.tables
-        self._restore_speeds(progress_by_id.pop(topics.SPEEDS_KEY, None))
+        speeds = _read(topics.SPEEDS_KEY, progress_by_id)
+        tables.durations.speeds.restore(speeds)
+        self._done_by_wave = _read(topics.WAVES_KEY, progress_by_id)
         now_ms = tables.steady.now_ms()
         for job_id, job in tables.jobs.jobs_by_id.items():
             recorded = tables.jobs.recorded(job_id)
@@ -215,20 +232,6 @@
             elif entry.finished():
                 lifecycle.set_state(tables, entry, model.JobState.COMPLETED)
 
-    def _restore_speeds(self, value: bytes | None) -> None:
-        if value is None:
-            return
-        try:
-            self.tables.durations.speeds.restore(orjson.loads(value))
-        except (ValueError, TypeError, AttributeError) as error:
-            events.emit(
-                _LOGGER,
-                events.Event.RECORD_SKIPPED,
-                topic=topics.PROGRESS,
-                key=topics.SPEEDS_KEY,
-                reason=str(error),
-            )
-
     def _restore_entry(
         self, entry: progress.JobEntry, value: bytes | None, now_ms: int
     ) -> None:
@@ -316,7 +319,7 @@
         """Applies a record of the live list."""
         endpoint = None
         if entry.value is not None:
-            endpoint = self._decode_endpoint(entry)
+            endpoint = self._services.decode_endpoint(entry)
         state = self.tables.endpoints.by_id.get(entry.key)
         if endpoint is None:
             self._listed_by_id.pop(entry.key, None)
@@ -497,3 +500,22 @@
         # A part of the leader that failed must not leave the rest running on
         # its own; the next tenure starts from the log.
         self._lead.overtaken("a task of the leader failed")
+
+
+def _read(key: str, progress_by_id: dict[str, bytes]) -> dict:
+    """Takes a record that belongs to no job out of the recorded progress."""
+    value = progress_by_id.pop(key, None)
+    if value is None:
+        return {}
+    try:
+        content = orjson.loads(value)
+    except ValueError as error:
+        events.emit(
+            _LOGGER,
+            events.Event.RECORD_SKIPPED,
+            topic=topics.PROGRESS,
+            key=key,
+            reason=str(error),
+        )
+        return {}
+    return content if isinstance(content, dict) else {}
--- /dev/null
+++ b/packages/placer/src/laburnumgate_placer/maintainer.py
@@ -0,0 +1,121 @@
+"""Carries waves of upkeep out."""
+
+import asyncio
+import logging
+
+from laburnumgate_placer import events
+from laburnumgate_placer import lifecycle
+from laburnumgate_placer import ports
+from laburnumgate_placer import recorder as recorder_module
+from laburnumgate_placer import services as services_module
+from laburnumgate_placer import tables as tables_module
+from laburnumgate_placer import upkeep
+
+_LOGGER = logging.getLogger(__name__)
+
+TICK_MS = 250
+CALL_TIMEOUT_MS = 1_500
+
+
+class Maintainer:
+    """Sends machines into their upkeep, in turn."""
+
+    def __init__(
+        self,
+        services: services_module.Services,
+        tables: tables_module.Tables,
+        recorder: recorder_module.Recorder,
+        overtaken,
+        done_by_wave: dict[str, list[str]],
+    ):
+        """Prepares the upkeep of one tenure.
+
+        Args:
+          services: the outside services; machines must be there.
+          tables: the leader's tables.
+          recorder: publishes the state of waves.
+          overtaken: is called when a higher fencing token was used.
+          done_by_wave: machines that had their upkeep under earlier leaders.
+        """
+        self._services = services
+        self._tables = tables
+        self._recorder = recorder
+        self._overtaken = overtaken
+        self._waves = upkeep.UpkeepTable(tables, done_by_wave)
+        self._confirmed: set[tuple[int, str]] = set()
+
+    async def run(self) -> None:
+        """Works on all waves until cancelled."""
+        tables = self._tables
+        saved: dict[str, list[str]] = {}
+        while True:
+            waves = tables.config.waves_by_number
+            if waves:
+                for action in self._waves.plan(waves):
+                    await self._act(action)
+                await self._look_after_ordered()
+                done = self._waves.dump()
+                if done != saved:
+                    await self._recorder.save_waves(done)
+                    saved = done
+                tables.endpoints.emptying_machines = self._waves.emptying()
+            await asyncio.sleep(TICK_MS / 1000)
+
+    async def _act(self, action: upkeep.Action) -> None:
+        match action:
+            case upkeep.StopRun(run):
+                lifecycle.stop_run(
+                    self._tables, run, "its machine goes into upkeep"
+                )
+            case upkeep.SayState(wave, completed):
+                key, value = self._services.encode_wave_state(wave, completed)
+                if await self._recorder.publish(key, value):
+                    self._waves.said(wave, completed)
+                    events.emit(
+                        _LOGGER,
+                        events.Event.WAVE_STATE,
+                        wave=wave,
+                        completed=completed,
+                    )
+            case upkeep.OrderUpkeep(wave, machine):
+                await self._order(wave, machine)
+
+    async def _order(self, wave: int, machine: str) -> None:
+        # Whatever becomes of the call, the machine may be down from now on.
+        self._waves.down(wave, machine)
+        answer = await self._services.machines.upkeep(
+            machine, wave, self._tables.token, timeout_ms=CALL_TIMEOUT_MS
+        )
+        events.emit(
+            _LOGGER,
+            events.Event.UPKEEP_ORDERED,
+            wave=wave,
+            machine=machine,
+            token=self._tables.token,
+            outcome=str(answer),
+        )
+        match answer:
+            case ports.UpkeepRefusal.FENCED:
+                self._overtaken("an upkeep was refused for its token")
+            case (
+                ports.UpkeepRefusal.NO_MACHINE | ports.UpkeepRefusal.OTHER_WAVE
+            ):
+                self._waves.done(wave, machine)
+            case ports.Done():
+                self._confirmed.add((wave, machine))
+
+    async def _look_after_ordered(self) -> None:
+        """Asks which ordered machines are back, and repeats lost orders."""
+        ordered = self._waves.ordered()
+        if not ordered:
+            return
+        rows = await self._services.machines.list(timeout_ms=CALL_TIMEOUT_MS)
+        if isinstance(rows, ports.Unknown):
+            return
+        up_by_machine = {row.machine: row.up for row in rows}
+        for wave, machine in ordered:
+            up = up_by_machine.get(machine)
+            if up is None or up and (wave, machine) in self._confirmed:
+                self._waves.done(wave, machine)
+            elif up:
+                await self._order(wave, machine)
--- a/packages/placer/src/laburnumgate_placer/model.py
+++ b/packages/placer/src/laburnumgate_placer/model.py
@@ -198,6 +198,23 @@
     max_body_bytes: int
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Wave:
+    """Operators' request for the upkeep of machines.
+
+    Attributes:
+      number: of the wave.
+      machines: ids of the machines.
+      duration_ms: time in which all of them have their upkeep.
+      most_at_once: machines that may be down at the same time.
+    """
+
+    number: int
+    machines: tuple[str, ...]
+    duration_ms: int
+    most_at_once: int
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Endpoint:
     """An endpoint as it describes itself in the live list.
--- a/packages/placer/src/laburnumgate_placer/ports.py
+++ b/packages/placer/src/laburnumgate_placer/ports.py
@@ -186,6 +186,73 @@
     ticket: str = ""
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class Advice:
+    """Which of the named endpoints may run a step.
+
+    Attributes:
+      ticket_by_endpoint: tickets of those that may.
+      valid_ms: how long the tickets hold.
+    """
+
+    ticket_by_endpoint: dict[str, str]
+    valid_ms: int
+
+
+class Advisor(Protocol):
+    """The service that decides which endpoints may run a step."""
+
+    async def ask(
+        self,
+        job_id: str,
+        occurrence: int,
+        step: int,
+        endpoint_ids: tuple[str, ...],
+        *,
+        timeout_ms: int,
+    ) -> Advice | Unknown:
+        """Asks for tickets; calls of one host are answered in turn."""
+        ...
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class MachineRow:
+    """A machine as the platform lists it.
+
+    Attributes:
+      machine: its id.
+      up: it is neither moving, nor in upkeep, nor down.
+    """
+
+    machine: str
+    up: bool
+
+
+class UpkeepRefusal(enum.Enum):
+    """Why a machine was not sent into its upkeep."""
+
+    FENCED = "a higher fencing token is in force"
+    BUSY = "the machine is not up, or it is leaving"
+    OTHER_WAVE = "the machine is not of this wave"
+    NO_MACHINE = "there is no such machine"
+
+
+class Machines(Protocol):
+    """The API of the machines that endpoints run on."""
+
+    async def list(
+        self, *, timeout_ms: int
+    ) -> tuple[MachineRow, ...] | Unknown:
+        """Returns all machines."""
+        ...
+
+    async def upkeep(
+        self, machine: str, wave: int, fencing_token: int, *, timeout_ms: int
+    ) -> Done | UpkeepRefusal | Unknown:
+        """Sends a machine into its upkeep, if it has not had it yet."""
+        ...
+
+
 class Endpoints(Protocol):
     """Calls to endpoints."""
 
--- a/packages/placer/src/laburnumgate_placer/progress.py
+++ b/packages/placer/src/laburnumgate_placer/progress.py
@@ -63,7 +63,6 @@
     base_ms: int = 0
     load: float = 0.0
     paced: int = 100
-    over_since_ms: int = 0
 
 
 @dataclasses.dataclass(eq=False, slots=True)
--- a/packages/placer/src/laburnumgate_placer/recorder.py
+++ b/packages/placer/src/laburnumgate_placer/recorder.py
@@ -22,13 +22,21 @@
 # The leader waits this long for a record before it tries to go on; the record
 # itself is repeated until its fate is known.
 RECORD_TIMEOUT_MS = 600_000
+PUBLISH_TIMEOUT_MS = 1_000
 
 
 class Recorder:
     """Writes progress and states of changed jobs, then lets runs start."""
 
-    def __init__(self, log: ports.Log, tables: tables_module.Tables):
+    def __init__(
+        self,
+        log: ports.Log,
+        tables: tables_module.Tables,
+        status_topic: str,
+    ):
         """Prepares the writers of one tenure."""
+        self._log = log
+        self._status_topic = status_topic
         self._tables = tables
         self._writers_by_topic = {
             topic: writer.Writer(
@@ -83,12 +91,26 @@
             lifecycle.close_job(tables, job_id)
         return runs
 
+    async def publish(self, key: str, value: bytes) -> bool:
+        """Writes what operators read; returns whether it is stored."""
+        outcome = await self._log.append(
+            self._status_topic,
+            [records.keyed(key, value)],
+            timeout_ms=PUBLISH_TIMEOUT_MS,
+        )
+        return isinstance(outcome, ports.Appended)
+
     async def save_speeds(self) -> None:
         """Records the endpoints' speeds for the next leader."""
         value = orjson.dumps(self._tables.durations.speeds.dump())
         record = records.keyed(topics.SPEEDS_KEY, value)
         await self._append(topics.PROGRESS, [record])
 
+    async def save_waves(self, done_by_wave: dict[str, list[str]]) -> None:
+        """Records the machines that had their upkeep for the next leader."""
+        record = records.keyed(topics.WAVES_KEY, orjson.dumps(done_by_wave))
+        await self._append(topics.PROGRESS, [record])
+
     async def drop(self, job_ids: list[str]) -> None:
         """Removes jobs that ended long ago from the jobs topic."""
         dropped = []
--- a/packages/placer/src/laburnumgate_placer/scheduling.py
+++ b/packages/placer/src/laburnumgate_placer/scheduling.py
@@ -3,6 +3,7 @@
 import dataclasses
 import logging
 
+from laburnumgate_placer import advice
 from laburnumgate_placer import endpoint_table
 from laburnumgate_placer import events
 from laburnumgate_placer import lifecycle
@@ -82,16 +83,28 @@
         now_ms: int,
     ) -> None:
         shape = _shape(unit)
+        tickets: dict[str, str] = {}
+        endpoints = self._open_to(pool, unit, now_ms)
+        if self._tables.queue_of(unit.entry.job).advised:
+            shape = (unit.key.job_id, unit.key.occurrence, unit.key.step)
+            step = advice.step_of(unit.key)
+            tickets = self._tables.advice.tickets(step, now_ms)
+            self._ask(pool, unit, step, endpoints, now_ms)
+            endpoints = [
+                state
+                for state in endpoints
+                if state.info.endpoint_id in tickets
+            ]
         if shape not in pool.failed_shapes:
             chosen = placement.choose(
                 unit,
-                self._open_to(pool, unit, now_ms),
+                endpoints,
                 pool.free_by_id,
                 self._tables.durations.speeds,
                 rank.wish(),
             )
             if chosen is not None:
-                self._take(pool, unit, chosen)
+                self._take(pool, unit, chosen, tickets)
                 return
             pool.failed_shapes.add(shape)
             self._tell(pool, rank, unit)
@@ -151,15 +164,39 @@
             if state.info.endpoint_id not in closed
         ]
 
+    def _ask(
+        self,
+        pool: _Pool,
+        unit: progress.Unit,
+        step: advice.StepKey,
+        endpoints: list[endpoint_table.EndpointState],
+        now_ms: int,
+    ) -> None:
+        """Asks for tickets on the endpoints with the most room."""
+        room = unit.step.charged
+        fitting = [
+            (
+                -pool.free_by_id[s.info.endpoint_id].fits(room),
+                s.info.endpoint_id,
+            )
+            for s in endpoints
+        ]
+        names = [name for free, name in sorted(fitting) if free]
+        self._tables.advice.want(step, names, now_ms)
+
     def _take(
-        self, pool: _Pool, unit: progress.Unit, chosen: list[str]
+        self,
+        pool: _Pool,
+        unit: progress.Unit,
+        chosen: list[str],
+        tickets: dict[str, str],
     ) -> None:
         room = unit.step.charged
         for endpoint_id in chosen:
             free = pool.free_by_id[endpoint_id]
             pool.free_by_id[endpoint_id] = free.plus(room, -1)
         self._kept_by_unit.pop(unit.key, None)
-        lifecycle.assign(self._tables, unit, chosen)
+        lifecycle.assign(self._tables, unit, chosen, tickets)
 
     def _reclaim(
         self,
--- a/packages/placer/src/laburnumgate_placer/tables.py
+++ b/packages/placer/src/laburnumgate_placer/tables.py
@@ -4,6 +4,7 @@
 
 from laburnumgate_core import clock
 
+from laburnumgate_placer import advice
 from laburnumgate_placer import config_table
 from laburnumgate_placer import durations
 from laburnumgate_placer import endpoint_table
@@ -42,6 +43,7 @@
         self.bounds = bounds
         self.endpoints = endpoint_table.EndpointTable()
         self.durations = durations.DurationTable()
+        self.advice = advice.AdviceTable()
         self.entries_by_id: dict[str, progress.JobEntry] = {}
         self.dirty: set[str] = set()
         self.assigned: list[progress.Run] = []
--- a/packages/placer/src/laburnumgate_placer/topics.py
+++ b/packages/placer/src/laburnumgate_placer/topics.py
@@ -7,5 +7,7 @@
 # Key in the progress topic under which endpoints' speeds are kept; job ids
 # are hexadecimal, so that it cannot be one.
 SPEEDS_KEY = "speeds"
+# Likewise for the machines of each wave that had their upkeep.
+WAVES_KEY = "waves"
 # Claims and heartbeats of the leader.
 LEADER = "laburnumgate-leader"
--- a/packages/placer/src/laburnumgate_placer/watcher.py
+++ b/packages/placer/src/laburnumgate_placer/watcher.py
@@ -8,6 +8,7 @@
 from laburnumgate_placer import launcher
 from laburnumgate_placer import lifecycle
 from laburnumgate_placer import model
+from laburnumgate_placer import pacing
 from laburnumgate_placer import ports
 from laburnumgate_placer import reports
 from laburnumgate_placer import tables as tables_module
@@ -144,6 +145,7 @@
                 tables.token,
                 timeout_ms=launcher.ORDER_TIMEOUT_MS,
             )
+        await self._pace()
         self._ack_due = bool(report.ended) and state.seen_end > acked
         if fresh:
             tables.wake.set()
@@ -152,6 +154,33 @@
             await self._recorded()
         return True
 
+    async def _pace(self) -> None:
+        """Changes the pace of what fills the endpoint, where it disturbs."""
+        tables = self._tables
+        for change in pacing.adjust(self._state, tables.steady.now_ms()):
+            member = change.member
+            answer = await self._endpoints.pace(
+                self._state.info,
+                member.task,
+                member.run.number,
+                change.percent,
+                tables.token,
+                timeout_ms=launcher.ORDER_TIMEOUT_MS,
+            )
+            events.emit(
+                _LOGGER,
+                events.Event.PACED,
+                job=member.task.job_id,
+                step=member.task.step,
+                index=member.task.index,
+                endpoint=self._state.info.endpoint_id,
+                percent=change.percent,
+                before=member.paced,
+                outcome=type(answer).__name__,
+            )
+            if isinstance(answer, ports.Done):
+                member.paced = change.percent
+
     async def _recorded(self) -> None:
         """Waits until the ends of the last report may be acknowledged."""
         state = self._state
--- /dev/null
+++ b/packages/placer/tests/test_advice.py
@@ -0,0 +1,49 @@
+"""Tickets are asked for, kept while they hold, and used."""
+
+import builders
+from laburnumgate_placer import advice
+from laburnumgate_placer import lifecycle
+from laburnumgate_placer import scheduling
+
+_STEP = advice.StepKey("a" * 16, 0, 0)
+_ADVISED = builders.replace(builders.QUEUE, advised=True)
+
+
+def test_a_unit_starts_only_where_it_has_a_valid_ticket():
+    """Guards against a start that is refused for want of a ticket."""
+    tables = builders.tables(_ADVISED)
+    for endpoint_id in ("e1", "e2"):
+        builders.add_endpoint(tables, endpoint_id)
+    job = builders.job("a" * 16, builders.step(gpu=8), queue=_ADVISED)
+    entry = lifecycle.open_job(tables, job)
+    scheduler = scheduling.Scheduler(tables)
+    scheduler.run()
+    assert not entry.runs()
+    asked = tables.advice.questions.pop(_STEP)
+    assert set(asked) == {"e1", "e2"}
+    now_ms = tables.steady.now_ms()
+    tables.advice.answered(_STEP, asked, {"e2": "t2"}, now_ms + 3_000)
+    scheduler.run()
+    (run,) = entry.runs()
+    assert [m.endpoint_id for m in run.members] == ["e2"]
+    assert run.tickets_by_endpoint["e2"] == "t2"
+
+
+def test_an_expired_ticket_is_asked_for_again_and_a_refusal_is_not():
+    """Guards against stale tickets, and against asking in vain."""
+    table = advice.AdviceTable()
+    table.want(_STEP, ["e1", "e2"], 0)
+    table.answered(_STEP, table.questions.pop(_STEP), {"e1": "t"}, 3_000)
+    table.want(_STEP, ["e1", "e2"], 100)
+    assert not table.questions
+    late_ms = 3_000 - advice.TICKET_MARGIN_MS
+    assert not table.tickets(_STEP, late_ms)
+    table.want(_STEP, ["e1", "e2"], late_ms)
+    assert table.questions[_STEP] == ("e1",)
+
+
+def test_a_question_is_bounded():
+    """Guards against questions whose answer takes seconds."""
+    table = advice.AdviceTable()
+    table.want(_STEP, [f"e{n}" for n in range(100)], 0)
+    assert len(table.questions[_STEP]) == advice.MOST_ASKED
--- a/packages/placer/tests/test_leader.py
+++ b/packages/placer/tests/test_leader.py
@@ -5,18 +5,20 @@
 import builders
 import fakelog
 import fakeworkers
-from laburnumgate_placer import config_table
 from laburnumgate_placer import host as host_module
 from laburnumgate_placer import intake
 from laburnumgate_placer import limits
 from laburnumgate_placer import model
+from laburnumgate_placer import ports
 from laburnumgate_placer import records
+from laburnumgate_placer import services
 from laburnumgate_placer import topics
 import pytest
 
 _BOUNDS = limits.Bounds(max_lease_ms=600, gang_ms=1_000)
 _OPERATORS = "keyed.test-operators"
 _LIST = "keyed.test-list"
+_STATUS = "keyed.test-status"
 
 
 class _System:
@@ -31,6 +33,12 @@
         for worker_id in worker_ids:
             self.list_worker(worker_id)
         self.tasks = {}
+        self.advisor = None
+        self.machines = None
+        self.queue = builders.QUEUE
+
+    def apply_operator_entry(self, table, entry):
+        table.publish(entry.offset, builders.config(self.queue))
 
     def list_worker(self, worker_id, present=True):
         born = self.workers.by_id[worker_id].born_ms
@@ -40,15 +48,26 @@
     def add_host(self, name, first_start=False) -> host_module.Host:
         host = host_module.Host(
             name,
-            self.log,
-            self.workers,
-            lambda entry: builders.endpoint(
-                entry.key, born_ms=int(entry.value)
+            services.Services(
+                log=self.log,
+                endpoints=self.workers,
+                advisor=self.advisor,
+                machines=self.machines,
+                decode_endpoint=lambda entry: builders.endpoint(
+                    entry.key,
+                    born_ms=int(entry.value),
+                    machine=f"m-{entry.key}",
+                ),
+                apply_operator_entry=self.apply_operator_entry,
+                encode_wave_state=lambda wave, done: (
+                    f"wave/{wave}",
+                    b"completed" if done else b"running",
+                ),
+                operator_topic=_OPERATORS,
+                list_topic=_LIST,
+                status_topic=_STATUS,
             ),
-            _apply_config,
             _BOUNDS,
-            operator_topic=_OPERATORS,
-            list_topic=_LIST,
             claim_delay_ms=0,
             first_start=first_start,
         )
@@ -69,10 +88,6 @@
         ]
 
 
-def _apply_config(table: config_table.ConfigTable, entry):
-    table.publish(entry.offset, builders.config())
-
-
 async def _until(condition):
     while not condition():
         await asyncio.sleep(0.005)
@@ -422,3 +437,83 @@
         assert len(system.starts()) == 3
 
     builders.run(work())
+
+
+class _Advisor:
+    """Allows every second endpoint that it is asked about."""
+
+    async def ask(self, job_id, occurrence, step, endpoint_ids, *, timeout_ms):
+        allowed = sorted(endpoint_ids)[::2]
+        return ports.Advice({e: f"ticket-{e}" for e in allowed}, 3_000)
+
+
+def test_a_start_on_an_advised_queue_carries_its_ticket():
+    """Guards against advice that is asked for and not used."""
+
+    async def work():
+        system = _System("e1", "e2")
+        system.advisor = _Advisor()
+        system.queue = builders.replace(builders.QUEUE, advised=True)
+        host = system.add_host("h1", first_start=True)
+        await _until(lambda: host.leader and host.leader.recovered)
+        job = builders.job("a" * 16, builders.step(), queue=system.queue)
+        await _submit(host, job)
+        await _until(lambda: len(system.starts()) == 1)
+        assert system.starts()[0][1].ticket == "ticket-e1"
+
+    builders.run(work())
+
+
+class _Machines:
+    """Sends machines into an upkeep of 0.2 s; the first answer is lost."""
+
+    def __init__(self):
+        self.orders = []
+        self.down_until = {}
+
+    async def list(self, *, timeout_ms):
+        now = asyncio.get_running_loop().time()
+        return tuple(
+            ports.MachineRow(f"m-{e}", now > self.down_until.get(f"m-{e}", 0))
+            for e in ("e1", "e2")
+        )
+
+    async def upkeep(self, machine, wave, fencing_token, *, timeout_ms):
+        if machine == "m-gone":
+            return ports.UpkeepRefusal.NO_MACHINE
+        now = asyncio.get_running_loop().time()
+        assert not any(until > now for until in self.down_until.values())
+        if machine not in self.down_until:
+            self.down_until[machine] = now + 0.2
+        self.orders.append(machine)
+        if len(self.orders) == 1:
+            return ports.Unknown("lost")
+        return ports.Done(0)
+
+
+def test_a_wave_is_carried_out_and_reported():
+    """Guards against a wave that stops after a lost answer."""
+
+    async def work():
+        system = _System("e1", "e2")
+        system.machines = _Machines()
+        host = system.add_host("h1", first_start=True)
+        host.config.set_wave(
+            4, model.Wave(4, ("m-e1", "m-e2", "m-gone"), 10_000, 1)
+        )
+        status = system.log.records_by_topic
+        await _until(
+            lambda: any(b"completed" in r for r in status.get(_STATUS, ()))
+        )
+        assert set(system.machines.orders) == {"m-e1", "m-e2"}
+        ordered = len(system.machines.orders)
+        system.kill("h1")
+        second = system.add_host("h2")
+        second.config.set_wave(
+            4, model.Wave(4, ("m-e1", "m-e2", "m-gone"), 10_000, 1)
+        )
+        await _until(lambda: second.leader and second.leader.recovered)
+        await asyncio.sleep(0.6)
+        assert len(system.machines.orders) == ordered
+
+    builders.run(work())
--- /dev/null
+++ b/packages/placer/tests/test_pacing.py
@@ -0,0 +1,51 @@
+"""What fills an endpoint gives way to what serves there."""
+
+import builders
+from laburnumgate_placer import lifecycle
+from laburnumgate_placer import pacing
+
+
+def _sharing(load):
+    tables = builders.tables()
+    state = builders.add_endpoint(tables)
+    serving = builders.step(long_running=True, target_ms=100)
+    filling = builders.step(long_running=True, fills=True)
+    members = []
+    for job_id, step in (("a" * 16, serving), ("b" * 16, filling)):
+        entry = lifecycle.open_job(tables, builders.job(job_id, step))
+        unit = next(iter(entry.units_by_key.values()))
+        run = lifecycle.assign(tables, unit, ["e1"])
+        builders.start(tables, run)
+        members.extend(run.members)
+    members[0].load = load
+    return tables, state, members
+
+
+def test_a_disturbed_task_is_relieved_within_its_bound():
+    """Guards against a serving task that stays over its target."""
+    tables, state, (serving, filling) = _sharing(140.0)
+    elapsed_ms = 0
+    while filling.paced:
+        for change in pacing.adjust(state, tables.steady.now_ms()):
+            assert change.member is filling
+            filling.paced = change.percent
+        tables.steady.advance(100)
+        elapsed_ms += 100
+    assert elapsed_ms < tables.bounds.interference_ms
+
+
+def test_pace_is_given_back_when_there_is_room():
+    """Guards against filling work that stays slow for good."""
+    tables, state, (serving, filling) = _sharing(20.0)
+    filling.paced = 0
+    for _ in range(100):
+        for change in pacing.adjust(state, tables.steady.now_ms()):
+            filling.paced = change.percent
+        tables.steady.advance(100)
+    assert filling.paced == 100
+
+
+def test_a_step_that_fills_takes_no_cpu_of_the_capacity():
+    """Guards against filling work that keeps others out."""
+    _, state, _ = _sharing(20.0)
+    assert state.used.cpu == 1_000
