--- a/packages/placer/src/laburnumgate_placer/leader.py
+++ b/packages/placer/src/laburnumgate_placer/leader.py
@@ -17,6 +17,7 @@
 from laburnumgate_placer import leadership
 from laburnumgate_placer import lifecycle
 from laburnumgate_placer import limits
+from laburnumgate_placer import live_list
 from laburnumgate_placer import maintainer
 from laburnumgate_placer import metrics
 from laburnumgate_placer import model
@@ -84,12 +85,17 @@
         self._orders = launcher.Launcher(
             services.endpoints, self.tables, lead.overtaken
         )
-        self._listed_by_id: dict[str, model.Endpoint] = {}
+        self._live_list = live_list.LiveList(
+            self.tables,
+            services.decode_endpoint,
+            self._watch,
+            self._claimed_ms,
+        )
         self._list_feed = feed.Feed(
             services.log,
             steady,
             services.list_topic,
-            self._apply_entry,
+            self._live_list.apply,
             wait_ms=LIST_WAIT_MS,
             pause_ms=LIST_PAUSE_MS,
         )
@@ -253,7 +259,7 @@
         """Takes over recorded runs; their endpoints decide what is there."""
         for run in entry.runs():
             for member in run.members:
-                state = self._state_of(member)
+                state = self._live_list.state_of(member)
                 if state.info.born_ms != member.born_ms:
                     lifecycle.member_gone(self.tables, member)
                     continue
@@ -269,141 +275,16 @@
                 endpoints=sorted({m.endpoint_id for m in run.members}),
             )
 
-    def _state_of(
-        self, member: progress.Member
-    ) -> endpoint_table.EndpointState:
-        by_id = self.tables.endpoints.by_id
-        state = by_id.get(member.endpoint_id)
-        if state is not None:
-            return state
-        # The endpoint has left the list. Its address is unknown, so that its
-        # runs count as present until no lease can be valid.
-        info = model.Endpoint(
-            member.endpoint_id,
-            member.born_ms,
-            "",
-            "",
-            "",
-            "",
-            frozenset(),
-            model.Room(),
-        )
-        state = self._add_state(info)
-        state.listed = False
-        state.answering = False
-        return state
-
-    def _add_state(self, info: model.Endpoint) -> endpoint_table.EndpointState:
-        tables = self.tables
-        state = endpoint_table.EndpointState(info)
-        state.contact_ms = tables.steady.now_ms()
-        # An earlier leader renews until its right is stale, and its leases
-        # last as long as endpoints allow.
-        longest_ms = tables.bounds.max_lease_ms
-        state.lease_bound_ms = self._claimed_ms + int(
-            longest_ms + longest_ms / endpoint_table.SLOWEST_CLOCK
-        )
-        tables.endpoints.by_id[info.endpoint_id] = state
+    def _watch(self, state: endpoint_table.EndpointState) -> None:
         loop = watcher.Watcher(
             self._endpoints,
-            tables,
+            self.tables,
             state,
             self._orders,
             self._may_renew,
             self._lead.overtaken,
         )
         self._spawn(loop.run())
-        return state
-
-    def _apply_entry(self, entry: ports.Entry) -> None:
-        """Applies a record of the live list."""
-        endpoint = None
-        if entry.value is not None:
-            endpoint = self._services.decode_endpoint(entry)
-        state = self.tables.endpoints.by_id.get(entry.key)
-        if endpoint is None:
-            self._listed_by_id.pop(entry.key, None)
-            if state is not None and state.listed:
-                state.listed = False
-                self._changed(state, "it is no longer listed")
-            return
-        self._listed_by_id[entry.key] = endpoint
-        self._follow(endpoint)
-
-    def _follow(self, endpoint: model.Endpoint) -> None:
-        by_id = self.tables.endpoints.by_id
-        state = by_id.get(endpoint.endpoint_id)
-        if state is not None and state.info.born_ms != endpoint.born_ms:
-            if state.members and not state.over:
-                # The watcher sees the new life and voids orders to the old.
-                return
-            if endpoint.born_ms < state.info.born_ms:
-                return
-            state.over = True
-            state = None
-        if state is None:
-            self._end_earlier_lives(endpoint)
-            self._add_state(endpoint)
-            events.emit(
-                _LOGGER,
-                events.Event.ENDPOINT_FOUND,
-                endpoint=endpoint.endpoint_id,
-                zone=endpoint.zone,
-                rack=endpoint.rack,
-                draining=endpoint.draining,
-            )
-            return
-        if state.over:
-            return
-        draining = endpoint.draining and not state.info.draining
-        relisted = not state.listed
-        state.info = endpoint
-        state.listed = True
-        if draining:
-            self._changed(state, "it is leaving")
-            self._move_off(state)
-        elif relisted:
-            self._changed(state, "it is listed again")
-            self.tables.wake.set()
-
-    def _end_earlier_lives(self, endpoint: model.Endpoint) -> None:
-        """Ends lives of the same machine under other ids."""
-        if not endpoint.machine:
-            return
-        for state in list(self.tables.endpoints.by_id.values()):
-            if state.info.machine != endpoint.machine:
-                continue
-            if state.info.born_ms < endpoint.born_ms:
-                lifecycle.life_over(
-                    self.tables, state, "its machine has a newer endpoint"
-                )
-
-    def _move_off(self, state: endpoint_table.EndpointState) -> None:
-        """Stops runs that resume elsewhere and would not finish here."""
-        tables = self.tables
-        now_ms = tables.steady.now_ms()
-        for member in list(state.members.values()):
-            run = member.run
-            if run.phase != progress.Phase.RUNNING:
-                continue
-            step = run.unit.step
-            if not step.checkpointing and not step.long_running:
-                continue
-            left_ms = tables.durations.remaining_ms(run, now_ms)
-            if step.long_running or left_ms > state.info.remaining_ms:
-                lifecycle.stop_run(tables, run, "its endpoint is leaving")
-
-    def _changed(
-        self, state: endpoint_table.EndpointState, reason: str
-    ) -> None:
-        events.emit(
-            _LOGGER,
-            events.Event.ENDPOINT_CHANGED,
-            endpoint=state.info.endpoint_id,
-            reason=reason,
-            runs=len(state.members),
-            remaining_ms=state.info.remaining_ms,
-        )
 
     async def _place_forever(self) -> None:
         tables = self.tables
@@ -415,10 +296,7 @@
                 self._open_due()
             tables.wake.clear()
             self._check()
-            for endpoint in list(self._listed_by_id.values()):
-                state = tables.endpoints.by_id.get(endpoint.endpoint_id)
-                if state is None or state.over:
-                    self._follow(endpoint)
+            self._live_list.follow_restarts()
             self._scheduler.run()
             metrics.OPEN_JOBS.set({}, len(tables.entries_by_id))
             self._send_stops()
--- /dev/null
+++ b/packages/placer/src/laburnumgate_placer/live_list.py
@@ -0,0 +1,173 @@
+"""The live list as the leader follows it: endpoints that come and go."""
+
+from collections.abc import Callable
+import logging
+
+from laburnumgate_placer import endpoint_table
+from laburnumgate_placer import events
+from laburnumgate_placer import lifecycle
+from laburnumgate_placer import model
+from laburnumgate_placer import ports
+from laburnumgate_placer import progress
+from laburnumgate_placer import tables as tables_module
+
+_LOGGER = logging.getLogger(__name__)
+
+
+class LiveList:
+    """Keeps the endpoint table in line with the live list."""
+
+    def __init__(
+        self,
+        tables: tables_module.Tables,
+        decode: Callable[[ports.Entry], model.Endpoint | None],
+        watch: Callable[[endpoint_table.EndpointState], None],
+        claimed_ms: int,
+    ):
+        """Starts with an empty list.
+
+        Args:
+          tables: the leader's tables.
+          decode: reads an entry; None if it names no usable endpoint.
+          watch: is called with each new life of an endpoint.
+          claimed_ms: steady time at which this tenure began.
+        """
+        self._tables = tables
+        self._decode = decode
+        self._watch = watch
+        self._claimed_ms = claimed_ms
+        self._listed_by_id: dict[str, model.Endpoint] = {}
+
+    def follow_restarts(self) -> None:
+        """Adds lives whose predecessor has been given up since they came."""
+        for endpoint in list(self._listed_by_id.values()):
+            state = self._tables.endpoints.by_id.get(endpoint.endpoint_id)
+            if state is None or state.over:
+                self._follow(endpoint)
+
+    def state_of(self, member: progress.Member) -> endpoint_table.EndpointState:
+        """Returns the endpoint of a recorded member, listed or not."""
+        by_id = self._tables.endpoints.by_id
+        state = by_id.get(member.endpoint_id)
+        if state is not None:
+            return state
+        # The endpoint has left the list. Its address is unknown, so that its
+        # runs count as present until no lease can be valid.
+        info = model.Endpoint(
+            member.endpoint_id,
+            member.born_ms,
+            "",
+            "",
+            "",
+            "",
+            frozenset(),
+            model.Room(),
+        )
+        state = self._add_state(info)
+        state.listed = False
+        state.answering = False
+        return state
+
+    def _add_state(self, info: model.Endpoint) -> endpoint_table.EndpointState:
+        tables = self._tables
+        state = endpoint_table.EndpointState(info)
+        state.contact_ms = tables.steady.now_ms()
+        # An earlier leader renews until its right is stale, and its leases
+        # last as long as endpoints allow.
+        longest_ms = tables.bounds.max_lease_ms
+        state.lease_bound_ms = self._claimed_ms + int(
+            longest_ms + longest_ms / endpoint_table.SLOWEST_CLOCK
+        )
+        tables.endpoints.by_id[info.endpoint_id] = state
+        self._watch(state)
+        return state
+
+    def apply(self, entry: ports.Entry) -> None:
+        """Applies a record of the live list."""
+        endpoint = None
+        if entry.value is not None:
+            endpoint = self._decode(entry)
+        state = self._tables.endpoints.by_id.get(entry.key)
+        if endpoint is None:
+            self._listed_by_id.pop(entry.key, None)
+            if state is not None and state.listed:
+                state.listed = False
+                self._changed(state, "it is no longer listed")
+            return
+        self._listed_by_id[entry.key] = endpoint
+        self._follow(endpoint)
+
+    def _follow(self, endpoint: model.Endpoint) -> None:
+        by_id = self._tables.endpoints.by_id
+        state = by_id.get(endpoint.endpoint_id)
+        if state is not None and state.info.born_ms != endpoint.born_ms:
+            if state.members and not state.over:
+                # The watcher sees the new life and voids orders to the old.
+                return
+            if endpoint.born_ms < state.info.born_ms:
+                return
+            state.over = True
+            state = None
+        if state is None:
+            self._end_earlier_lives(endpoint)
+            self._add_state(endpoint)
+            events.emit(
+                _LOGGER,
+                events.Event.ENDPOINT_FOUND,
+                endpoint=endpoint.endpoint_id,
+                zone=endpoint.zone,
+                rack=endpoint.rack,
+                draining=endpoint.draining,
+            )
+            return
+        if state.over:
+            return
+        draining = endpoint.draining and not state.info.draining
+        relisted = not state.listed
+        state.info = endpoint
+        state.listed = True
+        if draining:
+            self._changed(state, "it is leaving")
+            self._move_off(state)
+        elif relisted:
+            self._changed(state, "it is listed again")
+            self._tables.wake.set()
+
+    def _end_earlier_lives(self, endpoint: model.Endpoint) -> None:
+        """Ends lives of the same machine under other ids."""
+        if not endpoint.machine:
+            return
+        for state in list(self._tables.endpoints.by_id.values()):
+            if state.info.machine != endpoint.machine:
+                continue
+            if state.info.born_ms < endpoint.born_ms:
+                lifecycle.life_over(
+                    self._tables, state, "its machine has a newer endpoint"
+                )
+
+    def _move_off(self, state: endpoint_table.EndpointState) -> None:
+        """Stops runs that resume elsewhere and would not finish here."""
+        tables = self._tables
+        now_ms = tables.steady.now_ms()
+        for member in list(state.members.values()):
+            run = member.run
+            if run.phase != progress.Phase.RUNNING:
+                continue
+            step = run.unit.step
+            if not step.checkpointing and not step.long_running:
+                continue
+            left_ms = tables.durations.remaining_ms(run, now_ms)
+            if step.long_running or left_ms > state.info.remaining_ms:
+                lifecycle.stop_run(tables, run, "its endpoint is leaving")
+
+    def _changed(
+        self, state: endpoint_table.EndpointState, reason: str
+    ) -> None:
+        events.emit(
+            _LOGGER,
+            events.Event.ENDPOINT_CHANGED,
+            endpoint=state.info.endpoint_id,
+            reason=reason,
+            runs=len(state.members),
+            remaining_ms=state.info.remaining_ms,
+        )
