--- /dev/null
+++ b/deploy/tests/test_wire_names.py
@@ -0,0 +1,22 @@
+"""Names of the platform's wire stay in the adapter."""
+
+import pathlib
+import re
+
+_ROOT = pathlib.Path(__file__).parents[2]
+_NAMES = re.compile(
+    r"\b(run[-_]start|run-stop|log-append|log-read|log-newest|ack_cursor|"
+    r"path_prefix|api_keys|task_spec|est_duration_ms|max_per_server|"
+    r"cold_remaining_ms|fetch_max_kb|LABURNUMGATE_BOOT|"
+    r"X-Laburnumgate-[A-Z]\w+)\b"
+)
+
+
+def test_the_product_knows_no_wire_name():
+    """Guards against wire names that spread beyond the adapter."""
+    found = [
+        f"{path.relative_to(_ROOT)}: {match.group()}"
+        for path in _ROOT.glob("packages/*/src/**/*.py")
+        for match in _NAMES.finditer(path.read_text())
+    ]
+    assert not found
--- a/packages/placer/src/laburnumgate_placer/config_table.py
+++ b/packages/placer/src/laburnumgate_placer/config_table.py
@@ -91,9 +91,9 @@
         for queue in self.current.queues_by_name.values():
             if queue.hostname != hostname:
                 continue
-            if not path.startswith(queue.path_prefix):
+            if not path.startswith(queue.prefix):
                 continue
-            if best and len(best.path_prefix) >= len(queue.path_prefix):
+            if best and len(best.prefix) >= len(queue.prefix):
                 continue
             best = queue
         if best is None:
@@ -101,4 +101,4 @@
         account = self.current.account_by_key.get(key or "")
         if account is None and not best.public:
             return UnknownKey()
-        return Admitted(best, account or "", path[len(best.path_prefix) :])
+        return Admitted(best, account or "", path[len(best.prefix) :])
--- a/packages/placer/src/laburnumgate_placer/model.py
+++ b/packages/placer/src/laburnumgate_placer/model.py
@@ -96,7 +96,7 @@
     Attributes:
       name: name in the configuration.
       hostname: virtual host under which callers reach it.
-      path_prefix: start of the paths of its jobs.
+      prefix: start of the paths of its jobs.
       service: name of the pool of endpoints that run its tasks.
       priority: 0 is served first and may displace others.
       attempts: runs of a task that may fail before the job has failed.
@@ -108,7 +108,7 @@
 
     name: str
     hostname: str
-    path_prefix: str
+    prefix: str
     service: str
     priority: int = 0
     attempts: int = 1
--- a/packages/placer/src/laburnumgate_placer/ports.py
+++ b/packages/placer/src/laburnumgate_placer/ports.py
@@ -293,7 +293,7 @@
         *,
         deadline_ms: int | None,
         fencing_token: int,
-        ack_cursor: int,
+        acknowledged: int,
         wait_ms: int,
         timeout_ms: int,
     ) -> model.Report | Refused | Undelivered | Unknown:
--- a/packages/placer/src/laburnumgate_placer/watcher.py
+++ b/packages/placer/src/laburnumgate_placer/watcher.py
@@ -53,6 +53,8 @@
         self._orders = orders
         self._may_renew = may_renew
         self._overtaken = overtaken
+        # Ends are handled and stored, and the endpoint lists them still.
+        self._ack_due = False
 
     async def run(self) -> None:
         """Renews and reads until the endpoint's life is over."""
@@ -79,8 +81,6 @@
             return True
         return state.acked_end < state.seen_end or self._ack_due
 
-    _ack_due = False
-
     async def _ask(self) -> bool:
         state = self._state
         tables = self._tables
@@ -94,7 +94,7 @@
             state.info,
             deadline_ms=deadline_ms,
             fencing_token=tables.token,
-            ack_cursor=acked,
+            acknowledged=acked,
             wait_ms=wait_ms,
             timeout_ms=wait_ms + ANSWER_SLACK_MS,
         )
--- a/packages/placer/tests/fakeworkers.py
+++ b/packages/placer/tests/fakeworkers.py
@@ -104,7 +104,7 @@
         *,
         deadline_ms,
         fencing_token,
-        ack_cursor,
+        acknowledged,
         wait_ms,
         timeout_ms,
     ):
@@ -112,7 +112,7 @@
         refused = await self._reach(worker, fencing_token, timeout_ms)
         if refused is not None:
             return refused
-        worker.acked = max(worker.acked, ack_cursor)
+        worker.acked = max(worker.acked, acknowledged)
         worker.ended = [e for e in worker.ended if e.number > worker.acked]
         if not worker.ended and wait_ms:
             worker.changed.clear()
--- a/packages/placer/tests/test_scheduling.py
+++ b/packages/placer/tests/test_scheduling.py
@@ -12,10 +12,10 @@
 from laburnumgate_placer import scheduling
 
 _URGENT = builders.replace(
-    builders.QUEUE, name="urgent", path_prefix="/u/", priority=0
+    builders.QUEUE, name="urgent", prefix="/u/", priority=0
 )
 _BATCH = builders.replace(
-    builders.QUEUE, name="batch", path_prefix="/b/", priority=2
+    builders.QUEUE, name="batch", prefix="/b/", priority=2
 )
 
 
