--- a/packages/placer/src/laburnumgate_placer/reclaim.py
+++ b/packages/placer/src/laburnumgate_placer/reclaim.py
@@ -1,4 +1,4 @@
-"""Chooses which runs to stop so that a guaranteed unit can start."""
+"""Chooses which runs to stop so that a more urgent unit can start."""
 
 import dataclasses
 
@@ -31,12 +31,14 @@
 
     Attributes:
       protected: ids of jobs that are owed their capacity as well.
-      resumable_below: if set, only runs that resume from a checkpoint, of
-        queues whose priority comes after this one.
+      below: if set, only runs of queues whose priority comes after this one.
+      most_lost: with `below`, core-seconds that the stops may throw away of
+        work that does not resume.
     """
 
     protected: set[str]
-    resumable_below: int | None = None
+    below: int | None = None
+    most_lost: float = 0.0
 
 
 def plan(
@@ -79,8 +81,12 @@
     ran_ms = max(0, now_ms - (run.started_ms or now_ms))
     if step.checkpointing:
         ran_ms = min(ran_ms, tables.bounds.restore_ms)
-    cores = step.room.cpu / 1000 + CORES_PER_GPU * step.room.gpu
-    return len(run.members) * cores * ran_ms / 1000
+    return len(run.members) * task_cores(step) * ran_ms / 1000
+
+
+def task_cores(step: model.Step) -> float:
+    """Returns what a task uses, with accelerators counted as cores."""
+    return step.room.cpu / 1000 + CORES_PER_GPU * step.room.gpu
 
 
 def _groups(
@@ -130,15 +136,48 @@
     if chosen is None:
         return None
     kept = frozenset(chosen)
-    victims = [
-        run
+    victims = _needed(tables, unit, group, victims, free_by_id, kept)
+    lost_for_good = sum(
+        lost_work(tables, run, now_ms)
         for run in victims
-        if any(m.endpoint_id in kept for m in run.members)
-    ]
+        if not run.unit.step.checkpointing
+    )
+    if scope.below is not None and lost_for_good > scope.most_lost:
+        return None
     lost = sum(lost_work(tables, run, now_ms) for run in victims)
     return Plan(tuple(victims), kept, lost)
 
 
+def _needed(
+    tables: tables_module.Tables,
+    unit: progress.Unit,
+    group: list[endpoint_table.EndpointState],
+    victims: list[progress.Run],
+    free_by_id: dict[str, model.Room],
+    kept: frozenset[str],
+) -> list[progress.Run]:
+    """Returns the victims without which the unit does not fit.
+
+    The dearest ones, which come last, are spared first.
+    """
+    endpoints = [s for s in group if s.info.endpoint_id in kept]
+    needed = []
+    for run in reversed(victims):
+        if not any(m.endpoint_id in kept for m in run.members):
+            continue
+        spared = dict(free_by_id)
+        for member in run.members:
+            if not member.gone:
+                _take_back(spared, member)
+        speed_table = tables.durations.speeds
+        wish = placement.Wish()
+        if placement.choose(unit, endpoints, spared, speed_table, wish):
+            free_by_id = spared
+            continue
+        needed.append(run)
+    return needed
+
+
 def _may_stop(
     tables: tables_module.Tables,
     run: progress.Run,
@@ -150,13 +189,13 @@
     job = run.unit.entry.job
     if job.job_id in scope.protected:
         return False
-    if scope.resumable_below is None:
+    if scope.below is None:
         return True
-    if not run.unit.step.checkpointing:
-        return False
-    if now_ms - run.started_ms < SETTLED_MS:
+    if tables.queue_of(job).priority <= scope.below:
         return False
-    return tables.queue_of(job).priority > scope.resumable_below
+    if run.unit.step.checkpointing:
+        return now_ms - run.started_ms >= SETTLED_MS
+    return scope.most_lost > 0
 
 
 def _give_back(
@@ -168,6 +207,15 @@
         free_by_id[member.endpoint_id] = free.plus(room)
 
 
+def _take_back(
+    free_by_id: dict[str, model.Room], member: progress.Member
+) -> None:
+    free = free_by_id.get(member.endpoint_id)
+    if free is not None:
+        room = member.run.unit.step.charged
+        free_by_id[member.endpoint_id] = free.plus(room, -1)
+
+
 def _price(
     tables: tables_module.Tables,
     run: progress.Run,
--- a/packages/placer/src/laburnumgate_placer/scheduling.py
+++ b/packages/placer/src/laburnumgate_placer/scheduling.py
@@ -20,6 +20,10 @@
 # Time kept for recording, starting and stopping when capacity is reclaimed
 # within its bound.
 RECLAIM_MARGIN_MS = 900
+# Work that does not resume is thrown away for a unit that can still be on time
+# up to this many times the unit's own work. Work of a later priority earns
+# several times less, and it is done again in full.
+LOSS_FACTOR = 2.0
 # Gangs for which endpoints are kept at the same time, per pool. More would
 # leave too little for the work that fits.
 MAX_RESERVATIONS = 2
@@ -108,15 +112,16 @@
                 return
             pool.failed_shapes.add(shape)
             self._tell(pool, rank, unit)
-        self._reclaim(pool, rank, unit, protected, now_ms)
-        if len(pool.reservations) >= MAX_RESERVATIONS:
-            return
-        if unit.size > 1 and rank.stage != ordering.Stage.TOO_LATE:
+        kept = None
+        if rank.stage != ordering.Stage.TOO_LATE:
             kept = reservation.plan(
                 self._tables, unit, pool.endpoints, rank.wish(), now_ms
             )
-            if kept is not None:
-                pool.reservations.append(kept)
+        self._reclaim(pool, rank, unit, protected, kept, now_ms)
+        if kept is None or unit.size == 1:
+            return
+        if len(pool.reservations) < MAX_RESERVATIONS:
+            pool.reservations.append(kept)
 
     def _tell(
         self, pool: _Pool, rank: ordering.Rank, unit: progress.Unit
@@ -204,11 +209,12 @@
         rank: ordering.Rank,
         unit: progress.Unit,
         protected: set[str],
+        expected: reservation.Reservation | None,
         now_ms: int,
     ) -> None:
         tables = self._tables
         kept = self._kept_by_unit.get(unit.key)
-        scope = self._scope(rank, unit, protected, now_ms)
+        scope = self._scope(rank, unit, protected, expected, now_ms)
         if scope is not None:
             open_endpoints = [
                 state
@@ -232,22 +238,36 @@
         rank: ordering.Rank,
         unit: progress.Unit,
         protected: set[str],
+        expected: reservation.Reservation | None,
         now_ms: int,
     ) -> reclaim.Scope | None:
         """Returns what may be stopped for a unit, None for nothing.
 
-        Work that resumes from a checkpoint loses next to nothing; other work
-        is stopped only when a guarantee is about to be missed.
+        Work that resumes from a checkpoint loses next to nothing. Other work
+        is stopped when a guarantee is about to be missed, and for a unit that
+        would be late if it waited for the ends that are expected.
         """
         bounds = self._tables.bounds
         waited_ms = now_ms - unit.entry.arrived_ms
         pause_ms = bounds.reclaim_ms - bounds.stop_ms - RECLAIM_MARGIN_MS
         if rank.guaranteed and waited_ms >= pause_ms:
             return reclaim.Scope(protected)
-        if rank.guaranteed or rank.stage == ordering.Stage.ON_TIME:
+        if rank.stage == ordering.Stage.ON_TIME:
+            most_lost = 0.0
+            if expected is None or expected.start_ms > rank.due_ms:
+                most_lost = LOSS_FACTOR * self._work(unit)
+            return reclaim.Scope(protected, rank.priority, most_lost)
+        if rank.guaranteed:
             return reclaim.Scope(protected, rank.priority)
         return None
 
+    def _work(self, unit: progress.Unit) -> float:
+        """Returns the core-seconds that a unit is expected to take."""
+        work_ms = self._tables.durations.expected_ms(
+            unit.entry.job, unit.key.step
+        )
+        return unit.size * reclaim.task_cores(unit.step) * work_ms / 1000
+
 
 def _shape(unit: progress.Unit) -> tuple:
     """Returns what decides whether a unit fits, for units that look alike."""
--- a/packages/placer/tests/test_scheduling.py
+++ b/packages/placer/tests/test_scheduling.py
@@ -309,3 +309,60 @@
     scheduler.run()
     phases = [_run_of(entry).phase for entry in batch]
     assert phases.count(progress.Phase.STOPPING) == 2
+
+
+def test_an_urgent_unit_displaces_later_work_that_loses_little():
+    """Guards against an urgent job that is late behind work just begun."""
+    tables = _tables(3, accounts=())
+    scheduler = scheduling.Scheduler(tables)
+    batch = _fill(tables, scheduler, estimate_ms=60_000)
+    tables.steady.advance(1_000)
+    gang = builders.step(count=2, gpu=8, gang=True, estimate_ms=5_000)
+    _open(tables, "d", gang, _URGENT)
+    scheduler.run()
+    phases = [_run_of(entry).phase for entry in batch]
+    assert phases.count(progress.Phase.STOPPING) == 2
+
+
+def test_an_urgent_unit_does_not_throw_away_more_than_it_gains():
+    """Guards against work that is thrown away for a much smaller unit."""
+    tables = _tables(3, accounts=())
+    scheduler = scheduling.Scheduler(tables)
+    batch = _fill(tables, scheduler, estimate_ms=60_000)
+    tables.steady.advance(20_000)
+    _open(tables, "d", builders.step(gpu=8, estimate_ms=5_000), _URGENT)
+    scheduler.run()
+    assert all(
+        _run_of(entry).phase == progress.Phase.RUNNING for entry in batch
+    )
+
+
+def test_an_urgent_unit_waits_for_work_that_ends_in_time():
+    """Guards against work that is thrown away just before its end."""
+    tables = _tables(3, accounts=())
+    scheduler = scheduling.Scheduler(tables)
+    batch = _fill(tables, scheduler, estimate_ms=2_000)
+    tables.steady.advance(1_000)
+    _open(tables, "d", builders.step(gpu=8, estimate_ms=5_000), _URGENT)
+    scheduler.run()
+    assert all(
+        _run_of(entry).phase == progress.Phase.RUNNING for entry in batch
+    )
+
+
+def test_only_runs_that_are_in_the_way_are_stopped():
+    """Guards against more stops than the unit needs."""
+    tables = _tables(1)
+    scheduler = scheduling.Scheduler(tables)
+    batch = [
+        _open(tables, job_id, builders.step(gpu=gpu, estimate_ms=60_000))
+        for job_id, gpu in (("a", 2), ("b", 6))
+    ]
+    scheduler.run()
+    for entry in batch:
+        builders.start(tables, _run_of(entry))
+    tables.steady.advance(1_000)
+    _open(tables, "d", builders.step(gpu=6, estimate_ms=5_000), _URGENT)
+    scheduler.run()
+    phases = [_run_of(entry).phase for entry in batch]
+    assert phases == [progress.Phase.RUNNING, progress.Phase.STOPPING]
