Void unanswered starts in an endpoint's next life though their runs ended

Only members that were still open were voided. Starts in doubt are kept for 15 s, the endpoint is watched meanwhile so that a restart is seen at once, and each is stopped in the new life before anything else starts there.

--- a/packages/placer/src/laburnumgate_placer/endpoint_table.py
+++ b/packages/placer/src/laburnumgate_placer/endpoint_table.py
@@ -11,6 +11,9 @@
 
 # An endpoint's clock may run this share slower than true time.
 SLOWEST_CLOCK = 0.98
+# An order that was not answered may be carried out this much later; endpoints
+# were seen to take 2 to 12 s.
+LATE_ORDER_MS = 15_000
 # Failures in a row from at least two jobs after which an endpoint is avoided.
 SUSPECT_AFTER = 2
 # An avoided endpoint gets one task to prove itself after this pause.
@@ -37,6 +40,8 @@
       acked_end: highest end that may be acknowledged.
       members: members that may be present, by task and run.
       strays: room taken by runs that no job accounts for.
+      doubtful_starts: steady time of the newest unanswered start, by task and
+        run; a copy may still be on its way, also after the run's end.
       over: its life has ended; nothing runs there.
       failing_jobs: jobs that failed there since the newest success.
       avoid_until_ms: steady time until which it gets no task.
@@ -62,6 +67,9 @@
     strays: dict[tuple[model.TaskKey, int], model.Room] = dataclasses.field(
         default_factory=dict
     )
+    doubtful_starts: dict[tuple[model.TaskKey, int], int] = dataclasses.field(
+        default_factory=dict
+    )
     over: bool = False
     failing_jobs: set[str] = dataclasses.field(default_factory=set)
     avoid_until_ms: int = 0
@@ -87,6 +95,18 @@
             return
         self.used = self.used.plus(member.run.unit.step.charged, -1)
 
+    def doubt_start(self, member: progress.Member, now_ms: int) -> None:
+        """Notes that a start was sent and not answered."""
+        self.doubtful_starts[(member.task, member.run.number)] = now_ms
+
+    def pending_orders(self, now_ms: int) -> set[tuple[model.TaskKey, int]]:
+        """Returns the runs that a late order could still start there."""
+        for key, sent_ms in list(self.doubtful_starts.items()):
+            if now_ms - sent_ms > LATE_ORDER_MS:
+                del self.doubtful_starts[key]
+        ordered = {key for key, m in self.members.items() if m.ordered}
+        return ordered | set(self.doubtful_starts)
+
     def now_there_ms(self, now_ms: int) -> int:
         """Estimates the endpoint's clock at a steady time."""
         return self.clock_ms + now_ms - self.clock_at_ms
--- a/packages/placer/src/laburnumgate_placer/launcher.py
+++ b/packages/placer/src/laburnumgate_placer/launcher.py
@@ -177,7 +177,9 @@
                         return why
                     reason = why
                 case ports.Unknown(why):
-                    state.silent(tables.steady.now_ms(), why)
+                    now_ms = tables.steady.now_ms()
+                    state.silent(now_ms, why)
+                    state.doubt_start(member, now_ms)
                     reason = f"its start was not answered: {why}"
             await asyncio.sleep(RETRY_MS / 1000)
         return reason
--- a/packages/placer/src/laburnumgate_placer/live_list.py
+++ b/packages/placer/src/laburnumgate_placer/live_list.py
@@ -101,7 +101,8 @@
         by_id = self._tables.endpoints.by_id
         state = by_id.get(endpoint.endpoint_id)
         if state is not None and state.info.born_ms != endpoint.born_ms:
-            if state.members and not state.over:
+            pending = state.pending_orders(self._tables.steady.now_ms())
+            if (state.members or pending) and not state.over:
                 # The watcher sees the new life and voids orders to the old.
                 return
             if endpoint.born_ms < state.info.born_ms:
--- a/packages/placer/src/laburnumgate_placer/watcher.py
+++ b/packages/placer/src/laburnumgate_placer/watcher.py
@@ -75,6 +75,9 @@
         state = self._state
         if state.members or state.strays:
             return True
+        if state.pending_orders(self._tables.steady.now_ms()):
+            # A restart has to be seen before a late order is carried out.
+            return True
         if not state.listed:
             return bool(state.info.address) and not state.contacted
         if not state.contacted or not state.answering:
@@ -197,9 +200,9 @@
             return 0
         if any(m.stopping and m.settled_ms for m in state.members.values()):
             return SOON_MS
-        if not state.members:
-            return 0
-        return RENEW_WAIT_MS
+        if state.members or state.doubtful_starts:
+            return RENEW_WAIT_MS
+        return 0
 
     def _check_lease(self) -> None:
         """Gives runs up once no lease can keep them alive."""
@@ -223,14 +226,11 @@
         """
         state = self._state
         tables = self._tables
-        voided = list(state.members.values())
-        for member in voided:
-            if not member.ordered:
-                continue
+        for task, run in state.pending_orders(tables.steady.now_ms()):
             answer = await self._endpoints.stop(
                 state.info,
-                member.task,
-                member.run.number,
+                task,
+                run,
                 tables.token,
                 timeout_ms=launcher.ORDER_TIMEOUT_MS,
             )
--- a/packages/placer/tests/test_leader.py
+++ b/packages/placer/tests/test_leader.py
@@ -210,6 +210,32 @@
     builders.run(work())
 
 
+def test_an_order_in_doubt_is_voided_in_the_next_life_though_its_run_ended():
+    """Guards against a late copy of a start that outlives the run's end."""
+
+    async def work():
+        system, host = await _first("e1")
+        worker = system.worker("e1")
+        worker.mute = True
+        await _submit(host, builders.job("a" * 16, builders.step(gpu=8)))
+        await _until(lambda: worker.starts)
+        task = worker.starts[0].task
+        # The start is repeated, since its first copy is not answered.
+        await asyncio.sleep(0.2)
+        worker.mute = False
+        await _until(lambda: host.leader.tables.endpoints.by_id["e1"].answering)
+        await asyncio.sleep(0.3)
+        worker.end_all()
+        job_id = "a" * 16
+        await _until(lambda: host.jobs.state(job_id).final)
+        await _until(lambda: worker.acked == 1)
+        worker.restart()
+        system.list_worker("e1")
+        await _until(lambda: worker.stopped.get(task) == 1)
+
+    builders.run(work())
+
+
 def test_nothing_starts_before_its_record_is_stored():
     """Guards against a run that the next leader knows nothing of."""
 
