--- a/packages/placer/src/laburnumgate_placer/scheduling.py
+++ b/packages/placer/src/laburnumgate_placer/scheduling.py
@@ -59,6 +59,9 @@
         for key in list(self._kept_by_unit):
             if key not in waiting:
                 del self._kept_by_unit[key]
+        # Units for which work was stopped come first: others would take the
+        # room as soon as one of them has become late meanwhile.
+        ranked.sort(key=lambda pair: pair[1].key not in self._kept_by_unit)
         if not ranked:
             self._told.clear()
         protected = ordering.guaranteed_jobs(tables) if ranked else set()
@@ -113,11 +116,14 @@
             pool.failed_shapes.add(shape)
             self._tell(pool, rank, unit)
         kept = None
-        if rank.stage != ordering.Stage.TOO_LATE:
+        if rank.stage == ordering.Stage.TOO_LATE:
+            self._kept_by_unit.pop(unit.key, None)
+        else:
             kept = reservation.plan(
                 self._tables, unit, pool.endpoints, rank.wish(), now_ms
             )
-        self._reclaim(pool, rank, unit, protected, kept, now_ms)
+        scope = self._scope(rank, unit, protected, kept, now_ms)
+        self._reclaim(pool, rank, unit, endpoints, scope, now_ms)
         if kept is None or unit.size == 1:
             return
         if len(pool.reservations) < MAX_RESERVATIONS:
@@ -208,21 +214,16 @@
         pool: _Pool,
         rank: ordering.Rank,
         unit: progress.Unit,
-        protected: set[str],
-        expected: reservation.Reservation | None,
+        endpoints: list[endpoint_table.EndpointState],
+        scope: reclaim.Scope | None,
         now_ms: int,
     ) -> None:
+        """Stops work for a unit, and keeps the room that it was stopped for."""
         tables = self._tables
         kept = self._kept_by_unit.get(unit.key)
-        scope = self._scope(rank, unit, protected, expected, now_ms)
         if scope is not None:
-            open_endpoints = [
-                state
-                for state in pool.endpoints
-                if state.info.endpoint_id not in pool.held_ids
-            ]
             plan = reclaim.plan(
-                tables, unit, open_endpoints, scope, rank.wish(), now_ms
+                tables, unit, endpoints, scope, rank.wish(), now_ms
             )
             if plan is not None:
                 for run in plan.victims:
@@ -245,7 +246,8 @@
 
         Work that resumes from a checkpoint loses next to nothing. Other work
         is stopped when a guarantee is about to be missed, and for a unit that
-        would be late if it waited for the ends that are expected.
+        would be late if it waited for the ends that are expected, and is on
+        time if it starts after the stops.
         """
         bounds = self._tables.bounds
         waited_ms = now_ms - unit.entry.arrived_ms
@@ -254,7 +256,8 @@
             return reclaim.Scope(protected)
         if rank.stage == ordering.Stage.ON_TIME:
             most_lost = 0.0
-            if expected is None or expected.start_ms > rank.due_ms:
+            waits = expected is not None and expected.start_ms <= rank.due_ms
+            if not waits and now_ms + bounds.stop_ms <= rank.due_ms:
                 most_lost = LOSS_FACTOR * self._work(unit)
             return reclaim.Scope(protected, rank.priority, most_lost)
         if rank.guaranteed:
--- a/packages/placer/tests/test_scheduling.py
+++ b/packages/placer/tests/test_scheduling.py
@@ -366,3 +366,26 @@
     scheduler.run()
     phases = [_run_of(entry).phase for entry in batch]
     assert phases == [progress.Phase.RUNNING, progress.Phase.STOPPING]
+
+
+def test_room_made_for_a_unit_is_kept_when_it_becomes_late():
+    """Guards against stopped work whose room goes to less urgent units."""
+    tables = _tables(3, accounts=())
+    scheduler = scheduling.Scheduler(tables)
+    batch = _fill(tables, scheduler, checkpointing=True, estimate_ms=60_000)
+    tables.steady.advance(5_000)
+    gang = builders.step(count=2, gpu=8, gang=True, estimate_ms=1_000)
+    urgent = _open(tables, "d", gang, _URGENT)
+    other = _open(tables, "e", builders.step(gpu=8, estimate_ms=60_000))
+    scheduler.run()
+    stopping = [
+        _run_of(entry)
+        for entry in batch
+        if _run_of(entry).phase == progress.Phase.STOPPING
+    ]
+    tables.steady.advance(1_500)
+    for run in stopping:
+        lifecycle.member_gone(tables, run.members[0])
+        scheduler.run()
+    assert _run_of(other) is None
+    assert len(_run_of(urgent).members) == 2
