--- a/packages/placer/src/laburnumgate_placer/reclaim.py
+++ b/packages/placer/src/laburnumgate_placer/reclaim.py
@@ -76,12 +76,17 @@
 def lost_work(
     tables: tables_module.Tables, run: progress.Run, now_ms: int
 ) -> float:
-    """Returns the core-seconds that a stop of the run throws away."""
+    """Returns the core-seconds that a stop of the run costs.
+
+    These are the work that is thrown away, and the room that nobody can use
+    until the stop has ended.
+    """
     step = run.unit.step
     ran_ms = max(0, now_ms - (run.started_ms or now_ms))
     if step.checkpointing:
         ran_ms = min(ran_ms, tables.bounds.restore_ms)
-    return len(run.members) * task_cores(step) * ran_ms / 1000
+    cost_ms = ran_ms + tables.bounds.stop_ms
+    return len(run.members) * task_cores(step) * cost_ms / 1000
 
 
 def task_cores(step: model.Step) -> float:
--- a/packages/placer/src/laburnumgate_placer/scheduling.py
+++ b/packages/placer/src/laburnumgate_placer/scheduling.py
@@ -20,10 +20,10 @@
 # Time kept for recording, starting and stopping when capacity is reclaimed
 # within its bound.
 RECLAIM_MARGIN_MS = 900
-# Work that does not resume is thrown away for a unit that can still be on time
-# up to this many times the unit's own work. Work of a later priority earns
-# several times less, and it is done again in full.
-LOSS_FACTOR = 2.0
+# Work that does not resume is stopped for a unit that can still be on time if
+# that costs at most this many times the own work of the unit. The stopped work
+# earns less, but it is done again in full.
+LOSS_FACTOR = 0.7
 # Gangs for which endpoints are kept at the same time, per pool. More would
 # leave too little for the work that fits.
 MAX_RESERVATIONS = 2
