--- a/packages/placer/src/laburnumgate_placer/speeds.py
+++ b/packages/placer/src/laburnumgate_placer/speeds.py
@@ -8,6 +8,7 @@
 import collections
 import dataclasses
 import math
+import statistics
 
 # Standard deviations of what is known without an observation, relative to
 # that of an observed rate (0.15 in logarithms): speeds vary by 0.4, declared
@@ -22,6 +23,9 @@
 # Work advances this far before its rate can be read from whole percents.
 READABLE_PERCENT = 4
 SWEEPS = 2
+# Rates leave the scale of all speeds open, and declared durations, which are off
+# by half, would set it. From this many known endpoints on, the median is 1.
+SCALE_ENDPOINTS = 8
 LEAST_LOG_SPEED = math.log(0.05)
 MOST_LOG_SPEED = math.log(4.0)
 
@@ -36,7 +40,7 @@
 
 
 class SpeedTable:
-    """Speeds by endpoint id, relative to a mean endpoint."""
+    """Speeds by endpoint id, relative to a middling endpoint."""
 
     def __init__(self):
         self._log_speed_by_endpoint: dict[str, float] = {}
@@ -85,7 +89,7 @@
         return math.exp(self._log_speed_by_endpoint.get(endpoint_id, 0.0))
 
     def work_ms(self, key: tuple) -> float | None:
-        """Returns a step's duration on a mean endpoint, if it was seen."""
+        """Returns a step's duration on such an endpoint, if it was seen."""
         step = self._steps_by_key.get(key)
         return math.exp(step.work) if step is not None else None
 
@@ -99,6 +103,7 @@
                 self._solve_work(step)
             for endpoint_id in self._recent_by_endpoint:
                 self._solve_speed(endpoint_id)
+        self._scale()
         return True
 
     def dump(self) -> dict[str, float]:
@@ -118,6 +123,16 @@
         self._log_speed_by_endpoint.pop(endpoint_id, None)
         self._recent_by_endpoint.pop(endpoint_id, None)
 
+    def _scale(self) -> None:
+        known = self._log_speed_by_endpoint
+        if len(known) < SCALE_ENDPOINTS:
+            return
+        shift = statistics.median(known.values())
+        for endpoint_id in known:
+            known[endpoint_id] -= shift
+        for step in self._steps_by_key.values():
+            step.work -= shift
+
     def _solve_work(self, step: _Step) -> None:
         total = WORK_PRIOR_WEIGHT * step.declared
         weight = WORK_PRIOR_WEIGHT
--- a/packages/placer/tests/test_speeds.py
+++ b/packages/placer/tests/test_speeds.py
@@ -63,3 +63,22 @@
     other = speeds.SpeedTable()
     other.restore(table.dump())
     assert abs(other.speed("e1") - table.speed("e1")) < 0.02
+
+
+def test_declared_durations_do_not_set_the_scale_of_speeds():
+    """Guards against slow endpoints that count as fast enough.
+
+    Where callers declare twice the time that their work takes, every endpoint
+    seems to be twice as fast as it is.
+    """
+    table = speeds.SpeedTable()
+    speed_by_id = {f"e{n}": (0.6, 1.0, 1.6)[n % 3] for n in range(9)}
+    ids = list(speed_by_id)
+    for number in range(40):
+        pair = (ids[number % 9], ids[(number + 1 + number // 9) % 9])
+        some = {endpoint_id: speed_by_id[endpoint_id] for endpoint_id in pair}
+        _run(table, (number,), 5_000, 10_000, some)
+        table.solve()
+    for endpoint_id, speed in speed_by_id.items():
+        assert 0.8 * speed < table.speed(endpoint_id) < 1.2 * speed
+    assert 4_000 < table.work_ms((39,)) < 6_000
