--- a/deploy/tests/soak.py
+++ b/deploy/tests/soak.py
@@ -6,7 +6,6 @@
 import random
 import shutil
 import signal
-import socket
 import sys
 import tempfile
 import time
@@ -43,12 +42,12 @@
 _SETTINGS = """
 node_name = "{name}"
 zone = "{zone}"
-ip = "127.0.0.1"
-port_range = [{metrics}, {metrics}]
+ip = "{ip}"
+port_range = [7000, 7000]
 bootstrap = {first}
 [listen_addrs]
-front = "127.0.0.1:{front}"
-ready_addr = "127.0.0.1:{ready}"
+front = "{ip}:8521"
+ready_addr = "{ip}:8523"
 [limits]
 cpu_share = 1.0
 cores = {cores}
@@ -130,7 +129,7 @@
     def __init__(self, folder: pathlib.Path, name: str, values: dict):
         self.name = name
         self.values = values
-        self.front = values["front"]
+        self.front = f"{values['ip']}:8521"
         self._path = folder / f"{name}.toml"
         self._log = folder / f"{name}.log"
         self._process: asyncio.subprocess.Process | None = None
@@ -243,9 +242,7 @@
                 "zone": f"z{number % 3}",
                 "store": proxy.port,
                 "cores": 1 + number % 2,
-                "front": _free_port(),
-                "ready": _free_port(),
-                "metrics": _free_port(),
+                "ip": _own_address(number),
             }
             host = HostProcess(self.folder, f"h{number}", values)
             self.hosts.append(host)
@@ -331,7 +328,7 @@
         try:
             async with session.request(
                 method,
-                f"http://127.0.0.1:{host.front}/jobs/{job_id}",
+                f"http://{host.front}/jobs/{job_id}",
                 data=orjson.dumps(body) if body else None,
                 headers={
                     "Host": _HOSTNAME,
@@ -443,10 +440,14 @@
         task.add_done_callback(self._tasks.discard)
 
 
-def _free_port() -> int:
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        return probe.getsockname()[1]
+def _own_address(number: int) -> str:
+    """Returns a loopback address of one host of this run alone.
+
+    A port that is only chosen could be taken by another process while the
+    host is down, whose answers would then pass for the host's.
+    """
+    high, low = divmod(os.getpid(), 250)
+    return f"127.{1 + high % 250}.{1 + low}.{10 + number}"
 
 
 def run_seed(
