--- a/packages/placer/src/laburnumgate_placer/placement.py
+++ b/packages/placer/src/laburnumgate_placer/placement.py
@@ -24,6 +24,10 @@
 
     least_speed: float = 0.0
 
+    def met_by(self, speed: float) -> bool:
+        """Whether work at this speed is done in time."""
+        return speed >= self.least_speed * SPEED_MARGIN
+
 
 def choose(
     unit: progress.Unit,
@@ -108,7 +112,7 @@
     endpoint_id = state.info.endpoint_id
     near = unit.step.data_rack
     speed = speed_table.speed(endpoint_id)
-    enough = speed >= wish.least_speed * SPEED_MARGIN
+    enough = wish.met_by(speed)
     grain = _grain(speed)
     return (
         endpoint_id in unit.avoid,
@@ -137,7 +141,7 @@
         if chosen is None:
             continue
         slowest = min(speed_table.speed(endpoint_id) for endpoint_id in chosen)
-        enough = slowest >= wish.least_speed * SPEED_MARGIN
+        enough = wish.met_by(slowest)
         grain = _grain(slowest)
         left = sum(slots_by_id[s.info.endpoint_id] for s in states)
         rank = (
--- a/packages/placer/src/laburnumgate_placer/scheduling.py
+++ b/packages/placer/src/laburnumgate_placer/scheduling.py
@@ -37,7 +37,13 @@
     free_by_id: dict[str, model.Room]
     failed_shapes: set[tuple]
     held_ids: set[str]
-    reservations: list[reservation.Reservation]
+    reservations_by_unit: dict[model.UnitKey, reservation.Reservation]
+
+    def reserve(self, key: model.UnitKey, kept: reservation.Reservation):
+        """Keeps endpoints for a unit unless enough are kept for others."""
+        known = key in self.reservations_by_unit
+        if known or len(self.reservations_by_unit) < MAX_RESERVATIONS:
+            self.reservations_by_unit[key] = kept
 
 
 class Scheduler:
@@ -79,7 +85,7 @@
             service, tables.config.zones_out, now_ms
         )
         free = {s.info.endpoint_id: s.free() for s in usable}
-        return _Pool(usable, free, set(), set(), [])
+        return _Pool(usable, free, set(), set(), {})
 
     def _place(
         self,
@@ -102,32 +108,86 @@
                 for state in endpoints
                 if state.info.endpoint_id in tickets
             ]
-        if shape not in pool.failed_shapes:
-            chosen = placement.choose(
-                unit,
-                endpoints,
-                pool.free_by_id,
-                self._tables.durations.speeds,
-                rank.wish(),
-            )
-            if chosen is not None:
-                self._take(pool, unit, chosen, tickets)
-                return
+        if rank.stage == ordering.Stage.ON_TIME:
+            fast = self._fast_enough(endpoints, rank)
+            if len(fast) < len(endpoints):
+                place = (unit.key.job_id, unit.key.occurrence, unit.key.step)
+                if self._start(
+                    pool, rank, unit, fast, tickets, place
+                ) or self._make_room(pool, rank, unit, fast, protected, now_ms):
+                    return
+        if self._start(pool, rank, unit, endpoints, tickets, shape):
+            return
+        self._tell(pool, rank, unit)
+        self._make_room(pool, rank, unit, endpoints, protected, now_ms)
+
+    def _fast_enough(
+        self,
+        endpoints: list[endpoint_table.EndpointState],
+        rank: ordering.Rank,
+    ) -> list[endpoint_table.EndpointState]:
+        """Returns the endpoints on which the unit would be on time."""
+        wish = rank.wish()
+        speed_table = self._tables.durations.speeds
+        return [
+            state
+            for state in endpoints
+            if wish.met_by(speed_table.speed(state.info.endpoint_id))
+        ]
+
+    def _start(
+        self,
+        pool: _Pool,
+        rank: ordering.Rank,
+        unit: progress.Unit,
+        endpoints: list[endpoint_table.EndpointState],
+        tickets: dict[str, str],
+        shape: tuple,
+    ) -> bool:
+        """Assigns the unit if it fits; returns whether it did."""
+        if shape in pool.failed_shapes:
+            return False
+        chosen = placement.choose(
+            unit,
+            endpoints,
+            pool.free_by_id,
+            self._tables.durations.speeds,
+            rank.wish(),
+        )
+        if chosen is None:
             pool.failed_shapes.add(shape)
-            self._tell(pool, rank, unit)
-        kept = None
+            return False
+        self._take(pool, unit, chosen, tickets)
+        return True
+
+    def _make_room(
+        self,
+        pool: _Pool,
+        rank: ordering.Rank,
+        unit: progress.Unit,
+        endpoints: list[endpoint_table.EndpointState],
+        protected: set[str],
+        now_ms: int,
+    ) -> bool:
+        """Stops others for a unit that does not fit, or keeps room for it.
+
+        Returns whether the unit is expected to start while it can still be on
+        time.
+        """
+        expected = None
         if rank.stage == ordering.Stage.TOO_LATE:
             self._kept_by_unit.pop(unit.key, None)
         else:
-            kept = reservation.plan(
-                self._tables, unit, pool.endpoints, rank.wish(), now_ms
+            expected = reservation.plan(
+                self._tables, unit, endpoints, rank.wish(), now_ms
             )
-        scope = self._scope(rank, unit, protected, kept, now_ms)
-        self._reclaim(pool, rank, unit, endpoints, scope, now_ms)
-        if kept is None or unit.size == 1:
-            return
-        if len(pool.reservations) < MAX_RESERVATIONS:
-            pool.reservations.append(kept)
+        in_time = expected is not None and expected.start_ms <= rank.due_ms
+        scope = self._scope(rank, unit, protected, in_time, now_ms)
+        if self._reclaim(pool, rank, unit, endpoints, scope, now_ms):
+            in_time = True
+        if expected is not None and unit.size > 1:
+            pool.reserve(unit.key, expected)
+        return in_time
 
     def _tell(
         self, pool: _Pool, rank: ordering.Rank, unit: progress.Unit
@@ -159,10 +219,10 @@
     ) -> list[endpoint_table.EndpointState]:
         """Returns endpoints that are kept for no unit before this one."""
         closed = set(pool.held_ids)
-        if pool.reservations:
+        if pool.reservations_by_unit:
             table = self._tables.durations
             work_ms = table.expected_ms(unit.entry.job, unit.key.step)
-            for kept in pool.reservations:
+            for kept in pool.reservations_by_unit.values():
                 for endpoint_id in kept.endpoint_ids:
                     speed = table.speeds.speed(endpoint_id)
                     if now_ms + work_ms / speed > kept.start_ms:
@@ -217,10 +277,14 @@
         endpoints: list[endpoint_table.EndpointState],
         scope: reclaim.Scope | None,
         now_ms: int,
-    ) -> None:
-        """Stops work for a unit, and keeps the room that it was stopped for."""
+    ) -> bool:
+        """Stops work for a unit, and keeps the room that it was stopped for.
+
+        Returns whether stops now make room for it.
+        """
         tables = self._tables
         kept = self._kept_by_unit.get(unit.key)
+        plan = None
         if scope is not None:
             plan = reclaim.plan(
                 tables, unit, endpoints, scope, rank.wish(), now_ms
@@ -233,13 +297,14 @@
                 kept = plan.endpoint_ids
                 self._kept_by_unit[unit.key] = kept
         pool.held_ids.update(kept or ())
+        return plan is not None
 
     def _scope(
         self,
         rank: ordering.Rank,
         unit: progress.Unit,
         protected: set[str],
-        expected: reservation.Reservation | None,
+        in_time: bool,
         now_ms: int,
     ) -> reclaim.Scope | None:
         """Returns what may be stopped for a unit, None for nothing.
@@ -256,8 +321,7 @@
             return reclaim.Scope(protected)
         if rank.stage == ordering.Stage.ON_TIME:
             most_lost = 0.0
-            waits = expected is not None and expected.start_ms <= rank.due_ms
-            if not waits and now_ms + bounds.stop_ms <= rank.due_ms:
+            if not in_time and now_ms + bounds.stop_ms <= rank.due_ms:
                 most_lost = LOSS_FACTOR * self._work(unit)
             return reclaim.Scope(protected, rank.priority, most_lost)
         if rank.guaranteed:
--- a/packages/placer/src/laburnumgate_placer/speeds.py
+++ b/packages/placer/src/laburnumgate_placer/speeds.py
@@ -23,8 +23,8 @@
 # Work advances this far before its rate can be read from whole percents.
 READABLE_PERCENT = 4
 SWEEPS = 2
-# Rates leave the scale of all speeds open, and declared durations, which are off
-# by half, would set it. From this many known endpoints on, the median is 1.
+# Rates leave the scale of all speeds open, and declared durations, which are
+# off by half, would set it. With this many known endpoints the median is 1.
 SCALE_ENDPOINTS = 8
 LEAST_LOG_SPEED = math.log(0.05)
 MOST_LOG_SPEED = math.log(4.0)
--- a/packages/placer/tests/test_scheduling.py
+++ b/packages/placer/tests/test_scheduling.py
@@ -389,3 +389,41 @@
         scheduler.run()
     assert _run_of(other) is None
     assert len(_run_of(urgent).members) == 2
+
+
+def test_urgent_work_waits_for_an_endpoint_that_is_fast_enough():
+    """Guards against a start at once that is sure to end too late."""
+    tables = _tables(2, accounts=())
+    _learn_speeds(tables, {"e0": 0.6, "e1": 1.0})
+    tight = builders.replace(_URGENT, stretch=1.5, objective_ms=0)
+    tables.config.publish(2, builders.config(tight, _BATCH, version=2))
+    scheduler = scheduling.Scheduler(tables)
+    short = _open(
+        tables, "a", builders.step(gpu=8, label="k", estimate_ms=500), tight
+    )
+    scheduler.run()
+    run = _run_of(short)
+    assert run.members[0].endpoint_id == "e1"
+    builders.start(tables, run)
+    urgent = _open(tables, "b", builders.step(gpu=8, estimate_ms=4_000), tight)
+    scheduler.run()
+    assert _run_of(urgent) is None
+    lifecycle.member_gone(tables, run.members[0])
+    run.unit.entry.unit_done(run.unit)
+    scheduler.run()
+    assert _run_of(urgent).members[0].endpoint_id == "e1"
+
+
+def test_urgent_work_starts_on_a_slow_endpoint_if_no_other_is_free_in_time():
+    """Guards against work that waits in vain and is later for it."""
+    tables = _tables(2, accounts=())
+    _learn_speeds(tables, {"e0": 0.6, "e1": 1.0})
+    tight = builders.replace(_URGENT, stretch=1.5, objective_ms=0)
+    tables.config.publish(2, builders.config(tight, _BATCH, version=2))
+    scheduler = scheduling.Scheduler(tables)
+    long = _open(tables, "a", builders.step(gpu=8, estimate_ms=60_000), tight)
+    scheduler.run()
+    builders.start(tables, _run_of(long))
+    urgent = _open(tables, "b", builders.step(gpu=8, estimate_ms=4_000), tight)
+    scheduler.run()
+    assert _run_of(urgent).members[0].endpoint_id == "e0"
