--- a/packages/standins/src/laburnumgate_standins/endpoint.py
+++ b/packages/standins/src/laburnumgate_standins/endpoint.py
@@ -43,6 +43,7 @@
     holder: str
     result: str = ""
     checkpoint: str = ""
+    continues: bool = False
     runs: int = 0
 
 
@@ -66,8 +67,10 @@
         self.lose_answers_by_kind: dict[str, int] = {}
         self.delay_ms_by_kind: dict[str, int] = {}
         self.slow_stop_ms = 0
-        # Every start of real work, for checks of at-most-once.
+        # Every start of real work, for checks of at-most-once, and those of
+        # them that went on from a checkpoint.
         self.resumed: list[str] = []
+        self.continued: list[str] = []
 
     def touch(self, task: Task) -> None:
         """Marks a task as changed and wakes waiting reports."""
@@ -240,6 +243,7 @@
         state="running" if percent else "held",
         rev=0,
         holder=body["holder"],
+        continues=bool(body["checkpoint"]),
     )
     endpoint.tasks[task.task_id] = task
     endpoint.touch(task)
@@ -260,6 +264,8 @@
     if task.state == "held" and body["percent"]:
         task.state = "running"
         endpoint.resumed.append(task_id)
+        if task.continues:
+            endpoint.continued.append(task_id)
         endpoint.touch(task)
     return sanic.json(_view(task))
 
@@ -349,7 +355,10 @@
 
 
 async def _history(request: sanic.Request, name: str):
-    return sanic.json({"resumed": request.app.ctx.endpoints[name].resumed})
+    endpoint = request.app.ctx.endpoints[name]
+    return sanic.json(
+        {"resumed": endpoint.resumed, "continued": endpoint.continued}
+    )
 
 
 _ROUTES = (
