--- a/packages/placer/src/laburnumgate_placer/lifecycle.py
+++ b/packages/placer/src/laburnumgate_placer/lifecycle.py
@@ -90,6 +90,10 @@
         endpoints=sorted(set(endpoint_ids)),
         checkpoint=unit.checkpoint,
         waited_ms=now_ms - unit.ready_ms,
+        expected_ms=round(
+            tables.durations.expected_ms(unit.entry.job, unit.key.step)
+        ),
+        slowest=round(min(map(tables.durations.speeds.speed, endpoint_ids)), 2),
     )
     return run
 
