--- a/packages/placer/src/laburnumgate_placer/leader.py
+++ b/packages/placer/src/laburnumgate_placer/leader.py
@@ -43,6 +43,10 @@
 LIST_WAIT_MS = 1_000
 LIST_PAUSE_MS = 150
 FENCE_TIMEOUT_MS = 800
+# Endpoints are asked for a first report before anything is placed, for at most
+# this long: a sound one answers within some 10 ms, a lost one never.
+FIRST_REPORTS_MS = 150
+FIRST_REPORTS_POLL_MS = 5
 # Jobs that ended are dropped from the log at this pace.
 CLEAN_UP_MS = 20_000
 # Speeds are recorded this often while they change.
@@ -138,6 +142,7 @@
                     self._done_by_wave,
                 )
                 self._spawn(upkeep.run())
+            await self._first_reports()
             await self._place_forever()
         finally:
             metrics.LEADING.set({}, 0)
@@ -286,6 +291,21 @@
         )
         self._spawn(loop.run())
 
+    async def _first_reports(self) -> None:
+        """Waits for the endpoints' first reports.
+
+        A pass over the few that happen to answer first would stop work there
+        for what fits elsewhere.
+        """
+        tables = self.tables
+        until_ms = tables.steady.now_ms() + FIRST_REPORTS_MS
+        while tables.steady.now_ms() < until_ms:
+            self._check()
+            states = tables.endpoints.by_id.values()
+            if all(s.contacted or not s.listed for s in states):
+                return
+            await asyncio.sleep(FIRST_REPORTS_POLL_MS / 1000)
+
     async def _place_forever(self) -> None:
         tables = self.tables
         while True:
--- a/packages/placer/tests/fakeworkers.py
+++ b/packages/placer/tests/fakeworkers.py
@@ -15,7 +15,7 @@
       cut: no call reaches it.
       refusing: no connection to it can be made.
       mute: calls are carried out and not answered.
-      clock_ms: its clock, moved by the test or by real time.
+      report_s: time that a report takes.
     """
 
     endpoint_id: str
@@ -25,6 +25,7 @@
     mute: bool = False
     refusing: bool = False
     unhealthy: bool = False
+    report_s: float = 0.0
     running: dict = dataclasses.field(default_factory=dict)
     ended: list = dataclasses.field(default_factory=list)
     stopped: dict = dataclasses.field(default_factory=dict)
@@ -112,6 +113,7 @@
         refused = await self._reach(worker, fencing_token, timeout_ms)
         if refused is not None:
             return refused
+        await asyncio.sleep(worker.report_s)
         worker.acked = max(worker.acked, acknowledged)
         worker.ended = [e for e in worker.ended if e.number > worker.acked]
         if not worker.ended and wait_ms:
--- a/packages/placer/tests/test_leader.py
+++ b/packages/placer/tests/test_leader.py
@@ -210,6 +210,38 @@
     builders.run(work())
 
 
+def test_a_new_leader_hears_all_endpoints_before_it_places():
+    """Guards against a first pass over the few endpoints that answer first.
+
+    On played days a new leader saw one usable endpoint in its first pass, and
+    stopped work there for jobs that fitted elsewhere.
+    """
+
+    async def work():
+        system = _System("e1", "e2", "e3")
+        for worker in ("e2", "e3"):
+            system.worker(worker).report_s = 0.05
+        job = builders.job("a" * 16, builders.step(count=3, gpu=8))
+        system.log.put(topics.JOBS, records.encode(records.Submitted(job)))
+        host = system.add_host("h1", first_start=True)
+        await _until(lambda: host.leader and host.leader.recovered)
+        passes = []
+        run = host.leader._scheduler.run
+        host.leader._scheduler.run = lambda: (
+            passes.append(
+                [
+                    s.contacted
+                    for s in host.leader.tables.endpoints.by_id.values()
+                ]
+            ),
+            run(),
+        )
+        await _until(lambda: passes)
+        assert all(passes[0])
+
+    builders.run(work())
+
+
 def test_an_order_in_doubt_is_voided_in_the_next_life_though_its_run_ended():
     """Guards against a late copy of a start that outlives the run's end."""
 
