--- a/packages/placer/src/laburnumgate_placer/reclaim.py
+++ b/packages/placer/src/laburnumgate_placer/reclaim.py
@@ -32,12 +32,13 @@
     Attributes:
       protected: ids of jobs that are owed their capacity as well.
       below: if set, only runs of queues whose priority comes after this one.
-      most_lost: with `below`, core-seconds that the stops may throw away of
-        work that does not resume.
+      resumable: with `below`, only runs that resume from a checkpoint.
+      most_lost: with `below`, core-seconds that the stops may cost.
     """
 
     protected: set[str]
     below: int | None = None
+    resumable: bool = False
     most_lost: float = 0.0
 
 
@@ -142,14 +143,9 @@
         return None
     kept = frozenset(chosen)
     victims = _needed(tables, unit, group, victims, free_by_id, kept)
-    lost_for_good = sum(
-        lost_work(tables, run, now_ms)
-        for run in victims
-        if not run.unit.step.checkpointing
-    )
-    if scope.below is not None and lost_for_good > scope.most_lost:
-        return None
     lost = sum(lost_work(tables, run, now_ms) for run in victims)
+    if scope.below is not None and lost > scope.most_lost:
+        return None
     return Plan(tuple(victims), kept, lost)
 
 
@@ -200,7 +196,7 @@
         return False
     if run.unit.step.checkpointing:
         return now_ms - run.started_ms >= SETTLED_MS
-    return scope.most_lost > 0
+    return not scope.resumable
 
 
 def _give_back(
--- a/packages/placer/src/laburnumgate_placer/scheduling.py
+++ b/packages/placer/src/laburnumgate_placer/scheduling.py
@@ -20,10 +20,9 @@
 # Time kept for recording, starting and stopping when capacity is reclaimed
 # within its bound.
 RECLAIM_MARGIN_MS = 900
-# Work that does not resume is stopped for a unit that can still be on time if
-# that costs at most this many times the own work of the unit. The stopped work
-# earns less, but it is done again in full.
-LOSS_FACTOR = 0.7
+# Later work is stopped for a unit if that costs at most this many times the
+# unit's own work: what is stopped earns less, but takes its time again.
+LOSS_FACTOR = 1.0
 # Gangs for which endpoints are kept at the same time, per pool. More would
 # leave too little for the work that fits.
 MAX_RESERVATIONS = 2
@@ -309,23 +308,25 @@
     ) -> reclaim.Scope | None:
         """Returns what may be stopped for a unit, None for nothing.
 
-        Work that resumes from a checkpoint loses next to nothing. Other work
-        is stopped when a guarantee is about to be missed, and for a unit that
-        would be late if it waited for the ends that are expected, and is on
-        time if it starts after the stops.
+        All work may be stopped when a guarantee is about to be missed. Before
+        that, work of later priority is stopped if that costs less than it
+        gains; work that does not resume only for a unit that would be late if
+        it waited for the ends that are expected, and is on time if it starts
+        after the stops.
         """
         bounds = self._tables.bounds
         waited_ms = now_ms - unit.entry.arrived_ms
         pause_ms = bounds.reclaim_ms - bounds.stop_ms - RECLAIM_MARGIN_MS
         if rank.guaranteed and waited_ms >= pause_ms:
             return reclaim.Scope(protected)
-        if rank.stage == ordering.Stage.ON_TIME:
-            most_lost = 0.0
-            if not in_time and now_ms + bounds.stop_ms <= rank.due_ms:
-                most_lost = LOSS_FACTOR * self._work(unit)
-            return reclaim.Scope(protected, rank.priority, most_lost)
-        if rank.guaranteed:
-            return reclaim.Scope(protected, rank.priority)
+        if rank.guaranteed or rank.stage == ordering.Stage.ON_TIME:
+            on_time = now_ms + bounds.stop_ms <= rank.due_ms
+            return reclaim.Scope(
+                protected,
+                rank.priority,
+                resumable=in_time or not on_time,
+                most_lost=LOSS_FACTOR * self._work(unit),
+            )
         return None
 
     def _work(self, unit: progress.Unit) -> float:
