Count only open steps against a guarantee, and let nothing outweigh one that is due

A scheduled job of the same account used up its guarantee while none of its occurrences was due. Reading the pass showed two more ways: a wait for fast endpoints beyond the bound, and endpoints kept for units without a guarantee.

--- a/packages/placer/src/laburnumgate_placer/ordering.py
+++ b/packages/placer/src/laburnumgate_placer/ordering.py
@@ -49,8 +49,8 @@
 def guaranteed_jobs(tables: tables_module.Tables) -> set[str]:
     """Returns the ids of open jobs that fit their accounts' guarantees.
 
-    Jobs of priority 0 count in order of arrival, each with the most
-    accelerators that one of its steps takes.
+    Jobs of priority 0 count in order of arrival, each with the accelerators of
+    its steps that are open. Occurrences that are not due yet take nothing.
     """
     config = tables.config.current
     if config is None:
@@ -67,7 +67,9 @@
             continue
         if tables.queue_of(entry.job).priority != 0:
             continue
-        need = max(s.count * s.room.gpu for s in entry.job.steps)
+        if not entry.open_steps:
+            continue
+        need = _open_gpu(entry)
         left = left_by_account.get(entry.job.account, 0)
         if need > left:
             continue
@@ -76,6 +78,12 @@
     return owed
 
 
+def _open_gpu(entry: progress.JobEntry) -> int:
+    """Returns the accelerators of the open step that takes most of them."""
+    steps = [entry.job.steps[number] for _, number in entry.open_steps]
+    return max(step.count * step.room.gpu for step in steps)
+
+
 def objective_ms(
     tables: tables_module.Tables, entry: progress.JobEntry
 ) -> float:
--- a/packages/placer/src/laburnumgate_placer/scheduling.py
+++ b/packages/placer/src/laburnumgate_placer/scheduling.py
@@ -64,9 +64,14 @@
         for key in list(self._kept_by_unit):
             if key not in waiting:
                 del self._kept_by_unit[key]
-        # Units for which work was stopped come first: others would take the
-        # room as soon as one of them has become late meanwhile.
-        ranked.sort(key=lambda pair: pair[1].key not in self._kept_by_unit)
+        # After guaranteed units come those for which work was stopped: others
+        # would take the room as soon as one of them has become late meanwhile.
+        ranked.sort(
+            key=lambda pair: (
+                not pair[0].guaranteed,
+                pair[1].key not in self._kept_by_unit,
+            )
+        )
         if not ranked:
             self._told.clear()
         protected = ordering.guaranteed_jobs(tables) if ranked else set()
@@ -107,7 +112,8 @@
                 for state in endpoints
                 if state.info.endpoint_id in tickets
             ]
-        if rank.stage == ordering.Stage.ON_TIME:
+        owed_now = self._owed_now(rank, unit, now_ms)
+        if rank.stage == ordering.Stage.ON_TIME and not owed_now:
             fast = self._fast_enough(endpoints, rank)
             if len(fast) < len(endpoints):
                 place = (unit.key.job_id, unit.key.occurrence, unit.key.step)
@@ -118,8 +124,24 @@
         if self._start(pool, rank, unit, endpoints, tickets, shape):
             return
         self._tell(pool, rank, unit)
+        if owed_now:
+            # What is kept for units without a guarantee is open to this one.
+            endpoints = [
+                state
+                for state in pool.endpoints
+                if state.info.endpoint_id not in pool.held_ids
+            ]
         self._make_room(pool, rank, unit, endpoints, protected, now_ms)
 
+    def _owed_now(
+        self, rank: ordering.Rank, unit: progress.Unit, now_ms: int
+    ) -> bool:
+        """Whether a guarantee is missed unless room is made at once."""
+        bounds = self._tables.bounds
+        waited_ms = now_ms - unit.entry.arrived_ms
+        pause_ms = bounds.reclaim_ms - bounds.stop_ms - RECLAIM_MARGIN_MS
+        return rank.guaranteed and waited_ms >= pause_ms
+
     def _fast_enough(
         self,
         endpoints: list[endpoint_table.EndpointState],
@@ -314,11 +336,9 @@
         it waited for the ends that are expected, and is on time if it starts
         after the stops.
         """
-        bounds = self._tables.bounds
-        waited_ms = now_ms - unit.entry.arrived_ms
-        pause_ms = bounds.reclaim_ms - bounds.stop_ms - RECLAIM_MARGIN_MS
-        if rank.guaranteed and waited_ms >= pause_ms:
+        if self._owed_now(rank, unit, now_ms):
             return reclaim.Scope(protected)
+        bounds = self._tables.bounds
         if rank.guaranteed or rank.stage == ordering.Stage.ON_TIME:
             on_time = now_ms + bounds.stop_ms <= rank.due_ms
             return reclaim.Scope(
--- a/packages/placer/tests/test_scheduling.py
+++ b/packages/placer/tests/test_scheduling.py
@@ -427,3 +427,73 @@
     urgent = _open(tables, "b", builders.step(gpu=8, estimate_ms=4_000), tight)
     scheduler.run()
     assert _run_of(urgent).members[0].endpoint_id == "e0"
+
+
+def test_occurrences_that_are_not_due_use_up_no_guarantee():
+    """Guards against a guarantee that is missed for work of the future.
+
+    On a played day a scheduled job of the same account counted with all its
+    accelerators, and the account's next job did not begin within its bound.
+    """
+    account = model.Account("mina", frozenset(), guaranteed_gpu=8)
+    tables = _tables(1, accounts=(account,))
+    later = builders.job(
+        "a" * 16,
+        builders.step(gpu=8),
+        queue=_URGENT,
+        scheduled=True,
+        first_start_ms=tables.wall.now_ms() + 60_000,
+    )
+    lifecycle.open_job(tables, later)
+    _open(tables, "b", builders.step(gpu=8), _URGENT)
+    assert ordering.guaranteed_jobs(tables) == {"b" * 16}
+
+
+def test_a_guaranteed_job_waits_for_fast_endpoints_no_longer_than_its_bound():
+    """Guards against a guarantee that is missed for a better endpoint."""
+    tables = _tables(2)
+    _learn_speeds(tables, {"e0": 0.6, "e1": 1.0})
+    tight = builders.replace(_URGENT, stretch=1.5, objective_ms=0)
+    tables.config.publish(2, builders.config(tight, _BATCH, version=2))
+    scheduler = scheduling.Scheduler(tables)
+    first = _open(tables, "a", builders.step(gpu=8, estimate_ms=9_000), tight)
+    scheduler.run()
+    builders.start(tables, _run_of(first))
+    tables.steady.advance(6_000)
+    urgent = _open(tables, "b", builders.step(gpu=8, estimate_ms=9_000), tight)
+    scheduler.run()
+    assert _run_of(urgent) is None
+    tables.steady.advance(tables.bounds.reclaim_ms - 1_000)
+    scheduler.run()
+    assert _run_of(urgent).members[0].endpoint_id == "e0"
+
+
+def test_room_kept_for_other_units_is_open_to_a_guaranteed_job():
+    """Guards against a reservation that outweighs a guarantee."""
+    tables = _tables(3)
+    scheduler = scheduling.Scheduler(tables)
+    batch = _fill(tables, scheduler, checkpointing=True, estimate_ms=60_000)
+    tables.steady.advance(5_000)
+    other = builders.replace(builders.ACCOUNT, name="other")
+    tables.config.publish(
+        2,
+        builders.config(
+            _URGENT, _BATCH, accounts=(builders.ACCOUNT, other), version=2
+        ),
+    )
+    large = builders.job(
+        "d" * 16,
+        builders.step(count=3, gpu=8, gang=True, estimate_ms=60_000),
+        queue=_URGENT,
+        account="unknown",
+    )
+    lifecycle.open_job(tables, large)
+    scheduler.run()
+    owed = _open(tables, "e", builders.step(gpu=8), _URGENT)
+    tables.steady.advance(tables.bounds.reclaim_ms - 1_000)
+    for entry in batch:
+        lifecycle.member_gone(tables, _run_of(entry).members[0])
+        scheduler.run()
+        if _run_of(owed):
+            break
+    assert len(_run_of(owed).members) == 1
