Keep room for a unit only while stops are under way, and split the pool off the pass

Cause, from reading: a unit that was late kept the endpoints on which work had been stopped for it, though it no longer fitted there, until it was too late; a test shows endpoints that idle meanwhile.

--- a/packages/placer/src/laburnumgate_placer/scheduling.py
+++ b/packages/placer/src/laburnumgate_placer/scheduling.py
@@ -1,6 +1,5 @@
 """One placement pass: gives waiting units to endpoints in order."""
 
-import dataclasses
 import logging
 
 from laburnumgate_placer import advice
@@ -10,6 +9,7 @@
 from laburnumgate_placer import model
 from laburnumgate_placer import ordering
 from laburnumgate_placer import placement
+from laburnumgate_placer import pool as pool_module
 from laburnumgate_placer import progress
 from laburnumgate_placer import reclaim
 from laburnumgate_placer import reservation
@@ -23,26 +23,6 @@
 # Later work is stopped for a unit if that costs at most this many times the
 # unit's own work: what is stopped earns less, but takes its time again.
 LOSS_FACTOR = 1.0
-# Gangs for which endpoints are kept at the same time, per pool. More would
-# leave too little for the work that fits.
-MAX_RESERVATIONS = 2
-
-
-@dataclasses.dataclass(slots=True)
-class _Pool:
-    """Endpoints of one service during a pass, and what they have left."""
-
-    endpoints: list[endpoint_table.EndpointState]
-    free_by_id: dict[str, model.Room]
-    failed_shapes: set[tuple]
-    held_ids: set[str]
-    reservations_by_unit: dict[model.UnitKey, reservation.Reservation]
-
-    def reserve(self, key: model.UnitKey, kept: reservation.Reservation):
-        """Keeps endpoints for a unit unless enough are kept for others."""
-        known = key in self.reservations_by_unit
-        if known or len(self.reservations_by_unit) < MAX_RESERVATIONS:
-            self.reservations_by_unit[key] = kept
 
 
 class Scheduler:
@@ -58,7 +38,7 @@
         tables = self._tables
         now_ms = tables.steady.now_ms()
         tables.durations.speeds.solve()
-        pools: dict[str, _Pool] = {}
+        pools: dict[str, pool_module.Pool] = {}
         ranked = ordering.waiting_units(tables, now_ms)
         waiting = {unit.key for _, unit in ranked}
         for key in list(self._kept_by_unit):
@@ -83,17 +63,17 @@
                 pools[queue.service] = pool
             self._place(pool, rank, unit, protected, now_ms)
 
-    def _pool(self, service: str, now_ms: int) -> _Pool:
+    def _pool(self, service: str, now_ms: int) -> pool_module.Pool:
         tables = self._tables
         usable = tables.endpoints.usable(
             service, tables.config.zones_out, now_ms
         )
         free = {s.info.endpoint_id: s.free() for s in usable}
-        return _Pool(usable, free, set(), set(), {})
+        return pool_module.Pool(usable, free)
 
     def _place(
         self,
-        pool: _Pool,
+        pool: pool_module.Pool,
         rank: ordering.Rank,
         unit: progress.Unit,
         protected: set[str],
@@ -101,7 +81,7 @@
     ) -> None:
         shape = _shape(unit)
         tickets: dict[str, str] = {}
-        endpoints = self._open_to(pool, unit, now_ms)
+        endpoints = pool.open_to(unit, self._tables.durations, now_ms)
         if self._tables.queue_of(unit.entry.job).advised:
             shape = (unit.key.job_id, unit.key.occurrence, unit.key.step)
             step = advice.step_of(unit.key)
@@ -126,11 +106,7 @@
         self._tell(pool, rank, unit)
         if owed_now:
             # What is kept for units without a guarantee is open to this one.
-            endpoints = [
-                state
-                for state in pool.endpoints
-                if state.info.endpoint_id not in pool.held_ids
-            ]
+            endpoints = pool.not_held()
         self._make_room(pool, rank, unit, endpoints, protected, now_ms)
 
     def _owed_now(
@@ -158,7 +134,7 @@
 
     def _start(
         self,
-        pool: _Pool,
+        pool: pool_module.Pool,
         rank: ordering.Rank,
         unit: progress.Unit,
         endpoints: list[endpoint_table.EndpointState],
@@ -183,7 +159,7 @@
 
     def _make_room(
         self,
-        pool: _Pool,
+        pool: pool_module.Pool,
         rank: ordering.Rank,
         unit: progress.Unit,
         endpoints: list[endpoint_table.EndpointState],
@@ -211,7 +187,7 @@
         return in_time
 
     def _tell(
-        self, pool: _Pool, rank: ordering.Rank, unit: progress.Unit
+        self, pool: pool_module.Pool, rank: ordering.Rank, unit: progress.Unit
     ) -> None:
         """Logs once for each step that its tasks have to wait."""
         key = unit.key
@@ -235,30 +211,9 @@
             guaranteed=rank.guaranteed,
         )
 
-    def _open_to(
-        self, pool: _Pool, unit: progress.Unit, now_ms: int
-    ) -> list[endpoint_table.EndpointState]:
-        """Returns endpoints that are kept for no unit before this one."""
-        closed = set(pool.held_ids)
-        if pool.reservations_by_unit:
-            table = self._tables.durations
-            work_ms = table.expected_ms(unit.entry.job, unit.key.step)
-            for kept in pool.reservations_by_unit.values():
-                for endpoint_id in kept.endpoint_ids:
-                    speed = table.speeds.speed(endpoint_id)
-                    if now_ms + work_ms / speed > kept.start_ms:
-                        closed.add(endpoint_id)
-        if not closed:
-            return pool.endpoints
-        return [
-            state
-            for state in pool.endpoints
-            if state.info.endpoint_id not in closed
-        ]
-
     def _ask(
         self,
-        pool: _Pool,
+        pool: pool_module.Pool,
         unit: progress.Unit,
         step: advice.StepKey,
         endpoints: list[endpoint_table.EndpointState],
@@ -278,21 +233,18 @@
 
     def _take(
         self,
-        pool: _Pool,
+        pool: pool_module.Pool,
         unit: progress.Unit,
         chosen: list[str],
         tickets: dict[str, str],
     ) -> None:
-        room = unit.step.charged
-        for endpoint_id in chosen:
-            free = pool.free_by_id[endpoint_id]
-            pool.free_by_id[endpoint_id] = free.plus(room, -1)
+        pool.take(unit.step.charged, chosen)
         self._kept_by_unit.pop(unit.key, None)
         lifecycle.assign(self._tables, unit, chosen, tickets)
 
     def _reclaim(
         self,
-        pool: _Pool,
+        pool: pool_module.Pool,
         rank: ordering.Rank,
         unit: progress.Unit,
         endpoints: list[endpoint_table.EndpointState],
@@ -317,6 +269,10 @@
                     )
                 kept = plan.endpoint_ids
                 self._kept_by_unit[unit.key] = kept
+        if plan is None and kept and not pool.stopping_on(kept):
+            # All stops are over and the unit does not fit all the same.
+            del self._kept_by_unit[unit.key]
+            kept = None
         pool.held_ids.update(kept or ())
         return plan is not None
 
--- a/packages/placer/tests/test_scheduling.py
+++ b/packages/placer/tests/test_scheduling.py
@@ -497,3 +497,26 @@
         if _run_of(owed):
             break
     assert len(_run_of(owed).members) == 1
+
+
+def test_room_is_not_kept_for_a_unit_that_does_not_fit_after_the_stops():
+    """Guards against endpoints that idle for a unit which cannot use them."""
+    tables = _tables(3, accounts=())
+    scheduler = scheduling.Scheduler(tables)
+    batch = _fill(tables, scheduler, checkpointing=True, estimate_ms=60_000)
+    tables.steady.advance(5_000)
+    gang = builders.step(count=3, gpu=8, gang=True, estimate_ms=1_000)
+    urgent = _open(tables, "d", gang, _URGENT)
+    scheduler.run()
+    stopping = [_run_of(entry) for entry in batch]
+    assert all(r.phase == progress.Phase.STOPPING for r in stopping)
+    tables.steady.advance(1_500)
+    lost = stopping[0].members[0].endpoint_id
+    for run in stopping:
+        lifecycle.member_gone(tables, run.members[0])
+    tables.endpoints.by_id[lost].listed = False
+    scheduler.run()
+    tables.steady.advance(200)
+    scheduler.run()
+    assert _run_of(urgent) is None
+    assert sum(1 for entry in batch if _run_of(entry)) == 2
