--- a/packages/placer/src/laburnumgate_placer/reclaim.py
+++ b/packages/placer/src/laburnumgate_placer/reclaim.py
@@ -116,27 +116,26 @@
 ) -> Plan | None:
     speed_table = tables.durations.speeds
     free_by_id = {s.info.endpoint_id: s.free() for s in group}
+    stopping: dict[int, progress.Run] = {}
     runs: dict[int, progress.Run] = {}
     for state in group:
         for member in state.members.values():
             run = member.run
             if run.phase == progress.Phase.STOPPING:
-                _give_back(free_by_id, member)
-                continue
-            if _may_stop(tables, run, scope, now_ms):
+                stopping[id(run)] = run
+            elif _may_stop(tables, run, scope, now_ms):
                 runs[id(run)] = run
+    for run in stopping.values():
+        _give_back(free_by_id, run)
     chosen = placement.choose(unit, group, free_by_id, speed_table, wish)
     victims: list[progress.Run] = []
-    lost = 0.0
     candidates = sorted(
         runs.values(), key=lambda r: _price(tables, r, free_by_id, now_ms)
     )
     for run in candidates:
         if chosen is not None:
             break
-        for member in run.members:
-            if not member.gone:
-                _give_back(free_by_id, member)
+        _give_back(free_by_id, run)
         victims.append(run)
         chosen = placement.choose(unit, group, free_by_id, speed_table, wish)
     if chosen is None:
@@ -167,9 +166,7 @@
         if not any(m.endpoint_id in kept for m in run.members):
             continue
         spared = dict(free_by_id)
-        for member in run.members:
-            if not member.gone:
-                _take_back(spared, member)
+        _give_back(spared, run, -1)
         speed_table = tables.durations.speeds
         wish = placement.Wish()
         if placement.choose(unit, endpoints, spared, speed_table, wish):
@@ -200,21 +197,16 @@
 
 
 def _give_back(
-    free_by_id: dict[str, model.Room], member: progress.Member
-) -> None:
-    free = free_by_id.get(member.endpoint_id)
-    if free is not None:
-        room = member.run.unit.step.charged
-        free_by_id[member.endpoint_id] = free.plus(room)
-
-
-def _take_back(
-    free_by_id: dict[str, model.Room], member: progress.Member
+    free_by_id: dict[str, model.Room],
+    run: progress.Run,
+    times: int = 1,
 ) -> None:
-    free = free_by_id.get(member.endpoint_id)
-    if free is not None:
-        room = member.run.unit.step.charged
-        free_by_id[member.endpoint_id] = free.plus(room, -1)
+    """Counts the room of a run as free, or with `times` -1 as taken again."""
+    room = run.unit.step.charged
+    for member in run.members:
+        free = free_by_id.get(member.endpoint_id)
+        if free is not None and not member.gone:
+            free_by_id[member.endpoint_id] = free.plus(room, times)
 
 
 def _price(
