Spread a gang that no rack takes, and wait no longer for unknown leases than they last

One: a gang of four whole endpoints waited for one rack, beside three idle endpoints in each of three racks. Two: a task had ended on an endpoint that was taken away; only a cut-off leader had seen the end, and after two changes of the leader the task waited 20 s for leases that last 7 s. Ruled out: reservations, and the wait for fast endpoints (the gang was too late).

--- a/packages/placer/src/laburnumgate_placer/launcher.py
+++ b/packages/placer/src/laburnumgate_placer/launcher.py
@@ -21,9 +21,6 @@
 # Share of the time a gang's tasks wait for each other after which an
 # incomplete start is given up, so that none of them ends for being alone.
 START_SHARE = 0.45
-# Long enough to outlast a zone that is cut off for 6 s; longer leases would
-# only delay the restart of what ran on a lost endpoint.
-LEASE_MS = 7_000
 
 
 class Launcher:
@@ -45,7 +42,6 @@
         self._endpoints = endpoints
         self._tables = tables
         self._overtaken = overtaken
-        self.lease_ms = min(tables.bounds.max_lease_ms, LEASE_MS)
 
     async def launch(self, run: progress.Run) -> None:
         """Starts all members of a run, or stops it if one cannot start."""
@@ -195,7 +191,7 @@
             task=member.task,
             run=member.run.number,
             payload=unit.entry.job.payload,
-            deadline_ms=state.lease(self.lease_ms, now_ms),
+            deadline_ms=state.lease(self._tables.bounds.lease_ms, now_ms),
             fencing_token=self._tables.token,
             checkpoint=unit.checkpoint,
             ticket=member.run.tickets_by_endpoint.get(member.endpoint_id, ""),
--- a/packages/placer/src/laburnumgate_placer/leader.py
+++ b/packages/placer/src/laburnumgate_placer/leader.py
@@ -168,7 +168,7 @@
         endpoints that it cannot reach.
         """
         age_ms = self.tables.steady.now_ms() - self._lead.confirmed_ms()
-        return age_ms < self.tables.bounds.max_lease_ms
+        return age_ms < self.tables.bounds.lease_ms
 
     async def _recover_log(self) -> dict[str, bytes]:
         """Fences earlier leaders off and reads what they recorded."""
--- a/packages/placer/src/laburnumgate_placer/limits.py
+++ b/packages/placer/src/laburnumgate_placer/limits.py
@@ -2,6 +2,10 @@
 
 import dataclasses
 
+# Leases outlast a zone that is cut off for 6 s; longer ones would only delay
+# the restart of what ran on a lost endpoint.
+LONGEST_LEASE_MS = 7_000
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Bounds:
@@ -38,3 +42,12 @@
     pace_ms: int = 100
     interference_ms: int = 4_000
     notice_ms: int = 4_500
+
+    @property
+    def lease_ms(self) -> int:
+        """Length of the leases that leaders give, and of their right to renew.
+
+        A leader renews for as long without a confirmed heartbeat, so that a
+        later one knows when leases which it did not give are over.
+        """
+        return min(self.max_lease_ms, LONGEST_LEASE_MS)
--- a/packages/placer/src/laburnumgate_placer/live_list.py
+++ b/packages/placer/src/laburnumgate_placer/live_list.py
@@ -72,9 +72,9 @@
         tables = self._tables
         state = endpoint_table.EndpointState(info)
         state.contact_ms = tables.steady.now_ms()
-        # An earlier leader renews until its right is stale, and its leases
-        # last as long as endpoints allow.
-        longest_ms = tables.bounds.max_lease_ms
+        # An earlier leader renews until its right is stale, and then its
+        # leases have to end.
+        longest_ms = tables.bounds.lease_ms
         state.lease_bound_ms = self._claimed_ms + int(
             longest_ms + longest_ms / endpoint_table.SLOWEST_CLOCK
         )
--- a/packages/placer/src/laburnumgate_placer/placement.py
+++ b/packages/placer/src/laburnumgate_placer/placement.py
@@ -21,9 +21,11 @@
 
     Attributes:
       least_speed: below this speed the job will be late.
+      spread: a gang of one rack may run on several, where it is slower.
     """
 
     least_speed: float = 0.0
+    spread: bool = False
 
     def met_by(self, speed: float) -> bool:
         """Whether work at this speed is done in time."""
@@ -64,8 +66,10 @@
     if not step.same_rack and not (step.data_rack and unit.size > 1):
         return _fill(unit.size, ordered, slots_by_id)
     chosen = _choose_rack(unit, ordered, slots_by_id, speed_table, wish)
-    if chosen is not None or _could_fit_rack(unit, endpoints):
+    if chosen is not None:
         return chosen
+    if not wish.spread and _could_fit_rack(unit, endpoints):
+        return None
     return _fill(unit.size, ordered, slots_by_id)
 
 
--- a/packages/placer/src/laburnumgate_placer/pool.py
+++ b/packages/placer/src/laburnumgate_placer/pool.py
@@ -79,6 +79,19 @@
             if state.info.endpoint_id not in closed
         ]
 
+    def half_idle(self) -> bool:
+        """Whether at least half of all capacity is left."""
+        whole = model.Room()
+        left = model.Room()
+        for state in self.endpoints:
+            whole = whole.plus(state.info.capacity)
+            left = left.plus(self.free_by_id[state.info.endpoint_id])
+        return (
+            2 * left.cpu >= whole.cpu
+            and 2 * left.mem_mb >= whole.mem_mb
+            and 2 * left.gpu >= whole.gpu
+        )
+
     def stopping_on(self, endpoint_ids: frozenset[str]) -> bool:
         """Whether a run is being stopped on one of the endpoints named."""
         for state in self.endpoints:
--- a/packages/placer/src/laburnumgate_placer/scheduling.py
+++ b/packages/placer/src/laburnumgate_placer/scheduling.py
@@ -24,6 +24,11 @@
 # unit's own work: what is stopped earns less, but takes its time again.
 LOSS_FACTOR = 1.0
 
+# A gang that no rack can take is spread over several after this long, or once
+# it is too late for its caller, if half of the pool is idle: it runs slowly
+# there, but ends.
+SPREAD_AFTER_MS = 8_000
+
 
 class Scheduler:
     """Runs placement passes over the leader's tables."""
@@ -97,11 +102,15 @@
             fast = self._fast_enough(endpoints, rank)
             if len(fast) < len(endpoints):
                 place = (unit.key.job_id, unit.key.occurrence, unit.key.step)
+                wish = rank.wish()
                 if self._start(
-                    pool, rank, unit, fast, tickets, place
+                    pool, wish, unit, fast, tickets, place
                 ) or self._make_room(pool, rank, unit, fast, protected, now_ms):
                     return
-        if self._start(pool, rank, unit, endpoints, tickets, shape):
+        wish = self._wish(pool, rank, unit, now_ms)
+        if self._start(
+            pool, wish, unit, endpoints, tickets, (*shape, wish.spread)
+        ):
             return
         self._tell(pool, rank, unit)
         if owed_now:
@@ -109,6 +118,22 @@
             endpoints = pool.not_held()
         self._make_room(pool, rank, unit, endpoints, protected, now_ms)
 
+    def _wish(
+        self,
+        pool: pool_module.Pool,
+        rank: ordering.Rank,
+        unit: progress.Unit,
+        now_ms: int,
+    ) -> placement.Wish:
+        """Returns what the unit should run on, or may run on by now."""
+        wish = rank.wish()
+        if not unit.step.same_rack or not pool.half_idle():
+            return wish
+        waited_ms = now_ms - unit.ready_ms
+        too_late = rank.stage == ordering.Stage.TOO_LATE
+        spread = too_late or waited_ms >= SPREAD_AFTER_MS
+        return placement.Wish(wish.least_speed, spread)
+
     def _owed_now(
         self, rank: ordering.Rank, unit: progress.Unit, now_ms: int
     ) -> bool:
@@ -135,7 +160,7 @@
     def _start(
         self,
         pool: pool_module.Pool,
-        rank: ordering.Rank,
+        wish: placement.Wish,
         unit: progress.Unit,
         endpoints: list[endpoint_table.EndpointState],
         tickets: dict[str, str],
@@ -149,7 +174,7 @@
             endpoints,
             pool.free_by_id,
             self._tables.durations.speeds,
-            rank.wish(),
+            wish,
         )
         if chosen is None:
             pool.failed_shapes.add(shape)
--- a/packages/placer/src/laburnumgate_placer/watcher.py
+++ b/packages/placer/src/laburnumgate_placer/watcher.py
@@ -90,7 +90,7 @@
         sent_ms = tables.steady.now_ms()
         deadline_ms = None
         if state.contacted and state.members and self._may_renew():
-            deadline_ms = state.lease(self._orders.lease_ms, sent_ms)
+            deadline_ms = state.lease(tables.bounds.lease_ms, sent_ms)
         wait_ms = self._wait_ms()
         acked = state.acked_end
         answer = await self._endpoints.renew(
--- a/packages/placer/tests/test_scheduling.py
+++ b/packages/placer/tests/test_scheduling.py
@@ -535,3 +535,36 @@
     urgent = _open(tables, "a", builders.step(gpu=8, estimate_ms=2_500), tight)
     scheduling.Scheduler(tables).run()
     assert _run_of(urgent).members[0].endpoint_id == "e1"
+
+
+def test_a_gang_of_one_rack_does_not_wait_forever_beside_idle_racks():
+    """Guards against an accepted job that never runs though there is room.
+
+    On a hunted day a gang of four whole endpoints waited to the end beside
+    three idle ones in each of three racks.
+    """
+    tables = _tables(0, accounts=())
+    for rack in "abc":
+        for number in range(2):
+            builders.add_endpoint(tables, f"{rack}{number}", rack=rack)
+    scheduler = scheduling.Scheduler(tables)
+    busy = [_open(tables, j, builders.step(gpu=8)) for j in "123"]
+    scheduler.run()
+    for entry, endpoint_id in zip(busy, ("a0", "b0", "c0"), strict=True):
+        run = _run_of(entry)
+        member = run.members[0]
+        tables.endpoints.by_id[member.endpoint_id].release(member)
+        member.endpoint_id = endpoint_id
+        builders.start(tables, run)
+    for entry in busy:
+        member = _run_of(entry).members[0]
+        tables.endpoints.by_id[member.endpoint_id].charge(member)
+    step = builders.step(
+        count=2, gpu=8, gang=True, same_rack=True, estimate_ms=1_000
+    )
+    gang = _open(tables, "d", step)
+    scheduler.run()
+    assert _run_of(gang) is None
+    tables.steady.advance(60_000)
+    scheduler.run()
+    assert len(_run_of(gang).members) == 2
