Count a job as pending again when its state goes back to queued

Cause: found by the property test of the job table with a sequence that it had not drawn before: running, then queued again. No leader records that. The sequence is kept as an example.

--- a/packages/placer/src/laburnumgate_placer/job_table.py
+++ b/packages/placer/src/laburnumgate_placer/job_table.py
@@ -80,9 +80,8 @@
     def _change(self, job_id: str, change) -> None:
         # Keeps the number of pending jobs in step with the states.
         job = self.jobs_by_id.get(job_id)
-        before = self.state(job_id)
+        before = self.state(job_id) == model.JobState.QUEUED
         change()
-        if job is None or before != model.JobState.QUEUED:
-            return
-        if self.state(job_id) != model.JobState.QUEUED:
-            self._pending_by_queue[job.queue.name] -= 1
+        after = self.state(job_id) == model.JobState.QUEUED
+        if job is not None:
+            self._pending_by_queue[job.queue.name] += after - before
--- a/packages/placer/tests/test_job_table.py
+++ b/packages/placer/tests/test_job_table.py
@@ -1,6 +1,7 @@
 """The fold of the jobs topic."""
 
 import builders
+from hypothesis import example
 from hypothesis import given
 from hypothesis import strategies as st
 from laburnumgate_placer import job_table
@@ -21,6 +22,13 @@
 )
 
 
+@example(
+    [
+        records.Submitted(builders.job("b" * 16)),
+        records.StateChanged("b" * 16, model.JobState.RUNNING, 1),
+        records.StateChanged("b" * 16, model.JobState.QUEUED, 1),
+    ]
+)
 @given(st.lists(_RECORDS, max_size=30))
 def test_pending_counts_the_queued_jobs(sequence):
     """Guards against a count that drifts from the jobs' states."""
