--- a/packages/placer/tests/test_scheduling.py
+++ b/packages/placer/tests/test_scheduling.py
@@ -12,6 +12,7 @@
 from laburnumgate_placer import progress
 from laburnumgate_placer import scheduling
 from laburnumgate_placer.overload import passes
+from laburnumgate_placer.overload import preemption
 
 _URGENT = builders.replace(
     builders.QUEUE, name="urgent", prefix="/u/", priority=0
@@ -667,38 +668,55 @@
     In a simulated day 393 of 1,117 runs were stopped: a gang that had given way
     to urgent work stopped some 60 tasks for each of its restarts.
     """
-    tables = _tables(3, accounts=())
-    scheduler = scheduling.Scheduler(tables)
-    batch = _fill(tables, scheduler, checkpointing=True, estimate_ms=60_000)
-    tables.monotonic.advance(5_000)
-    gang = builders.step(
-        count=3, gpu=8, gang=True, estimate_ms=9_000, checkpointing=True
-    )
-    middle = builders.replace(_URGENT, name="middle", priority=1)
+    tables = _tables(2, accounts=())
+    middle = builders.replace(_URGENT, name="middle", priority=1, stretch=5.0)
     tables.config.publish(
         2, builders.config(_URGENT, middle, _BATCH, accounts=(), version=2)
     )
-    first = _open(tables, "d", gang, middle)
-    scheduler.run()
-    for entry in batch:
-        lifecycle.mark_terminated(tables, _run_of(entry).members[0])
-    scheduler.run()
-    builders.start(tables, _run_of(first))
+    scheduler = scheduling.Scheduler(tables)
+
+    def run_and_start():
+        scheduler.run()
+        for run in tables.assigned_runs:
+            builders.start(tables, run)
+        tables.assigned_runs.clear()
+
+    def terminate_stopping():
+        for entry in list(tables.entries_by_id.values()):
+            for run in entry.runs():
+                if run.phase == progress.Phase.STOPPING:
+                    for member in list(run.members):
+                        lifecycle.mark_terminated(tables, member)
+
+    resumable = {"checkpointing": True, "estimate_ms": 60_000}
+    batch = [_open(tables, j, builders.step(gpu=8, **resumable)) for j in "ab"]
+    run_and_start()
     tables.monotonic.advance(5_000)
-    _open(tables, "e", builders.step(gpu=8, estimate_ms=20_000), _URGENT)
-    scheduler.run()
-    for member in list(_run_of(first).members):
-        lifecycle.mark_terminated(tables, member)
-    scheduler.run()
-    running = [_run_of(entry) for entry in batch if _run_of(entry)]
-    assert running
-    for run in running:
-        builders.start(tables, run)
-    tables.monotonic.advance(passes_apart := 2_500)
-    scheduler.run()
-    tables.monotonic.advance(passes_apart)
-    scheduler.run()
-    assert all(run.phase == progress.Phase.RUNNING for run in running)
+    step = builders.step(count=2, gpu=8, gang=True, **resumable)
+    gang = _open(tables, "d", step, middle)
+    run_and_start()
+    terminate_stopping()
+    run_and_start()
+    assert _run_of(gang) is not None
+    tables.monotonic.advance(preemption.WINDOW_MS + 1)
+    urgent = _open(
+        tables, "e", builders.step(gpu=8, estimate_ms=2_000), _URGENT
+    )
+    run_and_start()
+    terminate_stopping()
+    run_and_start()
+    assert _run_of(urgent) is not None
+    again = [_run_of(entry) for entry in batch if _run_of(entry)]
+    assert len(again) == 1
+    tables.monotonic.advance(3_000)
+    member = _run_of(urgent).members[0]
+    lifecycle.apply_end(
+        tables,
+        tables.endpoints.by_id[member.endpoint_id],
+        builders.end(member, 1, model.EndKind.DONE),
+    )
+    run_and_start()
+    assert again[0].phase == progress.Phase.RUNNING
 
 
 def test_preemption_stops_when_too_much_work_was_thrown_away():
