Let idle hosts read rarely, and answer callers after errors without a traceback

Cause: 97 hosts each read the jobs ten times a second and every heartbeat. A read is now made when a caller asks; hosts with less than a core follow the leader in rare reads and claim later. An error while a submission is handled no longer reads as 'did not run'; a job too large for any leader's memory is refused.

--- a/deploy/tests/test_callers.py
+++ b/deploy/tests/test_callers.py
@@ -138,6 +138,10 @@
         (orjson.dumps({"steps": [{"count": 1, "after": [0]}]}), 400),
         (orjson.dumps({"task_spec": "t" * 4_001, "steps": [{}]}), 400),
         (b" " * 100_001, 413),
+        (orjson.dumps({"steps": [{"count": 2_000_000_000}]}), 400),
+        (orjson.dumps({"steps": [{"cpu": 2**60}]}), 400),
+        (orjson.dumps({"steps": [{}], "repeat_count": 10**9}), 400),
+        (orjson.dumps({"steps": [{}], "interval_ms": 1e300}), 400),
     ],
 )
 def test_a_malformed_job_is_refused_and_never_runs(body, status):
@@ -197,3 +201,38 @@
     answer = builders.run(_run_with_server(host, scenario))
     assert answer.startswith(b"HTTP/1.1 200")
     assert answer.endswith(b"{}")
+
+
+def test_an_unexpected_error_leaves_the_outcome_of_a_request_open():
+    """Guards against a refusal for a job that was stored before the error."""
+    host = _host(intake.Accepted())
+
+    async def fail(job, wait_ms):
+        raise ZeroDivisionError
+
+    host.intake.submit = fail
+    body = orjson.dumps(_JOB)
+    assert _call(host, "POST", f"/reviews/{_ID}", body)[0] == 504
+
+
+def test_a_caller_that_has_gone_leaves_one_log_line(caplog):
+    """Guards against a traceback for each caller that gives up."""
+    host = _host(intake.Accepted())
+    host.intake.pause_s = 0.2
+    body = orjson.dumps(_JOB)
+    head = (
+        f"POST /reviews/{_ID} HTTP/1.1\r\nHost: h.example\r\n"
+        f"X-Laburnumgate-Credential: key-1\r\n"
+        f"Content-Length: {len(body)}\r\n\r\n"
+    ).encode()
+
+    async def scenario(caller_api, server, port):
+        _, writer = await asyncio.open_connection("127.0.0.1", port)
+        writer.write(head + body)
+        await asyncio.sleep(0.05)
+        writer.transport.abort()
+        await asyncio.sleep(0.4)
+
+    builders.run(_run_with_server(host, scenario))
+    assert not [r for r in caplog.records if r.exc_info]
+    assert not [r for r in caplog.records if r.levelname == "ERROR"]
--- a/packages/placer/src/laburnumgate_placer/feed.py
+++ b/packages/placer/src/laburnumgate_placer/feed.py
@@ -66,6 +66,9 @@
         self.down = False
         self._known_keys: set[str] = set()
         self._advanced = asyncio.Condition()
+        # Set to end the pause between two reads early.
+        self._hurry = asyncio.Event()
+        self._pausing = False
 
     async def run(self) -> None:
         """Follows the topic until cancelled."""
@@ -78,7 +81,33 @@
             if not await self._read():
                 await asyncio.sleep(RETRY_MS / 1000)
             elif self.min_interval_ms:
-                await asyncio.sleep(self.min_interval_ms / 1000)
+                await self._pause()
+
+    async def catch_up(self, timeout_ms: int) -> None:
+        """Reads now what was written during the pause between two reads.
+
+        Returns at once if a read is open, as it returns new records without
+        delay. Gives up after the timeout.
+        """
+        if not self._pausing:
+            return
+        asked_ms = self._monotonic.now_ms()
+        self._hurry.set()
+        try:
+            async with asyncio.timeout(timeout_ms / 1000), self._advanced:
+                await self._advanced.wait_for(lambda: self.fresh_ms >= asked_ms)
+        except TimeoutError:
+            return
+
+    async def _pause(self) -> None:
+        self._pausing = True
+        try:
+            async with asyncio.timeout(self.min_interval_ms / 1000):
+                await self._hurry.wait()
+        except TimeoutError:
+            pass
+        finally:
+            self._pausing = False
 
     async def wait_for_offset(self, offset: int, timeout_ms: int) -> bool:
         """Waits until all records before `offset` are applied.
@@ -86,6 +115,8 @@
         Returns:
           Whether that happened before the timeout.
         """
+        if self._pausing:
+            self._hurry.set()
         try:
             async with asyncio.timeout(timeout_ms / 1000):
                 async with self._advanced:
@@ -143,20 +174,25 @@
 
     async def _read(self) -> bool:
         sent_ms = self._monotonic.now_ms()
+        wait_ms = 0 if self._hurry.is_set() else self._wait_ms
+        self._hurry.clear()
         answer = await self._log.read(
             self.topic,
             self.next_offset,
-            wait_ms=self._wait_ms,
-            timeout_ms=self._wait_ms + ANSWER_MARGIN_MS,
+            wait_ms=wait_ms,
+            timeout_ms=wait_ms + ANSWER_MARGIN_MS,
         )
         match answer:
             case ports.Batch(entries, end_offset):
                 self._mark_up()
                 self._apply_all(entries)
                 if entries:
-                    await self._advance(entries[-1].offset + 1)
+                    self.next_offset = max(
+                        self.next_offset, entries[-1].offset + 1
+                    )
                 if self.next_offset >= end_offset:
                     self.fresh_ms = sent_ms
+                await self._advance(self.next_offset)
                 return True
             case ports.Expired(first_offset):
                 events.emit(
--- a/packages/placer/src/laburnumgate_placer/host.py
+++ b/packages/placer/src/laburnumgate_placer/host.py
@@ -27,9 +27,9 @@
 CONFIG_WAIT_MS = 500
 JOBS_WAIT_MS = 1_000
 # Minimum interval between reads of the jobs topic by hosts that do not lead, so
-# that one read returns the records of several appends. The leader reads without
-# delay.
-FOLLOWER_READ_INTERVAL_MS = 100
+# that one read returns the records of many appends. The leader reads without
+# delay, and so does a host whose caller asks for a job.
+FOLLOWER_READ_INTERVAL_MS = 500
 RETRY_MS = 50
 READY_CHECK_INTERVAL_MS = 200
 
@@ -45,6 +45,7 @@
         *,
         claim_delay_ms: int,
         first_start: bool,
+        reserve: bool = False,
     ):
         """Creates the components of a host.
 
@@ -55,6 +56,7 @@
           claim_delay_ms: delay before claiming leadership, so that others
             claim first.
           first_start: whether this is the first start of the whole system.
+          reserve: whether this host leads only if no abler one does.
         """
         self.monotonic = clock.MonotonicClock()
         self.wall = clock.WallClock()
@@ -84,7 +86,12 @@
             log, self.monotonic, topics.JOBS, f"host-{host_id}", 1
         )
         self.leadership = leadership.Leadership(
-            log, self.monotonic, host_id, claim_delay_ms, first_start
+            log,
+            self.monotonic,
+            host_id,
+            claim_delay_ms,
+            first_start,
+            reserve=reserve,
         )
         self.intake = intake.Intake(
             self.config,
--- a/packages/placer/src/laburnumgate_placer/intake.py
+++ b/packages/placer/src/laburnumgate_placer/intake.py
@@ -38,6 +38,8 @@
 # How long a request for an unknown job waits for its record to be read.
 UNKNOWN_WAIT_MS = 200
 UNKNOWN_POLL_MS = 20
+# How long a request for the state of a job waits for the latest records.
+CATCH_UP_TIMEOUT_MS = 100
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -200,6 +202,9 @@
         return self._jobs.pending(queue)
 
     async def _find(self, job_id: str, account: str) -> model.Job | None:
+        changed = self._jobs.recorded(job_id)
+        if changed is None or not changed.state.final:
+            await self._jobs_feed.catch_up(CATCH_UP_TIMEOUT_MS)
         waited_ms = 0
         while job_id not in self._jobs.jobs_by_id:
             if waited_ms >= UNKNOWN_WAIT_MS:
--- a/packages/placer/src/laburnumgate_placer/leadership.py
+++ b/packages/placer/src/laburnumgate_placer/leadership.py
@@ -28,6 +28,10 @@
 READ_WAIT_MS = 350
 APPEND_TIMEOUT_MS = 800
 CHECK_MS = 50
+# Reserve hosts follow the leader in rare reads and claim later than others, so
+# that an idle one costs little.
+RESERVE_READ_INTERVAL_MS = 800
+RESERVE_CLAIM_DELAY_MS = 600
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -53,6 +57,8 @@
         host: str,
         claim_delay_ms: int,
         first_start: bool,
+        *,
+        reserve: bool = False,
     ):
         """Prepares a candidate.
 
@@ -63,7 +69,9 @@
           claim_delay_ms: delay before claiming, so that others claim first.
           first_start: whether this is the first start of the system, so that
             no earlier leader can exist.
+          reserve: whether this host leads only if no abler one claims.
         """
+        self._read_interval_ms = RESERVE_READ_INTERVAL_MS if reserve else 0
         self.feed = feed.Feed(
             log,
             monotonic,
@@ -71,6 +79,7 @@
             self._apply,
             wait_ms=READ_WAIT_MS,
             keyed=False,
+            min_interval_ms=self._read_interval_ms,
         )
         self.current: Claim | None = None
         self.changed = asyncio.Event()
@@ -78,6 +87,8 @@
         self._monotonic = monotonic
         self._host = host
         self._delay_ms = claim_delay_ms
+        if reserve:
+            self._delay_ms += RESERVE_CLAIM_DELAY_MS
         self._last_record_ms = 0 if first_start else monotonic.now_ms()
         self._no_leader = first_start
         self._confirmed_ms = 0
@@ -191,6 +202,7 @@
         self.current = claim
         self._confirmed_ms = sent_ms
         self._no_leader = False
+        self.feed.min_interval_ms = 0
         events.emit(_LOGGER, events.Event.LEAD_TAKEN, token=claim.token)
         self.changed.set()
 
@@ -209,6 +221,7 @@
         own = self._own
         self._own = None
         self._last_record_ms = self._monotonic.now_ms()
+        self.feed.min_interval_ms = self._read_interval_ms
         events.emit(
             _LOGGER, events.Event.LEAD_LOST, token=own.token, reason=reason
         )
@@ -232,7 +245,8 @@
             return
         if self.current is not None and token < self.current.token:
             return
-        self._heartbeat_gaps_ms.append(now_ms - self._last_record_ms)
+        gap_ms = now_ms - self._last_record_ms - self.feed.min_interval_ms
+        self._heartbeat_gaps_ms.append(gap_ms)
         self._last_record_ms = now_ms
         if kind == "resign":
             self._no_leader = True
--- a/packages/placer/tests/test_feed.py
+++ b/packages/placer/tests/test_feed.py
@@ -37,3 +37,55 @@
         task.cancel()
 
     builders.run(work())
+
+
+def test_a_caller_does_not_wait_for_the_pause_between_reads():
+    """Guards against stale answers from a host that reads rarely."""
+
+    async def work():
+        log = fakelog.FakeLog()
+        seen = []
+        follower = feed.Feed(
+            log,
+            clock.MonotonicClock(),
+            _TOPIC,
+            lambda entry: seen.append(entry.key),
+            wait_ms=500,
+            min_interval_ms=5_000,
+        )
+        task = asyncio.create_task(follower.run())
+        await follower.loaded.wait()
+        log.put(_TOPIC, records.encode_keyed("first", b"1"))
+        assert await follower.wait_for_offset(1, 1_000)
+        await asyncio.sleep(0.01)
+        log.put(_TOPIC, records.encode_keyed("second", b"1"))
+        async with asyncio.timeout(1):
+            await follower.catch_up(900)
+        assert seen == ["first", "second"]
+        task.cancel()
+
+    builders.run(work())
+
+
+def test_catching_up_is_given_up_when_the_log_is_silent():
+    """Guards against callers that wait for a log that does not answer."""
+
+    async def work():
+        log = fakelog.FakeLog()
+        follower = feed.Feed(
+            log,
+            clock.MonotonicClock(),
+            _TOPIC,
+            lambda entry: None,
+            wait_ms=20,
+            min_interval_ms=5_000,
+        )
+        task = asyncio.create_task(follower.run())
+        await follower.loaded.wait()
+        await asyncio.sleep(0.1)
+        log.silent = True
+        async with asyncio.timeout(1):
+            await follower.catch_up(50)
+        task.cancel()
+
+    builders.run(work())
--- a/packages/placer/tests/test_leadership.py
+++ b/packages/placer/tests/test_leadership.py
@@ -12,9 +12,14 @@
 
 
 class _Candidate:
-    def __init__(self, log, host, delay_ms=0, first_start=False):
+    def __init__(self, log, host, delay_ms=0, first_start=False, reserve=False):
         self.leadership = leadership.Leadership(
-            log, clock.MonotonicClock(), host, delay_ms, first_start
+            log,
+            clock.MonotonicClock(),
+            host,
+            delay_ms,
+            first_start,
+            reserve=reserve,
         )
         self.tasks = [
             asyncio.create_task(self.leadership.feed.run()),
@@ -184,3 +189,25 @@
         assert slow.leadership.own_claim is None
 
     builders.run(work())
+
+
+def test_an_abler_host_leads_before_a_reserve_host():
+    """Guards against weak hosts that take over the work of a lost leader."""
+
+    async def work():
+        log = fakelog.FakeLog()
+        first = _Candidate(log, "h1", first_start=True)
+        await _wait_until(lambda: first.leadership.own_claim)
+        reserve = _Candidate(log, "weak", reserve=True)
+        able = _Candidate(log, "able", delay_ms=50)
+        await asyncio.sleep(1)
+        reads = log.reads
+        await asyncio.sleep(1)
+        # The leader and the able host read each heartbeat.
+        assert log.reads - reads <= 14
+        first.kill()
+        await _wait_until(lambda: able.leadership.own_claim)
+        able.kill()
+        await _wait_until(lambda: reserve.leadership.own_claim)
+
+    builders.run(work())
