--- a/packages/placer/src/laburnumgate_placer/leader.py
+++ b/packages/placer/src/laburnumgate_placer/leader.py
@@ -54,6 +54,8 @@
 FIRST_REPORTS_SHARE = 0.6
 FEW_REPORTS_TIMEOUT_MS = 1_000
 FIRST_REPORTS_POLL_MS = 5
+# Number of jobs that a new leader restores between two turns of the event loop.
+RESTORE_CHUNK = 20
 # Interval at which expired jobs are removed from the log.
 CLEAN_UP_INTERVAL_MS = 20_000
 # Interval at which endpoint speeds are recorded if they have changed.
@@ -118,6 +120,8 @@
         self._tasks: set[asyncio.Task] = set()
         self._flush_due = asyncio.Event()
         self._done_by_wave: dict[str, list[str]] = {}
+        # Endpoints that were found before all jobs were restored.
+        self._unwatched: list[endpoint_table.EndpointState] = []
         self.recovered = False
 
     async def run(self) -> None:
@@ -127,9 +131,12 @@
             progress_by_id = await self._recover_log()
             self._spawn(self._list_feed.run())
             await self._list_feed.loaded.wait()
-            self._restore(progress_by_id)
+            await self._restore(progress_by_id)
             self._spawn(self._recorder.run_writers())
             self.recovered = True
+            for state in self._unwatched:
+                self._watch_endpoint(state)
+            self._unwatched.clear()
             took_ms = self.tables.monotonic.now_ms() - self._claimed_ms
             metrics.RECOVERY_SECONDS.observe(took_ms / 1000)
             events.emit(
@@ -165,12 +172,11 @@
 
     def job_changed(self, record: records.JobRecord) -> None:
         """Handles a record of the jobs topic that changed the job table."""
-        if not self.recovered:
-            return
         match record:
             case records.Submitted(job):
                 state = self.tables.jobs.state(job.job_id)
-                if state is not None and not state.final:
+                # The recovery restores jobs that arrive in the meantime.
+                if self.recovered and state is not None and not state.final:
                     lifecycle.open_job(self.tables, job)
             case records.Cancelled(job_id):
                 lifecycle.cancel_job(self.tables, job_id)
@@ -231,35 +237,53 @@
         if self._leadership.own_claim != self._claim:
             raise LeadershipLostError("another host leads")
 
-    def _restore(self, progress_by_id: dict[str, bytes]) -> None:
+    async def _restore(self, progress_by_id: dict[str, bytes]) -> None:
+        """Restores all jobs, with a pause after each few of them.
+
+        Heartbeats have to be sent in the meantime.
+        """
         tables = self.tables
         speeds = _pop_record(topics.SPEEDS_KEY, progress_by_id)
         tables.durations.speeds.restore(speeds)
         self._done_by_wave = _pop_record(topics.WAVES_KEY, progress_by_id)
+        restored: set[str] = set()
+        while True:
+            # Callers go on submitting jobs during the pauses.
+            missing = [i for i in tables.jobs.jobs_by_id if i not in restored]
+            if not missing:
+                return
+            for job_id in missing[:RESTORE_CHUNK]:
+                restored.add(job_id)
+                self._restore_job(job_id, progress_by_id.get(job_id))
+            if len(missing) > RESTORE_CHUNK:
+                await asyncio.sleep(0)
+                self._check_leadership()
+
+    def _restore_job(self, job_id: str, value: bytes | None) -> None:
+        tables = self.tables
+        job = tables.jobs.jobs_by_id[job_id]
+        recorded = tables.jobs.recorded(job_id)
+        if recorded is not None:
+            self._recorder.set_recorded_state(job_id, recorded.state)
+        if recorded is not None and recorded.state.final and not value:
+            return
         now_ms = tables.monotonic.now_ms()
-        for job_id, job in tables.jobs.jobs_by_id.items():
-            recorded = tables.jobs.recorded(job_id)
-            value = progress_by_id.get(job_id)
-            if recorded is not None:
-                self._recorder.set_recorded_state(job_id, recorded.state)
-            if recorded is not None and recorded.state.final and not value:
-                continue
-            entry = progress.JobEntry(job, now_ms)
-            waited_ms = max(0, tables.wall.now_ms() - job.accepted_ms)
-            entry.arrived_ms = now_ms - waited_ms
-            self._restore_entry(entry, value, now_ms)
-            if recorded is not None and recorded.state.final:
-                entry.state = recorded.state
-            tables.entries_by_id[job_id] = entry
-            self._adopt(entry)
-            if tables.jobs.cancelled(job_id):
-                lifecycle.cancel_job(tables, job_id)
-            if entry.state.final:
-                for run in entry.runs():
-                    lifecycle.stop_run(tables, run, "the job has ended")
-                tables.mark_dirty(job_id)
-            elif entry.finished():
-                lifecycle.set_state(tables, entry, model.JobState.COMPLETED)
+        entry = progress.JobEntry(job, now_ms)
+        waited_ms = max(0, tables.wall.now_ms() - job.accepted_ms)
+        entry.arrived_ms = now_ms - waited_ms
+        self._restore_entry(entry, value, now_ms)
+        if recorded is not None and recorded.state.final:
+            entry.state = recorded.state
+        tables.entries_by_id[job_id] = entry
+        self._adopt(entry)
+        if tables.jobs.cancelled(job_id):
+            lifecycle.cancel_job(tables, job_id)
+        if entry.state.final:
+            for run in entry.runs():
+                lifecycle.stop_run(tables, run, "the job has ended")
+            tables.mark_dirty(job_id)
+        elif entry.finished():
+            lifecycle.set_state(tables, entry, model.JobState.COMPLETED)
 
     def _restore_entry(
         self, entry: progress.JobEntry, value: bytes | None, now_ms: int
@@ -299,6 +323,10 @@
             )
 
     def _watch_endpoint(self, state: endpoint_table.EndpointState) -> None:
+        if not self.recovered:
+            # A report would list runs of jobs that are not restored yet.
+            self._unwatched.append(state)
+            return
         loop = watcher.Watcher(
             self._endpoints,
             self.tables,
--- a/packages/placer/tests/test_leader.py
+++ b/packages/placer/tests/test_leader.py
@@ -7,6 +7,7 @@
 import fakeworkers
 from laburnumgate_placer import host as host_module
 from laburnumgate_placer import intake
+from laburnumgate_placer import leader as leader_module
 from laburnumgate_placer import limits
 from laburnumgate_placer import model
 from laburnumgate_placer import ports
@@ -694,3 +695,37 @@
         await _wait_until(lambda: system.starts())
 
     builders.run(work())
+
+
+def test_a_long_recovery_takes_no_known_run_for_an_unknown_one(monkeypatch):
+    """Guards against stops of runs whose jobs are not restored yet.
+
+    A new leader lets its heartbeats pass while it restores hundreds of jobs,
+    and endpoints answer in the meantime.
+    """
+    monkeypatch.setattr(leader_module, "RESTORE_CHUNK", 1)
+
+    async def work():
+        system, host = await _start_system("e1", "e2")
+        for number in range(12):
+            await _submit(host, builders.job(f"{number:016x}"))
+        await _wait_until(lambda: len(system.starts()) == 12)
+        await host.leadership.resign()
+        system.kill("h1")
+        # Pauses between chunks, long enough for reports.
+        sleep = asyncio.sleep
+
+        async def sleep_longer(seconds):
+            await sleep(seconds or 0.02)
+
+        monkeypatch.setattr(leader_module.asyncio, "sleep", sleep_longer)
+        other = system.add_host("h2")
+        await _wait_until(lambda: other.leader and other.leader.recovered)
+        monkeypatch.setattr(leader_module.asyncio, "sleep", sleep)
+        await sleep(0.3)
+        assert len(system.starts()) == 12
+        assert not any(
+            worker.stopped for worker in system.workers.by_id.values()
+        )
+
+    builders.run(work())
