--- a/packages/placer/src/laburnumgate_placer/pool.py
+++ b/packages/placer/src/laburnumgate_placer/pool.py
@@ -23,8 +23,8 @@
       free_by_id: remaining capacity by endpoint id.
       failed_fit_keys: fit keys of units that did not fit in this pass.
       lookaheads: searches among running work made in this pass.
-      held_ids: endpoints held for higher-ranked units, for which runs on them
-        were stopped.
+      holders_by_id: units for which runs were stopped, by the ids of the
+        endpoints that are held for them.
       reservations_by_unit: reservations of higher-ranked units.
     """
 
@@ -32,7 +32,9 @@
     free_by_id: dict[str, model.Resources]
     failed_fit_keys: set[tuple] = dataclasses.field(default_factory=set)
     lookaheads: int = 0
-    held_ids: set[str] = dataclasses.field(default_factory=set)
+    holders_by_id: dict[str, model.UnitKey] = dataclasses.field(
+        default_factory=dict
+    )
     reservations_by_unit: dict[model.UnitKey, reservation.Reservation] = (
         dataclasses.field(default_factory=dict)
     )
@@ -51,13 +53,32 @@
         if has_reservation or len(self.reservations_by_unit) < MAX_RESERVATIONS:
             self.reservations_by_unit[key] = reserved
 
-    def unheld(self) -> list[endpoint_table.EndpointState]:
-        """Returns the endpoints that are not held for a unit."""
-        return [
-            state
-            for state in self.endpoints
-            if state.info.endpoint_id not in self.held_ids
-        ]
+    def hold(self, key: model.UnitKey, endpoint_ids: frozenset[str]) -> None:
+        """Holds endpoints for a unit, unless they are held for another."""
+        for endpoint_id in endpoint_ids:
+            self.holders_by_id.setdefault(endpoint_id, key)
+
+    def release(self, key: model.UnitKey) -> None:
+        """Ends the hold of a unit."""
+        for endpoint_id, holder in list(self.holders_by_id.items()):
+            if holder == key:
+                del self.holders_by_id[endpoint_id]
+
+    def open_to(
+        self, key: model.UnitKey, protected: set[str]
+    ) -> list[endpoint_table.EndpointState]:
+        """Returns the endpoints not held for other guaranteed units.
+
+        Args:
+          key: the unit that may use them.
+          protected: ids of the jobs that are covered by guarantees.
+        """
+        found = []
+        for state in self.endpoints:
+            holder = self.holders_by_id.get(state.info.endpoint_id, key)
+            if holder == key or holder.job_id not in protected:
+                found.append(state)
+        return found
 
     def available_to(
         self,
@@ -68,7 +89,7 @@
         """Returns the endpoints neither held nor reserved for other units.
 
         A reserved endpoint is available to work that is expected to end before
-        the reservation begins.
+        the reservation begins, and to a unit for which runs were stopped there.
         """
         unavailable = set()
         work_ms = table.expected_ms(unit.entry.job, unit.key.step)
@@ -77,11 +98,15 @@
                 speed = table.speeds.speed(endpoint_id)
                 if now_ms + work_ms / speed > reserved.start_ms:
                     unavailable.add(endpoint_id)
-        return [
-            state
-            for state in self.unheld()
-            if state.info.endpoint_id not in unavailable
-        ]
+        found = []
+        for state in self.endpoints:
+            endpoint_id = state.info.endpoint_id
+            holder = self.holders_by_id.get(endpoint_id)
+            if holder == unit.key or (
+                holder is None and endpoint_id not in unavailable
+            ):
+                found.append(state)
+        return found
 
     def cores(self) -> float:
         """Returns the total cores, with accelerators converted to cores."""
--- a/packages/placer/src/laburnumgate_placer/scheduling.py
+++ b/packages/placer/src/laburnumgate_placer/scheduling.py
@@ -132,7 +132,9 @@
         """Places the waiting units of one step."""
         units = list(waiting.units)
         if self._independent(units[0]):
-            units = self._place_together(pool, waiting.rank, units, now_ms)
+            units = self._place_together(
+                pool, waiting.rank, units, protected, now_ms
+            )
         for unit in units:
             placed = self._place(pool, waiting.rank, unit, protected, now_ms)
             if not placed and unit.key not in self._reclaimed_by_unit:
@@ -156,6 +158,7 @@
         pool: pool_module.Pool,
         rank: ordering.Rank,
         units: list[progress.Unit],
+        protected: set[str],
         now_ms: int,
     ) -> list[progress.Unit]:
         """Assigns as many equal units as fit; returns the others.
@@ -163,8 +166,10 @@
         Units that can be on time are placed on endpoints that are fast enough.
         """
         first = units[0]
-        endpoints = pool.available_to(first, self._tables.durations, now_ms)
-        if rank.stage == ordering.Stage.ON_TIME:
+        endpoints = self._endpoints_for(pool, rank, first, protected, now_ms)
+        if rank.stage == ordering.Stage.ON_TIME and not self._guarantee_due(
+            rank, first, now_ms
+        ):
             endpoints = self._fast_endpoints(endpoints, rank)
         equal = [
             unit
@@ -190,7 +195,10 @@
             service, tables.config.zones_out, now_ms
         )
         free = {s.info.endpoint_id: s.free() for s in usable}
-        return pool_module.Pool(usable, free)
+        pool = pool_module.Pool(usable, free)
+        for key, endpoint_ids in self._reclaimed_by_unit.items():
+            pool.hold(key, endpoint_ids)
+        return pool
 
     def _place(
         self,
@@ -206,7 +214,7 @@
         """
         fit_key = _fit_key(unit)
         tickets: dict[str, str] = {}
-        endpoints = pool.available_to(unit, self._tables.durations, now_ms)
+        endpoints = self._endpoints_for(pool, rank, unit, protected, now_ms)
         if self._tables.queue_of(unit.entry.job).advised:
             fit_key = _step_key(unit)
             step = advice.step_key(unit.key)
@@ -243,10 +251,6 @@
         ):
             return True
         self._log_not_placed(pool, rank, unit)
-        if guarantee_due:
-            # Endpoints reserved for units without a guarantee are available
-            # to this unit.
-            endpoints = pool.unheld()
         self._reclaim_or_reserve(
             pool,
             rank,
@@ -258,6 +262,23 @@
         )
         return False
 
+    def _endpoints_for(
+        self,
+        pool: pool_module.Pool,
+        rank: ordering.Rank,
+        unit: progress.Unit,
+        protected: set[str],
+        now_ms: int,
+    ) -> list[endpoint_table.EndpointState]:
+        """Returns the endpoints that a unit may be placed on.
+
+        Those reserved or held for units without a guarantee are available to a
+        unit whose guarantee is due.
+        """
+        if self._guarantee_due(rank, unit, now_ms):
+            return pool.open_to(unit.key, protected)
+        return pool.available_to(unit, self._tables.durations, now_ms)
+
     def _requirement(
         self,
         pool: pool_module.Pool,
@@ -408,7 +429,8 @@
         pool.lookaheads += 1
         expected = None
         if rank.stage == ordering.Stage.TOO_LATE:
-            self._reclaimed_by_unit.pop(unit.key, None)
+            if self._reclaimed_by_unit.pop(unit.key, None):
+                pool.release(unit.key)
         else:
             expected = reservation.plan(
                 self._tables,
@@ -482,7 +504,8 @@
         now_ms: int,
     ) -> None:
         pool.allocate(unit.step.charged, chosen)
-        self._reclaimed_by_unit.pop(unit.key, None)
+        if self._reclaimed_by_unit.pop(unit.key, None):
+            pool.release(unit.key)
         run = lifecycle.assign(self._tables, unit, chosen, tickets)
         self._forecast.add(run, now_ms)
 
@@ -515,6 +538,7 @@
                 tables, run, f"preempted for job {unit.key.job_id}"
             )
         self._reclaimed_by_unit[unit.key] = plan.endpoint_ids
+        pool.release(unit.key)
         return True
 
     def _hold(self, pool: pool_module.Pool, unit: progress.Unit) -> None:
@@ -525,8 +549,9 @@
         if not pool.has_stopping_run(reclaimed_ids):
             # All stops have ended and the unit still does not fit.
             del self._reclaimed_by_unit[unit.key]
+            pool.release(unit.key)
             return
-        pool.held_ids.update(reclaimed_ids)
+        pool.hold(unit.key, reclaimed_ids)
 
     def _preemption_scope(
         self,
--- a/packages/placer/tests/test_scheduling.py
+++ b/packages/placer/tests/test_scheduling.py
@@ -739,3 +739,39 @@
         tables.monotonic.advance(200)
     phases = [_run_of(entry).phase for entry in batch]
     assert 1 <= phases.count(progress.Phase.STOPPING) <= 4
+
+
+def test_stops_are_not_wasted_on_a_unit_with_a_lesser_claim():
+    """Guards against stops whose capacity goes to another unit.
+
+    In a simulated day 158 runs were stopped for a gang of 24 endpoints. While
+    the stops were in progress a guaranteed job that was not due yet took one of
+    the endpoints, and the gang waited for 5 s more.
+    """
+    tables = _tables(3, accounts=(builders.ACCOUNT,))
+    scheduler = scheduling.Scheduler(tables)
+    batch = _fill(tables, scheduler, checkpointing=True, estimate_ms=60_000)
+    tables.monotonic.advance(5_000)
+    gang = builders.job(
+        "d" * 16,
+        builders.step(count=3, gpu=8, gang=True, estimate_ms=20_000),
+        queue=_URGENT,
+        account="unknown",
+    )
+    large = lifecycle.open_job(tables, gang)
+    scheduler.run()
+    stopping = [_run_of(entry) for entry in batch]
+    assert all(run.phase == progress.Phase.STOPPING for run in stopping)
+    guaranteed = _open(
+        tables, "e", builders.step(gpu=1, estimate_ms=5_000), _URGENT
+    )
+    for run in stopping:
+        tables.monotonic.advance(50)
+        lifecycle.mark_terminated(tables, run.members[0])
+        scheduler.run()
+    assert _run_of(large) is not None
+    assert _run_of(guaranteed) is None
+    tables.monotonic.advance(tables.bounds.reclaim_ms)
+    builders.start(tables, _run_of(large))
+    scheduler.run()
+    assert _run_of(large).phase == progress.Phase.STOPPING
