Wait for an endpoint's first report before its answers are dropped in a test

Cause of the flaky test on orders in doubt: its answers were dropped before the first report, so that the endpoint got no work. The checks are as before.

--- a/packages/placer/tests/test_leader.py
+++ b/packages/placer/tests/test_leader.py
@@ -262,6 +262,9 @@
     async def work():
         system, host = await _start_system("e1")
         worker = system.worker("e1")
+        # An endpoint that has not reported yet gets no work.
+        states = host.leader.tables.endpoints.by_id
+        await _wait_until(lambda: states["e1"].contacted)
         worker.drop_answers = True
         await _submit(host, builders.job("a" * 16, builders.step(gpu=8)))
         await _wait_until(lambda: worker.starts)
