Turn away at once what would start too late, and say 'not run' only when it is true

A key that is removed while a body arrives is refused.

The leader reports the backlog of each service with its heartbeat; hosts refuse what would start too late to be of any use, or fits no endpoint, and spread the returns.

--- a/deploy/tests/test_callers.py
+++ b/deploy/tests/test_callers.py
@@ -33,6 +33,9 @@
     def pending(self, queue):
         return 3
 
+    def not_run(self, job_id, reason):
+        return intake.NotRun(reason)
+
     async def submit(self, job, wait_ms):
         self.submitted.append((job, wait_ms))
         await asyncio.sleep(self.pause_s)
@@ -236,3 +239,29 @@
     builders.run(_run_with_server(host, scenario))
     assert not [r for r in caplog.records if r.exc_info]
     assert not [r for r in caplog.records if r.levelname == "ERROR"]
+
+
+def test_a_key_that_is_removed_while_the_body_arrives_is_refused():
+    """Guards against acting on a permission that ran out in the meantime."""
+    host = _host(intake.Accepted())
+    body = orjson.dumps(_JOB)
+    head = (
+        f"POST /reviews/{_ID} HTTP/1.1\r\nHost: h.example\r\n"
+        f"X-Laburnumgate-Credential: key-1\r\n"
+        f"Content-Length: {len(body)}\r\n\r\n"
+    ).encode()
+
+    async def scenario(caller_api, server, port):
+        reader, writer = await asyncio.open_connection("127.0.0.1", port)
+        writer.write(head + body[:5])
+        await asyncio.sleep(0.05)
+        account = builders.replace(builders.ACCOUNT, keys=frozenset())
+        host.intake.table.publish(
+            2, builders.config(accounts=(account,), version=2)
+        )
+        writer.write(body[5:])
+        return await reader.readuntil(b"\r\n")
+
+    status = builders.run(_run_with_server(host, scenario))
+    assert b" 401 " in status
+    assert not host.intake.submitted
--- a/packages/placer/src/laburnumgate_placer/host.py
+++ b/packages/placer/src/laburnumgate_placer/host.py
@@ -101,6 +101,7 @@
             self.submissions,
             self.wall,
             bounds,
+            self.leadership.load,
         )
 
     def ready(self) -> bool:
--- a/packages/placer/src/laburnumgate_placer/intake.py
+++ b/packages/placer/src/laburnumgate_placer/intake.py
@@ -1,6 +1,7 @@
 """Handles caller requests: submit, state, cancel and pending count."""
 
 import asyncio
+from collections.abc import Callable
 import dataclasses
 import logging
 
@@ -11,10 +12,13 @@
 from laburnumgate_placer import feed
 from laburnumgate_placer import job_table
 from laburnumgate_placer import limits
+from laburnumgate_placer import load_reports
 from laburnumgate_placer import model
 from laburnumgate_placer import ports
 from laburnumgate_placer import records
+from laburnumgate_placer import topics
 from laburnumgate_placer import writer
+from laburnumgate_placer.overload import admission
 
 _LOGGER = logging.getLogger(__name__)
 
@@ -38,6 +42,8 @@
 # How long a request for an unknown job waits for its record to be read.
 UNKNOWN_WAIT_MS = 200
 UNKNOWN_POLL_MS = 20
+# Maximum time after which an append without an answer may still be stored.
+DOUBT_MS = 20_000
 # How long a request for the state of a job waits for the latest records.
 CATCH_UP_TIMEOUT_MS = 100
 
@@ -96,8 +102,21 @@
         submissions: writer.Writer,
         wall: clock.Clock,
         bounds: limits.Bounds,
+        load: Callable[[int], dict | None] = lambda max_age_ms: None,
     ):
-        """Prepares the request handling of one host."""
+        """Prepares the request handling of one host.
+
+        Args:
+          config: configuration in force.
+          config_feed: its feed.
+          jobs: known jobs.
+          jobs_feed: their feed.
+          submissions: appends to the jobs topic.
+          wall: wall clock.
+          bounds: time bounds of the deployment.
+          load: returns the leader's report of its backlog, None if there is
+            none of the given maximum age in ms.
+        """
         self._config = config
         self._config_feed = config_feed
         self._jobs = jobs
@@ -105,6 +124,11 @@
         self._submissions = submissions
         self._wall = wall
         self._bounds = bounds
+        self._load = load
+        self._returns = admission.Returns()
+        # Submissions that may be stored, by job id, with the wall time until
+        # which that is open.
+        self._doubt_until_ms_by_id: dict[str, int] = {}
 
     def ready(self) -> bool:
         """Whether this host should receive new callers (readiness)."""
@@ -154,9 +178,18 @@
                 return NotRun("the id belongs to another job")
             return Accepted()
         if not self._jobs_feed.loaded.is_set():
-            return NotRun("this host has not read the jobs yet")
+            return self.not_run(job.job_id, "this host reads the jobs first")
         if self._submissions.stalled():
             return self._refuse(job.job_id, "the log does not answer")
+        refusal = admission.decide(
+            job, self._guaranteed_gpu(job.account), self._backlog(job)
+        )
+        if refusal is not None:
+            # An earlier attempt may have been accepted by another host.
+            await self._jobs_feed.catch_up(CATCH_UP_TIMEOUT_MS)
+            if job.job_id in self._jobs.jobs_by_id:
+                return Accepted()
+            return self._turn_away(job, refusal)
         job = dataclasses.replace(job, accepted_ms=self._wall.now_ms())
         record = records.encode(records.Submitted(job))
         outcome = await self._submissions.append([record], _confirm_ms(wait_ms))
@@ -197,6 +230,17 @@
             return self._unknown()
         return Found(self._jobs.state(job.job_id))
 
+    def not_run(self, job_id: str, reason: str) -> NotRun | MayHaveRun:
+        """Returns the verdict on a submission that this host does not store.
+
+        An earlier attempt with the same id may be stored: then nothing is said
+        about whether the job runs.
+        """
+        until_ms = self._doubt_until_ms_by_id.get(job_id)
+        if until_ms is not None and self._wall.now_ms() < until_ms:
+            return MayHaveRun(reason)
+        return NotRun(reason)
+
     def pending(self, queue: str) -> int:
         """Returns the number of queued jobs of a queue."""
         return self._jobs.pending(queue)
@@ -244,7 +288,48 @@
                 return self._refuse(job.job_id, reason)
         return self._in_doubt(job.job_id, "submit", outcome.reason)
 
-    def _refuse(self, job_id: str, reason: str) -> NotRun:
+    def _guaranteed_gpu(self, account: str) -> int:
+        found = self._config.current.accounts_by_name.get(account)
+        return found.guaranteed_gpu if found is not None else 0
+
+    def _backlog(self, job: model.Job) -> admission.Backlog | None:
+        report = self._load(admission.MAX_AGE_MS)
+        if report is None:
+            return None
+        try:
+            return load_reports.decode(report).get(job.queue.service)
+        except (ValueError, TypeError, AttributeError) as error:
+            events.emit(
+                _LOGGER,
+                events.Event.RECORD_SKIPPED,
+                topic=topics.LEADER,
+                key="load",
+                reason=str(error),
+            )
+            return None
+
+    def _turn_away(
+        self, job: model.Job, refusal: admission.Refusal
+    ) -> NotRun | MayHaveRun:
+        verdict = self.not_run(job.job_id, refusal.reason)
+        if isinstance(verdict, MayHaveRun):
+            return verdict
+        now_ms = self._wall.now_ms()
+        self._returns = self._returns.next(now_ms, refusal.retry_after_ms)
+        retry_after_ms = self._returns.latest_ms - now_ms
+        events.emit(
+            _LOGGER,
+            events.Event.REFUSED,
+            job=job.job_id,
+            account=job.account,
+            queue=job.queue.name,
+            reason=refusal.reason,
+            retry_after_ms=retry_after_ms,
+            log_age_ms=self._jobs_feed.age_ms(),
+        )
+        return NotRun(refusal.reason, retry_after_ms)
+
+    def _refuse(self, job_id: str, reason: str) -> NotRun | MayHaveRun:
         events.emit(
             _LOGGER,
             events.Event.REFUSED,
@@ -252,9 +337,15 @@
             reason=reason,
             log_age_ms=self._jobs_feed.age_ms(),
         )
-        return NotRun(reason)
+        return self.not_run(job_id, reason)
 
     def _in_doubt(self, job_id: str, call: str, reason: str) -> MayHaveRun:
+        now_ms = self._wall.now_ms()
+        for known, until_ms in list(self._doubt_until_ms_by_id.items()):
+            if until_ms <= now_ms:
+                del self._doubt_until_ms_by_id[known]
+        if call == "submit":
+            self._doubt_until_ms_by_id[job_id] = now_ms + DOUBT_MS
         events.emit(
             _LOGGER,
             events.Event.IN_DOUBT,
--- a/packages/placer/src/laburnumgate_placer/leader.py
+++ b/packages/placer/src/laburnumgate_placer/leader.py
@@ -21,6 +21,7 @@
 from laburnumgate_placer import lifecycle
 from laburnumgate_placer import limits
 from laburnumgate_placer import live_list
+from laburnumgate_placer import load_reports
 from laburnumgate_placer import maintainer
 from laburnumgate_placer import metrics
 from laburnumgate_placer import model
@@ -150,6 +151,7 @@
             self._spawn(self._record_loop())
             self._spawn(self._clean_up_loop())
             self._spawn(self._save_speeds_loop())
+            self._spawn(self._load_loop())
             if self._services.advisor is not None:
                 self._spawn(
                     advice_client.run(self._services.advisor, self.tables)
@@ -430,6 +432,12 @@
                 await self._recorder.save_speeds()
                 saved = speeds
 
+    async def _load_loop(self) -> None:
+        while True:
+            await asyncio.sleep(load_reports.INTERVAL_MS / 1000)
+            backlogs = load_reports.collect(self.tables)
+            self._leadership.report_load(load_reports.encode(backlogs))
+
     async def _clean_up_loop(self) -> None:
         while True:
             await asyncio.sleep(CLEAN_UP_INTERVAL_MS / 1000)
--- a/packages/placer/src/laburnumgate_placer/leadership.py
+++ b/packages/placer/src/laburnumgate_placer/leadership.py
@@ -101,6 +101,10 @@
         self._replaced_ms: collections.deque[int] = collections.deque(
             maxlen=GAP_WINDOW
         )
+        # Latest report of the backlog by the current leader, and its time.
+        self._load: dict = {}
+        self._load_ms: int | None = None
+        self._own_load: bytes | None = None
         self._lag = election.Lag()
         self._claim_after_ms = 0
 
@@ -109,6 +113,20 @@
         """Claim of this host, None if it has none or a later one is known."""
         return self._own
 
+    def report_load(self, load: dict) -> None:
+        """Sends a report of the backlog with the next heartbeat."""
+        if self._own is not None:
+            own = self._own
+            self._own_load = orjson.dumps(["load", own.host, own.token, load])
+
+    def load(self, max_age_ms: int) -> dict | None:
+        """Returns the leader's latest report, None if it is older."""
+        if self._load_ms is None:
+            return None
+        if self._monotonic.now_ms() - self._load_ms > max_age_ms:
+            return None
+        return self._load
+
     def confirmed_ms(self) -> int:
         """Returns the send time of the latest heartbeat that was stored."""
         return self._confirmed_ms
@@ -209,10 +227,12 @@
     async def _send_heartbeat(self) -> None:
         own = self._own
         sent_ms = self._monotonic.now_ms()
+        records = [_encode("beat", own.host, own.token)]
+        if self._own_load is not None:
+            records.append(self._own_load)
+            self._own_load = None
         outcome = await self._log.append(
-            topics.LEADER,
-            [_encode("beat", own.host, own.token)],
-            timeout_ms=APPEND_TIMEOUT_MS,
+            topics.LEADER, records, timeout_ms=APPEND_TIMEOUT_MS
         )
         if isinstance(outcome, ports.Appended) and self._own == own:
             self._confirmed_ms = sent_ms
@@ -229,7 +249,7 @@
         return own
 
     def _apply(self, entry: ports.Entry) -> None:
-        kind, host, token = orjson.loads(entry.value or b"null")
+        kind, host, token, *details = orjson.loads(entry.value or b"null")
         now_ms = self._monotonic.now_ms()
         if kind == "claim":
             claim = Claim(host, entry.offset + 1)
@@ -245,6 +265,10 @@
             return
         if self.current is not None and token < self.current.token:
             return
+        if kind == "load":
+            self._load = details[0]
+            self._load_ms = now_ms
+            return
         gap_ms = now_ms - self._last_record_ms - self.feed.min_interval_ms
         self._heartbeat_gaps_ms.append(gap_ms)
         self._last_record_ms = now_ms
--- a/packages/placer/tests/test_leader.py
+++ b/packages/placer/tests/test_leader.py
@@ -732,3 +732,54 @@
         )
 
     builders.run(work())
+
+
+def test_a_repeated_submission_in_doubt_is_not_refused_as_not_run():
+    """Guards against telling a caller that a job does not run, though it does.
+
+    The answer to the first attempt was lost. The second one met a log that did
+    not answer, and was told that the job had not been stored.
+    """
+
+    async def work():
+        system, host = await _start_system("e1")
+        await _wait_until(host.ready)
+        system.log.silent_appends.add(topics.JOBS)
+        job = builders.job("a" * 16)
+        first = await host.intake.submit(job, 900)
+        assert isinstance(first, intake.MayHaveRun)
+        second = await host.intake.submit(job, 900)
+        assert isinstance(second, intake.MayHaveRun)
+        # Another job was never sent to the log.
+        other = await host.intake.submit(builders.job("b" * 16), 900)
+        assert isinstance(other, intake.NotRun)
+        system.log.silent_appends.clear()
+        await _wait_until(lambda: len(system.starts()) == 1)
+
+    builders.run(work())
+
+
+def test_hosts_learn_the_backlog_and_turn_away_what_comes_too_late():
+    """Guards against callers that wait for work that cannot be served."""
+
+    async def work():
+        system, host = await _start_system("e1")
+        other = system.add_host("h2")
+        step = builders.step(count=60, gpu=8, estimate_ms=60_000)
+        await _submit(host, builders.job("a" * 16, step))
+        await _wait_until(lambda: other.leadership.load(3_000))
+        await _wait_until(other.ready)
+        small = builders.job(
+            "b" * 16, builders.step(estimate_ms=100), account="other"
+        )
+        async with asyncio.timeout(8):
+            while True:
+                verdict = await other.intake.submit(small, 900)
+                if isinstance(verdict, intake.NotRun):
+                    break
+                small = builders.replace(small, job_id=f"{id(verdict):016x}")
+                await asyncio.sleep(0.3)
+        assert verdict.retry_after_ms >= 1_000
+        assert small.job_id not in host.jobs.jobs_by_id
+
+    builders.run(work())
