--- a/packages/placer/src/laburnumgate_placer/host.py
+++ b/packages/placer/src/laburnumgate_placer/host.py
@@ -29,7 +29,7 @@
 # Minimum interval between reads of the jobs topic by hosts that do not lead, so
 # that one read returns the records of many appends. The leader reads without
 # delay, and so does a host whose caller asks for a job.
-FOLLOWER_READ_INTERVAL_MS = 500
+FOLLOWER_READ_INTERVAL_MS = 800
 RETRY_MS = 50
 READY_CHECK_INTERVAL_MS = 200
 
