--- a/packages/placer/src/laburnumgate_placer/records.py
+++ b/packages/placer/src/laburnumgate_placer/records.py
@@ -108,7 +108,7 @@
                 return StateChanged(
                     job_id, model.JobState(state), at_ms, reason
                 )
-    except (ValueError, KeyError, TypeError) as error:
+    except (ValueError, KeyError, TypeError, AttributeError) as error:
         raise RecordError(f"record {key!r} is malformed: {error}") from error
     raise RecordError(f"key {key!r} has an unknown record kind")
 
