--- /dev/null
+++ b/packages/placer/src/laburnumgate_placer/lookahead.py
@@ -0,0 +1,289 @@
+"""Looks ahead for units that do not fit: reservations and preemption.
+
+A search among running work is costly, so its result is used for a while, and a
+pass makes only a few of them; see `overload.passes`.
+"""
+
+import dataclasses
+
+from laburnumgate_placer import endpoint_table
+from laburnumgate_placer import lifecycle
+from laburnumgate_placer import model
+from laburnumgate_placer import ordering
+from laburnumgate_placer import pool as pool_module
+from laburnumgate_placer import progress
+from laburnumgate_placer import reclaim
+from laburnumgate_placer import reservation
+from laburnumgate_placer import tables as tables_module
+from laburnumgate_placer.overload import passes
+from laburnumgate_placer.overload import preemption
+
+# Part of the reclaim bound that is reserved for recording, starting and
+# stopping runs.
+RECLAIM_MARGIN_MS = 1_200
+# How long outlooks of units are kept for passes that make no more searches.
+KEPT_OUTLOOK_MS = 5_000
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Outlook:
+    """What a search among running work found for a unit or a step.
+
+    Attributes:
+      until_ms: monotonic time until which it is used.
+      rank_key: stage of the rank, and whether the guarantee was due.
+      expected: when and where the unit is expected to fit, if known.
+      in_time: whether it is expected to start early enough to be on time.
+    """
+
+    until_ms: int
+    rank_key: tuple[ordering.Stage, bool]
+    expected: reservation.Reservation | None
+    in_time: bool
+
+
+class LookAhead:
+    """Finds, reserves and frees capacity for units that do not fit."""
+
+    def __init__(self, tables: tables_module.Tables):
+        self._tables = tables
+        self._forecast = reservation.Forecast(tables)
+        self._loss_window = preemption.LossWindow()
+        self._reclaimed_by_unit: dict[model.UnitKey, frozenset[str]] = {}
+        self._outlook_by_key: dict[tuple, _Outlook] = {}
+
+    def forget(self, waiting: list[ordering.WaitingStep], now_ms: int) -> None:
+        """Discards what was found for units that no longer wait."""
+        from_ms = now_ms - KEPT_OUTLOOK_MS
+        for key, outlook in list(self._outlook_by_key.items()):
+            if outlook.until_ms < from_ms:
+                del self._outlook_by_key[key]
+        if not self._reclaimed_by_unit:
+            return
+        keys = {unit.key for step in waiting for unit in step.units}
+        for key in list(self._reclaimed_by_unit):
+            if key not in keys:
+                del self._reclaimed_by_unit[key]
+
+    def reclaims_for(self, units: tuple[progress.Unit, ...]) -> bool:
+        """Whether runs were stopped for one of the units."""
+        if not self._reclaimed_by_unit:
+            return False
+        return any(unit.key in self._reclaimed_by_unit for unit in units)
+
+    def hold_all(self, pool: pool_module.Pool) -> None:
+        """Holds the endpoints on which runs were stopped for their units."""
+        for key, endpoint_ids in self._reclaimed_by_unit.items():
+            pool.hold(key, endpoint_ids)
+
+    def assigned(
+        self, pool: pool_module.Pool, run: progress.Run, now_ms: int
+    ) -> None:
+        """Accounts for a run that was assigned in this pass."""
+        key = run.unit.key
+        if self._reclaimed_by_unit.pop(key, None):
+            pool.release(key)
+        self._forecast.add(run, now_ms)
+
+    def reclaim_or_reserve(
+        self,
+        pool: pool_module.Pool,
+        rank: ordering.Rank,
+        unit: progress.Unit,
+        endpoints: list[endpoint_table.EndpointState],
+        protected: set[str],
+        key: tuple,
+        now_ms: int,
+    ) -> bool:
+        """Preempts runs or reserves endpoints for a unit that does not fit.
+
+        Args:
+          pool: the pool of the unit.
+          rank: rank of the unit.
+          unit: the unit.
+          endpoints: endpoints that may run it.
+          protected: ids of jobs that are covered by guarantees.
+          key: identifies the step and the kind of endpoints.
+          now_ms: monotonic time.
+
+        Returns:
+          Whether the unit is expected to start early enough to be on time.
+        """
+        rank_key = (rank.stage, guarantee_due(self._tables, rank, unit, now_ms))
+        outlook = self._outlook(pool, unit, key, rank_key, now_ms)
+        if outlook is None:
+            outlook = self._search(
+                pool, rank, unit, endpoints, protected, rank_key, now_ms
+            )
+            if unit.key in self._reclaimed_by_unit:
+                key = (*key, unit.key.index)
+            self._outlook_by_key[key] = outlook
+        self.hold(pool, unit)
+        if outlook.expected is not None and unit.size > 1:
+            pool.reserve(unit.key, outlook.expected)
+        return outlook.in_time
+
+    def _outlook(
+        self,
+        pool: pool_module.Pool,
+        unit: progress.Unit,
+        key: tuple,
+        rank_key: tuple[ordering.Stage, bool],
+        now_ms: int,
+    ) -> _Outlook | None:
+        """Returns an earlier outlook that is still used, None if none is.
+
+        An older one is used as well if the pass has made its searches, except
+        when a guarantee is due.
+        """
+        outlook = self._outlook_by_key.get((*key, unit.key.index))
+        if outlook is None:
+            outlook = self._outlook_by_key.get(key)
+        if (
+            outlook is not None
+            and outlook.rank_key == rank_key
+            and now_ms < outlook.until_ms
+        ):
+            return outlook
+        if rank_key[1] or pool.lookaheads < passes.MAX_LOOKAHEADS:
+            return None
+        if outlook is not None:
+            return outlook
+        return _Outlook(now_ms, rank_key, None, True)
+
+    def _search(
+        self,
+        pool: pool_module.Pool,
+        rank: ordering.Rank,
+        unit: progress.Unit,
+        endpoints: list[endpoint_table.EndpointState],
+        protected: set[str],
+        rank_key: tuple[ordering.Stage, bool],
+        now_ms: int,
+    ) -> _Outlook:
+        """Searches running work for capacity; stops runs where that pays."""
+        pool.lookaheads += 1
+        expected = None
+        if rank.stage == ordering.Stage.TOO_LATE:
+            if self._reclaimed_by_unit.pop(unit.key, None):
+                pool.release(unit.key)
+        else:
+            expected = reservation.plan(
+                self._tables,
+                self._forecast,
+                unit,
+                endpoints,
+                rank.requirement(),
+                now_ms,
+            )
+        in_time = expected is not None and expected.start_ms <= rank.due_ms
+        scope = self._preemption_scope(
+            pool, rank, unit, protected, in_time, now_ms
+        )
+        if self._reclaim(pool, rank, unit, endpoints, scope, now_ms):
+            in_time = True
+        return _Outlook(
+            now_ms + passes.LOOKAHEAD_VALID_MS, rank_key, expected, in_time
+        )
+
+    def _reclaim(
+        self,
+        pool: pool_module.Pool,
+        rank: ordering.Rank,
+        unit: progress.Unit,
+        endpoints: list[endpoint_table.EndpointState],
+        scope: reclaim.Scope | None,
+        now_ms: int,
+    ) -> bool:
+        """Stops runs for a unit; returns whether it fits once they have ended.
+
+        The endpoints that they run on are held for the unit.
+        """
+        if scope is None:
+            return False
+        tables = self._tables
+        plan = reclaim.plan(
+            tables, unit, endpoints, scope, rank.requirement(), now_ms
+        )
+        if plan is None:
+            return False
+        for run in plan.victims:
+            loss = reclaim.stop_loss(tables, run, now_ms)
+            self._loss_window.record(now_ms, loss)
+            run.unit.preempted += 1
+            lifecycle.stop_run(
+                tables, run, f"preempted for job {unit.key.job_id}"
+            )
+        self._reclaimed_by_unit[unit.key] = plan.endpoint_ids
+        pool.release(unit.key)
+        return True
+
+    def hold(self, pool: pool_module.Pool, unit: progress.Unit) -> None:
+        """Holds the endpoints for a unit on which runs were stopped for it."""
+        reclaimed_ids = self._reclaimed_by_unit.get(unit.key)
+        if not reclaimed_ids:
+            return
+        if not pool.has_stopping_run(reclaimed_ids):
+            # All stops have ended and the unit still does not fit.
+            del self._reclaimed_by_unit[unit.key]
+            pool.release(unit.key)
+            return
+        pool.hold(unit.key, reclaimed_ids)
+
+    def _preemption_scope(
+        self,
+        pool: pool_module.Pool,
+        rank: ordering.Rank,
+        unit: progress.Unit,
+        protected: set[str],
+        in_time: bool,
+        now_ms: int,
+    ) -> reclaim.Scope | None:
+        """Returns which runs may be stopped for a unit, or None for none.
+
+        When a guarantee is about to be missed, all unprotected runs may be
+        stopped. Before that, only lower-priority runs are stopped, and only if
+        that costs less than it gains. Runs that cannot resume are stopped only
+        for a unit that would be late if it waited for running work to end, and
+        that is on time if it starts after the stops.
+        """
+        if guarantee_due(self._tables, rank, unit, now_ms):
+            return reclaim.Scope(protected)
+        bounds = self._tables.bounds
+        if not preemption.may_preempt(
+            guaranteed=rank.guaranteed, stopped_before=unit.preempted
+        ):
+            return None
+        if rank.guaranteed or rank.stage == ordering.Stage.ON_TIME:
+            on_time = now_ms + bounds.stop_ms <= rank.due_ms
+            max_cost = self._work_core_s(unit) / preemption.MIN_GAIN_RATIO
+            if self._loss_window.exhausted(now_ms, pool.cores()):
+                max_cost = 0.0
+            return reclaim.Scope(
+                protected,
+                rank.priority,
+                resumable=in_time or not on_time,
+                max_cost=max_cost,
+                guaranteed=rank.guaranteed,
+            )
+        return None
+
+    def _work_core_s(self, unit: progress.Unit) -> float:
+        """Returns the expected work of a unit in core-seconds."""
+        work_ms = self._tables.durations.expected_ms(
+            unit.entry.job, unit.key.step
+        )
+        return unit.size * reclaim.task_cores(unit.step) * work_ms / 1000
+
+
+def guarantee_due(
+    tables: tables_module.Tables,
+    rank: ordering.Rank,
+    unit: progress.Unit,
+    now_ms: int,
+) -> bool:
+    """Whether capacity has to be reclaimed now to meet the guarantee."""
+    bounds = tables.bounds
+    waited_ms = now_ms - unit.entry.arrived_ms
+    reclaim_after_ms = bounds.reclaim_ms - bounds.stop_ms - RECLAIM_MARGIN_MS
+    return rank.guaranteed and waited_ms >= reclaim_after_ms
