--- a/packages/placer/src/laburnumgate_placer/lifecycle.py
+++ b/packages/placer/src/laburnumgate_placer/lifecycle.py
@@ -266,6 +266,7 @@
     unit = run.unit
     entry = unit.entry
     unit.run = None
+    unit.spent_core_s = 0.0
     tables.mark_dirty(unit.key.job_id)
     if unit.state == progress.UnitState.DONE:
         return
--- a/packages/placer/src/laburnumgate_placer/lookahead.py
+++ b/packages/placer/src/laburnumgate_placer/lookahead.py
@@ -210,6 +210,7 @@
         for run in plan.victims:
             loss = reclaim.stop_loss(tables, run, now_ms)
             self._loss_window.record(now_ms, loss)
+            unit.spent_core_s += loss
             run.unit.preempted += 1
             lifecycle.stop_run(
                 tables, run, f"preempted for job {unit.key.job_id}"
--- a/packages/placer/src/laburnumgate_placer/overload/preemption.py
+++ b/packages/placer/src/laburnumgate_placer/overload/preemption.py
@@ -30,12 +30,14 @@
       ran_ms: time since its start.
       resumes: whether it resumes from a checkpoint.
       stopped_before: how often runs of its unit were stopped for other work.
+      spent: core-seconds that were thrown away so that it could start.
     """
 
     cores: float
     ran_ms: int
     resumes: bool
     stopped_before: int = 0
+    spent: float = 0.0
 
 
 def stop_loss(victim: Victim, stop_ms: int, restore_ms: int) -> float:
@@ -51,8 +53,12 @@
 
 
 def stop_cost(victim: Victim, stop_ms: int, restore_ms: int) -> float:
-    """Returns the loss, weighted by what the unit has already lost."""
-    loss = stop_loss(victim, stop_ms, restore_ms)
+    """Returns the loss, weighted by what the unit has already lost.
+
+    What was thrown away for the start of a run is lost with it. Otherwise a run
+    that has just displaced others would be the cheapest one to displace.
+    """
+    loss = stop_loss(victim, stop_ms, restore_ms) + victim.spent
     return loss * (1 + victim.stopped_before)
 
 
--- a/packages/placer/src/laburnumgate_placer/progress.py
+++ b/packages/placer/src/laburnumgate_placer/progress.py
@@ -107,6 +107,7 @@
       ready_ms: monotonic time from which it could have started.
       backoff_until_ms: monotonic time before which it is not placed.
       preempted: runs that were stopped for other work.
+      spent_core_s: core-seconds that were thrown away for its current run.
       avoided_endpoints: ids of endpoints on which runs of it failed.
     """
 
@@ -121,6 +122,7 @@
     ready_ms: int = 0
     backoff_until_ms: int = 0
     preempted: int = 0
+    spent_core_s: float = 0.0
     avoided_endpoints: set[str] = dataclasses.field(default_factory=set)
 
     @property
--- a/packages/placer/src/laburnumgate_placer/reclaim.py
+++ b/packages/placer/src/laburnumgate_placer/reclaim.py
@@ -120,6 +120,7 @@
         ran_ms=max(0, now_ms - (run.started_ms or now_ms)),
         resumes=step.checkpointing,
         stopped_before=run.unit.preempted,
+        spent=run.unit.spent_core_s,
     )
 
 
--- a/packages/placer/tests/test_scheduling.py
+++ b/packages/placer/tests/test_scheduling.py
@@ -775,3 +775,53 @@
     builders.start(tables, _run_of(large))
     scheduler.run()
     assert _run_of(large).phase == progress.Phase.STOPPING
+
+
+def test_what_was_stopped_for_a_run_counts_when_it_would_be_stopped():
+    """Guards against a chain of preemption.
+
+    In a simulated day a gang for which 142 runs had been stopped was stopped
+    itself some seconds later, since it had not run for long.
+    """
+    middle = builders.replace(_URGENT, name="middle", priority=1, stretch=2.0)
+    tables = _tables(16, accounts=())
+    tables.config.publish(
+        2, builders.config(_URGENT, middle, _BATCH, accounts=(), version=2)
+    )
+    scheduler = scheduling.Scheduler(tables)
+    batch = [
+        _open(tables, letter, builders.step(gpu=8, estimate_ms=60_000))
+        for letter in "abcdefABCDEF0123"
+    ]
+    scheduler.run()
+    for entry in batch:
+        builders.start(tables, _run_of(entry))
+    tables.monotonic.advance(3_000)
+    gang = _open(
+        tables,
+        "4",
+        builders.step(count=2, gpu=8, gang=True, estimate_ms=20_000),
+        middle,
+    )
+    scheduler.run()
+    stopped = [
+        entry
+        for entry in batch
+        if _run_of(entry).phase == progress.Phase.STOPPING
+    ]
+    assert len(stopped) == 2
+    for entry in stopped:
+        lifecycle.mark_terminated(tables, _run_of(entry).members[0])
+    scheduler.run()
+    builders.start(tables, _run_of(gang))
+    tables.monotonic.advance(2_500)
+    urgent = builders.step(gpu=8, estimate_ms=8_000)
+    _open(tables, "5", urgent, _URGENT)
+    scheduler.run()
+    assert _run_of(gang).phase == progress.Phase.RUNNING
+    again = [
+        entry
+        for entry in batch
+        if _run_of(entry) and _run_of(entry).phase == progress.Phase.STOPPING
+    ]
+    assert len(again) == 1
