--- a/packages/placer/src/laburnumgate_placer/explain.py
+++ b/packages/placer/src/laburnumgate_placer/explain.py
@@ -5,6 +5,19 @@
 
 import orjson
 
+from laburnumgate_placer import events
+
+# A new leader finds all endpoints again, which says nothing about a job.
+_OMITTED = frozenset({events.Event.ENDPOINT_FOUND.number})
+# Changes of the leader belong to the history of each job that was open.
+_OF_LEADERS = frozenset(
+    event.number
+    for event in (
+        events.Event.LEAD_TAKEN,
+        events.Event.LEAD_LOST,
+        events.Event.LEAD_RECOVERED,
+    )
+)
 # Fields that every line has or that are the same in the whole history.
 _COMMON = frozenset({"time", "host", "level", "message", "event", "job"})
 
@@ -42,7 +55,7 @@
 
 
 def job_history(job_id: str, texts: Iterable[str]) -> JobHistory:
-    """Collects the log lines about a job and the endpoints that it used.
+    """Collects the log lines about a job, its endpoints and its leaders.
 
     Args:
       job_id: id of the job.
@@ -52,6 +65,7 @@
     """
     found: list[Line] = []
     of_endpoints: list[Line] = []
+    of_leaders: list[Line] = []
     skipped = 0
     for text in texts:
         content = _parse(text)
@@ -67,6 +81,10 @@
         )
         if content.get("job") == job_id:
             found.append(line)
+        elif line.event in _OMITTED:
+            continue
+        elif line.event in _OF_LEADERS:
+            of_leaders.append(line)
         elif "endpoint" in content and "job" not in content:
             of_endpoints.append(line)
     used = {
@@ -77,11 +95,10 @@
     if found:
         first = min(line.time for line in found)
         last = max(line.time for line in found)
-        for line in of_endpoints:
-            if line.details["endpoint"] not in used:
-                continue
-            if first <= line.time <= last:
-                found.append(line)
+        related = of_leaders + [
+            line for line in of_endpoints if line.details["endpoint"] in used
+        ]
+        found.extend(line for line in related if first <= line.time <= last)
     found.sort(key=lambda line: line.time)
     return JobHistory(tuple(found), skipped)
 
