--- a/packages/placer/src/laburnumgate_placer/intake.py
+++ b/packages/placer/src/laburnumgate_placer/intake.py
@@ -171,12 +171,8 @@
           job: the job to submit.
           wait_ms: how long the caller waits for a response.
         """
-        known = self._jobs.jobs_by_id.get(job.job_id)
-        if known is not None:
-            events.emit(_LOGGER, events.Event.REPEATED, job=job.job_id)
-            if known.account != job.account:
-                return NotRun("the id belongs to another job")
-            return Accepted()
+        if job.job_id in self._jobs.jobs_by_id:
+            return self._repeated(job)
         if not self._jobs_feed.loaded.is_set():
             return self.not_run(job.job_id, "this host reads the jobs first")
         if self._submissions.stalled():
@@ -188,7 +184,7 @@
             # An earlier attempt may have been accepted by another host.
             await self._jobs_feed.catch_up(CATCH_UP_TIMEOUT_MS)
             if job.job_id in self._jobs.jobs_by_id:
-                return Accepted()
+                return self._repeated(job)
             return self._turn_away(job, refusal)
         job = dataclasses.replace(job, accepted_ms=self._wall.now_ms())
         record = records.encode(records.Submitted(job))
@@ -288,6 +284,13 @@
                 return self._refuse(job.job_id, reason)
         return self._in_doubt(job.job_id, "submit", outcome.reason)
 
+    def _repeated(self, job: model.Job) -> Accepted | NotRun:
+        """Returns the verdict on a job whose id is known."""
+        events.emit(_LOGGER, events.Event.REPEATED, job=job.job_id)
+        if self._jobs.jobs_by_id[job.job_id].account != job.account:
+            return NotRun("the id belongs to another job")
+        return Accepted()
+
     def _guaranteed_gpu(self, account: str) -> int:
         found = self._config.current.accounts_by_name.get(account)
         return found.guaranteed_gpu if found is not None else 0
@@ -313,7 +316,7 @@
     ) -> NotRun | MayHaveRun:
         verdict = self.not_run(job.job_id, refusal.reason)
         if isinstance(verdict, MayHaveRun):
-            return verdict
+            return self._in_doubt(job.job_id, "resubmit", refusal.reason)
         now_ms = self._wall.now_ms()
         self._returns = self._returns.next(now_ms, refusal.retry_after_ms)
         retry_after_ms = self._returns.latest_ms - now_ms
@@ -330,6 +333,9 @@
         return NotRun(refusal.reason, retry_after_ms)
 
     def _refuse(self, job_id: str, reason: str) -> NotRun | MayHaveRun:
+        verdict = self.not_run(job_id, reason)
+        if isinstance(verdict, MayHaveRun):
+            return self._in_doubt(job_id, "resubmit", reason)
         events.emit(
             _LOGGER,
             events.Event.REFUSED,
@@ -337,7 +343,7 @@
             reason=reason,
             log_age_ms=self._jobs_feed.age_ms(),
         )
-        return self.not_run(job_id, reason)
+        return verdict
 
     def _in_doubt(self, job_id: str, call: str, reason: str) -> MayHaveRun:
         now_ms = self._wall.now_ms()
--- a/packages/placer/src/laburnumgate_placer/leader.py
+++ b/packages/placer/src/laburnumgate_placer/leader.py
@@ -433,9 +433,10 @@
                 saved = speeds
 
     async def _load_loop(self) -> None:
+        largest_by_service: dict[str, model.Resources] = {}
         while True:
             await asyncio.sleep(load_reports.INTERVAL_MS / 1000)
-            backlogs = load_reports.collect(self.tables)
+            backlogs = load_reports.collect(self.tables, largest_by_service)
             self._leadership.report_load(load_reports.encode(backlogs))
 
     async def _clean_up_loop(self) -> None:
--- a/packages/placer/src/laburnumgate_placer/load_reports.py
+++ b/packages/placer/src/laburnumgate_placer/load_reports.py
@@ -10,8 +10,17 @@
 INTERVAL_MS = 1_000
 
 
-def collect(tables: tables_module.Tables) -> dict[str, admission.Backlog]:
-    """Estimates the backlog of each service that has endpoints."""
+def collect(
+    tables: tables_module.Tables, largest_by_service: dict[str, model.Resources]
+) -> dict[str, admission.Backlog]:
+    """Estimates the backlog of each service that has endpoints.
+
+    Args:
+      tables: the leader's tables.
+      largest_by_service: the largest amount of each resource on any endpoint
+        that was seen so far; updated. An endpoint that is not listed for a
+        while may come back.
+    """
     now_ms = tables.monotonic.now_ms()
     guaranteed = ordering.guaranteed_jobs(tables)
     demands_by_service: dict[str, list[admission.Demand]] = {}
@@ -27,7 +36,7 @@
             admission.Demand(waiting.rank.priority, core_s)
         )
     found = {}
-    for service, pool in _pools(tables).items():
+    for service, pool in _pools(tables, largest_by_service).items():
         demands = demands_by_service.get(service, [])
         found[service] = admission.backlog(demands, pool)
     return found
@@ -59,7 +68,9 @@
     return found
 
 
-def _pools(tables: tables_module.Tables) -> dict[str, admission.Pool]:
+def _pools(
+    tables: tables_module.Tables, largest_by_service: dict[str, model.Resources]
+) -> dict[str, admission.Pool]:
     states_by_service: dict[str, list] = {}
     for state in tables.endpoints.by_id.values():
         if state.listed and not state.ended:
@@ -68,11 +79,13 @@
     pools = {}
     for service, states in states_by_service.items():
         capacities = [state.info.capacity for state in states]
+        seen = largest_by_service.get(service, model.Resources())
         largest = model.Resources(
-            max(c.cpu for c in capacities),
-            max(c.mem_mb for c in capacities),
-            max(c.gpu for c in capacities),
+            max(seen.cpu, *(c.cpu for c in capacities)),
+            max(seen.mem_mb, *(c.mem_mb for c in capacities)),
+            max(seen.gpu, *(c.gpu for c in capacities)),
         )
+        largest_by_service[service] = largest
         pools[service] = admission.Pool(
             cores=sum(map(reclaim.resource_cores, capacities)),
             gpu=sum(c.gpu for c in capacities),
--- a/packages/placer/tests/test_leader.py
+++ b/packages/placer/tests/test_leader.py
@@ -750,6 +750,11 @@
         assert isinstance(first, intake.MayHaveRun)
         second = await host.intake.submit(job, 900)
         assert isinstance(second, intake.MayHaveRun)
+        # Repeating it does not make it known for longer.
+        doubts = host.intake._doubt_until_ms_by_id
+        until_ms = doubts[job.job_id]
+        await host.intake.submit(job, 900)
+        assert doubts[job.job_id] == until_ms
         # Another job was never sent to the log.
         other = await host.intake.submit(builders.job("b" * 16), 900)
         assert isinstance(other, intake.NotRun)
--- a/packages/placer/tests/test_overload_admission.py
+++ b/packages/placer/tests/test_overload_admission.py
@@ -100,9 +100,21 @@
     tables = builders.tables(_BATCH, accounts=())
     builders.add_endpoint(tables)
     lifecycle.open_job(tables, _job(_BATCH, estimate_ms=10_000, gpu=8))
-    assert load_reports.collect(tables)["pool"].delay_ms_by_priority == {}
+    assert load_reports.collect(tables, {})["pool"].delay_ms_by_priority == {}
     tables.endpoints.by_id["e1"].used = model.Resources(0, 0, 8)
-    delays = load_reports.collect(tables)["pool"].delay_ms_by_priority
+    delays = load_reports.collect(tables, {})["pool"].delay_ms_by_priority
     assert delays == {2: 6_770}
     tables.monotonic.advance(60_000)
-    assert load_reports.collect(tables)["pool"].delay_ms_by_priority == {}
+    assert load_reports.collect(tables, {})["pool"].delay_ms_by_priority == {}
+
+
+def test_an_endpoint_that_is_not_listed_for_a_while_still_counts():
+    """Guards against refusing what fits an endpoint that is about to return."""
+    tables = builders.tables(_BATCH, accounts=())
+    builders.add_endpoint(tables, "small", capacity=model.Resources(8, 8, 1))
+    large = builders.add_endpoint(tables, "large")
+    largest_by_service = {}
+    load_reports.collect(tables, largest_by_service)
+    large.listed = False
+    known = load_reports.collect(tables, largest_by_service)["pool"]
+    assert admission.decide(_job(_BATCH, gpu=8), 0, known) is None
