--- a/deploy/tests/test_callers.py
+++ b/deploy/tests/test_callers.py
@@ -58,6 +58,14 @@
     )
 
 
+def _post_head(body):
+    return (
+        f"POST /reviews/{_ID} HTTP/1.1\r\nHost: h.example\r\n"
+        f"X-Laburnumgate-Credential: key-1\r\n"
+        f"Content-Length: {len(body)}\r\n\r\n"
+    ).encode()
+
+
 async def _run_with_server(host, scenario):
     caller_api = callers.CallerApi(host)
     server = web.Server(caller_api.handle)
@@ -177,11 +185,7 @@
     host = _host(intake.Accepted())
     host.intake.pause_s = 0.3
     body = orjson.dumps(_JOB)
-    head = (
-        f"POST /reviews/{_ID} HTTP/1.1\r\nHost: h.example\r\n"
-        f"X-Laburnumgate-Credential: key-1\r\n"
-        f"Content-Length: {len(body)}\r\n\r\n"
-    ).encode()
+    head = _post_head(body)
 
     async def scenario(caller_api, server, port):
         idle_reader, idle_writer = await asyncio.open_connection(
@@ -223,11 +227,7 @@
     host = _host(intake.Accepted())
     host.intake.pause_s = 0.2
     body = orjson.dumps(_JOB)
-    head = (
-        f"POST /reviews/{_ID} HTTP/1.1\r\nHost: h.example\r\n"
-        f"X-Laburnumgate-Credential: key-1\r\n"
-        f"Content-Length: {len(body)}\r\n\r\n"
-    ).encode()
+    head = _post_head(body)
 
     async def scenario(caller_api, server, port):
         _, writer = await asyncio.open_connection("127.0.0.1", port)
@@ -245,11 +245,7 @@
     """Guards against acting on a permission that ran out in the meantime."""
     host = _host(intake.Accepted())
     body = orjson.dumps(_JOB)
-    head = (
-        f"POST /reviews/{_ID} HTTP/1.1\r\nHost: h.example\r\n"
-        f"X-Laburnumgate-Credential: key-1\r\n"
-        f"Content-Length: {len(body)}\r\n\r\n"
-    ).encode()
+    head = _post_head(body)
 
     async def scenario(caller_api, server, port):
         reader, writer = await asyncio.open_connection("127.0.0.1", port)
--- a/packages/placer/src/laburnumgate_placer/ordering.py
+++ b/packages/placer/src/laburnumgate_placer/ordering.py
@@ -6,10 +6,7 @@
 from laburnumgate_placer import placement
 from laburnumgate_placer import progress
 from laburnumgate_placer import tables as tables_module
-
-# A job that takes up to this many times its objective counts as late; beyond
-# that it is too late.
-LATE_RATIO = 3.0
+from laburnumgate_placer.overload import admission
 
 
 class Stage(enum.IntEnum):
@@ -111,7 +108,9 @@
     stage = Stage.ON_TIME
     if now_ms > due_ms:
         stage = Stage.LATE
-        due_ms = clock_start_ms + LATE_RATIO * allowed_ms - remaining_ms
+        due_ms = (
+            clock_start_ms + admission.LATE_RATIO * allowed_ms - remaining_ms
+        )
         if now_ms > due_ms:
             stage = Stage.TOO_LATE
     return Rank(
--- a/packages/placer/src/laburnumgate_placer/overload/admission.py
+++ b/packages/placer/src/laburnumgate_placer/overload/admission.py
@@ -12,7 +12,8 @@
 
 from laburnumgate_placer import model
 
-# A job that takes up to this many times its objective is still of some use.
+# A job that takes up to this many times its objective counts as late, which is
+# still of some use; beyond that it is too late.
 LATE_RATIO = 3.0
 # Declared durations are off by half, and running work may end early.
 DOUBT_FACTOR = 2.0
--- a/packages/placer/tests/test_feed.py
+++ b/packages/placer/tests/test_feed.py
@@ -11,19 +11,25 @@
 _TOPIC = "keyed.test"
 
 
+def _follower(log, apply, wait_ms, min_interval_ms):
+    return feed.Feed(
+        log,
+        clock.MonotonicClock(),
+        _TOPIC,
+        apply,
+        wait_ms=wait_ms,
+        min_interval_ms=min_interval_ms,
+    )
+
+
 def test_a_pause_lets_one_read_take_in_several_records():
     """Guards against one read per record on every host."""
 
     async def work():
         log = fakelog.FakeLog()
         seen = []
-        follower = feed.Feed(
-            log,
-            clock.MonotonicClock(),
-            _TOPIC,
-            lambda entry: seen.append(entry.key),
-            wait_ms=500,
-            min_interval_ms=100,
+        follower = _follower(
+            log, lambda entry: seen.append(entry.key), 500, 100
         )
         task = asyncio.create_task(follower.run())
         await follower.loaded.wait()
@@ -45,13 +51,8 @@
     async def work():
         log = fakelog.FakeLog()
         seen = []
-        follower = feed.Feed(
-            log,
-            clock.MonotonicClock(),
-            _TOPIC,
-            lambda entry: seen.append(entry.key),
-            wait_ms=500,
-            min_interval_ms=5_000,
+        follower = _follower(
+            log, lambda entry: seen.append(entry.key), 500, 5_000
         )
         task = asyncio.create_task(follower.run())
         await follower.loaded.wait()
@@ -72,14 +73,7 @@
 
     async def work():
         log = fakelog.FakeLog()
-        follower = feed.Feed(
-            log,
-            clock.MonotonicClock(),
-            _TOPIC,
-            lambda entry: None,
-            wait_ms=20,
-            min_interval_ms=5_000,
-        )
+        follower = _follower(log, lambda entry: None, 20, 5_000)
         task = asyncio.create_task(follower.run())
         await follower.loaded.wait()
         await asyncio.sleep(0.1)
