--- a/packages/placer/src/laburnumgate_placer/leader.py
+++ b/packages/placer/src/laburnumgate_placer/leader.py
@@ -436,7 +436,16 @@
         largest_by_service: dict[str, model.Resources] = {}
         while True:
             await asyncio.sleep(load_reports.INTERVAL_MS / 1000)
-            backlogs = load_reports.collect(self.tables, largest_by_service)
+            try:
+                backlogs = load_reports.collect(self.tables, largest_by_service)
+            except Exception as error:  # Hosts then turn nothing away.
+                events.emit(
+                    _LOGGER,
+                    events.Event.TASK_FAILED,
+                    task="load_reports.collect",
+                    reason=repr(error),
+                )
+                continue
             self._leadership.report_load(load_reports.encode(backlogs))
 
     async def _clean_up_loop(self) -> None:
--- a/packages/placer/tests/test_leader.py
+++ b/packages/placer/tests/test_leader.py
@@ -9,6 +9,7 @@
 from laburnumgate_placer import intake
 from laburnumgate_placer import leader as leader_module
 from laburnumgate_placer import limits
+from laburnumgate_placer import load_reports
 from laburnumgate_placer import model
 from laburnumgate_placer import ports
 from laburnumgate_placer import progress
@@ -663,6 +664,24 @@
     builders.run(work())
 
 
+def test_an_error_in_the_report_of_the_backlog_does_not_end_the_term(
+    monkeypatch,
+):
+    """Guards against a term that ends for what hosts can do without."""
+    monkeypatch.setattr(load_reports, "INTERVAL_MS", 10)
+    monkeypatch.setattr(load_reports, "collect", lambda *args: 1 // 0)
+
+    async def work():
+        system, host = await _start_system("e1")
+        token = host.leadership.own_claim.token
+        await asyncio.sleep(0.1)
+        await _submit(host, builders.job("a" * 16))
+        await _wait_until(lambda: system.starts())
+        assert host.leadership.own_claim.token == token
+
+    builders.run(work())
+
+
 def test_an_unexpected_error_of_a_term_does_not_end_the_process():
     """Guards against a host that no longer answers callers after an error."""
 
