Log each task that is lost with its endpoint

Event 1404 said how many runs an endpoint had when its incarnation ended, not which, and the end of a lease left no line for the run, so that the three hypotheses about tasks that crash endpoints could not be told apart by logs. Event 1311 names the task, the endpoint, its incarnation and machine, what is known of it and whether it had confirmed the start; laburnumgate_lost_tasks_total counts them. No decision changes.

--- a/packages/placer/src/laburnumgate_placer/events.py
+++ b/packages/placer/src/laburnumgate_placer/events.py
@@ -45,6 +45,7 @@
     STRAY_STOPPED = (1307, "unknown run is being stopped", logging.WARNING)
     PACED = (1308, "pace of a task changed")
     NOT_PLACED = (1309, "unit waits for capacity")
+    MEMBER_LOST = (1311, "task was lost with its endpoint", logging.WARNING)
     ENDPOINT_FOUND = (1400, "endpoint joined the live list")
     ENDPOINT_CHANGED = (1401, "endpoint changed its state")
     ENDPOINT_LOST = (1402, "endpoint does not answer", logging.WARNING)
--- a/packages/placer/src/laburnumgate_placer/launcher.py
+++ b/packages/placer/src/laburnumgate_placer/launcher.py
@@ -168,6 +168,7 @@
                     now_ms = tables.monotonic.now_ms()
                     state.set_clock(clock_ms, now_ms)
                     member.report_valid_from_ms = now_ms
+                    member.confirmed = True
                     if not member.base_ms and not run.unit.checkpoint:
                         member.base_ms = now_ms
                     return None
--- a/packages/placer/src/laburnumgate_placer/leader.py
+++ b/packages/placer/src/laburnumgate_placer/leader.py
@@ -310,7 +310,7 @@
             for member in run.members:
                 state = self._live_list.state_for(member)
                 if state.info.born_ms != member.born_ms:
-                    lifecycle.mark_terminated(self.tables, member)
+                    lifecycle.lose_recorded(self.tables, state, member)
                     continue
                 member.report_valid_from_ms = 1
                 state.charge(member)
--- a/packages/placer/src/laburnumgate_placer/lifecycle.py
+++ b/packages/placer/src/laburnumgate_placer/lifecycle.py
@@ -219,10 +219,27 @@
         runs=len(state.members),
         contact_age_ms=tables.monotonic.now_ms() - state.last_answer_ms,
     )
-    for member in list(state.members.values()):
-        if member.run.result is None:
-            member.run.result = model.EndKind.LAPSED
-        mark_terminated(tables, member)
+    _lose_members(tables, state, "ended")
+
+
+def expire_leases(
+    tables: tables_module.Tables, state: endpoint_table.EndpointState
+) -> None:
+    """Gives up the runs of an endpoint whose leases have all expired.
+
+    Nothing is known about the endpoint itself: it may be cut off or have ended.
+    """
+    _lose_members(tables, state, "lapsed")
+
+
+def lose_recorded(
+    tables: tables_module.Tables,
+    state: endpoint_table.EndpointState,
+    member: progress.Member,
+) -> None:
+    """Gives up a recorded member whose endpoint has a new incarnation."""
+    _log_lost(tables, state, member, "ended")
+    mark_terminated(tables, member)
 
 
 def close_job(tables: tables_module.Tables, job_id: str) -> None:
@@ -234,6 +251,45 @@
         tables.dirty.discard(job_id)
 
 
+def _lose_members(
+    tables: tables_module.Tables,
+    state: endpoint_table.EndpointState,
+    how: str,
+) -> None:
+    for member in list(state.members.values()):
+        _log_lost(tables, state, member, how)
+        if member.run.result is None:
+            member.run.result = model.EndKind.LAPSED
+        mark_terminated(tables, member)
+
+
+def _log_lost(
+    tables: tables_module.Tables,
+    state: endpoint_table.EndpointState,
+    member: progress.Member,
+    how: str,
+) -> None:
+    key = member.task
+    metrics.LOST_MEMBERS.inc({"how": how})
+    events.emit(
+        _LOGGER,
+        events.Event.MEMBER_LOST,
+        job=key.job_id,
+        occurrence=key.occurrence,
+        step=key.step,
+        index=key.index,
+        run=member.run.number,
+        endpoint=member.endpoint_id,
+        born_ms=member.born_ms,
+        machine=state.info.machine,
+        how=how,
+        confirmed=member.confirmed,
+        draining=state.info.draining,
+        ran_ms=tables.monotonic.now_ms() - member.run.started_ms,
+        contact_age_ms=tables.monotonic.now_ms() - state.last_answer_ms,
+    )
+
+
 def _find_member(
     unit: progress.Unit, endpoint_id: str, row: model.ReportedEnd
 ) -> progress.Member | None:
--- a/packages/placer/src/laburnumgate_placer/metrics.py
+++ b/packages/placer/src/laburnumgate_placer/metrics.py
@@ -49,6 +49,10 @@
 RUN_ENDS = _counter(
     "laburnumgate_run_ends_total", "Ends of tasks by how they ended."
 )
+LOST_MEMBERS = _counter(
+    "laburnumgate_lost_tasks_total",
+    "Tasks that were lost with their endpoint, by what is known of it.",
+)
 LEADING = _gauge("laburnumgate_leading", "1 while this host leads.")
 OPEN_JOBS = _gauge("laburnumgate_open_jobs", "Jobs that the leader places.")
 CONFIG_VERSION = _gauge(
--- a/packages/placer/src/laburnumgate_placer/progress.py
+++ b/packages/placer/src/laburnumgate_placer/progress.py
@@ -37,7 +37,9 @@
       start_sent: whether a start order may be in flight or executed.
       report_valid_from_ms: monotonic time after which a requested report
         decides whether the task is running; 0 while an order is unanswered.
-      present: whether the endpoint reported or confirmed it.
+      present: whether the endpoint reported it as running.
+      confirmed: whether the endpoint is known to have started it, from a report
+        or from its answer to the start order.
       stopping: whether a stop order is being sent.
       terminated: whether it is certain that the task neither runs nor will
         start.
@@ -57,6 +59,7 @@
     start_sent: bool = False
     report_valid_from_ms: int = 0
     present: bool = False
+    confirmed: bool = False
     stopping: bool = False
     terminated: bool = False
     percent: int = 0
--- a/packages/placer/src/laburnumgate_placer/reports.py
+++ b/packages/placer/src/laburnumgate_placer/reports.py
@@ -61,6 +61,7 @@
     now_ms: int,
 ) -> None:
     member.present = True
+    member.confirmed = True
     if not member.base_ms:
         member.base_ms = now_ms
         member.base_percent = row.percent
--- a/packages/placer/src/laburnumgate_placer/watcher.py
+++ b/packages/placer/src/laburnumgate_placer/watcher.py
@@ -245,10 +245,7 @@
             return
         if tables.monotonic.now_ms() <= state.leases_expire_ms():
             return
-        for member in list(state.members.values()):
-            if member.run.result is None:
-                member.run.result = model.EndKind.LAPSED
-            lifecycle.mark_terminated(tables, member)
+        lifecycle.expire_leases(tables, state)
 
     async def _handle_restart(self, report: model.Report) -> None:
         """Handles the restart of an endpoint under its id.
