Let the soak crash workers under deadly tasks

The soak could not show this: its workers only restarted at random, and no rule counted the crashes of a task.

A share of the jobs (--deadly-share) now has tasks that crash each worker that starts them. The worker loses its runs and unacknowledged ends, refuses connections, and is back 1 to 6 s later under its old or a new id. An entry is removed after three missed heartbeats.

Three new checks: a task is started at most twice after three workers crashed under it; a job is shown as failed only if a task or gang failed in all attempts or two workers crashed under one task; a job with a deadly task ends, and not as completed. A crash counts for each task that runs on the worker, whatever its cause. An order that is held back when its worker crashes is lost.

--- a/deploy/tests/soak.py
+++ b/deploy/tests/soak.py
@@ -14,6 +14,7 @@
 from aiohttp import web
 import click
 import orjson
+import standin_crashes
 import standin_store
 import standin_worker
 
@@ -23,6 +24,10 @@
 # Time that accepted jobs get to end after the faults, in seconds. It covers the
 # time limits in `_SETTINGS`.
 _SETTLE_TIMEOUT_S = 45.0
+_HEARTBEAT_S = 1.5
+# Heartbeats after which the entry of a silent worker is removed.
+_MISSED_HEARTBEATS = 3
+DEADLY_SHARE = 0.06
 _FAULTS = (
     "kill",
     "kill_all",
@@ -73,12 +78,14 @@
       mode: None to forward normally, `delay` to add latency, `silent` to stall
         both directions, `one_way` to stall responses only, or `refuse` to
         abort new connections.
+      down: whether the target has crashed, so that connections are refused.
       port: port on which the proxy listens.
     """
 
     def __init__(self, target: int):
         self.target = target
         self.mode: str | None = None
+        self.down = False
         self.port = 0
         self._writers: set[asyncio.StreamWriter] = set()
 
@@ -92,8 +99,14 @@
         for writer in list(self._writers):
             writer.transport.abort()
 
+    def set_down(self, down: bool) -> None:
+        """Refuses connections from a crash of the target until it is back."""
+        self.down = down
+        if down:
+            self.reset()
+
     async def _serve(self, reader, writer) -> None:
-        if self.mode == "refuse":
+        if self.down or self.mode == "refuse":
             writer.transport.abort()
             return
         try:
@@ -103,6 +116,10 @@
         except OSError:
             writer.transport.abort()
             return
+        if self.down:
+            writer.transport.abort()
+            target_writer.transport.abort()
+            return
         self._writers |= {writer, target_writer}
         await asyncio.gather(
             self._forward(reader, target_writer, False),
@@ -176,11 +193,16 @@
 class Soak:
     """A soak run whose workload and faults are drawn from a seed."""
 
-    def __init__(self, seed: int, hosts: int, workers: int):
+    def __init__(
+        self, seed: int, hosts: int, workers: int, deadly_share: float
+    ):
         self.rng = random.Random(seed)
+        # Separate, so that `seed` draws the same load and faults for any share.
+        self.crash_rng = random.Random(f"{seed} crashes")
+        self.deadly_share = deadly_share
         self.folder = pathlib.Path(tempfile.mkdtemp(prefix="soak-"))
         self.store = standin_store.Store(self.rng)
-        self.fleet = standin_worker.Fleet(self.rng)
+        self.fleet = standin_worker.Fleet(self.rng, self.crash_rng)
         self.host_count = hosts
         self.worker_count = workers
         self.hosts: list[HostProcess] = []
@@ -188,6 +210,7 @@
         self.worker_proxies: list[Proxy] = []
         self.answers: dict[str, list[int]] = {}
         self.cancelled: set[str] = set()
+        self.deadly: set[str] = set()
         self.cut_off: list[str] = []
         self.faults: list[str] = []
         self._tasks: set[asyncio.Task] = set()
@@ -226,7 +249,7 @@
                     "path_prefix": "/jobs/",
                     "service": "pool",
                     "priority": 1,
-                    "attempts": 4,
+                    "attempts": standin_crashes.ATTEMPTS,
                     "stretch": 3.0,
                 }
             ],
@@ -239,6 +262,7 @@
             )
             proxy = Proxy(await self._listen(worker.handle))
             await proxy.start()
+            worker.proxy = proxy
             self.worker_proxies.append(proxy)
         self._spawn(self._publish_workers_loop())
         self._spawn(self._tick_loop())
@@ -264,9 +288,16 @@
         return listener.sockets[0].getsockname()[1]
 
     async def _publish_workers_loop(self) -> None:
-        """Publishes the workers' entries to the live list periodically."""
+        """Publishes the workers' entries to the live list periodically.
+
+        Entries of workers that are silent for too long are removed.
+        """
+        missed_by_id: dict[str, int] = {}
         while True:
             for number, worker in enumerate(self.fleet.workers):
+                if worker.back_at is not None:
+                    continue
+                missed_by_id[worker.id] = -1
                 entry = {
                     "service": "pool",
                     "address": f"127.0.0.1:{self.worker_proxies[number].port}",
@@ -282,7 +313,12 @@
                     "machine": f"m{number}",
                 }
                 self.store.put("keyed.servers", worker.id, orjson.dumps(entry))
-            await asyncio.sleep(1.5)
+            for worker_id in list(missed_by_id):
+                missed_by_id[worker_id] += 1
+                if missed_by_id[worker_id] == _MISSED_HEARTBEATS:
+                    self.store.put("keyed.servers", worker_id, b"")
+                    del missed_by_id[worker_id]
+            await asyncio.sleep(_HEARTBEAT_S)
 
     async def _tick_loop(self) -> None:
         while True:
@@ -310,7 +346,12 @@
             "counts": counts,
             "gpu": gpu,
             "after": {"1": [0]} if len(counts) > 1 else {},
+            "deadly": standin_crashes.draw_deadly(
+                self.crash_rng, self.deadly_share, counts
+            ),
         }
+        if spec["deadly"]:
+            self.deadly.add(job_id)
         steps = [
             {
                 "count": count,
@@ -452,6 +493,12 @@
             violations.append(
                 f"{job_id} was accepted, last state: {last_state[job_id]}"
             )
+        for job_id in sorted(accepted - pending_jobs):
+            violation = self.fleet.crash_log.check_state(
+                job_id, last_state[job_id], job_id in self.deadly
+            )
+            if violation:
+                violations.append(violation)
         for job_id, answers in self.answers.items():
             refused = all(a in (429, 503) for a in answers)
             if refused and job_id in self.fleet.started:
@@ -476,13 +523,17 @@
 
 
 def run_seed(
-    seed: int, seconds: float, hosts: int = 4, workers: int = 6
+    seed: int,
+    seconds: float,
+    hosts: int = 4,
+    workers: int = 6,
+    deadly_share: float = DEADLY_SHARE,
 ) -> list[str]:
     """Runs one seed and returns the violations.
 
     The hosts' logs are kept if there is a violation.
     """
-    soak = Soak(seed, hosts, workers)
+    soak = Soak(seed, hosts, workers, deadly_share)
     violations = asyncio.run(soak.run(seconds))
     if violations:
         violations.append(f"logs in {soak.folder}; faults: {soak.faults}")
@@ -499,12 +550,17 @@
 )
 @click.option("--hosts", default=4)
 @click.option("--workers", default=6)
-def main(seed, seeds, seconds, hosts, workers) -> None:
+@click.option(
+    "--deadly-share",
+    default=DEADLY_SHARE,
+    help="Fraction of the jobs with tasks that crash their workers.",
+)
+def main(seed, seeds, seconds, hosts, workers, deadly_share) -> None:
     """Runs seeds sequentially and reports the result of each."""
     seed = seed or random.SystemRandom().randrange(1, 10**6)
     failed = 0
     for number in range(seed, seed + seeds):
-        violations = run_seed(number, seconds, hosts, workers)
+        violations = run_seed(number, seconds, hosts, workers, deadly_share)
         failed += bool(violations)
         click.echo(f"seed {number}: {'broken' if violations else 'kept'}")
         for line in violations:
--- a/deploy/tests/standin_worker.py
+++ b/deploy/tests/standin_worker.py
@@ -6,6 +6,7 @@
 
 from aiohttp import web
 import orjson
+import standin_crashes
 
 GANG_TIMEOUT_S = 3.0
 MAX_LEASE_S = 3.0
@@ -20,6 +21,8 @@
       number: number of the run.
       spec: payload of the job, which describes its steps.
       worker: the worker that executes the run.
+      crash_at: monotonic time at which a deadly task crashes its worker, in
+        seconds; None for other tasks.
       started_at: monotonic time of the start, in seconds.
     """
 
@@ -28,6 +31,7 @@
     spec: dict
     worker: "Worker"
     done_at: float = 0.0
+    crash_at: float | None = None
     started_at: float = dataclasses.field(default_factory=time.monotonic)
 
     @property
@@ -35,6 +39,12 @@
         """Key that the runs of one gang have in common."""
         return (self.task.rpartition(".")[0], self.number)
 
+    @property
+    def deadly(self) -> bool:
+        """Whether the task crashes each worker that starts it."""
+        step_and_index = self.task.split(".", 2)[2]
+        return step_and_index in self.spec.get("deadly", ())
+
 
 class Fleet:
     """All workers, and the state needed to detect violations.
@@ -46,10 +56,14 @@
       started: ids of the jobs that started a run.
       end_counts: number of ended runs by outcome.
       late_order_share: fraction of the orders that are executed late.
+      crash_rng: source of randomness of the crashes.
+      crash_log: crashes and failed runs by task.
     """
 
-    def __init__(self, rng):
+    def __init__(self, rng, crash_rng):
         self.rng = rng
+        self.crash_rng = crash_rng
+        self.crash_log = standin_crashes.CrashLog()
         self.workers: list[Worker] = []
         self.violations: list[str] = []
         self.done: set[str] = set()
@@ -62,8 +76,9 @@
         """Records a violation if the run must not start now.
 
         A task must not run twice at the same time, start again after an
-        acknowledged end, start before the steps that it depends on, or exceed
-        the accelerators of its worker.
+        acknowledged end, start before the steps that it depends on, start too
+        often after it crashed workers, or exceed the accelerators of its
+        worker.
         """
         job_id, occurrence, step, _ = run.task.split(".")
         self.started.add(job_id)
@@ -85,6 +100,9 @@
                     self._record_violation(
                         run, f"started before {name} was done"
                     )
+        over_budget = self.crash_log.check_start(run.task)
+        if over_budget:
+            self._record_violation(run, over_budget)
         used = sum(r.spec["gpu"] for r in run.worker.running.values())
         if used > run.worker.gpu:
             self._record_violation(
@@ -92,14 +110,17 @@
             )
 
     def tick(self) -> None:
-        """Expires leases and ends runs that have finished."""
+        """Expires leases, ends finished runs, and crashes and boots workers."""
         now = time.monotonic()
         gangs: dict[tuple, list[Run]] = {}
         for worker in self.workers:
             worker.expire(now)
+            worker.crash_or_boot(now)
             for run in list(worker.running.values()):
                 if run.spec["gang"]:
                     gangs.setdefault(run.gang_key, []).append(run)
+                elif run.deadly:
+                    continue
                 elif now - run.started_at >= run.spec["s"]:
                     worker.end(run, self._random_outcome())
         for members in gangs.values():
@@ -111,6 +132,7 @@
         all_started_at = max(run.started_at for run in members)
         if (
             len(members) == size
+            and not any(run.deadly for run in members)
             and now - all_started_at >= members[0].spec["s"]
         ):
             outcome = self._random_outcome()
@@ -140,13 +162,23 @@
 
 
 class Worker:
-    """A worker with leases, fencing, runs and unacknowledged ends."""
+    """A worker with leases, fencing, runs and unacknowledged ends.
+
+    Attributes:
+      back_at: monotonic time at which a crashed worker is back, in seconds;
+        None while it is up.
+      proxy: the proxy that its connections pass through, if any.
+    """
 
     def __init__(
         self, fleet: Fleet, worker_id: str, gpu: int, clock_rate: float
     ):
         self.fleet = fleet
         self.id = worker_id
+        self.proxy = None
+        self.back_at: float | None = None
+        self._first_id = worker_id
+        self._crash_count = 0
         self.gpu = gpu
         self.clock_rate = clock_rate
         self.born = int(time.time() * 1000)
@@ -165,9 +197,38 @@
 
     def restart(self) -> None:
         """Restarts the worker as a new incarnation under the same id."""
+        if self.back_at is not None:
+            return
+        self.fleet.crash_log.record_crash(r.task for r in self.running.values())
         self.born = int(time.time() * 1000)
         self._reset_state()
 
+    def crash(self) -> None:
+        """Drops all runs and connections; the worker is back later."""
+        self.fleet.crash_log.record_crash(r.task for r in self.running.values())
+        self._reset_state()
+        self._crash_count += 1
+        down_s = standin_crashes.draw_down_s(self.fleet.crash_rng)
+        self.back_at = time.monotonic() + down_s
+        if self.proxy is not None:
+            self.proxy.set_down(True)
+
+    def crash_or_boot(self, now: float) -> None:
+        """Crashes under a deadly task, or boots, if the time has come."""
+        if self.back_at is None:
+            for run in self.running.values():
+                if run.crash_at is not None and now >= run.crash_at:
+                    self.crash()
+                    return
+        elif now >= self.back_at:
+            self.back_at = None
+            if not standin_crashes.draw_same_id(self.fleet.crash_rng):
+                self.id = f"{self._first_id}-{self._crash_count}"
+            self.born = int(time.time() * 1000)
+            self._reset_state()
+            if self.proxy is not None:
+                self.proxy.set_down(False)
+
     def clock_s(self) -> float:
         """Returns the worker's clock, which runs at its own rate."""
         return (time.monotonic() - self._clock_started_at) * self.clock_rate
@@ -185,6 +246,10 @@
         self.highest_run_by_task[run.task] = max(
             run.number, self.highest_run_by_task.get(run.task, 0)
         )
+        if outcome == "failed":
+            self.fleet.crash_log.record_failed(
+                run.task, run.number, run.spec["gang"]
+            )
         if outcome == "done":
             self.fleet.done.add(run.task)
             if run.spec["gang"]:
@@ -201,16 +266,20 @@
         """Handles one request."""
         body = orjson.loads(await request.read())
         expected = request.headers.get("X-Laburnumgate-Expect-Instance")
-        if expected != self.id:
+        if self.back_at is not None or expected != self.id:
             return web.Response(status=421)
+        crash_count = self._crash_count
         if request.path == "/-/hold":
             return await self._handle_hold(body)
         if self.fleet.rng.random() < self.fleet.late_order_share:
             # Executed up to 2.5 s late, and once more when it is answered, 30 s
             # after that.
             await asyncio.sleep(self.fleet.rng.uniform(0.5, 2.5))
-            self._handle_order(request.path, body)
+            if self._crash_count == crash_count:
+                self._handle_order(request.path, body)
             await asyncio.sleep(30)
+            if self._crash_count != crash_count:
+                return web.Response(status=421)
         status, answer = self._handle_order(request.path, body)
         return self._response(answer, status)
 
@@ -235,6 +304,10 @@
         run = Run(*key, orjson.loads(body["task_spec"]), self)
         self.running[key] = run
         self.fleet.check_start(run)
+        if run.deadly:
+            delay_s = standin_crashes.draw_crash_delay_s(self.fleet.crash_rng)
+            run.crash_at = run.started_at + delay_s
+            self.crash_or_boot(run.started_at)
         return 200, {}
 
     async def _handle_hold(self, body: dict) -> web.Response:
--- /dev/null
+++ b/deploy/tests/test_soak_checks.py
@@ -0,0 +1,139 @@
+"""Tests that the soak's checks report the violations that they look for."""
+
+import random
+
+import pytest
+import standin_crashes
+import standin_worker
+
+_JOB_ID = "0123456789abcdef"
+_TASK = f"{_JOB_ID}.0.0.0"
+
+
+@pytest.fixture
+def fleet():
+    return standin_worker.Fleet(random.Random(1), random.Random(2))
+
+
+def _add_worker(fleet, name="w0"):
+    return standin_worker.Worker(fleet, name, 8, 1.0)
+
+
+def _start(worker, number, task=_TASK, deadly=(), **spec):
+    spec = {
+        "s": 60.0,
+        "gang": False,
+        "counts": [4],
+        "gpu": 1,
+        "deadly": list(deadly),
+    } | spec
+    run = standin_worker.Run(task, number, spec, worker)
+    worker.running[(task, number)] = run
+    worker.fleet.check_start(run)
+    return run
+
+
+class _Proxy:
+    def __init__(self):
+        self.down = False
+
+    def set_down(self, down):
+        self.down = down
+
+
+def test_third_start_after_three_crashes_is_a_violation(fleet):
+    worker = _add_worker(fleet)
+    for number in (1, 2, 3):
+        _start(worker, number)
+        worker.restart()
+    for number in (4, 5):
+        worker.end(_start(worker, number), "stopped")
+    assert not fleet.violations
+    worker.end(_start(worker, 6), "stopped")
+    assert len(fleet.violations) == 1
+    assert "BUDGET" in fleet.violations[0]
+
+
+def test_crashes_without_the_task_do_not_count(fleet):
+    worker = _add_worker(fleet)
+    for number in range(1, 7):
+        worker.end(_start(worker, number), "stopped")
+        worker.restart()
+    assert not fleet.violations
+
+
+def test_failed_state_needs_two_crashes_under_one_task(fleet):
+    worker = _add_worker(fleet)
+    log = fleet.crash_log
+    _start(worker, 1)
+    worker.restart()
+    _start(worker, 2, task=f"{_JOB_ID}.0.0.1")
+    worker.restart()
+    assert log.check_state(_JOB_ID, "failed", True)
+    _start(worker, 3)
+    worker.restart()
+    assert log.check_state(_JOB_ID, "failed", True) is None
+
+
+@pytest.mark.parametrize("gang", [False, True])
+def test_failed_state_needs_all_attempts(fleet, gang):
+    worker = _add_worker(fleet)
+    log = fleet.crash_log
+    for number in range(1, standin_crashes.ATTEMPTS + 1):
+        assert log.check_state(_JOB_ID, "failed", False)
+        worker.end(_start(worker, number, gang=gang), "failed")
+    assert log.check_state(_JOB_ID, "failed", False) is None
+
+
+def test_failures_of_different_tasks_are_not_added(fleet):
+    worker = _add_worker(fleet)
+    for index in range(standin_crashes.ATTEMPTS):
+        run = _start(worker, 1, task=f"{_JOB_ID}.0.0.{index}")
+        worker.end(run, "failed")
+    assert fleet.crash_log.check_state(_JOB_ID, "failed", False)
+
+
+def test_deadly_job_must_not_be_shown_as_completed(fleet):
+    log = fleet.crash_log
+    assert log.check_state(_JOB_ID, "completed", True)
+    assert log.check_state(_JOB_ID, "completed", False) is None
+    assert log.check_state(_JOB_ID, "cancelled", True) is None
+
+
+def test_deadly_task_crashes_its_worker_and_it_is_back_later(fleet):
+    worker = _add_worker(fleet)
+    worker.proxy = _Proxy()
+    ids = set()
+    for number in range(1, 21):
+        worker.lease_s = 60.0
+        worker.ended.append([1, "other", 1, "done", ""])
+        run = _start(worker, number, deadly=["0.0"], s=0.0)
+        run.crash_at = run.started_at + 0.1
+        fleet.tick()
+        assert worker.running
+        worker.crash_or_boot(run.crash_at)
+        assert worker.proxy.down
+        assert not worker.running
+        assert not worker.ended
+        worker.restart()
+        assert worker.back_at is not None
+        down_s = worker.back_at - run.started_at
+        assert 1.0 <= down_s <= 6.5
+        worker.born = 0
+        worker.crash_or_boot(worker.back_at)
+        assert not worker.proxy.down
+        assert worker.born > 0
+        ids.add(worker.id)
+    assert 2 < len(ids) < 20
+    assert fleet.crash_log.crashes_by_task[_TASK] == 20
+
+
+def test_deadly_share_is_drawn():
+    rng = random.Random(3)
+    drawn = [
+        standin_crashes.draw_deadly(rng, 0.06, [2, 1]) for _ in range(2000)
+    ]
+    deadly = [tasks for tasks in drawn if tasks]
+    assert 60 <= len(deadly) <= 180
+    assert ["0.0", "0.1", "1.0"] in deadly
+    assert ["1.0"] in deadly
