Log each change of an endpoint's capacity

An endpoint may list a smaller capacity while tasks run there, and a larger one later. The leader used the new capacity in its next placement pass, but no line of the log said so: units that waited for a pool that had shrunk could not be explained. Event 1401 now has the capacity before and after and what is in use, and a placement pass follows the change at once.

--- a/packages/placer/src/laburnumgate_placer/live_list.py
+++ b/packages/placer/src/laburnumgate_placer/live_list.py
@@ -128,8 +128,13 @@
             return
         draining = endpoint.draining and not state.info.draining
         relisted = not state.listed
+        before = state.info
         state.info = endpoint
         state.listed = True
+        # The capacity of an endpoint that was never listed is unknown.
+        if before.address and endpoint.capacity != before.capacity:
+            self._log_capacity_changed(state, before.capacity)
+            self._tables.wake.set()
         if draining:
             self._log_changed(state, "it is draining")
             self._drain(state)
@@ -179,3 +184,22 @@
             runs=len(state.members),
             remaining_ms=state.info.remaining_ms,
         )
+
+    def _log_capacity_changed(
+        self, state: endpoint_table.EndpointState, before: model.Resources
+    ) -> None:
+        events.emit(
+            _LOGGER,
+            events.Event.ENDPOINT_CHANGED,
+            endpoint=state.info.endpoint_id,
+            reason="its capacity changed",
+            runs=len(state.members),
+            capacity=_amounts(state.info.capacity),
+            capacity_before=_amounts(before),
+            used=_amounts(state.used),
+        )
+
+
+def _amounts(resources: model.Resources) -> list[int]:
+    """Returns millicores, MB and accelerators for a log line."""
+    return [resources.cpu, resources.mem_mb, resources.gpu]
