Check an endpoint's capacity again before each start order

A run is assigned, recorded and only then started, and an order that is not answered is repeated for up to 1.35 s. The capacity of its endpoints was checked at the assignment alone, so a run that was assigned before its endpoint listed a smaller capacity was still started, or started by a repeated order, and took an endpoint that accepts every order beyond its capacity. While the log is slow there may be seconds between the two.

The launcher now refuses a start order while the runs that are charged to the endpoint, those being stopped or in doubt included, exceed its listed capacity. The unit waits again without a counted failure. As a refused run is released at once, the other runs that were assigned there start if they fit.

The three new tests failed before: the runs started.

--- a/packages/placer/src/laburnumgate_placer/endpoint_table.py
+++ b/packages/placer/src/laburnumgate_placer/endpoint_table.py
@@ -83,6 +83,11 @@
         """Returns the resources that are certainly not in use."""
         return self.info.capacity.plus(self.used, -1)
 
+    def overcommitted(self) -> bool:
+        """Whether the charged runs exceed a capacity that has shrunk."""
+        free = self.free()
+        return min(free.cpu, free.mem_mb, free.gpu) < 0
+
     def charge(self, member: progress.Member) -> None:
         """Adds the resources of a member to those in use."""
         key = (member.task, member.run.number)
--- a/packages/placer/src/laburnumgate_placer/launcher.py
+++ b/packages/placer/src/laburnumgate_placer/launcher.py
@@ -154,6 +154,9 @@
                 if not self._may_order():
                     # A later leader may count on the end of all leases.
                     return "leadership is not confirmed"
+                obstacle = self._capacity_obstacle(state)
+                if obstacle is not None:
+                    return obstacle
                 first = not member.start_sent
                 member.start_sent = True
                 sent_ms = tables.monotonic.now_ms()
@@ -235,6 +238,17 @@
                 return "an assigned endpoint is draining"
             if state.info.zone in tables.config.zones_out:
                 return "a zone was taken out of service"
+            obstacle = self._capacity_obstacle(state)
+            if obstacle is not None:
+                return obstacle
+        return None
+
+    def _capacity_obstacle(
+        self, state: endpoint_table.EndpointState
+    ) -> str | None:
+        """Returns why a start could exceed the endpoint's capacity, or None."""
+        if state.overcommitted():
+            return "the capacity of an assigned endpoint has shrunk"
         return None
 
     def _log_start_failed(self, run: progress.Run, reason: str) -> None:
--- a/packages/placer/tests/test_capacity.py
+++ b/packages/placer/tests/test_capacity.py
@@ -1,7 +1,12 @@
 """Tests of endpoints whose capacity shrinks and grows while they run."""
 
+import asyncio
+
 import builders
+import fakeworkers
+from laburnumgate_placer import call_gate
 from laburnumgate_placer import events
+from laburnumgate_placer import launcher
 from laburnumgate_placer import lifecycle
 from laburnumgate_placer import live_list
 from laburnumgate_placer import model
@@ -59,3 +64,71 @@
     apply(builders.endpoint(capacity=_FULL))
     assert len(_changes(caplog)) == 2
     assert tables.wake.is_set()
+
+
+def _launcher(tables, *workers) -> launcher.Launcher:
+    return launcher.Launcher(
+        fakeworkers.FakeEndpoints(*workers),
+        tables,
+        call_gate.CallGate(tables.monotonic),
+        lambda: True,
+        lambda reason: None,
+    )
+
+
+def _shrink(tables, capacity, endpoint_id="e1"):
+    state = tables.endpoints.by_id[endpoint_id]
+    state.info = builders.replace(state.info, capacity=capacity)
+
+
+def test_a_run_assigned_before_a_shrink_does_not_start_after_it():
+    """Guards against a start that exceeds a capacity that shrank meanwhile."""
+    tables = builders.tables()
+    builders.add_endpoint(tables)
+    builders.start(tables, _assign(tables, "a", "e1", gpu=2))
+    large = _assign(tables, "b", "e1", gpu=5)
+    small = _assign(tables, "c", "e1", gpu=1)
+    worker = fakeworkers.FakeWorker("e1")
+    starter = _launcher(tables, worker)
+    _shrink(tables, _HALF)
+    builders.run(starter.launch(large))
+    builders.run(starter.launch(small))
+    assert [order.task.job_id for order in worker.starts] == ["c" * 16]
+    assert large.unit.state == progress.UnitState.WAITING
+    assert not large.unit.failures
+    assert small.phase == progress.Phase.RUNNING
+
+
+def test_an_unanswered_start_is_not_repeated_after_a_shrink():
+    """Guards against a repeated order that starts a run beyond the capacity."""
+    tables = builders.tables()
+    builders.add_endpoint(tables)
+    run = _assign(tables, "a", "e1", gpu=5)
+    worker = fakeworkers.FakeWorker("e1", partitioned=True)
+
+    async def work():
+        launching = asyncio.create_task(_launcher(tables, worker).launch(run))
+        await asyncio.sleep(0.1)
+        _shrink(tables, _HALF)
+        worker.partitioned = False
+        await launching
+
+    builders.run(work())
+    assert not worker.starts
+    assert run.phase == progress.Phase.STOPPING
+    # The first order may still be carried out.
+    assert tables.endpoints.by_id["e1"].used.gpu == 5
+    assert tables.pending_stops == run.members
+
+
+def test_a_gang_does_not_start_if_one_of_its_endpoints_shrank():
+    """Guards against a gang that is started in part."""
+    tables = builders.tables()
+    builders.add_endpoint(tables)
+    builders.add_endpoint(tables, "e2")
+    run = _assign(tables, "a", "e1", "e2", gpu=5)
+    workers = [fakeworkers.FakeWorker("e1"), fakeworkers.FakeWorker("e2")]
+    _shrink(tables, _HALF, "e2")
+    builders.run(_launcher(tables, *workers).launch(run))
+    assert not workers[0].starts and not workers[1].starts
+    assert run.unit.state == progress.UnitState.WAITING
