Place nothing on an endpoint whose runs exceed any amount of its capacity

Whether a task fits was decided by the amounts that the task needs. On an endpoint whose accelerators had shrunk below what its runs use, a task that needs only CPU or memory still fitted, and so did a task that fills idle CPU where the CPU had shrunk. The endpoint then had one more run while it was beyond its capacity.

Resources.count_fitting() now returns 0 if any amount is negative, for placement as well as for the searches that add the capacity of stopped and ending runs: a search counts the stops that are needed to get back below the capacity.

The three new test cases failed before: the second run was placed.

--- a/packages/placer/src/laburnumgate_placer/model.py
+++ b/packages/placer/src/laburnumgate_placer/model.py
@@ -30,7 +30,12 @@
         )
 
     def count_fitting(self, task: "Resources") -> int:
-        """Returns how many tasks of this size fit."""
+        """Returns how many tasks of this size fit, 0 if any amount is negative.
+
+        The amounts left on an endpoint that has shrunk may be negative.
+        """
+        if min(self.cpu, self.mem_mb, self.gpu) < 0:
+            return 0
         most = 1_000_000
         if task.cpu > 0:
             most = min(most, self.cpu // task.cpu)
@@ -38,7 +43,7 @@
             most = min(most, self.mem_mb // task.mem_mb)
         if task.gpu > 0:
             most = min(most, self.gpu // task.gpu)
-        return max(0, most)
+        return most
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/packages/placer/tests/test_capacity.py
+++ b/packages/placer/tests/test_capacity.py
@@ -12,6 +12,8 @@
 from laburnumgate_placer import model
 from laburnumgate_placer import ports
 from laburnumgate_placer import progress
+from laburnumgate_placer import scheduling
+import pytest
 
 _FULL = model.Resources(32_000, 64_000, 8)
 _HALF = model.Resources(16_000, 32_000, 4)
@@ -132,3 +134,35 @@
     builders.run(_launcher(tables, *workers).launch(run))
     assert not workers[0].starts and not workers[1].starts
     assert run.unit.state == progress.UnitState.WAITING
+
+
+@pytest.mark.parametrize(
+    "room",
+    [model.Resources(1_000, 1_000, 0), model.Resources(0, 1_000, 0)],
+    ids=["no accelerator", "memory only"],
+)
+def test_an_endpoint_beyond_one_amount_gets_no_task_that_needs_others(room):
+    """Guards against a start beside runs that exceed another amount."""
+    tables = builders.tables()
+    state = builders.add_endpoint(tables)
+    builders.start(tables, _assign(tables, "a", "e1", gpu=8))
+    _shrink(tables, model.Resources(32_000, 64_000, 4))
+    step = model.Step(1, room, estimate_ms=1_000)
+    lifecycle.open_job(tables, builders.job("b" * 16, step))
+    scheduling.Scheduler(tables).run()
+    assert len(state.members) == 1
+    _shrink(tables, _FULL)
+    scheduling.Scheduler(tables).run()
+    assert len(state.members) == 2
+
+
+def test_a_filler_waits_while_the_cpu_of_its_endpoint_is_exceeded():
+    """Guards against a filler that is started beside runs that exceed it."""
+    tables = builders.tables()
+    state = builders.add_endpoint(tables)
+    builders.start(tables, _assign(tables, "a", "e1", gpu=0))
+    _shrink(tables, model.Resources(500, 64_000, 8))
+    step = builders.step(gpu=0, fills=True)
+    lifecycle.open_job(tables, builders.job("b" * 16, step))
+    scheduling.Scheduler(tables).run()
+    assert len(state.members) == 1
