Start nothing on an endpoint that reports an unknown run

The capacity that a reported run of no known job uses is not known, so its endpoint gets no new assignments until the run is gone. A run that was assigned there before the report was started nevertheless, beside the unknown run, and could bring the endpoint beyond its capacity.

The launcher now refuses such a start, also when it is repeated, and the unit waits again.

The new test failed before: the run started.

--- a/packages/placer/src/laburnumgate_placer/launcher.py
+++ b/packages/placer/src/laburnumgate_placer/launcher.py
@@ -249,6 +249,8 @@
         """Returns why a start could exceed the endpoint's capacity, or None."""
         if state.overcommitted():
             return "the capacity of an assigned endpoint has shrunk"
+        if state.unknown_runs:
+            return "an unknown run uses an assigned endpoint"
         return None
 
     def _log_start_failed(self, run: progress.Run, reason: str) -> None:
--- a/packages/placer/tests/test_capacity.py
+++ b/packages/placer/tests/test_capacity.py
@@ -12,6 +12,7 @@
 from laburnumgate_placer import model
 from laburnumgate_placer import ports
 from laburnumgate_placer import progress
+from laburnumgate_placer import reports
 from laburnumgate_placer import scheduling
 import pytest
 
@@ -166,3 +167,17 @@
     lifecycle.open_job(tables, builders.job("b" * 16, step))
     scheduling.Scheduler(tables).run()
     assert len(state.members) == 1
+
+
+def test_a_run_does_not_start_beside_an_unknown_one():
+    """Guards against a start beside a run whose size is not known."""
+    tables = builders.tables()
+    state = builders.add_endpoint(tables)
+    run = _assign(tables, "a", "e1", gpu=8)
+    worker = fakeworkers.FakeWorker("e1")
+    unknown = model.ReportedRun(model.TaskKey("f" * 16, 0, 0, 0), 1, "", 10, 0)
+    now_ms = tables.monotonic.now_ms()
+    reports.apply(tables, state, builders.report(state, unknown), now_ms)
+    builders.run(_launcher(tables, worker).launch(run))
+    assert not worker.starts
+    assert run.unit.state == progress.UnitState.WAITING
