Start nothing on an endpoint of which a newer incarnation is listed

An entry of a newer incarnation is not applied while runs or orders of the old one are pending. Until the watcher had seen the restart, the old state stayed usable with its old capacity. An order names the id alone, which a restart may keep, so the new incarnation carried it out; it may be of a smaller kind.

The old state now counts as not listed, which ends assignments, and the launcher refuses starts on endpoints that are not listed: their capacity is not known any more. The new incarnation is added as soon as the old one has no runs, also if its entry does not change again.

test_a_run_does_not_start_in_an_incarnation_of_another_size failed before: a new run was assigned, and the pending one started. The other new test guards the way back; it fails if only the state is unlisted.

--- a/packages/placer/src/laburnumgate_placer/live_list.py
+++ b/packages/placer/src/laburnumgate_placer/live_list.py
@@ -39,10 +39,13 @@
         self._listed_by_id: dict[str, model.Endpoint] = {}
 
     def add_restarted(self) -> None:
-        """Adds listed incarnations whose predecessor has ended since."""
+        """Adds listed incarnations whose predecessor ended or has no runs."""
         for endpoint in list(self._listed_by_id.values()):
             state = self._tables.endpoints.by_id.get(endpoint.endpoint_id)
-            if state is None or state.ended:
+            replaced = state is not None and (
+                state.info.born_ms < endpoint.born_ms
+            )
+            if state is None or state.ended or replaced:
                 self._apply_listed(endpoint)
 
     def state_for(
@@ -103,12 +106,16 @@
         by_id = self._tables.endpoints.by_id
         state = by_id.get(endpoint.endpoint_id)
         if state is not None and state.info.born_ms != endpoint.born_ms:
+            if endpoint.born_ms < state.info.born_ms:
+                return
             pending = state.pending_orders(self._tables.monotonic.now_ms())
             if (state.members or pending) and not state.ended:
                 # The watcher detects the new incarnation and voids orders that
-                # were sent to the old one.
-                return
-            if endpoint.born_ms < state.info.born_ms:
+                # were sent to the old one. Until then new orders could reach
+                # the new one, which may be smaller.
+                if state.listed:
+                    state.listed = False
+                    self._log_changed(state, "a newer incarnation is listed")
                 return
             state.ended = True
             state = None
--- a/packages/placer/tests/test_capacity.py
+++ b/packages/placer/tests/test_capacity.py
@@ -181,3 +181,46 @@
     builders.run(_launcher(tables, worker).launch(run))
     assert not worker.starts
     assert run.unit.state == progress.UnitState.WAITING
+
+
+def test_a_run_does_not_start_in_an_incarnation_of_another_size():
+    """Guards against an order that reaches a restarted, smaller endpoint.
+
+    An order is addressed to the id alone, which a restart may keep.
+    """
+    tables = builders.tables()
+    apply = _listed(tables, builders.endpoint())
+    state = tables.endpoints.by_id["e1"]
+    state.contacted = True
+    builders.start(tables, _assign(tables, "a", "e1", gpu=2))
+    run = _assign(tables, "b", "e1", gpu=5)
+    worker = fakeworkers.FakeWorker("e1")
+    apply(builders.endpoint(born_ms=2, capacity=_HALF))
+    lifecycle.open_job(tables, builders.job("c" * 16, builders.step(gpu=1)))
+    scheduling.Scheduler(tables).run()
+    assert len(state.members) == 2
+    builders.run(_launcher(tables, worker).launch(run))
+    assert not worker.starts
+    assert run.unit.state == progress.UnitState.WAITING
+
+
+def test_a_smaller_incarnation_is_used_once_the_old_runs_are_gone():
+    """Guards against an endpoint that stays unused after a restart."""
+    tables = builders.tables()
+    newest = {"e1": builders.endpoint()}
+    tracked = live_list.LiveList(
+        tables, lambda entry: newest[entry.key], lambda state: None, 0
+    )
+    tracked.apply(ports.Entry(1, "e1", b"1"))
+    run = _assign(tables, "a", "e1", gpu=2)
+    builders.start(tables, run)
+    newest["e1"] = builders.endpoint(born_ms=2, capacity=_HALF)
+    tracked.apply(ports.Entry(2, "e1", b"1"))
+    assert tables.endpoints.by_id["e1"].info.born_ms == 1
+    # The leases are over, and the endpoint was not reached meanwhile.
+    lifecycle.mark_terminated(tables, run.members[0])
+    tracked.add_restarted()
+    state = tables.endpoints.by_id["e1"]
+    assert state.info.born_ms == 2
+    assert state.info.capacity == _HALF
+    assert state.listed
