Let the soak shrink the capacity of workers

The soak's workers had the same capacity at all times.

Random workers now drop from 8 to 2 to 6 accelerators for 2 to 10 s, which their entry shows with the next heartbeat. A start that exceeds the capacity is a violation; a smaller capacity counts 4.5 s after the change (a heartbeat and contact_ms), a larger one at once. An order that a worker executes late counts from its arrival.

--- a/deploy/tests/soak.py
+++ b/deploy/tests/soak.py
@@ -14,6 +14,7 @@
 from aiohttp import web
 import click
 import orjson
+import standin_capacity
 import standin_crashes
 import standin_store
 import standin_worker
@@ -24,7 +25,6 @@
 # Time that accepted jobs get to end after the faults, in seconds. It covers the
 # time limits in `_SETTINGS`.
 _SETTLE_TIMEOUT_S = 45.0
-_HEARTBEAT_S = 1.5
 # Heartbeats after which the entry of a silent worker is removed.
 _MISSED_HEARTBEATS = 3
 DEADLY_SHARE = 0.06
@@ -194,12 +194,20 @@
     """A soak run whose workload and faults are drawn from a seed."""
 
     def __init__(
-        self, seed: int, hosts: int, workers: int, deadly_share: float
+        self,
+        seed: int,
+        hosts: int,
+        workers: int,
+        deadly_share: float,
+        shrinks: bool,
     ):
         self.rng = random.Random(seed)
-        # Separate, so that `seed` draws the same load and faults for any share.
+        # Separate, so that `seed` draws the same load and other faults whatever
+        # these settings are.
         self.crash_rng = random.Random(f"{seed} crashes")
         self.deadly_share = deadly_share
+        self.capacity_rng = random.Random(f"{seed} capacity")
+        self.shrinks = shrinks
         self.folder = pathlib.Path(tempfile.mkdtemp(prefix="soak-"))
         self.store = standin_store.Store(self.rng)
         self.fleet = standin_worker.Fleet(self.rng, self.crash_rng)
@@ -229,6 +237,7 @@
                 await asyncio.gather(
                     self._submit_until(session, deadline),
                     self._inject_faults_until(deadline),
+                    self._shrink_workers_until(deadline),
                 )
                 self._clear_faults()
                 return await self._check_outcomes(session)
@@ -304,9 +313,9 @@
                     "zone": f"z{number % 3}",
                     "state": "ready",
                     "capacity": {
-                        "cpu": 32_000,
+                        "cpu": 4_000 * worker.capacity.gpu,
                         "mem_mb": 64_000,
-                        "gpu": worker.gpu,
+                        "gpu": worker.capacity.gpu,
                     },
                     "labels": ["k", f"r{number % 3}"],
                     "born": worker.born,
@@ -318,7 +327,7 @@
                 if missed_by_id[worker_id] == _MISSED_HEARTBEATS:
                     self.store.put("keyed.servers", worker_id, b"")
                     del missed_by_id[worker_id]
-            await asyncio.sleep(_HEARTBEAT_S)
+            await asyncio.sleep(standin_capacity.HEARTBEAT_S)
 
     async def _tick_loop(self) -> None:
         while True:
@@ -406,6 +415,23 @@
             self._spawn(self._inject_fault())
             await asyncio.sleep(self.rng.uniform(0.3, 2.5))
 
+    async def _shrink_workers_until(self, deadline: float) -> None:
+        while self.shrinks and time.monotonic() < deadline:
+            self._spawn(self._shrink_worker())
+            await asyncio.sleep(self.capacity_rng.uniform(0.5, 3.0))
+
+    async def _shrink_worker(self) -> None:
+        """Shrinks the capacity of a random worker for some seconds."""
+        worker = self.capacity_rng.choice(self.fleet.workers)
+        gpu, duration_s = standin_capacity.draw_shrunk(self.capacity_rng)
+        capacity = worker.capacity
+        if capacity.gpu < capacity.full:
+            return
+        self.faults.append(f"shrink {worker.id} to {gpu} {duration_s:.1f} s")
+        capacity.set(gpu)
+        await asyncio.sleep(duration_s)
+        capacity.set(capacity.full)
+
     async def _inject_fault(self) -> None:
         """Injects a random fault and reverts it after its duration."""
         rng = self.rng
@@ -471,6 +497,8 @@
             proxy.mode = None
         self.store.lose = self.store.refuse = self.store.late = 0.0
         self.store.delay_s = self.fleet.late_order_share = 0.0
+        for worker in self.fleet.workers:
+            worker.capacity.set(worker.capacity.full)
         for host in self.hosts:
             host.send(signal.SIGCONT)
 
@@ -528,12 +556,13 @@
     hosts: int = 4,
     workers: int = 6,
     deadly_share: float = DEADLY_SHARE,
+    shrinks: bool = True,
 ) -> list[str]:
     """Runs one seed and returns the violations.
 
     The hosts' logs are kept if there is a violation.
     """
-    soak = Soak(seed, hosts, workers, deadly_share)
+    soak = Soak(seed, hosts, workers, deadly_share, shrinks)
     violations = asyncio.run(soak.run(seconds))
     if violations:
         violations.append(f"logs in {soak.folder}; faults: {soak.faults}")
@@ -555,12 +584,19 @@
     default=DEADLY_SHARE,
     help="Fraction of the jobs with tasks that crash their workers.",
 )
-def main(seed, seeds, seconds, hosts, workers, deadly_share) -> None:
+@click.option(
+    "--shrinks/--no-shrinks",
+    default=True,
+    help="Whether the capacity of workers shrinks at times.",
+)
+def main(seed, seeds, seconds, hosts, workers, deadly_share, shrinks) -> None:
     """Runs seeds sequentially and reports the result of each."""
     seed = seed or random.SystemRandom().randrange(1, 10**6)
     failed = 0
     for number in range(seed, seed + seeds):
-        violations = run_seed(number, seconds, hosts, workers, deadly_share)
+        violations = run_seed(
+            number, seconds, hosts, workers, deadly_share, shrinks
+        )
         failed += bool(violations)
         click.echo(f"seed {number}: {'broken' if violations else 'kept'}")
         for line in violations:
--- a/deploy/tests/standin_worker.py
+++ b/deploy/tests/standin_worker.py
@@ -6,6 +6,7 @@
 
 from aiohttp import web
 import orjson
+import standin_capacity
 import standin_crashes
 
 GANG_TIMEOUT_S = 3.0
@@ -23,6 +24,8 @@
       worker: the worker that executes the run.
       crash_at: monotonic time at which a deadly task crashes its worker, in
         seconds; None for other tasks.
+      ordered_at: monotonic time at which the order arrived, in seconds; it is
+        before the start if the order was executed late.
       started_at: monotonic time of the start, in seconds.
     """
 
@@ -32,6 +35,7 @@
     worker: "Worker"
     done_at: float = 0.0
     crash_at: float | None = None
+    ordered_at: float = dataclasses.field(default_factory=time.monotonic)
     started_at: float = dataclasses.field(default_factory=time.monotonic)
 
     @property
@@ -104,9 +108,12 @@
         if over_budget:
             self._record_violation(run, over_budget)
         used = sum(r.spec["gpu"] for r in run.worker.running.values())
-        if used > run.worker.gpu:
+        limit = run.worker.capacity.limit_at(run.ordered_at)
+        if used > limit:
             self._record_violation(
-                run, f"exceeds worker capacity, {used} accelerators in use"
+                run,
+                f"LIMIT: exceeds worker capacity, {used} accelerators in use,"
+                f" at most {limit} allowed",
             )
 
     def tick(self) -> None:
@@ -165,6 +172,7 @@
     """A worker with leases, fencing, runs and unacknowledged ends.
 
     Attributes:
+      capacity: its accelerators.
       back_at: monotonic time at which a crashed worker is back, in seconds;
         None while it is up.
       proxy: the proxy that its connections pass through, if any.
@@ -179,7 +187,7 @@
         self.back_at: float | None = None
         self._first_id = worker_id
         self._crash_count = 0
-        self.gpu = gpu
+        self.capacity = standin_capacity.Capacity(gpu)
         self.clock_rate = clock_rate
         self.born = int(time.time() * 1000)
         self._clock_started_at = time.monotonic()
@@ -269,6 +277,7 @@
         if self.back_at is not None or expected != self.id:
             return web.Response(status=421)
         crash_count = self._crash_count
+        arrived_at = time.monotonic()
         if request.path == "/-/hold":
             return await self._handle_hold(body)
         if self.fleet.rng.random() < self.fleet.late_order_share:
@@ -276,14 +285,16 @@
             # after that.
             await asyncio.sleep(self.fleet.rng.uniform(0.5, 2.5))
             if self._crash_count == crash_count:
-                self._handle_order(request.path, body)
+                self._handle_order(request.path, body, arrived_at)
             await asyncio.sleep(30)
             if self._crash_count != crash_count:
                 return web.Response(status=421)
-        status, answer = self._handle_order(request.path, body)
+        status, answer = self._handle_order(request.path, body, arrived_at)
         return self._response(answer, status)
 
-    def _handle_order(self, path: str, body: dict) -> tuple[int, dict]:
+    def _handle_order(
+        self, path: str, body: dict, arrived_at: float
+    ) -> tuple[int, dict]:
         if not self._accept_token(body):
             return 409, {"reason": "fence"}
         key = (body["task"], body["run_id"])
@@ -302,6 +313,7 @@
         if self.highest_run_by_task.get(key[0], 0) >= key[1]:
             return 409, {"reason": "old"}
         run = Run(*key, orjson.loads(body["task_spec"]), self)
+        run.ordered_at = arrived_at
         self.running[key] = run
         self.fleet.check_start(run)
         if run.deadly:
--- a/deploy/tests/test_soak_checks.py
+++ b/deploy/tests/test_soak_checks.py
@@ -1,8 +1,10 @@
 """Tests that the soak's checks report the violations that they look for."""
 
 import random
+import time
 
 import pytest
+import standin_capacity
 import standin_crashes
 import standin_worker
 
@@ -137,3 +139,51 @@
     assert 60 <= len(deadly) <= 180
     assert ["0.0", "0.1", "1.0"] in deadly
     assert ["1.0"] in deadly
+
+
+def test_shrunk_capacity_counts_after_contact_and_a_heartbeat():
+    capacity = standin_capacity.Capacity(8)
+    capacity.set(4, 100.0)
+    assert capacity.limit_at(99.0) == 8
+    assert capacity.limit_at(104.4) == 8
+    assert capacity.limit_at(104.6) == 4
+
+
+def test_grown_capacity_counts_at_once():
+    capacity = standin_capacity.Capacity(8)
+    capacity.set(4, 100.0)
+    capacity.set(8, 110.0)
+    assert capacity.limit_at(109.9) == 4
+    assert capacity.limit_at(110.0) == 8
+    capacity.set(2, 111.0)
+    assert capacity.limit_at(115.4) == 8
+    assert capacity.limit_at(115.6) == 2
+
+
+def test_start_over_a_shrunk_capacity_is_a_violation(fleet):
+    worker = _add_worker(fleet)
+    worker.capacity.set(4, time.monotonic() - 100.0)
+    _start(worker, 1, gpu=4)
+    assert not fleet.violations
+    _start(worker, 1, task=f"{_JOB_ID}.0.0.1")
+    assert len(fleet.violations) == 1
+    assert "LIMIT" in fleet.violations[0]
+
+
+def test_order_executed_late_counts_from_its_arrival(fleet):
+    worker = _add_worker(fleet)
+    shrunk_at = time.monotonic() - 100.0
+    worker.capacity.set(4, shrunk_at)
+    run = _start(worker, 1, gpu=4)
+    run.ordered_at = shrunk_at + 4.0
+    run.spec["gpu"] = 5
+    fleet.check_start(run)
+    assert not [v for v in fleet.violations if "LIMIT" in v]
+
+
+def test_running_tasks_over_a_shrunk_capacity_are_no_violation(fleet):
+    worker = _add_worker(fleet)
+    _start(worker, 1, gpu=8)
+    worker.capacity.set(2, time.monotonic() - 100.0)
+    fleet.tick()
+    assert not fleet.violations
