Acknowledge no ends of an endpoint that may have restarted

What callers could see: a task that had ended as done was started again.

Cause: ends are numbered from 1 in each incarnation, and the renewal that finds out about a restart still carried the cursor of the incarnation before. If a late start order had been carried out by the new incarnation and its run had ended, the end was forgotten there before it was reported. The class of fault: a position that is only valid within an incarnation is sent without knowing the incarnation.

Why it works: the cursor is sent only while the endpoint answers and has reported within the last renewal; a restart breaks that renewal. Without it the cursor is 0, which acknowledges nothing. The test fails before (`worker.acked` is 1).

--- a/packages/placer/src/laburnumgate_placer/endpoint_table.py
+++ b/packages/placer/src/laburnumgate_placer/endpoint_table.py
@@ -38,6 +38,8 @@
       prior_leases_expire_ms: monotonic time by which all leases of earlier
         leaders have expired.
       last_answer_ms: monotonic time of its last answer.
+      reported_ms: monotonic time of the last report of this incarnation, 0 for
+        none.
       handled_end: highest number of the reported ends that were handled.
       acked_end: highest number of the ends that may be acknowledged.
       members: members that may be present, by task and run.
@@ -65,6 +67,7 @@
     deadline_ms: int = 0
     prior_leases_expire_ms: int = 0
     last_answer_ms: int = 0
+    reported_ms: int = 0
     handled_end: int = 0
     acked_end: int = 0
     members: dict[tuple[model.TaskKey, int], progress.Member] = (
--- a/packages/placer/src/laburnumgate_placer/reports.py
+++ b/packages/placer/src/laburnumgate_placer/reports.py
@@ -35,6 +35,7 @@
     now_ms = tables.monotonic.now_ms()
     state.set_clock(report.clock_ms, now_ms)
     state.contacted = True
+    state.reported_ms = now_ms
     for row in sorted(report.ended, key=lambda r: r.number):
         if row.number <= state.handled_end:
             continue
--- a/packages/placer/src/laburnumgate_placer/watcher.py
+++ b/packages/placer/src/laburnumgate_placer/watcher.py
@@ -21,6 +21,9 @@
 # is also the interval of lease renewals.
 RENEW_WAIT_MS = 750
 ANSWER_MARGIN_MS = 450
+# How long after a report the cursor of acknowledged ends is sent again. A
+# restart breaks the renewal that waits meanwhile.
+CURSOR_VALID_MS = RENEW_WAIT_MS + ANSWER_MARGIN_MS
 BACKOFF_MS = 150
 # Renewal interval while a stop or an acknowledgement is pending.
 FAST_POLL_INTERVAL_MS = 20
@@ -116,7 +119,7 @@
         if state.contacted and state.members and self._may_renew():
             deadline_ms = state.extend_lease(tables.bounds.lease_ms, sent_ms)
         wait_ms = self._wait_ms()
-        acked = state.acked_end
+        acked = self._cursor(sent_ms)
         call = self._endpoints.renew(
             state.info,
             deadline_ms=deadline_ms,
@@ -148,6 +151,18 @@
                 state.mark_unreachable(tables.monotonic.now_ms(), reason)
         return False
 
+    def _cursor(self, now_ms: int) -> int:
+        """Returns the end up to which reported ends are acknowledged.
+
+        Ends are numbered by incarnation. Without a recent report the endpoint
+        may have restarted, and an old number would acknowledge ends that were
+        never reported.
+        """
+        state = self._state
+        if not state.answering or now_ms - state.reported_ms > CURSOR_VALID_MS:
+            return 0
+        return state.acked_end
+
     async def _handle_report(
         self, report: model.Report, sent_ms: int, acked: int
     ) -> bool:
--- a/packages/placer/tests/test_leader.py
+++ b/packages/placer/tests/test_leader.py
@@ -817,6 +817,35 @@
     builders.run(work())
 
 
+def test_a_restarted_endpoint_gets_no_acknowledgement_of_earlier_ends():
+    """Guards against the loss of an end that a new incarnation reports.
+
+    A start order that was sent before the restart is carried out after it, and
+    its run ends as done before the restart is noticed.
+    """
+
+    async def work():
+        system, host = await _start_system("e1")
+        worker = system.worker("e1")
+        await _submit(host, builders.job("a" * 16))
+        await _wait_until(lambda: worker.running)
+        worker.end_all()
+        await _wait_until(lambda: worker.acked == 1)
+        await _submit(host, builders.job("b" * 16))
+        await _wait_until(lambda: worker.running)
+        ((task, run),) = worker.running
+        worker.refuse_connections = True
+        worker.changed.set()
+        await asyncio.sleep(0.5)
+        worker.restart()
+        worker.end(task, run, model.EndKind.DONE)
+        worker.refuse_connections = False
+        await asyncio.sleep(0.3)
+        assert worker.acked == 0
+
+    builders.run(work())
+
+
 async def _crash_on_each_start(system, job_id):
     """Restarts each worker that starts a task of the job."""
     crashed = 0
