Start nothing on capacities from an old live list

The reads of the live list may hang or fail while appends to other topics are stored: the log can be unavailable in part. The leader then went on to place and start runs by the capacities that it had read last, for as long as that lasted. A leader that was frozen after a run was recorded started it by an old list too.

The live list may now be older than the time of contact of the deployment, less the time that an order may take, for neither a placement pass nor a start order. Runs that were started go on.

--- a/packages/placer/src/laburnumgate_placer/endpoint_table.py
+++ b/packages/placer/src/laburnumgate_placer/endpoint_table.py
@@ -1,5 +1,6 @@
 """The leader's view of endpoints: resources in use, leases, health."""
 
+from collections.abc import Callable
 import dataclasses
 import logging
 
@@ -194,16 +195,30 @@
 
 
 class EndpointTable:
-    """Endpoints by id; a new incarnation replaces the previous one."""
+    """Endpoints by id; a new incarnation replaces the previous one.
 
-    def __init__(self):
+    Attributes:
+      by_id: the endpoints.
+      emptying_machines: ids of the machines that get no new runs.
+      list_age_ms: returns the time since the live list was known to be read.
+    """
+
+    def __init__(self, max_list_age_ms: int):
         self.by_id: dict[str, EndpointState] = {}
+        self.list_age_ms: Callable[[], int] = lambda: 0
+        self._max_list_age_ms = max_list_age_ms
         self.emptying_machines: set[str] = set()
 
+    def list_is_old(self) -> bool:
+        """Whether endpoints may have shrunk without the leader's knowledge."""
+        return self.list_age_ms() > self._max_list_age_ms
+
     def usable(
         self, service: str, zones_out: set[str], now_ms: int
     ) -> list[EndpointState]:
         """Returns the endpoints of a pool that can be assigned new runs."""
+        if self.list_is_old():
+            return []
         found = []
         for state in self.by_id.values():
             info = state.info
--- a/packages/placer/src/laburnumgate_placer/launcher.py
+++ b/packages/placer/src/laburnumgate_placer/launcher.py
@@ -247,6 +247,8 @@
         self, state: endpoint_table.EndpointState
     ) -> str | None:
         """Returns why a start could exceed the endpoint's capacity, or None."""
+        if self._tables.endpoints.list_is_old():
+            return "the live list is too old"
         if not state.listed:
             return "an assigned endpoint is not listed any more"
         if state.overcommitted():
--- a/packages/placer/src/laburnumgate_placer/leader.py
+++ b/packages/placer/src/laburnumgate_placer/leader.py
@@ -118,6 +118,7 @@
             wait_ms=LIST_WAIT_MS,
             min_interval_ms=LIST_MIN_INTERVAL_MS,
         )
+        self.tables.endpoints.list_age_ms = self._list_feed.age_ms
         self._tasks: set[asyncio.Task] = set()
         self._flush_due = asyncio.Event()
         self._done_by_wave: dict[str, list[str]] = {}
--- a/packages/placer/src/laburnumgate_placer/limits.py
+++ b/packages/placer/src/laburnumgate_placer/limits.py
@@ -5,6 +5,8 @@
 # Long enough for leases to survive a 6 s network partition of a zone. Longer
 # leases would only delay restarting the work of a lost endpoint.
 MAX_LEASE_MS = 7_000
+# Time that a start order may be under way; a later answer is not waited for.
+START_DELAY_MS = 400
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -27,6 +29,8 @@
       interference_ms: how long a serving task may exceed its target.
       notice_ms: how long a long-running task may be down before it counts as
         missing.
+      contact_ms: how long after an endpoint has listed a smaller capacity it
+        may still be exceeded.
     """
 
     max_lease_ms: int = 10_000
@@ -43,6 +47,7 @@
     pace_ms: int = 100
     interference_ms: int = 4_000
     notice_ms: int = 4_500
+    contact_ms: int = 3_000
 
     @property
     def lease_ms(self) -> int:
@@ -53,3 +58,8 @@
         earlier leaders have expired.
         """
         return min(self.max_lease_ms, MAX_LEASE_MS)
+
+    @property
+    def max_list_age_ms(self) -> int:
+        """Age of the live list from which its capacities are not used."""
+        return self.contact_ms - START_DELAY_MS
--- a/packages/placer/src/laburnumgate_placer/tables.py
+++ b/packages/placer/src/laburnumgate_placer/tables.py
@@ -41,7 +41,7 @@
         self.config = config
         self.jobs = jobs
         self.bounds = bounds
-        self.endpoints = endpoint_table.EndpointTable()
+        self.endpoints = endpoint_table.EndpointTable(bounds.max_list_age_ms)
         self.durations = durations.DurationTable()
         self.advice = advice.AdviceTable()
         self.entries_by_id: dict[str, progress.JobEntry] = {}
--- a/packages/placer/tests/fakelog.py
+++ b/packages/placer/tests/fakelog.py
@@ -15,6 +15,7 @@
       append_s: latency of each append.
       reads: number of reads so far.
       silent_appends: topics whose appends are neither executed nor answered.
+      silent_reads: topics whose reads are not answered.
     """
 
     def __init__(self):
@@ -24,6 +25,7 @@
         self.silent = False
         self.append_s = 0.0
         self.silent_appends: set[str] = set()
+        self.silent_reads: set[str] = set()
         self.reads = 0
         self.appends: list[tuple[str, ports.Sequence | None]] = []
         self.first_by_topic: dict[str, int] = {}
@@ -80,7 +82,7 @@
 
     async def read(self, topic, from_offset, *, wait_ms, timeout_ms):
         self.reads += 1
-        if self.silent:
+        if self.silent or topic in self.silent_reads:
             await asyncio.sleep(timeout_ms / 1000)
             return ports.Unknown("silent")
         first = self.first_by_topic.get(topic, 0)
--- a/packages/placer/tests/test_capacity.py
+++ b/packages/placer/tests/test_capacity.py
@@ -224,3 +224,16 @@
     assert state.info.born_ms == 2
     assert state.info.capacity == _HALF
     assert state.listed
+
+
+def test_an_assigned_run_does_not_start_on_an_old_live_list():
+    """Guards against a start that was held up while the list became old."""
+    tables = builders.tables()
+    builders.add_endpoint(tables)
+    run = _assign(tables, "a", "e1")
+    worker = fakeworkers.FakeWorker("e1")
+    age_ms = tables.bounds.max_list_age_ms + 1
+    tables.endpoints.list_age_ms = lambda: age_ms
+    builders.run(_launcher(tables, worker).launch(run))
+    assert not worker.starts
+    assert run.unit.state == progress.UnitState.WAITING
--- a/packages/placer/tests/test_leader.py
+++ b/packages/placer/tests/test_leader.py
@@ -814,3 +814,24 @@
         assert small.job_id not in host.jobs.jobs_by_id
 
     builders.run(work())
+
+
+def test_nothing_starts_while_the_live_list_is_old():
+    """Guards against starts on a capacity that has shrunk unseen."""
+
+    async def work():
+        system, host = await _start_system("e1", "e2")
+        await _submit(host, builders.job("a" * 16))
+        await _wait_until(lambda: len(system.starts()) == 1)
+        system.log.silent_reads.add(_LIST)
+        endpoints = host.leader.tables.endpoints
+        limit_ms = _BOUNDS.max_list_age_ms
+        await _wait_until(lambda: endpoints.list_age_ms() > limit_ms)
+        await _submit(host, builders.job("b" * 16))
+        await asyncio.sleep(0.3)
+        assert len(system.starts()) == 1
+        assert not host.leader.tables.entries_by_id["b" * 16].runs()
+        system.log.silent_reads.clear()
+        await _wait_until(lambda: len(system.starts()) == 2)
+
+    builders.run(work())
