Keep the largest sizes of endpoints across a change of the leader

A host refuses a job of which a task fits no endpoint, by the largest amounts that the leader has seen. The leader keeps them while endpoints shrink or are not listed, but a new leader started from the current sizes: jobs that had to wait until an endpoint grows again were refused for as long as it led, or until one had grown.

A new leader now starts from the amounts in the last report of its predecessor.

Evidence: with the empty start of a new leader, the case of the first new test is refused with "no endpoint can hold one of its tasks".

--- a/packages/placer/src/laburnumgate_placer/leader.py
+++ b/packages/placer/src/laburnumgate_placer/leader.py
@@ -434,7 +434,10 @@
                 saved = speeds
 
     async def _load_loop(self) -> None:
-        largest_by_service: dict[str, model.Resources] = {}
+        # Endpoints that have shrunk under an earlier leader may grow again.
+        largest_by_service = load_reports.largest_by_service(
+            self._leadership.load(self.tables.bounds.keep_state_ms) or {}
+        )
         while True:
             await asyncio.sleep(load_reports.INTERVAL_MS / 1000)
             try:
--- a/packages/placer/src/laburnumgate_placer/load_reports.py
+++ b/packages/placer/src/laburnumgate_placer/load_reports.py
@@ -68,6 +68,18 @@
     return found
 
 
+def largest_by_service(content: dict) -> dict[str, model.Resources]:
+    """Returns the largest amounts in an earlier leader's encoded report.
+
+    Returns none if the report is malformed.
+    """
+    try:
+        backlogs = decode(content)
+    except (ValueError, TypeError, AttributeError):
+        return {}
+    return {service: known.largest for service, known in backlogs.items()}
+
+
 def _pools(
     tables: tables_module.Tables, largest_by_service: dict[str, model.Resources]
 ) -> dict[str, admission.Pool]:
--- a/packages/placer/tests/test_capacity.py
+++ b/packages/placer/tests/test_capacity.py
@@ -9,11 +9,13 @@
 from laburnumgate_placer import launcher
 from laburnumgate_placer import lifecycle
 from laburnumgate_placer import live_list
+from laburnumgate_placer import load_reports
 from laburnumgate_placer import model
 from laburnumgate_placer import ports
 from laburnumgate_placer import progress
 from laburnumgate_placer import reports
 from laburnumgate_placer import scheduling
+from laburnumgate_placer.overload import admission
 import pytest
 
 _FULL = model.Resources(32_000, 64_000, 8)
@@ -237,3 +239,25 @@
     builders.run(_launcher(tables, worker).launch(run))
     assert not worker.starts
     assert run.unit.state == progress.UnitState.WAITING
+
+
+def test_a_new_leader_refuses_no_job_for_a_capacity_that_shrank():
+    """Guards against jobs that are refused for good while endpoints are small.
+
+    The earlier leader had seen a larger size, which the endpoint may regain.
+    """
+    tables = builders.tables()
+    builders.add_endpoint(tables)
+    first = load_reports.collect(tables, {})
+    _shrink(tables, _HALF)
+    report = load_reports.encode(first)
+    seen = load_reports.largest_by_service(report)
+    known = load_reports.collect(tables, seen)["pool"]
+    job = builders.job("a" * 16, builders.step(gpu=8))
+    assert admission.decide(job, 0, known) is None
+
+
+def test_a_malformed_report_of_an_earlier_leader_names_no_sizes():
+    """Guards against a term that ends for a record of another version."""
+    assert load_reports.largest_by_service({"pool": 1}) == {}
+    assert load_reports.largest_by_service({}) == {}
