Test placement and starts under capacities that change

Endpoints shrink and grow between submissions, stops and ends in any order, and no run is placed on an endpoint that it brings beyond its capacity. A gang that fits no endpoint while they are small waits, and starts in the first pass after one has grown.

--- a/packages/placer/tests/test_capacity.py
+++ b/packages/placer/tests/test_capacity.py
@@ -4,6 +4,9 @@
 
 import builders
 import fakeworkers
+from hypothesis import example
+from hypothesis import given
+from hypothesis import strategies as st
 from laburnumgate_placer import call_gate
 from laburnumgate_placer import events
 from laburnumgate_placer import launcher
@@ -261,3 +264,68 @@
     """Guards against a term that ends for a record of another version."""
     assert load_reports.largest_by_service({"pool": 1}) == {}
     assert load_reports.largest_by_service({}) == {}
+
+
+_CHANGES = st.lists(
+    st.tuples(
+        st.sampled_from(["resize", "submit", "stop", "end"]),
+        st.integers(0, 2),
+        st.integers(0, 8),
+    ),
+    max_size=30,
+)
+
+
+@given(_CHANGES)
+@example([("submit", 0, 8), ("resize", 0, 1), ("submit", 0, 0)])
+def test_no_start_exceeds_a_capacity_that_changes(changes):
+    """Guards against starts beyond the capacity in any order of changes."""
+    tables = builders.tables()
+    states = [builders.add_endpoint(tables, f"e{n}") for n in range(3)]
+    workers = [fakeworkers.FakeWorker(s.info.endpoint_id) for s in states]
+    scheduler = scheduling.Scheduler(tables)
+
+    async def work():
+        starter = _launcher(tables, *workers)
+        for number, (kind, index, amount) in enumerate(changes):
+            tables.monotonic.advance(200)
+            if kind == "submit":
+                step = builders.step(1 + index, amount, gang=amount % 2 == 0)
+                job = builders.job(f"{number:016x}", step)
+                lifecycle.open_job(tables, job)
+            elif kind == "resize":
+                size = model.Resources(4_000 * amount, 64_000, amount)
+                _shrink(tables, size, f"e{index}")
+            elif states[index].members:
+                member = next(iter(states[index].members.values()))
+                lifecycle.stop_run(tables, member.run, "test")
+                if kind == "end":
+                    for each in member.run.members:
+                        lifecycle.mark_terminated(tables, each)
+            scheduler.run()
+            runs, tables.assigned_runs = tables.assigned_runs, []
+            for run in runs:
+                ids = {member.endpoint_id for member in run.members}
+                placed = [s for s in states if s.info.endpoint_id in ids]
+                assert not any(state.overcommitted() for state in placed)
+                await starter.launch(run)
+
+    builders.run(work())
+
+
+def test_a_job_that_fits_nowhere_waits_until_an_endpoint_grows_again():
+    """Guards against a hold or a failure that outlasts the shrink."""
+    tables = builders.tables()
+    state = builders.add_endpoint(tables)
+    scheduler = scheduling.Scheduler(tables)
+    _shrink(tables, _HALF)
+    step = builders.step(2, 4, gang=True, same_rack=True)
+    entry = lifecycle.open_job(tables, builders.job("a" * 16, step))
+    for _ in range(100):
+        tables.monotonic.advance(200)
+        scheduler.run()
+    assert entry.state == model.JobState.QUEUED
+    assert not state.members
+    _shrink(tables, _FULL)
+    scheduler.run()
+    assert len(state.members) == 2
