--- a/packages/placer/src/laburnumgate_placer/leader.py
+++ b/packages/placer/src/laburnumgate_placer/leader.py
@@ -118,6 +118,7 @@
             wait_ms=LIST_WAIT_MS,
             min_interval_ms=LIST_MIN_INTERVAL_MS,
         )
+        self.tables.endpoints.list_age_ms = self._list_feed.age_ms
         self._tasks: set[asyncio.Task] = set()
         self._flush_due = asyncio.Event()
         self._done_by_wave: dict[str, list[str]] = {}
@@ -435,7 +436,10 @@
                 saved = speeds
 
     async def _load_loop(self) -> None:
-        largest_by_service: dict[str, model.Resources] = {}
+        # Endpoints that have shrunk under an earlier leader may grow again.
+        largest_by_service = load_reports.largest_by_service(
+            self._leadership.load(self.tables.bounds.keep_state_ms) or {}
+        )
         while True:
             await asyncio.sleep(load_reports.INTERVAL_MS / 1000)
             try:
--- a/packages/placer/src/laburnumgate_placer/tables.py
+++ b/packages/placer/src/laburnumgate_placer/tables.py
@@ -42,7 +42,7 @@
         self.config = config
         self.jobs = jobs
         self.bounds = bounds
-        self.endpoints = endpoint_table.EndpointTable()
+        self.endpoints = endpoint_table.EndpointTable(bounds.max_list_age_ms)
         self.durations = durations.DurationTable()
         self.advice = advice.AdviceTable()
         self.crashes = crashes.CrashTable()
