End a request after three crashes of endpoints under it

Callers saw a request pending without end while endpoint after endpoint restarted. A task that crashed its endpoint left its part absent; the run was recorded as `Requeued` without a failed endpoint, so no limit of attempts applied, and an idempotent job was started again at once, often on the same endpoint. A non-idempotent job that crashed its endpoints while it was held, before any resume, was started again as well.

A run now notes for each part whether its endpoint crashed: the boot id changed while the part was there, the endpoint no longer knew a task that it had held, or it did not answer until the leases had expired. After an unanswered hold only the boot id tells a crash from a lost call, so the tasks are read. Endpoints that were leaving when the run was stopped, and restarts after the scheduler preempted the run, do not count. The watcher tells a loss before it marks the endpoint as leaving, as a run could not tell a lost endpoint from a draining one otherwise.

Crashes are counted by part: a gang of hundreds of parts that runs for hours meets restarts that it did not cause. Crashed endpoints are avoided while the job fits elsewhere, and are not quarantined for it.

A job went back to the endpoint that it had crashed.

--- a/packages/core/src/laburnumgate_core/gang.py
+++ b/packages/core/src/laburnumgate_core/gang.py
@@ -56,6 +56,9 @@
 PROOF_TIMEOUT_MS = 20_000
 # A job ends as failed after this many failed runs on sound endpoints.
 MAX_FAILED_RUNS = 3
+# A job ends as failed after this many endpoints crashed under one of its parts.
+# Counted by part, so that a large gang outlives unrelated crashes.
+MAX_CRASHES = 3
 # Limits of the attempts of one call for one part, and of all retries within the
 # hold or one lease step: a fraction of the number of parts, and a minimum.
 MAX_CALL_ATTEMPTS = 3
@@ -121,6 +124,9 @@
         self._may_start = may_start
         self._attempt = attempt
         self._cancelled = False
+        self._preempted = False
+        # Endpoints that may get no new work when the run was stopped.
+        self._leaving_ids: set[str] = set()
         # Whether the log's records of the job contradict this run.
         self._superseded = False
         # Tasks of another host's run with the same number.
@@ -262,6 +268,14 @@
             wanted.append(part.task_id)
         return wanted
 
+    def preempt(self, reason: str, now_ms: int) -> list[actions.Action]:
+        """Stops the run for a reason that lies outside it.
+
+        Endpoints that restart from then on do not count as crashed.
+        """
+        self._preempted = True
+        return self.stop(reason, now_ms)
+
     def stop(self, reason: str, now_ms: int) -> list[actions.Action]:
         """Stops every part; the run ends once no part can be running."""
         match self.phase:
@@ -282,6 +296,11 @@
             and not (self._cancelled or self._superseded)
         )
         self.phase = Phase.STOPPING
+        self._leaving_ids = {
+            endpoint_id
+            for endpoint_id in self.distinct_endpoint_ids
+            if not self._may_start(endpoint_id)
+        }
         self._checkpoint_until_ms = (
             now_ms + CHECKPOINT_TIMEOUT_MS if checkpoint else 0
         )
@@ -482,6 +501,12 @@
             case "absent":
                 # An answer to an earlier call does not cover a later hold.
                 if result.call == part.call:
+                    if self.phase is Phase.STOPPING and part.state == "unknown":
+                        # The boot id tells a crash from a lost hold.
+                        return [self._read_tasks(part.endpoint_id)]
+                    if part.state in ("held", "running"):
+                        # The endpoint keeps a task until it is acknowledged.
+                        self._record_crash(part)
                     part.mark_absent()
             case "unknown" | "refused":
                 pass
@@ -608,6 +633,8 @@
         known_boot_id = self._boot_id_by_endpoint.get(report.endpoint_id)
         rebooted = known_boot_id is not None and known_boot_id != report.boot_id
         complete = report.full or rebooted
+        if rebooted:
+            self._record_crashes_on(report.endpoint_id)
         self._update_parts(report.endpoint_id, report.tasks, complete)
         # A proof uses only reads that were requested after the fence.
         if complete and self.phase is Phase.ADOPTING:
@@ -650,6 +677,42 @@
             ):
                 part.mark_absent()
 
+    def _record_crashes_on(self, endpoint_id: str) -> None:
+        """Records that an endpoint has restarted, if it had parts of the run.
+
+        An unanswered hold may have taken effect and is counted as well.
+        """
+        for part in self.parts:
+            if part.endpoint_id != endpoint_id:
+                continue
+            if part.state in ("held", "running", "unknown"):
+                self._record_crash(part)
+
+    def _record_crash(self, part: parts.Part) -> None:
+        leaving = not self._may_start(part.endpoint_id)
+        if self.phase is Phase.STOPPING:
+            # By now, an endpoint that was lost may get no new work either.
+            leaving = part.endpoint_id in self._leaving_ids
+        if not self._preempted and not leaving:
+            part.crashed = True
+
+    def _crashes(self) -> tuple[records.Crash, ...]:
+        """Returns the crashes under this run once it has stopped.
+
+        An endpoint that has not answered until the leases expired counts as
+        crashed.
+        """
+        crashes = []
+        for index, part in enumerate(self.parts):
+            silent = (
+                not part.inactive
+                and not self._preempted
+                and part.endpoint_id not in self._leaving_ids
+            )
+            if part.crashed or silent:
+                crashes.append(records.Crash(index, part.endpoint_id))
+        return tuple(crashes)
+
     def _on_endpoint_lost(
         self, result: actions.EndpointLost, now_ms: int
     ) -> list[actions.Action]:
@@ -960,6 +1023,13 @@
             return self._append_end(
                 verdict.MayHaveRun(self.stop_reason), now_ms
             )
+        crashes = self._crashes()
+        for crash in crashes:
+            count = 1 + sum(
+                earlier.part == crash.part for earlier in self.job.crashes
+            )
+            if count >= MAX_CRASHES:
+                return self._end_after_crashes(crash, count, now_ms)
         self._closing_record = records.Requeued(
             job_id=self.job.job_id,
             run=self.run,
@@ -968,9 +1038,21 @@
             at_ms=now_ms,
             checkpoint=checkpoint,
             failed_endpoint=self.failed_endpoint,
+            crashes=crashes,
         )
         return self._append_closing(now_ms)
 
+    def _end_after_crashes(
+        self, last: records.Crash, count: int, now_ms: int
+    ) -> list[actions.Action]:
+        reason = (
+            f"endpoints crashed {count} times under part {last.part}, "
+            f"the last was {last.endpoint_id}"
+        )
+        if self.job.spec.idempotent:
+            return self._append_end(verdict.RanFailed(reason), now_ms)
+        return self._append_end(verdict.MayHaveRun(reason), now_ms)
+
     def _append_end(
         self, outcome: verdict.Verdict, now_ms: int
     ) -> list[actions.Action]:
--- a/packages/core/src/laburnumgate_core/jobs.py
+++ b/packages/core/src/laburnumgate_core/jobs.py
@@ -63,6 +63,7 @@
     started_at_ms: int = 0
     checkpoint: str = ""
     failed_endpoints: tuple[str, ...] = ()
+    crashes: tuple[records.Crash, ...] = ()
     may_have_run: bool = False
     cancelled: bool = False
     outcome: verdict.Verdict | None = None
@@ -158,6 +159,7 @@
         boot_ids=(),
         checkpoint=record.checkpoint or job.checkpoint,
         failed_endpoints=failed,
+        crashes=(*job.crashes, *record.crashes),
         may_have_run=job.may_have_run or record.may_have_run,
     )
     if job.cancelled:
--- a/packages/core/src/laburnumgate_core/parts.py
+++ b/packages/core/src/laburnumgate_core/parts.py
@@ -25,6 +25,8 @@
         self.state = "absent"
         self.result = ""
         self.checkpoint = ""
+        # Whether the endpoint crashed while it had the part.
+        self.crashed = False
         self.confirmed_until_ms = 0
         self.may_run_until_ms = 0
         # Latest call, its time, and the number of consecutive attempts.
--- a/packages/core/src/laburnumgate_core/records.py
+++ b/packages/core/src/laburnumgate_core/records.py
@@ -61,12 +61,21 @@
     kind: Literal["starting"] = "starting"
 
 
+@dataclasses.dataclass(frozen=True)
+class Crash:
+    """An endpoint crashed while it had a part of a run; `part` is its index."""
+
+    part: int
+    endpoint_id: str
+
+
 @dataclasses.dataclass(frozen=True)
 class Requeued:
     """Run `run` ended without an outcome; the job is queued again.
 
     `may_have_run` is False only if no part can have been resumed.
     `failed_endpoint` is the endpoint that caused the failure, if any.
+    `crashes` has at most one entry for each part.
     """
 
     job_id: str
@@ -76,6 +85,7 @@
     at_ms: int
     checkpoint: str = ""
     failed_endpoint: str = ""
+    crashes: tuple[Crash, ...] = ()
     kind: Literal["requeued"] = "requeued"
 
 
--- a/packages/core/src/laburnumgate_core/scheduler.py
+++ b/packages/core/src/laburnumgate_core/scheduler.py
@@ -471,7 +471,7 @@
         if run is None:
             return
         if self._usage.used(run.job.account) > self._quota(run.job.account):
-            run.stop("the quota of the account is used up", now_ms)
+            run.preempt("the quota of the account is used up", now_ms)
 
     def _close_runs(self) -> None:
         now_ms = self._clock.now_ms()
@@ -660,7 +660,7 @@
         self, guarantee: reservation.Guarantee, job: jobs.Job, now_ms: int
     ) -> reclaim.Plan | None:
         """Plans on the guarantee's endpoints if free, else on all endpoints."""
-        avoid = set(self._avoided(job))
+        avoid = {*self._avoided(job), *_crashed_ids(job)}
         slow = {
             endpoint_id
             for endpoint_id, until_ms in self._slow_until_by_id.items()
@@ -742,7 +742,7 @@
         if run is None:
             return []
         self._stopping_ms_by_id[job_id] = now_ms
-        return run.stop(reason, now_ms)
+        return run.preempt(reason, now_ms)
 
     def _allocate_claim(self, claim: _Claim, sign: int) -> None:
         for endpoint_id in claim.endpoint_ids:
@@ -814,13 +814,7 @@
             if key in failed and not job.failed_endpoints:
                 continue
             limit = self._parts_limit(job, shadow, now_ms)
-            chosen = None
-            if spec.preemptible and not spec.checkpointable:
-                chosen = self._free.choose(
-                    spec, _unexposed_limit(job, limit), self._avoided(job)
-                )
-            if chosen is None:
-                chosen = self._free.choose(spec, limit, self._avoided(job))
+            chosen = self._choose(job, limit)
             if chosen is not None:
                 wanted.extend(self._start(job, chosen))
                 continue
@@ -834,6 +828,28 @@
                 failed.add(key)
         return wanted
 
+    def _choose(
+        self, job: jobs.Job, limit: Callable[[placement.Row], int] | None
+    ) -> tuple[str, ...] | None:
+        """Returns free endpoints for a job, None if it does not fit.
+
+        Endpoints that crashed under the job are used only if it fits on no
+        others.
+        """
+        spec = job.spec
+        avoided = self._avoided(job)
+        limits = [limit]
+        if spec.preemptible and not spec.checkpointable:
+            limits.insert(0, _unexposed_limit(job, limit))
+        for avoid in ((*avoided, *_crashed_ids(job)), avoided):
+            for one_limit in limits:
+                chosen = self._free.choose(spec, one_limit, avoid)
+                if chosen is not None:
+                    return chosen
+            if not job.crashes:
+                break
+        return None
+
     def _needs_reservation(self, job: jobs.Job, now_ms: int) -> bool:
         """Whether a gang has waited long enough for a backfill reservation."""
         waited_ms = now_ms - job.submitted_at_ms
@@ -1009,6 +1025,11 @@
         return moves.allowed_zones(promise)
 
 
+def _crashed_ids(job: jobs.Job) -> tuple[str, ...]:
+    """Returns the endpoints that crashed under the job."""
+    return tuple(crash.endpoint_id for crash in job.crashes)
+
+
 def _unexposed_limit(
     job: jobs.Job, limit: Callable[[placement.Row], int] | None
 ) -> Callable[[placement.Row], int]:
--- a/packages/core/tests/zone_fake.py
+++ b/packages/core/tests/zone_fake.py
@@ -23,6 +23,8 @@
 POLL_INTERVAL_MS = 250
 LOST_AFTER_MS = 10_000
 TAKEOVER_MS = 3_000
+# How long a task that crashes its endpoint is in the fatal state before.
+DEADLY_AFTER_MS = 1
 
 
 @dataclasses.dataclass(frozen=True)
@@ -77,6 +79,15 @@
     def boot_id(self) -> str:
         return f"{self.endpoint_id}-{self.boot}"
 
+    def crash(self, down_ms: int) -> None:
+        """Restarts the endpoint, which answers again after `down_ms`."""
+        self.reachable = False
+        self.reboot()
+        self.zone.schedule(down_ms, self._set_reachable)
+
+    def _set_reachable(self) -> None:
+        self.reachable = True
+
     def reboot(self) -> None:
         for task in self.tasks_by_id.values():
             self._set_state(task, "absent")
@@ -190,6 +201,10 @@
         self.zone.state_changes.append(
             StateChange(self.zone.now_ms, task.task_id, state)
         )
+        job_id, _, part = model.parse_task_id(task.task_id)
+        down_ms = self.zone.down_ms_by_deadly_part.get((job_id, part, state))
+        if down_ms is not None:
+            self.zone.schedule(DEADLY_AFTER_MS, lambda: self.crash(down_ms))
 
 
 class Host:
@@ -202,7 +217,9 @@
         self.active = False
         self.paused_until_ms = 0
         self.jobs = jobs.JobTable()
-        self.runs = runs.RunTable("z", self.jobs, zone.may_start)
+        # Endpoints that do not answer, which get no new work.
+        self.lost_ids: set[str] = set()
+        self.runs = runs.RunTable("z", self.jobs, self.may_start)
         self.applied_entries = 0
         self.rng = random.Random(name)
         self.retry_ms_by_id: dict[str, int] = {}
@@ -216,6 +233,11 @@
     def awake(self) -> bool:
         return self.alive and self.zone.now_ms >= self.paused_until_ms
 
+    def may_start(self, endpoint_id: str) -> bool:
+        if endpoint_id in self.lost_ids:
+            return False
+        return self.zone.may_start(endpoint_id)
+
     def activate(self) -> None:
         self.active = True
         self.read_log()
@@ -258,7 +280,7 @@
             if now_ms < self.retry_ms_by_id.get(job_id, 0):
                 continue
             endpoint_ids = self.zone.choose_endpoints(job)
-            if all(self.zone.may_start(e) for e in endpoint_ids):
+            if all(self.may_start(e) for e in endpoint_ids):
                 self.carry_out(self.runs.start(job, endpoint_ids))
 
     def deliver(self, result: actions.Result, kind: str) -> None:
@@ -324,6 +346,9 @@
         self.out_of_service_ids: set[str] = set()
         self.plan = plan or {}
         self.early_acknowledged_ids: list[str] = []
+        # How long an endpoint is down after it crashed, by the job, the part
+        # and the task state that crash it.
+        self.down_ms_by_deadly_part: dict[tuple[str, int, str], int] = {}
         self._calls: collections.Counter[str] = collections.Counter()
         self._appends = 0
         self._events: list[tuple[int, int, Callable[[], None]]] = []
@@ -444,9 +469,12 @@
         def arrive() -> None:
             if fault.lose_request or not endpoint.reachable:
                 return
+            boot = endpoint.boot
             result = self._serve(host, endpoint, action, fault)
             if not fault.lose_answer:
-                self.schedule(LATENCY_MS, lambda: answer(result))
+                self.schedule(
+                    LATENCY_MS, lambda: endpoint.boot == boot and answer(result)
+                )
 
         delay_ms = LATENCY_MS + fault.delay_ms
         if isinstance(action, actions.StopPart):
@@ -586,6 +614,7 @@
                 last_report_ms = host.last_report_ms_by_id.get(endpoint_id, 0)
                 if endpoint.reachable:
                     host.last_report_ms_by_id[endpoint_id] = self.now_ms
+                    host.lost_ids.discard(endpoint_id)
                     report = actions.Report(
                         endpoint_id,
                         endpoint.boot_id,
@@ -595,6 +624,9 @@
                     host.deliver(report, "report")
                 elif self.now_ms - last_report_ms > LOST_AFTER_MS:
                     host.deliver(actions.EndpointLost(endpoint_id), "lost")
+                    self.schedule(
+                        0, lambda h=host, e=endpoint_id: h.lost_ids.add(e)
+                    )
 
 
 def _part_answer(
--- a/packages/host/src/laburnumgate_host/watching.py
+++ b/packages/host/src/laburnumgate_host/watching.py
@@ -104,8 +104,10 @@
             logging.WARNING,
             endpoint=endpoint_id,
         )
-        self._on_change()
+        # Told before the change, which marks the endpoint as leaving: the loss
+        # of an endpoint that was leaving already is not a crash.
         self._on_result(actions.EndpointLost(endpoint_id))
+        self._on_change()
 
     def _mark_answered(self, endpoint_id: str) -> None:
         if endpoint_id in self.lost_ids:
