Send no start that an endpoint has no room for any longer

The placement follows the capacity in the live list, also when it shrinks and grows while work runs; a test shows it. A launch, however, checked only that its zone and endpoints were in service before it recorded, held and resumed its parts. If the live list showed in between that the endpoint had shrunk below what ran there, the parts were held and resumed all the same. An endpoint that does not guard its capacity would have run over it; one that does refuses the hold, but not the resume of parts that it holds already.

A launch now also checks, at the same three moments, that all runs on its endpoints fit the capacity in the live list. Runs that are being stopped count until they have ended. Claims do not: they take capacity that their victims still use, and would stop launches that have room.

--- a/packages/core/src/laburnumgate_core/gang.py
+++ b/packages/core/src/laburnumgate_core/gang.py
@@ -94,6 +94,7 @@
         endpoint_ids: tuple[str, ...],
         may_start: Callable[[str], bool],
         attempt: int = 0,
+        has_room: Callable[[str], bool] | None = None,
     ):
         """Prepares a run.
 
@@ -104,6 +105,8 @@
           endpoint_ids: the endpoint of each part, in part order.
           may_start: returns whether an endpoint may get new work now.
           attempt: number that is unique among the runs of this process.
+          has_room: returns whether the runs on an endpoint, this one included,
+            fit its capacity; None if all do.
         """
         self.job = job
         self.run = run
@@ -122,6 +125,7 @@
         self.unacknowledged = False
         self.distinct_endpoint_ids = sorted(set(endpoint_ids))
         self._may_start = may_start
+        self._has_room = has_room
         self._attempt = attempt
         self._cancelled = False
         self._preempted = False
@@ -412,8 +416,9 @@
         return self._end_run()
 
     def _record_start(self, now_ms: int) -> list[actions.Action]:
-        if not self._all_may_start():
-            return self.stop("zone or endpoint left service", now_ms)
+        refusal = self._refusal()
+        if refusal:
+            return self.stop(refusal, now_ms)
         self.phase = Phase.RECORDING
         self._starting_record = records.Starting(
             job_id=self.job.job_id,
@@ -461,8 +466,9 @@
 
     def _hold_parts(self, now_ms: int) -> list[actions.Action]:
         self.phase = Phase.HOLDING
-        if self.stop_reason or not self._all_may_start():
-            return self.stop(self.stop_reason or "left service", now_ms)
+        refusal = self.stop_reason or self._refusal()
+        if refusal:
+            return self.stop(refusal, now_ms)
         if now_ms >= self._launch_until_ms:
             return self.stop("the start was recorded too late", now_ms)
         self._reset_retries()
@@ -542,8 +548,9 @@
             return []
         if now_ms >= self._launch_until_ms:
             return self.stop("the launch took too long", now_ms)
-        if not self._all_may_start():
-            return self.stop("zone or endpoint left service", now_ms)
+        refusal = self._refusal()
+        if refusal:
+            return self.stop(refusal, now_ms)
         self.phase = Phase.RESUMING
         self.may_have_run = True
         return self._start_lease_step(0, now_ms)
@@ -1123,8 +1130,14 @@
             default=0,
         )
 
-    def _all_may_start(self) -> bool:
-        return all(self._may_start(e) for e in self.distinct_endpoint_ids)
+    def _refusal(self) -> str:
+        """Returns why the run must not be started now, "" if it may be."""
+        for endpoint_id in self.distinct_endpoint_ids:
+            if not self._may_start(endpoint_id):
+                return "zone or endpoint left service"
+            if self._has_room is not None and not self._has_room(endpoint_id):
+                return f"the capacity of {endpoint_id} shrank"
+        return ""
 
 
 def _starting_record_of(job: jobs.Job) -> records.Starting:
--- a/packages/core/src/laburnumgate_core/placement.py
+++ b/packages/core/src/laburnumgate_core/placement.py
@@ -46,6 +46,13 @@
             counts.append(self.memory_mb // spec.memory_mb_per_part)
         return max(0, min(counts))
 
+    def take(self, spec: model.JobSpec, parts: int) -> None:
+        """Subtracts parts of `spec` from the free amounts."""
+        self.accelerators -= spec.accelerators_per_part * parts
+        self.cpus -= spec.cpus_per_part * parts
+        self.memory_mb -= spec.memory_mb_per_part * parts
+        self.slots -= parts
+
     def unreserved(self) -> int:
         """Returns the accelerators that are neither reserved nor pinned.
 
@@ -150,10 +157,7 @@
             return
         if row.enabled:
             self._rack(row).remove(row)
-        row.accelerators -= spec.accelerators_per_part * parts
-        row.cpus -= spec.cpus_per_part * parts
-        row.memory_mb -= spec.memory_mb_per_part * parts
-        row.slots -= parts
+        row.take(spec, parts)
         left = row.parts_by_job.get(job_id, 0) + parts
         if left:
             row.parts_by_job[job_id] = left
--- a/packages/core/src/laburnumgate_core/runs.py
+++ b/packages/core/src/laburnumgate_core/runs.py
@@ -29,6 +29,7 @@
         zone: str,
         job_table: jobs.JobTable,
         may_start: Callable[[str], bool],
+        has_room: Callable[[str], bool] | None = None,
     ):
         """Creates an empty table.
 
@@ -36,11 +37,14 @@
           zone: availability zone of the runs.
           job_table: jobs as recorded in the log.
           may_start: returns whether an endpoint may get new work now.
+          has_room: returns whether the runs on an endpoint fit its capacity;
+            None if all do.
         """
         self.runs_by_id: dict[str, gang.Run] = {}
         self._zone = zone
         self._jobs = job_table
         self._may_start = may_start
+        self._has_room = has_room
         self._unreported: set[str] = set()
         self._job_ids_by_endpoint: dict[str, dict[str, None]] = {}
         self._reconciled_by_id: dict[
@@ -200,6 +204,7 @@
             endpoint_ids,
             self._may_start,
             self._attempt,
+            self._has_room,
         )
         self.runs_by_id[job.job_id] = run
         for endpoint_id in run.distinct_endpoint_ids:
--- a/packages/core/src/laburnumgate_core/scheduler.py
+++ b/packages/core/src/laburnumgate_core/scheduler.py
@@ -100,7 +100,9 @@
         self.active = False
         self.endpoints_by_id: dict[str, model.Endpoint] = {}
         self.stopped_by_operator = False
-        self.runs = runs.RunTable(zone, job_table, self.may_start)
+        self.runs = runs.RunTable(
+            zone, job_table, self.may_start, self._has_room
+        )
         self.estimates = estimate.EstimateTable()
         self.quarantine = quarantine.QuarantineTable()
         self._jobs = job_table
@@ -187,6 +189,21 @@
             return False
         return self._config.endpoint_active(endpoint_id)
 
+    def _has_room(self, endpoint_id: str) -> bool:
+        """Whether the endpoint's runs fit the capacity in the live list.
+
+        Runs that are being stopped count, claims for later starts do not.
+        """
+        row = self._free.rows_by_id.get(endpoint_id)
+        if row is None:
+            return False
+        left = placement.Row(row.endpoint)
+        for job_id, parts in row.parts_by_job.items():
+            run = self.runs.runs_by_id.get(job_id)
+            if run is not None:
+                left.take(run.job.spec, parts)
+        return _has_no_deficit(left)
+
     def on(self, result: actions.Result) -> list[actions.Action]:
         """Handles the result of an action and returns the next actions."""
         now_ms = self._clock.now_ms()
--- a/packages/core/tests/scheduler_fake.py
+++ b/packages/core/tests/scheduler_fake.py
@@ -25,11 +25,12 @@
 class World:
     """The scheduler, its log and the endpoints `e0`, `e1` and so on."""
 
-    def __init__(self, endpoints: int):
+    def __init__(self, endpoints: int, guaranteed: int = 0):
+        """Gives account `b` a guaranteed gang of that many accelerators."""
         self.clock = clock.ManualClock(1_000_000)
         self.jobs = jobs.JobTable()
         self.config = config.ConfigTable()
-        self._publish(endpoints)
+        self._publish(endpoints, guaranteed)
         self.scheduler = scheduler.Scheduler(
             "z", self.jobs, self.config, self.clock, random.Random(1)
         )
@@ -64,9 +65,12 @@
             "run_ms": 1_000,
         }
         spec = model.JobSpec(**{**defaults, **fields})
+        account = job_id.partition("/")[0]
         now_ms = self.clock.now_ms()
         self.append(
-            records.Submitted(job_id, "a", spec, "z", "h", now_ms, now_ms, 0)
+            records.Submitted(
+                job_id, account, spec, "z", "h", now_ms, now_ms, 0
+            )
         )
 
     def append(self, record: records.JobRecord) -> bool:
@@ -143,6 +147,7 @@
                     action.endpoint_id,
                     1,
                     self._boot_id(action.endpoint_id),
+                    # As if answered before any change of its capacity.
                     ACCELERATORS,
                     action.attempt,
                 )
@@ -175,7 +180,7 @@
     def _boot_id(self, endpoint_id: str) -> str:
         return f"{endpoint_id}-{self.boots_by_id[endpoint_id]}"
 
-    def _publish(self, endpoints: int) -> None:
+    def _publish(self, endpoints: int, guaranteed: int) -> None:
         rack = {
             "name": "k",
             "endpoints": endpoints,
@@ -187,6 +192,11 @@
             "template/t": {"parameters": {}, "promise": promise},
             "account/a": {"template": "t", "parameters": {}},
         }
+        if guaranteed:
+            shape = {"parts": 1, "accelerators_per_part": guaranteed}
+            owed = {"quota_accelerators": 1_000, "shapes": [shape]}
+            values["template/g"] = {"parameters": {}, "promise": owed}
+            values["account/b"] = {"template": "g", "parameters": {}}
         changes = tuple(records.Change(k, v, 0) for k, v in values.items())
         publication = records.Publication("c", "ana", 1, changes)
         outcome = self.config.apply_entry(
