Count no deficit of an endpoint against the rest of its rack

A job waited although an endpoint had room for it. While more is in use on an endpoint than it has, after its capacity shrank or under a claim, its free accelerators are negative. They were added to those of its rack, and a rack with too few in total is skipped, so a deficit on one endpoint hid what the others had free. A rack now adds up only what is free.

Before the change, the second job of the test did not start: one endpoint of the rack shrank from 8 to 1 accelerator under a job of 8, and the other had all 8 free.

--- a/packages/core/src/laburnumgate_core/placement.py
+++ b/packages/core/src/laburnumgate_core/placement.py
@@ -70,19 +70,23 @@
 
 
 class _RackTable:
-    """Enabled rows of one rack, grouped by free accelerators."""
+    """Enabled rows of one rack, grouped by free accelerators.
+
+    A row has less than none free while its use exceeds its capacity. That
+    takes nothing from what other rows have free.
+    """
 
     def __init__(self):
         self.free = 0
         self.rows_by_free: dict[int, dict[str, Row]] = {}
 
     def add(self, row: Row) -> None:
-        self.free += row.accelerators
+        self.free += max(0, row.accelerators)
         rows = self.rows_by_free.setdefault(row.accelerators, {})
         rows[row.endpoint.endpoint_id] = row
 
     def remove(self, row: Row) -> None:
-        self.free -= row.accelerators
+        self.free -= max(0, row.accelerators)
         rows = self.rows_by_free[row.accelerators]
         del rows[row.endpoint.endpoint_id]
         if not rows:
@@ -91,7 +95,7 @@
     def slots(self, accelerators: int) -> int:
         """Returns how many parts of that size fit, by accelerators only."""
         return sum(
-            free // accelerators * len(rows)
+            max(0, free) // accelerators * len(rows)
             for free, rows in self.rows_by_free.items()
         )
 
--- a/packages/core/tests/test_scheduler.py
+++ b/packages/core/tests/test_scheduler.py
@@ -83,3 +83,15 @@
     world.waiting.remove(checkpoint)
     world.answer_waiting()
     assert set(world.running()) == {"a/r1"}
+
+
+def test_a_shrunken_endpoint_does_not_hide_what_its_rack_has_free():
+    """Guards against a job that waits although another endpoint is free."""
+    world = scheduler_fake.World(endpoints=2)
+    world.submit("a/r0", accelerators_per_part=8)
+    world.tick()
+    (shrunken,) = world.running()["a/r0"]
+    world.resize(shrunken, 1)
+    world.submit("a/r1", accelerators_per_part=8)
+    world.tick(5_000)
+    assert set(world.running()) == {"a/r0", "a/r1"}
