--- a/packages/core/src/laburnumgate_core/placement.py
+++ b/packages/core/src/laburnumgate_core/placement.py
@@ -46,6 +46,13 @@
             counts.append(self.memory_mb // spec.memory_mb_per_part)
         return max(0, min(counts))
 
+    def take(self, spec: model.JobSpec, parts: int) -> None:
+        """Subtracts parts of `spec` from the free amounts."""
+        self.accelerators -= spec.accelerators_per_part * parts
+        self.cpus -= spec.cpus_per_part * parts
+        self.memory_mb -= spec.memory_mb_per_part * parts
+        self.slots -= parts
+
     def unreserved(self) -> int:
         """Returns the accelerators that are neither reserved nor pinned.
 
@@ -63,19 +70,23 @@
 
 
 class _RackTable:
-    """Enabled rows of one rack, grouped by free accelerators."""
+    """Enabled rows of one rack, grouped by free accelerators.
+
+    A row has less than none free while its use exceeds its capacity. That
+    takes nothing from what other rows have free.
+    """
 
     def __init__(self):
         self.free = 0
         self.rows_by_free: dict[int, dict[str, Row]] = {}
 
     def add(self, row: Row) -> None:
-        self.free += row.accelerators
+        self.free += max(0, row.accelerators)
         rows = self.rows_by_free.setdefault(row.accelerators, {})
         rows[row.endpoint.endpoint_id] = row
 
     def remove(self, row: Row) -> None:
-        self.free -= row.accelerators
+        self.free -= max(0, row.accelerators)
         rows = self.rows_by_free[row.accelerators]
         del rows[row.endpoint.endpoint_id]
         if not rows:
@@ -84,7 +95,7 @@
     def slots(self, accelerators: int) -> int:
         """Returns how many parts of that size fit, by accelerators only."""
         return sum(
-            free // accelerators * len(rows)
+            max(0, free) // accelerators * len(rows)
             for free, rows in self.rows_by_free.items()
         )
 
@@ -150,10 +161,7 @@
             return
         if row.enabled:
             self._rack(row).remove(row)
-        row.accelerators -= spec.accelerators_per_part * parts
-        row.cpus -= spec.cpus_per_part * parts
-        row.memory_mb -= spec.memory_mb_per_part * parts
-        row.slots -= parts
+        row.take(spec, parts)
         left = row.parts_by_job.get(job_id, 0) + parts
         if left:
             row.parts_by_job[job_id] = left
