Give up recorded runs on an endpoint that has ended by its newer one

What callers saw: accepted jobs stayed "running" for good after a change of the leader (LOST).

Cause: a new leader reads the live list before it restores the jobs. If the list holds both an old entry of a machine and its newer endpoint, the old incarnation is ended before the recorded runs are adopted onto it; nobody watches an ended incarnation, so those runs were never given up. The class of fault: a table is changed by an event that arrives before the state that it concerns.

Evidence: in the logs the end of the endpoint ("its machine has a newer endpoint", runs 0) comes 4 ms before event 1306 of these runs, and nothing follows. The test ends by its time limit before this change. Ruled out: the crash attribution; the code is older.

Why it works: a recorded run whose endpoint's incarnation has ended is given up at once, as one of an earlier incarnation already was.

--- a/packages/placer/src/laburnumgate_placer/leader.py
+++ b/packages/placer/src/laburnumgate_placer/leader.py
@@ -311,7 +311,7 @@
         for run in entry.runs():
             for member in run.members:
                 state = self._live_list.state_for(member)
-                if state.info.born_ms != member.born_ms:
+                if state.ended or state.info.born_ms != member.born_ms:
                     lifecycle.lose_recorded(self.tables, state, member)
                     continue
                 member.report_valid_from_ms = 1
--- a/packages/placer/tests/test_leader.py
+++ b/packages/placer/tests/test_leader.py
@@ -40,6 +40,7 @@
         self.advisor = None
         self.machines = None
         self.queue = builders.QUEUE
+        self.machines_by_id = {}
 
     def apply_operator_entry(self, table, entry):
         table.publish(entry.offset, builders.config(self.queue))
@@ -60,7 +61,9 @@
                 decode_endpoint=lambda entry: builders.endpoint(
                     entry.key,
                     born_ms=int(entry.value),
-                    machine=f"m-{entry.key}",
+                    machine=self.machines_by_id.get(
+                        entry.key, f"m-{entry.key}"
+                    ),
                 ),
                 apply_operator_entry=self.apply_operator_entry,
                 encode_wave_state=lambda wave, done: (
@@ -846,6 +849,30 @@
     builders.run(work())
 
 
+def test_a_run_adopted_on_an_ended_endpoint_is_started_again():
+    """Guards against jobs that run for good, on an endpoint that is gone.
+
+    The endpoint's entry is still in the live list beside the one of its
+    machine's newer endpoint when a new leader begins.
+    """
+
+    async def work():
+        system, host = await _start_system("e1")
+        await _submit(host, builders.job("a" * 16))
+        await _wait_until(lambda: len(system.starts()) == 1)
+        await asyncio.sleep(0.05)
+        system.kill("h1")
+        system.worker("e1").partitioned = True
+        system.workers.by_id["e2"] = fakeworkers.FakeWorker("e2", born_ms=2)
+        system.machines_by_id["e2"] = "m-e1"
+        system.list_worker("e2")
+        system.add_host("h2")
+        await _wait_until(lambda: len(system.starts()) == 2)
+        assert system.worker("e2").running
+
+    builders.run(work())
+
+
 async def _crash_on_each_start(system, job_id):
     """Restarts each worker that starts a task of the job."""
     crashed = 0
