Start no task before it is known whether three lost endpoints crashed

Cause: where an endpoint is away for longer than its leases, its run is given up and started again at once, 0.15 to 2 s before a later incarnation proves the crash. With short leases the starts outran the proofs.

Why it works: losses that are still open hold the next start back once there are as many losses as decide, until they are settled, for 8 s at most. Ruled out: counting open losses as crashes, which would end jobs after cuts of the network.

test_a_task_is_not_started_before_its_losses_are_known failed before.

--- a/packages/placer/src/laburnumgate_placer/crashes.py
+++ b/packages/placer/src/laburnumgate_placer/crashes.py
@@ -28,6 +28,9 @@
 # Endpoints that are lost within this time of each other are taken to have one
 # cause, such as the loss of a rack's power.
 COMMON_CAUSE_MS = 1_500
+# How long a task with that many losses waits until it is known whether they
+# were crashes. An endpoint that crashed is back within some seconds.
+SETTLE_TIMEOUT_MS = 8_000
 # A crash later than this after the start of a task does not count against it.
 MAX_TIME_TO_CRASH_MS = 60_000
 
@@ -120,6 +123,8 @@
             if _lone_crashes(unit, loss.task_index) >= MAX_LONE_CRASHES:
                 # Other endpoints may turn out to have been lost with it.
                 unit.backoff_until_ms = now_ms + COMMON_CAUSE_MS
+            if _is_unsettled(unit, loss.task_index):
+                unit.backoff_until_ms = now_ms + SETTLE_TIMEOUT_MS
 
     def restore(self, units: Iterable[progress.Unit]) -> None:
         """Adds the suspected ones of units that an earlier leader recorded."""
@@ -207,6 +212,10 @@
                     )
                 elif state is not None and _lives(state, loss):
                     unit.replace_loss(loss, None)
+                else:
+                    continue
+                if not _is_unsettled(unit, loss.task_index):
+                    unit.backoff_until_ms = 0
 
     def _judge(self, unit: progress.Unit, now_ms: int) -> Conviction | None:
         crashes_by_task: collections.Counter[int] = collections.Counter()
@@ -282,6 +291,14 @@
     )
 
 
+def _is_unsettled(unit: progress.Unit, task_index: int) -> bool:
+    """Whether losses that may be crashes decide if a task is given up."""
+    losses = [loss for loss in unit.losses if loss.task_index == task_index]
+    if all(loss.crashed for loss in losses):
+        return False
+    return len(losses) >= MAX_CRASHES
+
+
 def _crashed_incarnations(
     unit: progress.Unit, task_index: int
 ) -> set[tuple[str, int]]:
--- a/packages/placer/tests/test_crashes.py
+++ b/packages/placer/tests/test_crashes.py
@@ -141,6 +141,57 @@
     assert entry.state == model.JobState.FAILED
 
 
+def _lapse(tables, unit, endpoint_id):
+    """Gives up the runs of an endpoint that no longer answers."""
+    _place(tables, unit, endpoint_id)
+    state = tables.endpoints.by_id[endpoint_id]
+    state.mark_unreachable(tables.monotonic.now_ms(), "refused")
+    tables.monotonic.advance(8_000)
+    lifecycle.expire_leases(tables, state)
+    lifecycle.give_up_crashing(tables)
+
+
+def test_a_task_is_not_started_before_its_losses_are_known():
+    """Guards against starts that outrun the proof of the crashes before."""
+    tables = _tables()
+    entry, unit = _job(tables, 1)
+    for number in range(crashes.MAX_CRASHES):
+        assert unit.backoff_until_ms <= tables.monotonic.now_ms()
+        _lapse(tables, unit, f"e{number}")
+    scheduling.Scheduler(tables).run()
+    assert unit.run is None
+    for number in range(crashes.MAX_CRASHES):
+        builders.add_endpoint(
+            tables, f"e{number}", machine=f"m{number}", born_ms=2
+        )
+    lifecycle.give_up_crashing(tables)
+    assert entry.state == model.JobState.FAILED
+
+
+def test_a_task_goes_on_when_its_lost_endpoints_answer_again():
+    """Guards against a job that waits without end for endpoints that live."""
+    tables = _tables()
+    _, unit = _job(tables, 1)
+    for number in range(crashes.MAX_CRASHES):
+        _lapse(tables, unit, f"e{number}")
+    tables.endpoints.by_id["e0"].answering = True
+    lifecycle.give_up_crashing(tables)
+    scheduling.Scheduler(tables).run()
+    assert unit.run is not None
+
+
+def test_a_task_goes_on_when_its_lost_endpoints_stay_away():
+    """Guards against a job that waits without end for endpoints that left."""
+    tables = _tables()
+    _, unit = _job(tables, 1)
+    for number in range(crashes.MAX_CRASHES):
+        _lapse(tables, unit, f"e{number}")
+    tables.monotonic.advance(crashes.SETTLE_TIMEOUT_MS)
+    lifecycle.give_up_crashing(tables)
+    scheduling.Scheduler(tables).run()
+    assert unit.run is not None
+
+
 def test_an_endpoint_that_was_cut_off_is_no_crash():
     """Guards against jobs that fail since their endpoints were unreachable."""
     tables = _tables()
