Repeat an unanswered start only after a report of the same incarnation

Cause: an unanswered start was repeated every 60 ms for 0.45 of the time that a gang waits. The order names the endpoint's id only, so that each later incarnation carried it out, and all of it counted as one loss.

Why it works: after an order without an answer the launcher waits for a report, which the watcher accepts from the same incarnation only. While a start is not confirmed, reports are asked for every 20 ms.

--- a/packages/placer/src/laburnumgate_placer/launcher.py
+++ b/packages/placer/src/laburnumgate_placer/launcher.py
@@ -20,6 +20,8 @@
 # A healthy endpoint answers an order within a few ms.
 ORDER_TIMEOUT_MS = 400
 BACKOFF_MS = 60
+# How often a start that was not answered looks for a report of the endpoint.
+REPORT_POLL_MS = 10
 # Fraction of the time that tasks of a gang wait for each other after which an
 # incomplete start is aborted, so that no task ends because the rest of its gang
 # is missing.
@@ -139,6 +141,7 @@
         tables = self._tables
         run = member.run
         reason = "the start request was not answered"
+        unanswered_ms = 0
         while run.phase == progress.Phase.STARTING and not member.terminated:
             if member.present:
                 # A report lists the run although its start was not answered.
@@ -148,6 +151,11 @@
             if now_ms >= until_ms:
                 return reason
             state = tables.endpoints.by_id[member.endpoint_id]
+            if unanswered_ms and state.reported_ms <= unanswered_ms:
+                # The endpoint may have restarted. The order names only its id,
+                # so that a later incarnation would carry it out.
+                await asyncio.sleep(REPORT_POLL_MS / 1000)
+                continue
             async with self._gate.call():
                 if run.phase != progress.Phase.STARTING or member.terminated:
                     break
@@ -201,6 +209,7 @@
                     reason = detail
                 case ports.Unknown(detail):
                     now_ms = tables.monotonic.now_ms()
+                    unanswered_ms = now_ms
                     state.mark_unreachable(now_ms, detail)
                     state.add_unconfirmed_start(member, now_ms)
                     reason = f"the start request was not answered: {detail}"
--- a/packages/placer/src/laburnumgate_placer/watcher.py
+++ b/packages/placer/src/laburnumgate_placer/watcher.py
@@ -244,7 +244,10 @@
         if not state.contacted or state.acked_end < state.handled_end:
             return 0
         if any(
-            m.stopping and m.report_valid_from_ms
+            m.stopping
+            and m.report_valid_from_ms
+            or m.start_sent
+            and not m.confirmed
             for m in state.members.values()
         ):
             return FAST_POLL_INTERVAL_MS
--- a/packages/placer/tests/test_leader.py
+++ b/packages/placer/tests/test_leader.py
@@ -918,6 +918,37 @@
     builders.run(work())
 
 
+def test_an_unanswered_start_is_not_repeated_to_a_later_incarnation():
+    """Guards against repeated orders that crash each restart of an endpoint."""
+
+    async def work():
+        system, host = await _start_system("e1", "e2", "e3", "e4")
+        job = builders.job("a" * 16)
+        orders = []
+
+        async def start_and_crash(endpoint, order, *, timeout_ms):
+            worker = system.worker(endpoint.endpoint_id)
+            if worker.refuse_connections:
+                return ports.Undelivered("refused")
+            orders.append((endpoint.endpoint_id, order.run))
+            worker.restart()
+            worker.refuse_connections = True
+            worker.changed.set()
+            asyncio.get_running_loop().call_later(0.1, come_back, worker)
+            return ports.Unknown("the connection broke")
+
+        def come_back(worker):
+            worker.refuse_connections = False
+            system.list_worker(worker.endpoint_id)
+
+        system.workers.start = start_and_crash
+        await _submit(host, job)
+        await _wait_until(lambda: host.jobs.state(job.job_id).final)
+        assert len(orders) == len(set(orders)) <= 5
+
+    builders.run(work())
+
+
 def test_leaders_in_turn_do_not_each_start_a_crashing_task_anew():
     """Guards against crashes that are forgotten with the leader."""
 
