Count losses only where they tell of a crash, and at bounded cost

Only tasks in the crash of a lone endpoint are suspects, and an outage is compared once. - Jobs could fail without two crashes: a planned end that showed after the lease, open losses that an earlier leader had settled without recording it, recorded runs that were never started, a task that was done, and the neighbour of a cancelled suspect. - Two racks lost under one wide job counted as lone crashes: three endpoints lost at the same time now have one cause, whatever ran there. - A recorded member of an endpoint that left the list had no machine, so that its crash never showed; progress records now tell it. - Losses of long tasks never ended, and the 60 s began anew with each leader.

The tests added for these failed before.

--- a/packages/placer/src/laburnumgate_placer/crashes.py
+++ b/packages/placer/src/laburnumgate_placer/crashes.py
@@ -5,10 +5,10 @@
 One crash says little: it may have any cause, and other tasks ran beside the
 task. A task is given up after `MAX_CRASHES` crashes, or `MAX_LONE_CRASHES` of
 endpoints that were lost alone, unless a task of another job was present in all
-of them; after `MAX_ALL_CRASHES` in any case. Until then it is placed apart from
-other suspected tasks (see `placement`), which tells the cause from those beside
-it. Crashes that are explained by a task that was given up no longer count
-against others.
+of them; after `MAX_SHARED_CRASHES` in any case. Until then it is placed apart
+from other suspected tasks (see `placement`), which tells the cause from those
+beside it. Crashes that are explained by a task that was given up no longer
+count against others.
 """
 
 import collections
@@ -21,14 +21,21 @@
 
 # Crashes after which a task is given up if no other job explains them.
 MAX_CRASHES = 3
-# Crashes after which a task is given up, whatever else is known of them.
-MAX_ALL_CRASHES = 4
+# Crashes after which a task is given up, even if others were present or explain
+# them.
+MAX_SHARED_CRASHES = 4
+# The same, without proof that the task had been started there.
+MAX_UNCONFIRMED_CRASHES = 5
 # Crashes of endpoints that were lost alone after which a task is given up.
 MAX_LONE_CRASHES = 2
-# Endpoints that are lost within this time of each other are taken to have one
-# cause, such as the loss of a rack's power.
+# Crashes before which the task had confirmed its start, without which it is not
+# given up before `MAX_UNCONFIRMED_CRASHES`.
+MIN_CONFIRMED_CRASHES = 2
+# That many endpoints that are lost within this time of each other are taken to
+# have one cause, such as the loss of a rack's power.
+COMMON_CAUSE_ENDPOINTS = 3
 COMMON_CAUSE_MS = 1_500
-# How long a task with that many losses waits until it is known whether they
+# How long a task with `MAX_CRASHES` losses waits until it is known whether they
 # were crashes. An endpoint that crashed is back within some seconds.
 SETTLE_TIMEOUT_MS = 8_000
 # A crash later than this after the start of a task does not count against it.
@@ -43,37 +50,41 @@
       unit: its unit.
       task_index: index of the task.
       crashes: number of endpoint incarnations that crashed under it.
-      cleared_job_ids: jobs against which these crashes no longer count.
     """
 
     unit: progress.Unit
     task_index: int
     crashes: int
-    cleared_job_ids: frozenset[str] = frozenset()
 
 
 @dataclasses.dataclass(eq=False, slots=True)
 class _Outage:
-    """A loss of an endpoint, and the units that ran there.
+    """A loss of an endpoint.
 
     Attributes:
       incarnation: id and start of the endpoint.
       at_ms: monotonic time at which it stopped answering.
-      job_ids: jobs with a task there.
-      units: units with a task there that the loss counts against.
+      common: whether others were lost at the same time.
+      units: units whose losses count as those of a lone endpoint.
     """
 
     incarnation: tuple[str, int]
     at_ms: int
-    job_ids: set[str] = dataclasses.field(default_factory=set)
+    common: bool = False
     units: list[progress.Unit] = dataclasses.field(default_factory=list)
 
 
 class CrashTable:
-    """Losses of endpoints in one term, and the tasks suspected of them."""
+    """Losses of endpoints in one term, and the tasks suspected of them.
+
+    Attributes:
+      suspects: units with losses that may decide.
+      changed_job_ids: jobs whose losses changed and are not recorded yet.
+    """
 
     def __init__(self):
         self.suspects: set[progress.Unit] = set()
+        self.changed_job_ids: set[str] = set()
         self._outage_by_incarnation: dict[tuple[str, int], _Outage] = {}
 
     def record(
@@ -94,50 +105,63 @@
             may be cut off and still be running.
           now_ms: monotonic time.
         """
-        info = state.info
-        if info.draining or info.machine in endpoints.emptying_machines:
+        if _is_planned(endpoints, state):
             return
         at_ms = now_ms if state.answering else state.unreachable_ms or now_ms
-        born_ms = members[0].born_ms if members else info.born_ms
-        outage = self._open_outage((info.endpoint_id, born_ms), at_ms, now_ms)
-        outage.job_ids.update(member.task.job_id for member in members)
-        alone = not self._has_common_cause(endpoints, outage)
+        outage = self._outage(endpoints, state, at_ms, now_ms)
         for member in members:
-            unit = member.run.unit
-            started_ms = member.run.started_ms
-            if not member.start_sent or unit.state == progress.UnitState.DONE:
-                continue
-            if at_ms - started_ms > MAX_TIME_TO_CRASH_MS:
-                continue
             loss = model.EndpointLoss(
                 task_index=member.task.index,
                 endpoint_id=member.endpoint_id,
                 born_ms=member.born_ms,
-                machine=info.machine,
+                machine=state.info.machine or member.machine,
                 crashed=crashed,
-                lone=alone and member.confirmed,
+                lone=member.confirmed and not outage.common,
+                confirmed=member.confirmed,
             )
-            unit.add_loss(loss)
-            outage.units.append(unit)
-            self.suspects.add(unit)
-            if _lone_crashes(unit, loss.task_index) >= MAX_LONE_CRASHES:
-                # Other endpoints may turn out to have been lost with it.
-                unit.backoff_until_ms = now_ms + COMMON_CAUSE_MS
-            if _is_unsettled(unit, loss.task_index):
-                unit.backoff_until_ms = now_ms + SETTLE_TIMEOUT_MS
+            if self._add(member, loss, at_ms, now_ms) and loss.lone:
+                outage.units.append(member.run.unit)
+
+    def record_restored(
+        self, member: progress.Member, machine: str, now_ms: int
+    ) -> None:
+        """Records that a recorded member's endpoint ended before this term.
+
+        It is not known whether the member was started, nor what else was lost.
+        """
+        loss = model.EndpointLoss(
+            task_index=member.task.index,
+            endpoint_id=member.endpoint_id,
+            born_ms=member.born_ms,
+            machine=machine,
+            crashed=True,
+        )
+        self._add(member, loss, now_ms, now_ms)
 
     def restore(self, units: Iterable[progress.Unit]) -> None:
         """Adds the suspected ones of units that an earlier leader recorded."""
         for unit in units:
-            if unit.suspected:
+            if unit.losses:
                 self.suspects.add(unit)
 
+    def drop_open(self, endpoint_id: str) -> None:
+        """Drops open losses of an endpoint that is to end by plan."""
+        for unit in self.suspects:
+            for loss in list(unit.losses):
+                if loss.endpoint_id == endpoint_id and not loss.crashed:
+                    unit.replace_loss(loss, None)
+                    self.changed_job_ids.add(unit.key.job_id)
+
     def convict(
         self, endpoints: endpoint_table.EndpointTable, now_ms: int
     ) -> list[Conviction]:
         """Settles open losses; returns the tasks that have to be given up."""
         for unit in list(self.suspects):
-            if unit.entry.state.final or not unit.suspected:
+            if unit.entry.state.final:
+                if unit.suspected:
+                    self._mark_not_lone(unit)
+                self.suspects.discard(unit)
+            elif unit.state == progress.UnitState.DONE or not unit.losses:
                 self.suspects.discard(unit)
         if not self.suspects:
             return []
@@ -147,51 +171,96 @@
             conviction = self._judge(unit, now_ms)
             if conviction is None:
                 continue
-            cleared = self._clear_others(conviction)
-            found.append(
-                dataclasses.replace(conviction, cleared_job_ids=cleared)
-            )
+            found.append(conviction)
+            self._clear_others(conviction)
+            self.suspects.discard(unit)
         return found
 
-    def _open_outage(
-        self, incarnation: tuple[str, int], at_ms: int, now_ms: int
-    ) -> _Outage:
-        """Returns the outage of an incarnation; forgets old ones."""
-        for known, outage in list(self._outage_by_incarnation.items()):
-            if now_ms - outage.at_ms > MAX_TIME_TO_CRASH_MS:
-                del self._outage_by_incarnation[known]
-        outage = self._outage_by_incarnation.get(incarnation)
-        if outage is None:
-            outage = _Outage(incarnation, at_ms)
-            self._outage_by_incarnation[incarnation] = outage
-        return outage
-
-    def _has_common_cause(
-        self, endpoints: endpoint_table.EndpointTable, outage: _Outage
+    def _add(
+        self,
+        member: progress.Member,
+        loss: model.EndpointLoss,
+        at_ms: int,
+        now_ms: int,
     ) -> bool:
-        """Whether endpoints without a common job were lost at the same time.
-
-        The losses of these no longer count as those of a lone endpoint either.
-        """
-        common = False
-        for other in self._outage_by_incarnation.values():
-            if other is outage or other.job_ids & outage.job_ids:
+        """Adds a loss to the member's unit, unless it says nothing."""
+        unit = member.run.unit
+        if not member.start_sent or unit.state == progress.UnitState.DONE:
+            return False
+        started_ms = member.run.started_ms
+        if member.run.restored:
+            started_ms = unit.entry.arrived_ms
+        if at_ms - started_ms > MAX_TIME_TO_CRASH_MS:
+            # A task that runs for that long does not crash its endpoints.
+            unit.losses.clear()
+            return False
+        unit.add_loss(loss)
+        self.suspects.add(unit)
+        if _count_lone(unit, loss.task_index) >= MAX_LONE_CRASHES:
+            # Other endpoints may turn out to have been lost with it.
+            unit.backoff_until_ms = now_ms + COMMON_CAUSE_MS
+        if _is_unsettled(unit, loss.task_index):
+            unit.backoff_until_ms = now_ms + SETTLE_TIMEOUT_MS
+        return True
+
+    def _outage(
+        self,
+        endpoints: endpoint_table.EndpointTable,
+        state: endpoint_table.EndpointState,
+        at_ms: int,
+        now_ms: int,
+    ) -> _Outage:
+        """Returns the outage of an endpoint, marked if it was not alone."""
+        incarnation = (state.info.endpoint_id, state.info.born_ms)
+        known = self._outage_by_incarnation.get(incarnation)
+        if known is not None:
+            return known
+        outage = _Outage(incarnation, at_ms)
+        for other_id, other in list(self._outage_by_incarnation.items()):
+            if now_ms - other.at_ms > MAX_TIME_TO_CRASH_MS:
+                del self._outage_by_incarnation[other_id]
+        self._outage_by_incarnation[incarnation] = outage
+        together = [
+            other
+            for other in self._outage_by_incarnation.values()
+            if abs(other.at_ms - at_ms) <= COMMON_CAUSE_MS
+        ]
+        count = len(together)
+        for other_state in endpoints.by_id.values():
+            if other_state.answering or other_state is state:
                 continue
-            if abs(other.at_ms - outage.at_ms) > COMMON_CAUSE_MS:
+            if abs(other_state.unreachable_ms - at_ms) > COMMON_CAUSE_MS:
                 continue
-            common = True
+            info = other_state.info
+            if (
+                info.endpoint_id,
+                info.born_ms,
+            ) not in self._outage_by_incarnation:
+                count += 1
+        if count < COMMON_CAUSE_ENDPOINTS:
+            return outage
+        for other in together:
+            other.common = True
             for unit in other.units:
-                unit.mark_not_lone(other.incarnation)
-        for state in endpoints.by_id.values():
-            incarnation = (state.info.endpoint_id, state.info.born_ms)
-            if state.answering or incarnation in self._outage_by_incarnation:
-                continue
-            if abs(state.unreachable_ms - outage.at_ms) > COMMON_CAUSE_MS:
-                continue
-            jobs = {member.task.job_id for member in state.members.values()}
-            if not jobs & outage.job_ids:
-                common = True
-        return common
+                self._change(unit, other.incarnation, lone=False)
+            other.units.clear()
+        return outage
+
+    def _change(
+        self, unit: progress.Unit, incarnation: tuple[str, int], **changes: bool
+    ) -> None:
+        """Changes what is known of the losses of a unit in an incarnation."""
+        for loss in list(unit.losses):
+            if loss.incarnation == incarnation:
+                unit.replace_loss(loss, dataclasses.replace(loss, **changes))
+                self.changed_job_ids.add(unit.key.job_id)
+
+    def _mark_not_lone(self, ended: progress.Unit) -> None:
+        """Notes that a unit whose job ended may have caused its crashes."""
+        for loss in ended.losses:
+            for unit in self.suspects:
+                if unit is not ended:
+                    self._change(unit, loss.incarnation, lone=False)
 
     def _settle(self, endpoints: endpoint_table.EndpointTable) -> None:
         """Finds out what became of endpoints whose leases had run out."""
@@ -206,30 +275,39 @@
                 newest_ms = born_by_machine.get(loss.machine, 0)
                 if state is not None:
                     newest_ms = max(newest_ms, state.info.born_ms)
-                if newest_ms > loss.born_ms:
+                if state is not None and _did_not_crash(endpoints, state, loss):
+                    unit.replace_loss(loss, None)
+                elif newest_ms > loss.born_ms:
                     unit.replace_loss(
                         loss, dataclasses.replace(loss, crashed=True)
                     )
-                elif state is not None and _lives(state, loss):
-                    unit.replace_loss(loss, None)
                 else:
                     continue
+                self.changed_job_ids.add(unit.key.job_id)
                 if not _is_unsettled(unit, loss.task_index):
                     unit.backoff_until_ms = 0
 
     def _judge(self, unit: progress.Unit, now_ms: int) -> Conviction | None:
         crashes_by_task: collections.Counter[int] = collections.Counter()
         explained_by_task: collections.Counter[int] = collections.Counter()
+        confirmed_by_task: collections.Counter[int] = collections.Counter()
+        if len(unit.losses) < MAX_LONE_CRASHES:
+            return None
         for loss in unit.losses:
             if not loss.crashed:
                 continue
             crashes_by_task[loss.task_index] += 1
             explained_by_task[loss.task_index] += loss.explained
+            confirmed_by_task[loss.task_index] += loss.confirmed
         for task_index, crashes in crashes_by_task.items():
             conviction = Conviction(unit, task_index, crashes)
-            if crashes >= MAX_ALL_CRASHES:
+            if crashes >= MAX_UNCONFIRMED_CRASHES:
+                return conviction
+            if confirmed_by_task[task_index] < MIN_CONFIRMED_CRASHES:
+                continue
+            if crashes >= MAX_SHARED_CRASHES:
                 return conviction
-            lone = _lone_crashes(unit, task_index)
+            lone = _count_lone(unit, task_index)
             enough = crashes - explained_by_task[task_index] >= MAX_CRASHES or (
                 lone >= MAX_LONE_CRASHES and now_ms >= unit.backoff_until_ms
             )
@@ -247,22 +325,25 @@
                 return True
         return False
 
-    def _clear_others(self, conviction: Conviction) -> frozenset[str]:
+    def _clear_others(self, conviction: Conviction) -> None:
         """Clears other jobs of crashes that the conviction explains."""
-        cleared = set()
         explained = _crashed_incarnations(
             conviction.unit, conviction.task_index
         )
         for other in self.suspects:
             if other.key.job_id == conviction.unit.key.job_id:
                 continue
-            for loss in list(other.losses):
-                if loss.incarnation in explained:
-                    other.replace_loss(
-                        loss, dataclasses.replace(loss, explained=True)
-                    )
-                    cleared.add(other.key.job_id)
-        return frozenset(cleared)
+            for incarnation in explained:
+                self._change(other, incarnation, explained=True)
+
+
+def _is_planned(
+    endpoints: endpoint_table.EndpointTable,
+    state: endpoint_table.EndpointState,
+) -> bool:
+    """Whether an endpoint is about to end by plan."""
+    info = state.info
+    return info.draining or info.machine in endpoints.emptying_machines
 
 
 def _newest_by_machine(
@@ -279,15 +360,16 @@
     return born_by_machine
 
 
-def _lives(
-    state: endpoint_table.EndpointState, loss: model.EndpointLoss
+def _did_not_crash(
+    endpoints: endpoint_table.EndpointTable,
+    state: endpoint_table.EndpointState,
+    loss: model.EndpointLoss,
 ) -> bool:
-    """Whether the endpoint answers in the incarnation that was lost."""
-    return (
-        state.info.born_ms == loss.born_ms
-        and state.contacted
-        and state.answering
-        and not state.ended
+    """Whether the lost incarnation answers again or is to end by plan."""
+    if state.info.born_ms != loss.born_ms or state.ended:
+        return False
+    return _is_planned(endpoints, state) or (
+        state.contacted and state.answering
     )
 
 
@@ -309,7 +391,7 @@
     }
 
 
-def _lone_crashes(unit: progress.Unit, task_index: int) -> int:
+def _count_lone(unit: progress.Unit, task_index: int) -> int:
     """Counts the machines that crashed alone under a task."""
     return len(
         {
--- a/packages/placer/src/laburnumgate_placer/lifecycle.py
+++ b/packages/placer/src/laburnumgate_placer/lifecycle.py
@@ -73,7 +73,10 @@
     run.tickets_by_endpoint = tickets_by_endpoint or {}
     for task, endpoint_id in zip(unit.tasks(), endpoint_ids, strict=True):
         state = tables.endpoints.by_id[endpoint_id]
-        member = progress.Member(task, endpoint_id, state.info.born_ms, run)
+        info = state.info
+        member = progress.Member(
+            task, endpoint_id, info.born_ms, run, machine=info.machine
+        )
         run.members.append(member)
         state.charge(member)
     unit.run = run
@@ -238,7 +241,13 @@
     member: progress.Member,
 ) -> None:
     """Gives up a recorded member whose endpoint has a new incarnation."""
-    _lose_members(tables, state, [member], True)
+    now_ms = tables.monotonic.now_ms()
+    machine = member.machine or state.info.machine
+    tables.crashes.record_restored(member, machine, now_ms)
+    _log_lost(tables, state, member, "ended")
+    if member.run.result is None:
+        member.run.result = model.EndKind.LAPSED
+    mark_terminated(tables, member)
 
 
 def give_up_crashing(tables: tables_module.Tables) -> None:
@@ -253,8 +262,9 @@
         entry = found.unit.entry
         set_state(tables, entry, model.JobState.FAILED, reason)
         _stop_all(tables, entry, "job failed")
-        for job_id in found.cleared_job_ids:
-            tables.mark_dirty(job_id)
+    for job_id in tables.crashes.changed_job_ids:
+        tables.mark_dirty(job_id)
+    tables.crashes.changed_job_ids.clear()
 
 
 def close_job(tables: tables_module.Tables, job_id: str) -> None:
--- a/packages/placer/src/laburnumgate_placer/live_list.py
+++ b/packages/placer/src/laburnumgate_placer/live_list.py
@@ -67,6 +67,7 @@
             "",
             frozenset(),
             model.Resources(),
+            machine=member.machine,
         )
         state = self._add_state(info)
         state.listed = False
@@ -146,6 +147,7 @@
             self._tables.wake.set()
         if draining:
             self._log_changed(state, "it is draining")
+            self._tables.crashes.drop_open(endpoint.endpoint_id)
             self._drain(state)
         elif relisted:
             self._log_changed(state, "it is listed again")
--- a/packages/placer/src/laburnumgate_placer/model.py
+++ b/packages/placer/src/laburnumgate_placer/model.py
@@ -292,6 +292,7 @@
       lone: whether no other endpoint was lost at the same time and the task is
         known to have been started.
       explained: whether a task of another job was found to be the cause.
+      confirmed: whether the task is known to have been started.
     """
 
     task_index: int
@@ -301,6 +302,7 @@
     crashed: bool = False
     lone: bool = False
     explained: bool = False
+    confirmed: bool = False
 
     @property
     def incarnation(self) -> tuple[str, int]:
--- a/packages/placer/src/laburnumgate_placer/progress.py
+++ b/packages/placer/src/laburnumgate_placer/progress.py
@@ -50,6 +50,7 @@
         not started.
       load: latest load reported.
       pace_percent: throttle, in percent of the time.
+      machine: machine of the endpoint, empty if unknown.
     """
 
     task: model.TaskKey
@@ -68,11 +69,16 @@
     base_ms: int = 0
     load: float = 0.0
     pace_percent: int = 100
+    machine: str = ""
 
 
 @dataclasses.dataclass(eq=False, slots=True)
 class Run:
-    """One attempt to run a unit; all members share its run number."""
+    """One attempt to run a unit; all members share its run number.
+
+    If `restored`, an earlier leader started it, and `started_ms` is the time of
+    its restoration.
+    """
 
     unit: "Unit"
     number: int
@@ -81,6 +87,7 @@
     result: model.EndKind | None = None
     assigned_ms: int = 0
     started_ms: int = 0
+    restored: bool = False
     tickets_by_endpoint: dict[str, str] = dataclasses.field(
         default_factory=dict
     )
@@ -132,8 +139,11 @@
 
     @property
     def suspected(self) -> bool:
-        """Whether it may have crashed an endpoint."""
-        return any(not loss.explained for loss in self.losses)
+        """Whether it may have crashed an endpoint that was lost alone."""
+        return any(
+            loss.crashed and loss.lone and not loss.explained
+            for loss in self.losses
+        )
 
     def add_loss(self, loss: model.EndpointLoss) -> None:
         """Adds a loss; a known one is replaced."""
@@ -144,7 +154,7 @@
             ):
                 self.losses.remove(known)
         self.losses.append(loss)
-        self.avoided_endpoints.add(loss.endpoint_id)
+        self._avoid(loss)
 
     def replace_loss(
         self, known: model.EndpointLoss, loss: model.EndpointLoss | None
@@ -152,12 +162,12 @@
         """Replaces a loss by what became known of it; None removes it."""
         position = self.losses.index(known)
         self.losses[position : position + 1] = [loss] if loss else []
+        if loss is not None:
+            self._avoid(loss)
 
-    def mark_not_lone(self, incarnation: tuple[str, int]) -> None:
-        """Notes that other endpoints were lost at the time of a loss."""
-        for loss in list(self.losses):
-            if loss.incarnation == incarnation:
-                self.replace_loss(loss, dataclasses.replace(loss, lone=False))
+    def _avoid(self, loss: model.EndpointLoss) -> None:
+        if loss.crashed and loss.lone:
+            self.avoided_endpoints.add(loss.endpoint_id)
 
     @property
     def size(self) -> int:
@@ -320,6 +330,12 @@
             "units": rows,
             # Apart from the units, whose rows earlier releases read as well.
             "losses": _loss_rows(entry),
+            "machines": {
+                member.endpoint_id: member.machine
+                for run in entry.runs()
+                for member in run.members
+                if not member.terminated and member.machine
+            },
         }
     )
 
@@ -350,6 +366,7 @@
     for occurrence, step in content["done"]:
         entry.done_steps.add((occurrence, step))
     entry.open_due_steps(unix_ms, now_ms)
+    machine_by_endpoint = content.get("machines", {})
     for row in content["units"]:
         occurrence, step, index, state, last_run, failures, saved, members = row
         key = model.UnitKey(entry.job.job_id, occurrence, step, index)
@@ -368,6 +385,7 @@
             continue
         run = Run(unit, last_run, [], phase=Phase.RUNNING, assigned_ms=now_ms)
         run.started_ms = now_ms
+        run.restored = True
         for endpoint_id, born_ms, task_index in members:
             task = model.TaskKey(entry.job.job_id, occurrence, step, task_index)
             run.members.append(
@@ -377,6 +395,7 @@
                     born_ms,
                     run,
                     start_sent=True,
+                    machine=machine_by_endpoint.get(endpoint_id, ""),
                 )
             )
         unit.run = run
