--- a/deploy/tests/test_soak.py
+++ b/deploy/tests/test_soak.py
@@ -45,3 +45,24 @@
 def test_capacity_that_shrinks_is_not_exceeded():
     """Guards against starts on a worker whose capacity has shrunk."""
     assert not soak.run_seed(22200, _SECONDS, deadly_share=0.0)
+
+
+@pytest.mark.parametrize(
+    ("seed", "seconds", "hosts", "workers", "deadly_share"),
+    [
+        # The cursor of an ended incarnation acknowledged an end of the next.
+        (7, 8.0, 3, 4, 0.06),
+        # Starts outran the proofs of the crashes before them.
+        (9, 8.0, 3, 4, 0.06),
+        # A new leader adopted runs on an endpoint that had ended.
+        (22020, 12.0, 4, 6, 0.3),
+    ],
+)
+def test_crashes_and_changes_of_the_leader_together(
+    seed, seconds, hosts, workers, deadly_share
+):
+    """Guards against faults that crashes of workers brought to light."""
+    violations = soak.run_seed(
+        seed, seconds, hosts, workers, deadly_share=deadly_share
+    )
+    assert not violations
