Name crashing tasks plainly, and clear no losses for an unknown start

Renames the types and functions of the crash attribution and the soak's options (--crashing-share). A run that an earlier leader started counts only while its job is younger than a minute; it no longer clears the losses before it, as its start is not known.

--- a/deploy/tests/soak.py
+++ b/deploy/tests/soak.py
@@ -27,7 +27,7 @@
 _SETTLE_TIMEOUT_S = 45.0
 # Heartbeats after which the entry of a silent worker is removed.
 _MISSED_HEARTBEATS = 3
-DEADLY_SHARE = 0.06
+CRASHING_SHARE = 0.06
 _FAULTS = (
     "kill",
     "kill_all",
@@ -198,14 +198,14 @@
         seed: int,
         hosts: int,
         workers: int,
-        deadly_share: float,
+        crashing_share: float,
         shrinks: bool,
     ):
         self.rng = random.Random(seed)
         # Separate, so that `seed` draws the same load and other faults whatever
         # these settings are.
         self.crash_rng = random.Random(f"{seed} crashes")
-        self.deadly_share = deadly_share
+        self.crashing_share = crashing_share
         self.capacity_rng = random.Random(f"{seed} capacity")
         self.shrinks = shrinks
         self.folder = pathlib.Path(tempfile.mkdtemp(prefix="soak-"))
@@ -218,7 +218,7 @@
         self.worker_proxies: list[Proxy] = []
         self.answers: dict[str, list[int]] = {}
         self.cancelled: set[str] = set()
-        self.deadly: set[str] = set()
+        self.crashing: set[str] = set()
         self.cut_off: list[str] = []
         self.faults: list[str] = []
         self._tasks: set[asyncio.Task] = set()
@@ -355,12 +355,12 @@
             "counts": counts,
             "gpu": gpu,
             "after": {"1": [0]} if len(counts) > 1 else {},
-            "deadly": standin_crashes.draw_deadly(
-                self.crash_rng, self.deadly_share, counts
+            "crashing": standin_crashes.draw_crashing(
+                self.crash_rng, self.crashing_share, counts
             ),
         }
-        if spec["deadly"]:
-            self.deadly.add(job_id)
+        if spec["crashing"]:
+            self.crashing.add(job_id)
         steps = [
             {
                 "count": count,
@@ -523,7 +523,7 @@
             )
         for job_id in sorted(accepted - pending_jobs):
             violation = self.fleet.crash_log.check_state(
-                job_id, last_state[job_id], job_id in self.deadly
+                job_id, last_state[job_id], job_id in self.crashing
             )
             if violation:
                 violations.append(violation)
@@ -555,14 +555,14 @@
     seconds: float,
     hosts: int = 4,
     workers: int = 6,
-    deadly_share: float = DEADLY_SHARE,
+    crashing_share: float = CRASHING_SHARE,
     shrinks: bool = True,
 ) -> list[str]:
     """Runs one seed and returns the violations.
 
     The hosts' logs are kept if there is a violation.
     """
-    soak = Soak(seed, hosts, workers, deadly_share, shrinks)
+    soak = Soak(seed, hosts, workers, crashing_share, shrinks)
     violations = asyncio.run(soak.run(seconds))
     if violations:
         violations.append(f"logs in {soak.folder}; faults: {soak.faults}")
@@ -580,8 +580,8 @@
 @click.option("--hosts", default=4)
 @click.option("--workers", default=6)
 @click.option(
-    "--deadly-share",
-    default=DEADLY_SHARE,
+    "--crashing-share",
+    default=CRASHING_SHARE,
     help="Fraction of the jobs with tasks that crash their workers.",
 )
 @click.option(
@@ -589,13 +589,13 @@
     default=True,
     help="Whether the capacity of workers shrinks at times.",
 )
-def main(seed, seeds, seconds, hosts, workers, deadly_share, shrinks) -> None:
+def main(seed, seeds, seconds, hosts, workers, crashing_share, shrinks) -> None:
     """Runs seeds sequentially and reports the result of each."""
     seed = seed or random.SystemRandom().randrange(1, 10**6)
     failed = 0
     for number in range(seed, seed + seeds):
         violations = run_seed(
-            number, seconds, hosts, workers, deadly_share, shrinks
+            number, seconds, hosts, workers, crashing_share, shrinks
         )
         failed += bool(violations)
         click.echo(f"seed {number}: {'broken' if violations else 'kept'}")
--- a/deploy/tests/standin_crashes.py
+++ b/deploy/tests/standin_crashes.py
@@ -1,4 +1,4 @@
-"""Deadly tasks, which crash each worker that starts them, and their rules."""
+"""Crashing tasks, which crash each worker that starts them, and their rules."""
 
 import collections
 import random
@@ -18,17 +18,17 @@
 _SAME_ID_SHARE = 0.5
 
 
-def draw_deadly(
+def draw_crashing(
     rng: random.Random, share: float, counts: list[int]
 ) -> list[str]:
-    """Returns the deadly tasks of a job as `step.index`.
+    """Returns the crashing tasks of a job as `step.index`.
 
     Args:
       rng: source of randomness.
-      share: fraction of the jobs with deadly tasks.
+      share: fraction of the jobs with crashing tasks.
       counts: number of tasks in each step.
     """
-    is_deadly = rng.random() < share
+    is_crashing = rng.random() < share
     tasks = [
         f"{step}.{index}"
         for step, count in enumerate(counts)
@@ -36,7 +36,7 @@
     ]
     one = rng.choice(tasks)
     all_tasks = rng.random() < 0.3
-    if not is_deadly:
+    if not is_crashing:
         return []
     return tasks if all_tasks else [one]
 
@@ -112,17 +112,19 @@
                 return True
         return False
 
-    def check_state(self, job_id: str, state: Any, deadly: bool) -> str | None:
+    def check_state(
+        self, job_id: str, state: Any, crashing: bool
+    ) -> str | None:
         """Returns the violation in a job's final state, if any.
 
         Args:
           job_id: id of the job.
           state: the state that callers are shown.
-          deadly: whether the job has deadly tasks.
+          crashing: whether the job has crashing tasks.
         """
         match state:
             case "failed" if not self.may_fail(job_id):
                 return f"{job_id} is shown as failed without cause"
-            case "completed" if deadly:
-                return f"{job_id} is shown as completed, with a deadly task"
+            case "completed" if crashing:
+                return f"{job_id} is shown as completed, with a crashing task"
         return None
--- a/deploy/tests/standin_worker.py
+++ b/deploy/tests/standin_worker.py
@@ -22,7 +22,7 @@
       number: number of the run.
       spec: payload of the job, which describes its steps.
       worker: the worker that executes the run.
-      crash_at: monotonic time at which a deadly task crashes its worker, in
+      crash_at: monotonic time at which a crashing task crashes its worker, in
         seconds; None for other tasks.
       ordered_at: monotonic time at which the order arrived, in seconds; it is
         before the start if the order was executed late.
@@ -44,10 +44,10 @@
         return (self.task.rpartition(".")[0], self.number)
 
     @property
-    def deadly(self) -> bool:
+    def crashing(self) -> bool:
         """Whether the task crashes each worker that starts it."""
         step_and_index = self.task.split(".", 2)[2]
-        return step_and_index in self.spec.get("deadly", ())
+        return step_and_index in self.spec.get("crashing", ())
 
 
 class Fleet:
@@ -126,7 +126,7 @@
             for run in list(worker.running.values()):
                 if run.spec["gang"]:
                     gangs.setdefault(run.gang_key, []).append(run)
-                elif run.deadly:
+                elif run.crashing:
                     continue
                 elif now - run.started_at >= run.spec["s"]:
                     worker.end(run, self._random_outcome())
@@ -139,7 +139,7 @@
         all_started_at = max(run.started_at for run in members)
         if (
             len(members) == size
-            and not any(run.deadly for run in members)
+            and not any(run.crashing for run in members)
             and now - all_started_at >= members[0].spec["s"]
         ):
             outcome = self._random_outcome()
@@ -222,7 +222,7 @@
             self.proxy.set_down(True)
 
     def crash_or_boot(self, now: float) -> None:
-        """Crashes under a deadly task, or boots, if the time has come."""
+        """Crashes under a crashing task, or boots, if the time has come."""
         if self.back_at is None:
             for run in self.running.values():
                 if run.crash_at is not None and now >= run.crash_at:
@@ -316,7 +316,7 @@
         run.ordered_at = arrived_at
         self.running[key] = run
         self.fleet.check_start(run)
-        if run.deadly:
+        if run.crashing:
             delay_s = standin_crashes.draw_crash_delay_s(self.fleet.crash_rng)
             run.crash_at = run.started_at + delay_s
             self.crash_or_boot(run.started_at)
--- a/deploy/tests/test_soak.py
+++ b/deploy/tests/test_soak.py
@@ -18,7 +18,7 @@
 def test_guarantees_hold_under_faults(seed):
     """Guards against violated guarantees under overlapping faults."""
     violations = soak.run_seed(
-        seed, _SECONDS, hosts=3, workers=4, deadly_share=0.0, shrinks=False
+        seed, _SECONDS, hosts=3, workers=4, crashing_share=0.0, shrinks=False
     )
     assert not violations
 
@@ -30,25 +30,27 @@
     incarnation under the same id, after the task has ended as done.
     """
     violations = soak.run_seed(
-        1003, 10.0, hosts=4, workers=6, deadly_share=0.0, shrinks=False
+        1003, 10.0, hosts=4, workers=6, crashing_share=0.0, shrinks=False
     )
     assert not violations
 
 
 @pytest.mark.parametrize("seed", [22000, 22001])
-def test_deadly_task_crashes_one_worker_after_another(seed):
+def test_crashing_task_crashes_one_worker_after_another(seed):
     """Guards against starting a task again and again that crashes workers."""
-    violations = soak.run_seed(seed, _SECONDS, deadly_share=0.15, shrinks=False)
+    violations = soak.run_seed(
+        seed, _SECONDS, crashing_share=0.15, shrinks=False
+    )
     assert not violations
 
 
 def test_capacity_that_shrinks_is_not_exceeded():
     """Guards against starts on a worker whose capacity has shrunk."""
-    assert not soak.run_seed(22200, _SECONDS, deadly_share=0.0)
+    assert not soak.run_seed(22200, _SECONDS, crashing_share=0.0)
 
 
 @pytest.mark.parametrize(
-    ("seed", "seconds", "hosts", "workers", "deadly_share"),
+    ("seed", "seconds", "hosts", "workers", "crashing_share"),
     [
         # The cursor of an ended incarnation acknowledged an end of the next.
         (7, 8.0, 3, 4, 0.06),
@@ -59,10 +61,10 @@
     ],
 )
 def test_crashes_and_changes_of_the_leader_together(
-    seed, seconds, hosts, workers, deadly_share
+    seed, seconds, hosts, workers, crashing_share
 ):
     """Guards against faults that crashes of workers brought to light."""
     violations = soak.run_seed(
-        seed, seconds, hosts, workers, deadly_share=deadly_share
+        seed, seconds, hosts, workers, crashing_share=crashing_share
     )
     assert not violations
--- a/deploy/tests/test_soak_checks.py
+++ b/deploy/tests/test_soak_checks.py
@@ -21,13 +21,13 @@
     return standin_worker.Worker(fleet, name, 8, 1.0)
 
 
-def _start(worker, number, task=_TASK, deadly=(), **spec):
+def _start(worker, number, task=_TASK, crashing=(), **spec):
     spec = {
         "s": 60.0,
         "gang": False,
         "counts": [4],
         "gpu": 1,
-        "deadly": list(deadly),
+        "crashing": list(crashing),
     } | spec
     run = standin_worker.Run(task, number, spec, worker)
     worker.running[(task, number)] = run
@@ -95,21 +95,21 @@
     assert fleet.crash_log.check_state(_JOB_ID, "failed", False)
 
 
-def test_deadly_job_must_not_be_shown_as_completed(fleet):
+def test_crashing_job_must_not_be_shown_as_completed(fleet):
     log = fleet.crash_log
     assert log.check_state(_JOB_ID, "completed", True)
     assert log.check_state(_JOB_ID, "completed", False) is None
     assert log.check_state(_JOB_ID, "cancelled", True) is None
 
 
-def test_deadly_task_crashes_its_worker_and_it_is_back_later(fleet):
+def test_crashing_task_crashes_its_worker_and_it_is_back_later(fleet):
     worker = _add_worker(fleet)
     worker.proxy = _Proxy()
     ids = set()
     for number in range(1, 21):
         worker.lease_s = 60.0
         worker.ended.append([1, "other", 1, "done", ""])
-        run = _start(worker, number, deadly=["0.0"], s=0.0)
+        run = _start(worker, number, crashing=["0.0"], s=0.0)
         run.crash_at = run.started_at + 0.1
         fleet.tick()
         assert worker.running
@@ -130,15 +130,15 @@
     assert fleet.crash_log.crashes_by_task[_TASK] == 20
 
 
-def test_deadly_share_is_drawn():
+def test_crashing_share_is_drawn():
     rng = random.Random(3)
     drawn = [
-        standin_crashes.draw_deadly(rng, 0.06, [2, 1]) for _ in range(2000)
+        standin_crashes.draw_crashing(rng, 0.06, [2, 1]) for _ in range(2000)
     ]
-    deadly = [tasks for tasks in drawn if tasks]
-    assert 60 <= len(deadly) <= 180
-    assert ["0.0", "0.1", "1.0"] in deadly
-    assert ["1.0"] in deadly
+    crashing = [tasks for tasks in drawn if tasks]
+    assert 60 <= len(crashing) <= 180
+    assert ["0.0", "0.1", "1.0"] in crashing
+    assert ["1.0"] in crashing
 
 
 def test_shrunk_capacity_counts_after_contact_and_a_heartbeat():
--- a/packages/core/tests/test_crashes.py
+++ b/packages/core/tests/test_crashes.py
@@ -33,7 +33,7 @@
 def test_a_task_does_not_crash_endpoint_after_endpoint(state, down_ms):
     """Guards against starting a task that crashes endpoints without end."""
     zone = make_zone()
-    zone.down_ms_by_deadly_part["a/r", 0, state] = down_ms
+    zone.down_ms_by_crashing_part["a/r", 0, state] = down_ms
     zone.advance(2_000_000)
     assert crashes(zone) == gang.MAX_CRASHES
     assert isinstance(zone.job("a/r").outcome, verdict.RanFailed)
@@ -42,7 +42,7 @@
 def test_a_new_placing_host_does_not_forget_crashes():
     """Guards against counting crashes anew under each placing host."""
     zone = make_zone(hosts=8)
-    zone.down_ms_by_deadly_part["a/r", 0, "running"] = RESTART_MS
+    zone.down_ms_by_crashing_part["a/r", 0, "running"] = RESTART_MS
     for old, new in zip(zone.hosts, zone.hosts[1:], strict=False):
         zone.advance(8_000)
         old.alive = False
@@ -57,7 +57,7 @@
 def test_a_crash_between_two_placing_hosts_counts(die_after):
     """Guards against missing the crash of an endpoint in a takeover."""
     zone = make_zone(hosts=2)
-    zone.down_ms_by_deadly_part["a/r", 0, "running"] = RESTART_MS
+    zone.down_ms_by_crashing_part["a/r", 0, "running"] = RESTART_MS
     zone.hosts[0].die_after = die_after
     zone.advance(zone_fake.TAKEOVER_MS)
     zone.hosts[0].alive = False
@@ -132,7 +132,7 @@
 def test_a_non_idempotent_task_crashes_endpoints_no_more_often(state):
     """Guards against repeating a start of work that may have run."""
     zone = make_zone(idempotent=False)
-    zone.down_ms_by_deadly_part["a/r", 0, state] = RESTART_MS
+    zone.down_ms_by_crashing_part["a/r", 0, state] = RESTART_MS
     zone.advance(2_000_000)
     limit = 1 if state == "running" else gang.MAX_CRASHES
     assert crashes(zone) <= limit
--- a/packages/core/tests/zone_fake.py
+++ b/packages/core/tests/zone_fake.py
@@ -24,7 +24,7 @@
 LOST_AFTER_MS = 10_000
 TAKEOVER_MS = 3_000
 # How long a task that crashes its endpoint is in the fatal state before.
-DEADLY_AFTER_MS = 1
+CRASHING_AFTER_MS = 1
 
 
 @dataclasses.dataclass(frozen=True)
@@ -202,9 +202,9 @@
             StateChange(self.zone.now_ms, task.task_id, state)
         )
         job_id, _, part = model.parse_task_id(task.task_id)
-        down_ms = self.zone.down_ms_by_deadly_part.get((job_id, part, state))
+        down_ms = self.zone.down_ms_by_crashing_part.get((job_id, part, state))
         if down_ms is not None:
-            self.zone.schedule(DEADLY_AFTER_MS, lambda: self.crash(down_ms))
+            self.zone.schedule(CRASHING_AFTER_MS, lambda: self.crash(down_ms))
 
 
 class Host:
@@ -348,7 +348,7 @@
         self.early_acknowledged_ids: list[str] = []
         # How long an endpoint is down after it crashed, by the job, the part
         # and the task state that crash it.
-        self.down_ms_by_deadly_part: dict[tuple[str, int, str], int] = {}
+        self.down_ms_by_crashing_part: dict[tuple[str, int, str], int] = {}
         self._calls: collections.Counter[str] = collections.Counter()
         self._appends = 0
         self._events: list[tuple[int, int, Callable[[], None]]] = []
--- a/packages/placer/src/laburnumgate_placer/crashes.py
+++ b/packages/placer/src/laburnumgate_placer/crashes.py
@@ -43,7 +43,7 @@
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
-class Conviction:
+class CrashingTask:
     """A task that is given up because endpoints crash under it.
 
     Attributes:
@@ -152,9 +152,9 @@
                     unit.replace_loss(loss, None)
                     self.changed_job_ids.add(unit.key.job_id)
 
-    def convict(
+    def find_crashing(
         self, endpoints: endpoint_table.EndpointTable, now_ms: int
-    ) -> list[Conviction]:
+    ) -> list[CrashingTask]:
         """Settles open losses; returns the tasks that have to be given up."""
         for unit in list(self.suspects):
             if unit.entry.state.final:
@@ -168,11 +168,11 @@
         self._settle(endpoints)
         found = []
         for unit in list(self.suspects):
-            conviction = self._judge(unit, now_ms)
-            if conviction is None:
+            crashing = self._decide(unit, now_ms)
+            if crashing is None:
                 continue
-            found.append(conviction)
-            self._clear_others(conviction)
+            found.append(crashing)
+            self._clear_others(crashing)
             self.suspects.discard(unit)
         return found
 
@@ -187,10 +187,11 @@
         unit = member.run.unit
         if not member.start_sent or unit.state == progress.UnitState.DONE:
             return False
-        started_ms = member.run.started_ms
         if member.run.restored:
-            started_ms = unit.entry.arrived_ms
-        if at_ms - started_ms > MAX_TIME_TO_CRASH_MS:
+            # Its start is not known, only that it came after its job.
+            if at_ms - unit.entry.arrived_ms > MAX_TIME_TO_CRASH_MS:
+                return False
+        elif at_ms - member.run.started_ms > MAX_TIME_TO_CRASH_MS:
             # A task that runs for that long does not crash its endpoints.
             unit.losses.clear()
             return False
@@ -287,7 +288,7 @@
                 if not _is_unsettled(unit, loss.task_index):
                     unit.backoff_until_ms = 0
 
-    def _judge(self, unit: progress.Unit, now_ms: int) -> Conviction | None:
+    def _decide(self, unit: progress.Unit, now_ms: int) -> CrashingTask | None:
         crashes_by_task: collections.Counter[int] = collections.Counter()
         explained_by_task: collections.Counter[int] = collections.Counter()
         confirmed_by_task: collections.Counter[int] = collections.Counter()
@@ -300,19 +301,19 @@
             explained_by_task[loss.task_index] += loss.explained
             confirmed_by_task[loss.task_index] += loss.confirmed
         for task_index, crashes in crashes_by_task.items():
-            conviction = Conviction(unit, task_index, crashes)
+            crashing = CrashingTask(unit, task_index, crashes)
             if crashes >= MAX_UNCONFIRMED_CRASHES:
-                return conviction
+                return crashing
             if confirmed_by_task[task_index] < MIN_CONFIRMED_CRASHES:
                 continue
             if crashes >= MAX_SHARED_CRASHES:
-                return conviction
+                return crashing
             lone = _count_lone(unit, task_index)
             enough = crashes - explained_by_task[task_index] >= MAX_CRASHES or (
                 lone >= MAX_LONE_CRASHES and now_ms >= unit.backoff_until_ms
             )
             if enough and not self._is_shared(unit, task_index):
-                return conviction
+                return crashing
         return None
 
     def _is_shared(self, unit: progress.Unit, task_index: int) -> bool:
@@ -325,13 +326,11 @@
                 return True
         return False
 
-    def _clear_others(self, conviction: Conviction) -> None:
-        """Clears other jobs of crashes that the conviction explains."""
-        explained = _crashed_incarnations(
-            conviction.unit, conviction.task_index
-        )
+    def _clear_others(self, found: CrashingTask) -> None:
+        """Clears other jobs of crashes that a task was found to cause."""
+        explained = _crashed_incarnations(found.unit, found.task_index)
         for other in self.suspects:
-            if other.key.job_id == conviction.unit.key.job_id:
+            if other.key.job_id == found.unit.key.job_id:
                 continue
             for incarnation in explained:
                 self._change(other, incarnation, explained=True)
--- a/packages/placer/src/laburnumgate_placer/lifecycle.py
+++ b/packages/placer/src/laburnumgate_placer/lifecycle.py
@@ -253,7 +253,7 @@
 def give_up_crashing(tables: tables_module.Tables) -> None:
     """Fails the jobs of tasks that crash the endpoints that start them."""
     now_ms = tables.monotonic.now_ms()
-    for found in tables.crashes.convict(tables.endpoints, now_ms):
+    for found in tables.crashes.find_crashing(tables.endpoints, now_ms):
         key = found.unit.key
         reason = (
             f"{found.crashes} endpoints crashed under task"
--- a/packages/placer/tests/test_crashes.py
+++ b/packages/placer/tests/test_crashes.py
@@ -66,15 +66,15 @@
 def test_tasks_beside_a_crashing_task_are_not_given_up():
     """Guards against jobs that fail for the crashes of another job's task."""
     tables = _tables()
-    guilty_entry, guilty = _job(tables, 1)
+    crashing_entry, crashing = _job(tables, 1)
     beside_entry, beside = _job(tables, 2)
-    _place(tables, guilty, "e0")
+    _place(tables, crashing, "e0")
     _place(tables, beside, "e0")
     _crash(tables, "e0")
-    _place(tables, guilty, "e1")
+    _place(tables, crashing, "e1")
     _place(tables, beside, "e2")
     _crash(tables, "e1")
-    assert guilty_entry.state == model.JobState.FAILED
+    assert crashing_entry.state == model.JobState.FAILED
     assert not beside_entry.state.final
     assert not beside.suspected
     assert beside_entry.job.job_id in tables.dirty
@@ -83,18 +83,18 @@
 def test_a_third_crash_decides_between_tasks_that_were_together_twice():
     """Guards against a job that fails since its task was there both times."""
     tables = _tables()
-    guilty_entry, guilty = _job(tables, 1)
+    crashing_entry, crashing = _job(tables, 1)
     beside_entry, beside = _job(tables, 2)
     for endpoint_id in ("e0", "e1"):
-        _place(tables, guilty, endpoint_id)
+        _place(tables, crashing, endpoint_id)
         _place(tables, beside, endpoint_id)
         _crash(tables, endpoint_id)
-    assert not guilty_entry.state.final
+    assert not crashing_entry.state.final
     assert not beside_entry.state.final
-    _place(tables, guilty, "e2")
+    _place(tables, crashing, "e2")
     _place(tables, beside, "e3")
     _crash(tables, "e2")
-    assert guilty_entry.state == model.JobState.FAILED
+    assert crashing_entry.state == model.JobState.FAILED
     assert not beside_entry.state.final
 
 
@@ -283,12 +283,12 @@
     assert not other.suspected
 
 
-def _run_until_settled(tables, deadly, order):
-    """Lets a scheduler place jobs whose deadly tasks crash each endpoint.
+def _run_until_settled(tables, crashing, order):
+    """Lets a scheduler place jobs whose crashing tasks crash each endpoint.
 
     Args:
       tables: the leader's tables.
-      deadly: the units that crash their endpoints.
+      crashing: the units that crash their endpoints.
       order: picks which of the endpoints that would crash is next.
 
     Returns:
@@ -311,20 +311,20 @@
         doomed = sorted(
             endpoint_id
             for endpoint_id, state in tables.endpoints.by_id.items()
-            if any(m.run.unit in deadly for m in state.members.values())
+            if any(m.run.unit in crashing for m in state.members.values())
         )
-        if not doomed and not any(unit.run is None for unit in deadly):
+        if not doomed and not any(unit.run is None for unit in crashing):
             break
         if doomed:
             _crash(tables, doomed[order.pop() % len(doomed) if order else 0])
         else:
             tables.monotonic.advance(1_000)
-            if all(unit.entry.state.final for unit in deadly):
+            if all(unit.entry.state.final for unit in crashing):
                 break
     return starts
 
 
-def _play(sizes, deadly_jobs, order):
+def _play(sizes, crashing_jobs, order):
     """Plays jobs of which some crash endpoints.
 
     Returns:
@@ -335,11 +335,11 @@
         _job(tables, number, builders.step(count=size))[0]
         for number, size in enumerate(sizes)
     ]
-    deadly = {
+    crashing = {
         next(iter(entries[number % len(entries)].units_by_key.values()))
-        for number in deadly_jobs
+        for number in crashing_jobs
     }
-    return entries, deadly, _run_until_settled(tables, deadly, order)
+    return entries, crashing, _run_until_settled(tables, crashing, order)
 
 
 _SIZES = st.lists(st.integers(1, 3), min_size=2, max_size=8)
@@ -348,25 +348,27 @@
 
 @given(
     sizes=_SIZES,
-    deadly_jobs=st.sets(st.integers(0, 7), min_size=1, max_size=4),
+    crashing_jobs=st.sets(st.integers(0, 7), min_size=1, max_size=4),
     order=_ORDER,
 )
 @settings(max_examples=60, deadline=None)
-def test_crashing_tasks_are_not_started_without_end(sizes, deadly_jobs, order):
+def test_crashing_tasks_are_not_started_without_end(
+    sizes, crashing_jobs, order
+):
     """Guards against a task that is started after four crashes under it."""
-    _, deadly, starts = _play(sizes, deadly_jobs, order)
-    for unit in deadly:
+    _, crashing, starts = _play(sizes, crashing_jobs, order)
+    for unit in crashing:
         assert unit.entry.state == model.JobState.FAILED
         assert starts[unit.key] <= crashes.MAX_SHARED_CRASHES
 
 
-@given(sizes=_SIZES, deadly_job=st.integers(0, 7), order=_ORDER)
+@given(sizes=_SIZES, crashing_job=st.integers(0, 7), order=_ORDER)
 @settings(max_examples=60, deadline=None)
-def test_one_crashing_task_fails_no_other_job(sizes, deadly_job, order):
+def test_one_crashing_task_fails_no_other_job(sizes, crashing_job, order):
     """Guards against jobs that fail for the crashes of another job's task."""
-    entries, deadly, _ = _play(sizes, {deadly_job}, order)
+    entries, crashing, _ = _play(sizes, {crashing_job}, order)
     failed = {e.job.job_id for e in entries if e.state == model.JobState.FAILED}
-    assert failed == {unit.key.job_id for unit in deadly}
+    assert failed == {unit.key.job_id for unit in crashing}
 
 
 def test_a_lost_endpoint_without_tasks_counts_as_common_cause():
@@ -397,16 +399,16 @@
     assert not entry.state.final
 
 
-def test_the_end_of_one_suspect_does_not_convict_another():
-    """Guards against a job that fails since the guilty one was cancelled."""
+def test_the_end_of_one_suspect_is_not_charged_to_another():
+    """Guards against a job that fails since the crashing one was cancelled."""
     tables = _tables()
-    guilty_entry, guilty = _job(tables, 1)
+    crashing_entry, crashing = _job(tables, 1)
     beside_entry, beside = _job(tables, 2)
     for endpoint_id in ("e0", "e1"):
-        _place(tables, guilty, endpoint_id)
+        _place(tables, crashing, endpoint_id)
         _place(tables, beside, endpoint_id)
         _crash(tables, endpoint_id)
-    lifecycle.cancel_job(tables, guilty_entry.job.job_id)
+    lifecycle.cancel_job(tables, crashing_entry.job.job_id)
     lifecycle.give_up_crashing(tables)
     assert not beside_entry.state.final
 
