Keep the suspicion of a task when a neighbour's job completes

A job that completes is not the cause of the crashes that its tasks were in. Only the end of a job that did not complete does so now. The test failed before.

--- a/packages/placer/src/laburnumgate_placer/crashes.py
+++ b/packages/placer/src/laburnumgate_placer/crashes.py
@@ -158,7 +158,7 @@
         """Settles open losses; returns the tasks that have to be given up."""
         for unit in list(self.suspects):
             if unit.entry.state.final:
-                if unit.suspected:
+                if unit.entry.state != model.JobState.COMPLETED:
                     self._mark_not_lone(unit)
                 self.suspects.discard(unit)
             elif unit.state == progress.UnitState.DONE or not unit.losses:
@@ -226,19 +226,8 @@
             for other in self._outage_by_incarnation.values()
             if abs(other.at_ms - at_ms) <= COMMON_CAUSE_MS
         ]
-        count = len(together)
-        for other_state in endpoints.by_id.values():
-            if other_state.answering or other_state is state:
-                continue
-            if abs(other_state.unreachable_ms - at_ms) > COMMON_CAUSE_MS:
-                continue
-            info = other_state.info
-            if (
-                info.endpoint_id,
-                info.born_ms,
-            ) not in self._outage_by_incarnation:
-                count += 1
-        if count < COMMON_CAUSE_ENDPOINTS:
+        silent = self._count_silent(endpoints, at_ms)
+        if len(together) + silent < COMMON_CAUSE_ENDPOINTS:
             return outage
         for other in together:
             other.common = True
@@ -247,6 +236,18 @@
             other.units.clear()
         return outage
 
+    def _count_silent(
+        self, endpoints: endpoint_table.EndpointTable, at_ms: int
+    ) -> int:
+        """Counts endpoints that fell silent at a time and may be lost."""
+        count = 0
+        for state in endpoints.by_id.values():
+            incarnation = (state.info.endpoint_id, state.info.born_ms)
+            if state.answering or incarnation in self._outage_by_incarnation:
+                continue
+            count += abs(state.unreachable_ms - at_ms) <= COMMON_CAUSE_MS
+        return count
+
     def _change(
         self, unit: progress.Unit, incarnation: tuple[str, int], **changes: bool
     ) -> None:
@@ -257,7 +258,9 @@
                 self.changed_job_ids.add(unit.key.job_id)
 
     def _mark_not_lone(self, ended: progress.Unit) -> None:
-        """Notes that a unit whose job ended may have caused its crashes."""
+        """Notes that a unit whose job was ended may have caused its crashes."""
+        if not ended.suspected:
+            return
         for loss in ended.losses:
             for unit in self.suspects:
                 if unit is not ended:
--- a/packages/placer/tests/test_crashes.py
+++ b/packages/placer/tests/test_crashes.py
@@ -413,6 +413,21 @@
     assert not beside_entry.state.final
 
 
+def test_a_job_that_completes_leaves_the_suspicion_of_others():
+    """Guards against crashes that no longer count since a neighbour ended."""
+    tables = _tables()
+    _, crashing = _job(tables, 1)
+    _, beside = _job(tables, 2)
+    _place(tables, crashing, "e0")
+    _place(tables, beside, "e0")
+    _crash(tables, "e0")
+    run = _place(tables, beside, "e1")
+    end = builders.end(run.members[0], 1, model.EndKind.DONE)
+    lifecycle.apply_end(tables, tables.endpoints.by_id["e1"], end)
+    lifecycle.give_up_crashing(tables)
+    assert crashing.suspected
+
+
 def test_a_planned_end_that_shows_after_the_lease_is_no_crash():
     """Guards against jobs that fail since a cut off endpoint left by plan."""
     tables = _tables()
