Log an unreadable load report, and keep one timeout of orders

A new leader that could not read its predecessor's load report went on without saying so. The timeout of orders stood twice with the same value.

--- a/packages/placer/src/laburnumgate_placer/launcher.py
+++ b/packages/placer/src/laburnumgate_placer/launcher.py
@@ -9,6 +9,7 @@
 from laburnumgate_placer import endpoint_table
 from laburnumgate_placer import events
 from laburnumgate_placer import lifecycle
+from laburnumgate_placer import limits
 from laburnumgate_placer import metrics
 from laburnumgate_placer import model
 from laburnumgate_placer import ports
@@ -17,8 +18,6 @@
 
 _LOGGER = logging.getLogger(__name__)
 
-# A healthy endpoint answers an order within a few ms.
-ORDER_TIMEOUT_MS = 400
 BACKOFF_MS = 60
 # How often a start that was not answered looks for a report of the endpoint.
 REPORT_POLL_MS = 10
@@ -112,7 +111,7 @@
                 member.task,
                 member.run.number,
                 tables.token,
-                timeout_ms=ORDER_TIMEOUT_MS,
+                timeout_ms=limits.ORDER_TIMEOUT_MS,
             )
             match answer:
                 case ports.Done(clock_ms):
@@ -162,7 +161,7 @@
                 if not self._may_order():
                     # A later leader may count on the end of all leases.
                     return "leadership is not confirmed"
-                obstacle = self._capacity_obstacle(state)
+                obstacle = self._endpoint_obstacle(state)
                 if obstacle is not None:
                     return obstacle
                 first = not member.start_sent
@@ -171,7 +170,7 @@
                 answer = await self._endpoints.start(
                     state.info,
                     self._order(member, state, sent_ms),
-                    timeout_ms=ORDER_TIMEOUT_MS,
+                    timeout_ms=limits.ORDER_TIMEOUT_MS,
                 )
             match answer:
                 case ports.Done(clock_ms):
@@ -248,15 +247,15 @@
                 return "an assigned endpoint is draining"
             if state.info.zone in tables.config.zones_out:
                 return "a zone was taken out of service"
-            obstacle = self._capacity_obstacle(state)
+            obstacle = self._endpoint_obstacle(state)
             if obstacle is not None:
                 return obstacle
         return None
 
-    def _capacity_obstacle(
+    def _endpoint_obstacle(
         self, state: endpoint_table.EndpointState
     ) -> str | None:
-        """Returns why a start could exceed the endpoint's capacity, or None."""
+        """Returns why the endpoint may not have room for a start, or None."""
         if self._tables.endpoints.list_is_old():
             return "the live list is too old"
         if not state.listed:
--- a/packages/placer/src/laburnumgate_placer/limits.py
+++ b/packages/placer/src/laburnumgate_placer/limits.py
@@ -5,8 +5,9 @@
 # Long enough for leases to survive a 6 s network partition of a zone. Longer
 # leases would only delay restarting the work of a lost endpoint.
 MAX_LEASE_MS = 7_000
-# Time that a start order may be under way; a later answer is not waited for.
-START_DELAY_MS = 400
+# How long the answer to an order is waited for. A healthy endpoint answers
+# within a few ms.
+ORDER_TIMEOUT_MS = 400
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -62,4 +63,4 @@
     @property
     def max_list_age_ms(self) -> int:
         """Age of the live list from which its capacities are not used."""
-        return self.contact_ms - START_DELAY_MS
+        return self.contact_ms - ORDER_TIMEOUT_MS
--- a/packages/placer/src/laburnumgate_placer/load_reports.py
+++ b/packages/placer/src/laburnumgate_placer/load_reports.py
@@ -1,11 +1,17 @@
 """The leader's report of its backlog, which hosts need to turn work away."""
 
+import logging
+
+from laburnumgate_placer import events
 from laburnumgate_placer import model
 from laburnumgate_placer import ordering
 from laburnumgate_placer import reclaim
 from laburnumgate_placer import tables as tables_module
+from laburnumgate_placer import topics
 from laburnumgate_placer.overload import admission
 
+_LOGGER = logging.getLogger(__name__)
+
 # Interval at which the backlog is estimated and reported.
 INTERVAL_MS = 1_000
 
@@ -75,7 +81,14 @@
     """
     try:
         backlogs = decode(content)
-    except (ValueError, TypeError, AttributeError):
+    except (ValueError, TypeError, AttributeError) as error:
+        events.emit(
+            _LOGGER,
+            events.Event.RECORD_SKIPPED,
+            topic=topics.LEADER,
+            key="load",
+            reason=str(error),
+        )
         return {}
     return {service: known.largest for service, known in backlogs.items()}
 
--- a/packages/placer/src/laburnumgate_placer/watcher.py
+++ b/packages/placer/src/laburnumgate_placer/watcher.py
@@ -7,8 +7,8 @@
 from laburnumgate_placer import call_gate
 from laburnumgate_placer import endpoint_table
 from laburnumgate_placer import events
-from laburnumgate_placer import launcher
 from laburnumgate_placer import lifecycle
+from laburnumgate_placer import limits
 from laburnumgate_placer import model
 from laburnumgate_placer import pacing
 from laburnumgate_placer import ports
@@ -191,7 +191,7 @@
                 row.task,
                 row.run,
                 tables.token,
-                timeout_ms=launcher.ORDER_TIMEOUT_MS,
+                timeout_ms=limits.ORDER_TIMEOUT_MS,
             )
         await self._adjust_pace()
         self._ack_due = bool(report.ended) and state.handled_end > acked
@@ -213,7 +213,7 @@
                 member.run.number,
                 change.percent,
                 tables.token,
-                timeout_ms=launcher.ORDER_TIMEOUT_MS,
+                timeout_ms=limits.ORDER_TIMEOUT_MS,
             )
             events.emit(
                 _LOGGER,
@@ -280,7 +280,7 @@
                 task,
                 run,
                 tables.token,
-                timeout_ms=launcher.ORDER_TIMEOUT_MS,
+                timeout_ms=limits.ORDER_TIMEOUT_MS,
             )
             if not isinstance(answer, ports.Done | ports.Refused):
                 return
