--- a/packages/placer/src/laburnumgate_placer/host.py
+++ b/packages/placer/src/laburnumgate_placer/host.py
@@ -14,6 +14,7 @@
 from laburnumgate_placer import leadership
 from laburnumgate_placer import limits
 from laburnumgate_placer import metrics
+from laburnumgate_placer import policy as policy_module
 from laburnumgate_placer import ports
 from laburnumgate_placer import records
 from laburnumgate_placer import services as services_module
@@ -46,6 +47,7 @@
         claim_delay_ms: int,
         first_start: bool,
         reserve: bool = False,
+        policy: policy_module.Policy | None = None,
     ):
         """Creates the components of a host.
 
@@ -57,6 +59,7 @@
             claim first.
           first_start: whether this is the first start of the whole system.
           reserve: whether this host leads only if no abler one does.
+          policy: scheduling policy, the default one if None.
         """
         self.monotonic = clock.MonotonicClock()
         self.wall = clock.WallClock()
@@ -67,6 +70,7 @@
         log = services.log
         self._services = services
         self._bounds = bounds
+        self._policy = policy
         self.config_feed = feed.Feed(
             log,
             self.monotonic,
@@ -155,6 +159,7 @@
                 self.jobs,
                 self.jobs_feed,
                 self._bounds,
+                self._policy,
             )
             self.jobs_feed.min_interval_ms = 0
             try:
--- a/packages/placer/src/laburnumgate_placer/leader.py
+++ b/packages/placer/src/laburnumgate_placer/leader.py
@@ -25,6 +25,7 @@
 from laburnumgate_placer import maintainer
 from laburnumgate_placer import metrics
 from laburnumgate_placer import model
+from laburnumgate_placer import policy as policy_module
 from laburnumgate_placer import ports
 from laburnumgate_placer import progress
 from laburnumgate_placer import recorder
@@ -80,6 +81,7 @@
         jobs: job_table.JobTable,
         jobs_feed: feed.Feed,
         bounds: limits.Bounds,
+        policy: policy_module.Policy | None = None,
     ):
         """Prepares a term under the current claim of `leadership_state`."""
         self._services = services
@@ -90,7 +92,7 @@
         self._jobs_feed = jobs_feed
         self._claimed_ms = monotonic.now_ms()
         self.tables = tables_module.Tables(
-            self._claim.token, monotonic, wall, config, jobs, bounds
+            self._claim.token, monotonic, wall, config, jobs, bounds, policy
         )
         self._recorder = recorder.Recorder(
             services.log, self.tables, services.status_topic
--- a/packages/placer/src/laburnumgate_placer/limits.py
+++ b/packages/placer/src/laburnumgate_placer/limits.py
@@ -32,6 +32,10 @@
         missing.
       contact_ms: how long after an endpoint has listed a smaller capacity it
         may still be exceeded.
+      config_apply_ms: time from its publication in which a configuration is in
+        force on every host.
+      rate_window_ms: window in which the submissions of an account are
+        compared with its weight.
     """
 
     max_lease_ms: int = 10_000
@@ -49,6 +53,8 @@
     interference_ms: int = 4_000
     notice_ms: int = 4_500
     contact_ms: int = 3_000
+    config_apply_ms: int = 2_000
+    rate_window_ms: int = 5_000
 
     @property
     def lease_ms(self) -> int:
--- a/packages/placer/src/laburnumgate_placer/model.py
+++ b/packages/placer/src/laburnumgate_placer/model.py
@@ -192,11 +192,17 @@
       name: name in the configuration.
       keys: API keys of its callers.
       guaranteed_gpu: accelerators guaranteed to its priority 0 jobs.
+      limit: what it may have running on all endpoints together; an amount of 0
+        is not limited.
+      weight: share of the account under contention, and jobs a second beyond
+        which its further jobs count as excess; 0 for none.
     """
 
     name: str
     keys: frozenset[str]
     guaranteed_gpu: int = 0
+    limit: Resources = Resources()
+    weight: float = 0.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/packages/placer/src/laburnumgate_placer/tables.py
+++ b/packages/placer/src/laburnumgate_placer/tables.py
@@ -12,6 +12,7 @@
 from laburnumgate_placer import job_table
 from laburnumgate_placer import limits
 from laburnumgate_placer import model
+from laburnumgate_placer import policy as policy_module
 from laburnumgate_placer import progress
 
 
@@ -35,6 +36,7 @@
         config: config_table.ConfigTable,
         jobs: job_table.JobTable,
         bounds: limits.Bounds,
+        policy: policy_module.Policy | None = None,
     ):
         self.token = token
         self.monotonic = monotonic
@@ -42,6 +44,7 @@
         self.config = config
         self.jobs = jobs
         self.bounds = bounds
+        self.policy = policy or policy_module.Policy()
         self.endpoints = endpoint_table.EndpointTable(bounds.max_list_age_ms)
         self.durations = durations.DurationTable()
         self.advice = advice.AdviceTable()
--- a/packages/placer/tests/builders.py
+++ b/packages/placer/tests/builders.py
@@ -60,7 +60,9 @@
     return model.Endpoint(**(values | fields))
 
 
-def tables(*queues, accounts=(ACCOUNT,), bounds=None) -> tables_module.Tables:
+def tables(
+    *queues, accounts=(ACCOUNT,), bounds=None, policy=None
+) -> tables_module.Tables:
     """Returns empty tables with manual clocks and fencing token 7."""
     monotonic = clock.ManualClock(100_000)
     in_force = config_table.ConfigTable()
@@ -72,6 +74,7 @@
         in_force,
         job_table.JobTable(),
         bounds or limits.Bounds(),
+        policy,
     )
 
 
