--- a/packages/placer/src/laburnumgate_placer/live_list.py
+++ b/packages/placer/src/laburnumgate_placer/live_list.py
@@ -10,6 +10,7 @@
 from laburnumgate_placer import ports
 from laburnumgate_placer import progress
 from laburnumgate_placer import tables as tables_module
+from laburnumgate_placer.overload import draining
 
 _LOGGER = logging.getLogger(__name__)
 
@@ -136,7 +137,7 @@
             return
         if state.ended:
             return
-        draining = endpoint.draining and not state.info.draining
+        starts_draining = endpoint.draining and not state.info.draining
         relisted = not state.listed
         before = state.info
         state.info = endpoint
@@ -145,7 +146,7 @@
         if before.address and endpoint.capacity != before.capacity:
             self._log_capacity_changed(state, before.capacity)
             self._tables.wake.set()
-        if draining:
+        if starts_draining:
             self._log_changed(state, "it is draining")
             self._tables.crashes.drop_open(endpoint.endpoint_id)
             self._drain(state)
@@ -168,8 +169,8 @@
     def _drain(self, state: endpoint_table.EndpointState) -> None:
         """Stops runs on a draining endpoint that have to move.
 
-        These are long-running runs, and resumable ones that are not expected
-        to end in the remaining time.
+        These are long-running runs, and others that are not expected to end in
+        the remaining time.
         """
         tables = self._tables
         now_ms = tables.monotonic.now_ms()
@@ -178,10 +179,12 @@
             if run.phase != progress.Phase.RUNNING:
                 continue
             step = run.unit.step
-            if not step.checkpointing and not step.long_running:
-                continue
-            remaining_ms = tables.durations.remaining_ms(run, now_ms)
-            if step.long_running or remaining_ms > state.info.remaining_ms:
+            if step.long_running or draining.should_stop(
+                tables.durations.remaining_ms(run, now_ms),
+                state.info.remaining_ms,
+                resumes=step.checkpointing,
+                move_all=tables.policy.drain_moves,
+            ):
                 lifecycle.stop_run(tables, run, "its endpoint is draining")
 
     def _log_changed(
--- a/packages/placer/src/laburnumgate_placer/policy.py
+++ b/packages/placer/src/laburnumgate_placer/policy.py
@@ -26,6 +26,8 @@
         while there is too little room.
       urgent_headroom: whether patient work is placed so that room for urgent
         gangs remains.
+      drain_moves: whether runs that cannot resume are stopped, to start
+        elsewhere, if they will not end before their endpoint shuts down.
       straggler_moves: whether runs that stand still or are far too slow are
         moved.
     """
@@ -33,6 +35,7 @@
     delay_cost_order: bool = False
     equal_account_shares: bool = False
     urgent_headroom: bool = False
+    drain_moves: bool = False
     straggler_moves: bool = False
 
 
