--- /dev/null
+++ b/packages/placer/src/laburnumgate_placer/accounts/__init__.py
@@ -0,0 +1,1 @@
+"""Limits of client accounts: what runs, what may start, what gives way."""
--- a/packages/placer/src/laburnumgate_placer/config_table.py
+++ b/packages/placer/src/laburnumgate_placer/config_table.py
@@ -1,10 +1,14 @@
 """Operator configuration: queues, accounts, zones and waves."""
 
+import collections
 import dataclasses
 import logging
 
+from laburnumgate_core import clock
+
 from laburnumgate_placer import events
 from laburnumgate_placer import model
+from laburnumgate_placer.accounts import limits
 
 _LOGGER = logging.getLogger(__name__)
 
@@ -37,7 +41,22 @@
 class ConfigTable:
     """Latest configuration; its version never decreases in a process."""
 
-    def __init__(self):
+    def __init__(self, monotonic: clock.Clock | None = None, apply_ms: int = 0):
+        """Initialises a table without a configuration.
+
+        Args:
+          monotonic: clock for `apply_ms`; needed only with it.
+          apply_ms: how long the limits of a replaced configuration stay in
+            force, because other hosts may still use it.
+        """
+        self._monotonic = monotonic
+        self._apply_ms = apply_ms
+        # Limits of replaced configurations by account, each with the monotonic
+        # time until which they are in force, oldest first.
+        self._earlier: collections.deque[
+            tuple[int, dict[str, model.Resources]]
+        ] = collections.deque()
+        self._limit_by_account: dict[str, model.Resources] = {}
         self.current: model.Configuration | None = None
         self.zones_out: set[str] = set()
         self.waves_by_number: dict[int, model.Wave] = {}
@@ -56,6 +75,7 @@
         self._offset = offset
         changed = self.current is None or config.version != self.current.version
         self.current = config
+        self._replace_limits(config)
         if changed:
             events.emit(
                 _LOGGER,
@@ -65,6 +85,44 @@
             )
         return changed
 
+    def has_limits(self) -> bool:
+        """Whether any account has a limit in a configuration in force."""
+        if self._earlier:
+            self._drop_expired()
+        return bool(self._limit_by_account or self._earlier)
+
+    def limit(self, account: str) -> model.Resources:
+        """Returns the limit of an account, an amount of 0 for no limit.
+
+        It is the smallest limit, for each resource, of all configurations that
+        may still be in force on some host.
+        """
+        limit = self._limit_by_account.get(account, limits.NO_LIMIT)
+        if not self._earlier:
+            return limit
+        self._drop_expired()
+        earlier = [known.get(account) for _, known in self._earlier]
+        return limits.strictest([limit, *filter(None, earlier)])
+
+    def _replace_limits(self, config: model.Configuration) -> None:
+        replaced = self._limit_by_account
+        self._limit_by_account = {
+            account.name: account.limit
+            for account in config.accounts_by_name.values()
+            if account.limit != limits.NO_LIMIT
+        }
+        if not self._apply_ms:
+            return
+        self._drop_expired()
+        if replaced and replaced != self._limit_by_account:
+            until_ms = self._monotonic.now_ms() + self._apply_ms
+            self._earlier.append((until_ms, replaced))
+
+    def _drop_expired(self) -> None:
+        now_ms = self._monotonic.now_ms()
+        while self._earlier and self._earlier[0][0] <= now_ms:
+            self._earlier.popleft()
+
     def set_zone(self, zone: str, out: bool) -> None:
         """Takes a zone out of service or puts it back."""
         if out == (zone in self.zones_out):
--- a/packages/placer/src/laburnumgate_placer/events.py
+++ b/packages/placer/src/laburnumgate_placer/events.py
@@ -46,6 +46,8 @@
     PACED = (1308, "pace of a task changed")
     NOT_PLACED = (1309, "unit waits for capacity")
     MEMBER_LOST = (1311, "task was lost with its endpoint", logging.WARNING)
+    ACCOUNT_HELD = (1312, "account is held back by its limit")
+    ACCOUNT_RELEASED = (1313, "account is no longer held back")
     ENDPOINT_FOUND = (1400, "endpoint joined the live list")
     ENDPOINT_CHANGED = (1401, "endpoint changed its state")
     ENDPOINT_LOST = (1402, "endpoint does not answer", logging.WARNING)
--- a/packages/placer/src/laburnumgate_placer/host.py
+++ b/packages/placer/src/laburnumgate_placer/host.py
@@ -20,6 +20,7 @@
 from laburnumgate_placer import services as services_module
 from laburnumgate_placer import topics
 from laburnumgate_placer import writer
+from laburnumgate_placer.accounts import holds
 
 _LOGGER = logging.getLogger(__name__)
 
@@ -63,7 +64,9 @@
         """
         self.monotonic = clock.MonotonicClock()
         self.wall = clock.WallClock()
-        self.config = config_table.ConfigTable()
+        self.config = config_table.ConfigTable(
+            self.monotonic, bounds.config_apply_ms
+        )
         self.jobs = job_table.JobTable()
         self.leader: leader.Leader | None = None
         self.stopping = False
@@ -227,6 +230,7 @@
         }
         if self.leader is not None:
             dump["open_jobs"] = len(self.leader.tables.entries_by_id)
+            dump["accounts"] = holds.dump(self.leader.tables)
             dump["endpoints"] = {
                 endpoint_id: {
                     "answering": state.answering,
--- a/packages/placer/src/laburnumgate_placer/launcher.py
+++ b/packages/placer/src/laburnumgate_placer/launcher.py
@@ -15,6 +15,7 @@
 from laburnumgate_placer import ports
 from laburnumgate_placer import progress
 from laburnumgate_placer import tables as tables_module
+from laburnumgate_placer.accounts import holds
 
 _LOGGER = logging.getLogger(__name__)
 
@@ -161,7 +162,9 @@
                 if not self._may_order():
                     # A later leader may count on the end of all leases.
                     return "leadership is not confirmed"
-                obstacle = self._endpoint_obstacle(state)
+                obstacle = self._endpoint_obstacle(state) or holds.run_obstacle(
+                    tables, run
+                )
                 if obstacle is not None:
                     return obstacle
                 first = not member.start_sent
@@ -250,7 +253,7 @@
             obstacle = self._endpoint_obstacle(state)
             if obstacle is not None:
                 return obstacle
-        return None
+        return holds.run_obstacle(tables, run)
 
     def _endpoint_obstacle(
         self, state: endpoint_table.EndpointState
--- a/packages/placer/src/laburnumgate_placer/leader.py
+++ b/packages/placer/src/laburnumgate_placer/leader.py
@@ -35,6 +35,7 @@
 from laburnumgate_placer import tables as tables_module
 from laburnumgate_placer import topics
 from laburnumgate_placer import watcher
+from laburnumgate_placer.accounts import holds
 from laburnumgate_placer.overload import passes
 
 _LOGGER = logging.getLogger(__name__)
@@ -318,6 +319,7 @@
                     continue
                 member.report_valid_from_ms = 1
                 state.charge(member)
+                self.tables.usage.add(member)
             events.emit(
                 _LOGGER,
                 events.Event.RUN_ADOPTED,
@@ -445,6 +447,7 @@
         while True:
             await asyncio.sleep(load_reports.INTERVAL_MS / 1000)
             try:
+                holds.set_metrics(self.tables)
                 backlogs = load_reports.collect(self.tables, largest_by_service)
             except Exception as error:  # Hosts then turn nothing away.
                 events.emit(
--- a/packages/placer/src/laburnumgate_placer/lifecycle.py
+++ b/packages/placer/src/laburnumgate_placer/lifecycle.py
@@ -79,6 +79,7 @@
         )
         run.members.append(member)
         state.charge(member)
+        tables.usage.add(member)
     unit.run = run
     tables.assigned_runs.append(run)
     tables.mark_dirty(unit.key.job_id)
@@ -141,6 +142,7 @@
     if member.terminated:
         return
     member.terminated = True
+    tables.usage.remove(member)
     state = tables.endpoints.by_id.get(member.endpoint_id)
     if state is not None:
         state.release(member)
--- a/packages/placer/src/laburnumgate_placer/metrics.py
+++ b/packages/placer/src/laburnumgate_placer/metrics.py
@@ -58,6 +58,18 @@
 CONFIG_VERSION = _gauge(
     "laburnumgate_config_version", "Version of the configuration in force."
 )
+ACCOUNT_USAGE = _gauge(
+    "laburnumgate_account_usage",
+    "What an account may have running, by account and resource.",
+)
+ACCOUNT_LIMIT = _gauge(
+    "laburnumgate_account_limit",
+    "Limit of an account, by account and resource; 0 for none.",
+)
+ACCOUNT_HELD = _counter(
+    "laburnumgate_account_held_total",
+    "How often an account was held back by its limit.",
+)
 ACCEPT_SECONDS = DurationHistogram(
     "laburnumgate_accept_seconds", "From a submission to its answer."
 )
--- a/packages/placer/src/laburnumgate_placer/scheduling.py
+++ b/packages/placer/src/laburnumgate_placer/scheduling.py
@@ -12,6 +12,7 @@
 from laburnumgate_placer import pool as pool_module
 from laburnumgate_placer import progress
 from laburnumgate_placer import tables as tables_module
+from laburnumgate_placer.accounts import holds
 
 _LOGGER = logging.getLogger(__name__)
 
@@ -30,6 +31,7 @@
     def __init__(self, tables: tables_module.Tables):
         self._tables = tables
         self._look_ahead = lookahead.LookAhead(tables)
+        self._holds = holds.AccountHolds(tables)
         self._reported_steps: set[tuple[str, int, int]] = set()
 
     def run(self) -> None:
@@ -42,7 +44,9 @@
         waiting = ordering.waiting_steps(tables, protected, now_ms)
         if not waiting:
             self._reported_steps.clear()
-        self._look_ahead.forget(waiting, now_ms)
+        # What is held for units that their accounts' limits hold back is
+        # released before anything is placed.
+        self._look_ahead.forget(self._holds.startable(waiting), now_ms)
         # Guaranteed units come first, then units for which runs were stopped.
         # If such a unit became late in the meantime, other units would rank
         # above it and take the reclaimed capacity.
@@ -62,6 +66,7 @@
                 self._place_step(pool, step, protected, now_ms)
             except Exception as error:  # Must not keep other jobs waiting.
                 self._set_aside(step, error, now_ms)
+        self._holds.end_pass(now_ms)
 
     def _set_aside(
         self, waiting: ordering.WaitingStep, error: Exception, now_ms: int
@@ -88,7 +93,9 @@
         now_ms: int,
     ) -> None:
         """Places the waiting units of one step."""
-        units = list(waiting.units)
+        units = self._holds.admit(waiting, now_ms)
+        if not units:
+            return
         if self._independent(units[0]):
             units = self._place_together(
                 pool, waiting.rank, units, protected, now_ms
--- a/packages/placer/src/laburnumgate_placer/tables.py
+++ b/packages/placer/src/laburnumgate_placer/tables.py
@@ -14,6 +14,7 @@
 from laburnumgate_placer import model
 from laburnumgate_placer import policy as policy_module
 from laburnumgate_placer import progress
+from laburnumgate_placer.accounts import usage
 
 
 class Tables:
@@ -21,6 +22,7 @@
 
     Attributes:
       token: fencing token of the term.
+      usage: what each account may have running.
       entries_by_id: open jobs, and ended jobs that still have runs.
       dirty: ids of jobs with progress that is not recorded yet.
       assigned_runs: runs to start once their assignment is recorded.
@@ -49,6 +51,7 @@
         self.durations = durations.DurationTable()
         self.advice = advice.AdviceTable()
         self.crashes = crashes.CrashTable()
+        self.usage = usage.UsageLedger()
         self.entries_by_id: dict[str, progress.JobEntry] = {}
         self.dirty: set[str] = set()
         self.assigned_runs: list[progress.Run] = []
--- a/packages/placer/tests/builders.py
+++ b/packages/placer/tests/builders.py
@@ -65,7 +65,8 @@
 ) -> tables_module.Tables:
     """Returns empty tables with manual clocks and fencing token 7."""
     monotonic = clock.ManualClock(100_000)
-    in_force = config_table.ConfigTable()
+    bounds = bounds or limits.Bounds()
+    in_force = config_table.ConfigTable(monotonic, bounds.config_apply_ms)
     in_force.publish(1, config(*queues, accounts=accounts))
     return tables_module.Tables(
         7,
@@ -73,7 +74,7 @@
         clock.ManualClock(1_000_000),
         in_force,
         job_table.JobTable(),
-        bounds or limits.Bounds(),
+        bounds,
         policy,
     )
 
