Place patient work packed and urgent work on the fastest endpoints

With urgent_headroom, work of a priority above 0 goes to endpoints and racks that are in use, so that whole ones stay free for urgent gangs. Urgent work goes to the fastest endpoints, since declared durations are off by half. Without the setting nothing changes.

--- a/packages/placer/src/laburnumgate_placer/ordering.py
+++ b/packages/placer/src/laburnumgate_placer/ordering.py
@@ -3,6 +3,7 @@
 import dataclasses
 import enum
 
+from laburnumgate_placer import model
 from laburnumgate_placer import placement
 from laburnumgate_placer import progress
 from laburnumgate_placer import tables as tables_module
@@ -27,6 +28,7 @@
       priority: priority of its queue; 0 is the highest.
       due_ms: monotonic time by which it should start.
       min_speed: lowest endpoint speed at which it ends in time.
+      preference: which of several possible endpoints it prefers.
     """
 
     guaranteed: bool
@@ -34,10 +36,11 @@
     priority: int
     due_ms: float
     min_speed: float = 0.0
+    preference: placement.Preference = placement.Preference.SLOWEST
 
     def requirement(self) -> placement.Requirement:
         """Returns the placement requirement that follows from the rank."""
-        return placement.Requirement(self.min_speed)
+        return placement.Requirement(self.min_speed, preference=self.preference)
 
     def sort_key(self) -> tuple:
         """Returns the sort key; the lowest is placed first."""
@@ -119,9 +122,20 @@
         queue.priority,
         due_ms,
         remaining_ms / max(1.0, due_ms + remaining_ms - now_ms),
+        _preference(tables, queue),
     )
 
 
+def _preference(
+    tables: tables_module.Tables, queue: model.Queue
+) -> placement.Preference:
+    if not tables.policy.urgent_headroom:
+        return placement.Preference.SLOWEST
+    if queue.priority == 0:
+        return placement.Preference.FASTEST
+    return placement.Preference.PACKED
+
+
 def _clock_start_ms(
     tables: tables_module.Tables, unit: progress.Unit, now_ms: int
 ) -> int:
--- a/packages/placer/src/laburnumgate_placer/placement.py
+++ b/packages/placer/src/laburnumgate_placer/placement.py
@@ -2,6 +2,7 @@
 
 import collections
 import dataclasses
+import enum
 import functools
 
 from laburnumgate_placer import endpoint_table
@@ -17,6 +18,26 @@
 SPEED_BUCKET_RATIO = 1.2
 
 
+class Preference(enum.Enum):
+    """Which of the endpoints that a unit could run on it prefers.
+
+    Data, label, avoided endpoints and, except for `FASTEST`, the speed that the
+    unit needs take precedence.
+    """
+
+    # The slowest that is fast enough; faster ones are left to units that need
+    # them.
+    SLOWEST = "slowest"
+    # The fastest. Declared durations are off by half, so that an endpoint that
+    # seems just fast enough is often too slow.
+    FASTEST = "fastest"
+    # One that is in use already, in the fullest rack, so that whole endpoints
+    # and racks stay free. Speed only decides between endpoints that are equal
+    # in this: a gang that needs a whole rack cannot use fast endpoints that
+    # stay free in different racks.
+    PACKED = "packed"
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Requirement:
     """Requirements of a unit on the endpoints that it runs on.
@@ -25,10 +46,12 @@
       min_speed: endpoint speed below which the job ends late.
       spread: whether a same-rack gang may run on several racks, where it is
         slower.
+      preference: which of several possible endpoints it prefers.
     """
 
     min_speed: float = 0.0
     spread: bool = False
+    preference: Preference = Preference.SLOWEST
 
     def is_met_by(self, speed: float) -> bool:
         """Whether work at this estimated speed is expected to end in time."""
@@ -41,18 +64,18 @@
     free_by_id: dict[str, model.Resources],
     speed_table: speeds.SpeedTable,
     requirement: Requirement,
+    rack_endpoints: list[endpoint_table.EndpointState] | None = None,
 ) -> list[str] | None:
     """Chooses an endpoint for each task of the unit.
 
-    Prefers the slowest of the endpoints that are fast enough, which leaves
-    faster ones to units that need them.
-
     Args:
       unit: the unit to place.
       endpoints: endpoints that may run work of its queue.
-      free_by_id: their free capacity by endpoint id.
+      free_by_id: free capacity by endpoint id.
       speed_table: their speeds.
       requirement: the requirements on the endpoints.
+      rack_endpoints: all endpoints that count towards how full a rack is;
+        `endpoints` if not given.
 
     Returns:
       One endpoint id for each task, or None if the unit does not fit.
@@ -61,15 +84,20 @@
     slots_by_id = _free_slots(unit, endpoints, free_by_id)
     if sum(slots_by_id.values()) < unit.size:
         return None
-    allowed = [e for e in endpoints if e.info.endpoint_id in slots_by_id]
-    ordered = sorted(
-        allowed,
-        key=lambda s: _sort_key(unit, s, slots_by_id, speed_table, requirement),
+    idle = _idle(requirement, rack_endpoints or endpoints, free_by_id)
+    ordered = _ordered(
+        unit,
+        endpoints,
+        slots_by_id,
+        free_by_id,
+        speed_table,
+        requirement,
+        idle,
     )
     if not step.same_rack and not (step.data_rack and unit.size > 1):
         return _fill(unit.size, ordered, slots_by_id)
     chosen = _choose_in_rack(
-        unit, ordered, slots_by_id, speed_table, requirement
+        unit, ordered, slots_by_id, speed_table, requirement, idle
     )
     if chosen is not None:
         return chosen
@@ -107,6 +135,7 @@
     free_by_id: dict[str, model.Resources],
     speed_table: speeds.SpeedTable,
     requirement: Requirement,
+    rack_endpoints: list[endpoint_table.EndpointState] | None = None,
 ) -> list[str]:
     """Chooses endpoints for tasks that run independently of each other.
 
@@ -114,20 +143,28 @@
       unit: one of several equal units of one task each.
       most: number of these units.
       endpoints: endpoints that may run work of their queue.
-      free_by_id: their free capacity by endpoint id.
+      free_by_id: free capacity by endpoint id.
       speed_table: their speeds.
       requirement: the requirements on the endpoints.
+      rack_endpoints: all endpoints that count towards how full a rack is;
+        `endpoints` if not given.
 
     Returns:
       An endpoint id for each of the first units, as many as fit.
     """
     slots_by_id = _free_slots(unit, endpoints, free_by_id)
-    allowed = [e for e in endpoints if e.info.endpoint_id in slots_by_id]
-    allowed.sort(
-        key=lambda s: _sort_key(unit, s, slots_by_id, speed_table, requirement)
+    idle = _idle(requirement, rack_endpoints or endpoints, free_by_id)
+    ordered = _ordered(
+        unit,
+        endpoints,
+        slots_by_id,
+        free_by_id,
+        speed_table,
+        requirement,
+        idle,
     )
     chosen: list[str] = []
-    for state in allowed:
+    for state in ordered:
         endpoint_id = state.info.endpoint_id
         missing = most - len(chosen)
         if missing <= 0:
@@ -172,6 +209,107 @@
     return count_by_endpoint
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class _Idle:
+    """Endpoints of which no accelerator is in use.
+
+    Attributes:
+      endpoint_ids: their ids.
+      count_by_rack: their number by rack.
+    """
+
+    endpoint_ids: frozenset[str] = frozenset()
+    count_by_rack: collections.Counter[str] = dataclasses.field(
+        default_factory=collections.Counter
+    )
+
+
+def is_whole(
+    state: endpoint_table.EndpointState, free: model.Resources
+) -> bool:
+    """Whether no accelerator of an endpoint is in use.
+
+    Without accelerators, all of its resources have to be free.
+    """
+    capacity = state.info.capacity
+    if capacity.gpu:
+        return free.gpu >= capacity.gpu
+    return free == capacity
+
+
+def _idle(
+    requirement: Requirement,
+    endpoints: list[endpoint_table.EndpointState],
+    free_by_id: dict[str, model.Resources],
+) -> _Idle:
+    """Finds the endpoints that a packed unit should leave whole."""
+    if requirement.preference != Preference.PACKED:
+        return _Idle()
+    endpoint_ids = set()
+    count_by_rack: collections.Counter[str] = collections.Counter()
+    for state in endpoints:
+        endpoint_id = state.info.endpoint_id
+        if is_whole(state, free_by_id[endpoint_id]):
+            endpoint_ids.add(endpoint_id)
+            count_by_rack[state.info.rack] += 1
+    return _Idle(frozenset(endpoint_ids), count_by_rack)
+
+
+def _ordered(
+    unit: progress.Unit,
+    endpoints: list[endpoint_table.EndpointState],
+    slots_by_id: dict[str, int],
+    free_by_id: dict[str, model.Resources],
+    speed_table: speeds.SpeedTable,
+    requirement: Requirement,
+    idle: _Idle,
+) -> list[endpoint_table.EndpointState]:
+    """Returns the endpoints with free slots in order of preference."""
+    allowed = [e for e in endpoints if e.info.endpoint_id in slots_by_id]
+    if requirement.preference == Preference.PACKED and not unit.suspected:
+        allowed.sort(
+            key=lambda s: _packed_key(
+                unit, s, free_by_id, speed_table, requirement, idle
+            )
+        )
+        return allowed
+    allowed.sort(
+        key=lambda s: _sort_key(unit, s, slots_by_id, speed_table, requirement)
+    )
+    return allowed
+
+
+def _packed_key(
+    unit: progress.Unit,
+    state: endpoint_table.EndpointState,
+    free_by_id: dict[str, model.Resources],
+    speed_table: speeds.SpeedTable,
+    requirement: Requirement,
+    idle: _Idle,
+) -> tuple:
+    info = state.info
+    endpoint_id = info.endpoint_id
+    data_rack = unit.step.data_rack
+    speed = speed_table.speed(endpoint_id)
+    fast_enough = requirement.is_met_by(speed)
+    bucket = _speed_bucket(speed)
+    whole = endpoint_id in idle.endpoint_ids
+    return (
+        endpoint_id in unit.avoided_endpoints,
+        bool(data_rack) and info.rack != data_rack,
+        not fast_enough,
+        0 if fast_enough else -bucket,
+        bool(state.failing_jobs or state.suspects),
+        whole,
+        idle.count_by_rack[info.rack],
+        # Whole endpoints are taken from one rack after the other.
+        info.rack if whole else "",
+        free_by_id[endpoint_id].gpu,
+        bucket,
+        endpoint_id,
+    )
+
+
 def _sort_key(
     unit: progress.Unit,
     state: endpoint_table.EndpointState,
@@ -197,11 +335,12 @@
             slots_by_id[endpoint_id],
             endpoint_id,
         )
+    fastest = requirement.preference == Preference.FASTEST
     return (
         endpoint_id in unit.avoided_endpoints,
         bool(data_rack) and state.info.rack != data_rack,
         not fast_enough,
-        bucket if fast_enough else -bucket,
+        bucket if fast_enough and not fastest else -bucket,
         bool(state.failing_jobs or state.suspects),
         slots_by_id[endpoint_id],
         endpoint_id,
@@ -232,7 +371,9 @@
     slots_by_id: dict[str, int],
     speed_table: speeds.SpeedTable,
     requirement: Requirement,
+    idle: _Idle,
 ) -> list[str] | None:
+    fastest = requirement.preference == Preference.FASTEST
     by_rack: dict[str, list[endpoint_table.EndpointState]] = {}
     for state in ordered:
         by_rack.setdefault(state.info.rack, []).append(state)
@@ -245,10 +386,13 @@
         fast_enough = requirement.is_met_by(slowest)
         bucket = _speed_bucket(slowest)
         left = sum(slots_by_id[s.info.endpoint_id] for s in states)
+        whole = len(idle.endpoint_ids.intersection(chosen))
         sort_key = (
             rack != unit.step.data_rack,
             not fast_enough,
-            0 if fast_enough else -bucket,
+            0 if fast_enough and not fastest else -bucket,
+            whole,
+            idle.count_by_rack[rack] - whole,
             left,
             rack,
         )
--- a/packages/placer/src/laburnumgate_placer/scheduling.py
+++ b/packages/placer/src/laburnumgate_placer/scheduling.py
@@ -1,5 +1,6 @@
 """Placement pass: assigns waiting units to endpoints in rank order."""
 
+import dataclasses
 import logging
 
 from laburnumgate_placer import advice
@@ -145,6 +146,7 @@
             pool.free_by_id,
             self._tables.durations.speeds,
             rank.requirement(),
+            pool.endpoints,
         )
         for unit, endpoint_id in zip(equal, chosen, strict=False):
             self._assign(pool, unit, [endpoint_id], {}, now_ms)
@@ -259,7 +261,7 @@
         waited_ms = now_ms - unit.ready_ms
         too_late = rank.stage == ordering.Stage.TOO_LATE
         spread = too_late or waited_ms >= SPREAD_AFTER_MS
-        return placement.Requirement(requirement.min_speed, spread)
+        return dataclasses.replace(requirement, spread=spread)
 
     def _fast_endpoints(
         self,
@@ -294,6 +296,7 @@
             pool.free_by_id,
             self._tables.durations.speeds,
             requirement,
+            pool.endpoints,
         )
         if chosen is None:
             pool.failed_fit_keys.add(fit_key)
