--- a/packages/placer/src/laburnumgate_placer/lookahead.py
+++ b/packages/placer/src/laburnumgate_placer/lookahead.py
@@ -119,7 +119,7 @@
                 key = (*key, unit.key.index)
             self._outlook_by_key[key] = outlook
         self.hold(pool, unit)
-        if outlook.expected is not None and unit.size > 1:
+        if outlook.expected is not None and (unit.size > 1 or rank.overdue):
             pool.reserve(unit.key, outlook.expected)
         return outlook.in_time
 
@@ -164,7 +164,7 @@
         """Searches running work for capacity; stops runs where that pays."""
         pool.lookaheads += 1
         expected = None
-        if rank.stage == ordering.Stage.TOO_LATE:
+        if rank.stage == ordering.Stage.TOO_LATE and not rank.overdue:
             if self._reclaimed_by_unit.pop(unit.key, None):
                 pool.release(unit.key)
         else:
--- a/packages/placer/src/laburnumgate_placer/ordering.py
+++ b/packages/placer/src/laburnumgate_placer/ordering.py
@@ -7,6 +7,8 @@
 from laburnumgate_placer import progress
 from laburnumgate_placer import tables as tables_module
 from laburnumgate_placer.overload import admission
+from laburnumgate_placer.overload import delay_cost
+from laburnumgate_placer.overload import preemption
 
 
 class Stage(enum.IntEnum):
@@ -27,6 +29,7 @@
       priority: priority of its queue; 0 is the highest.
       due_ms: monotonic time by which it should start.
       min_speed: lowest endpoint speed at which it ends in time.
+      work: the work that waits; None unless the order is by cost of delay.
     """
 
     guaranteed: bool
@@ -34,14 +37,29 @@
     priority: int
     due_ms: float
     min_speed: float = 0.0
+    work: delay_cost.Work | None = None
+
+    @property
+    def overdue(self) -> bool:
+        """Whether it has waited for so long that it precedes other work."""
+        return self.work is not None and self.work.overdue
 
     def requirement(self) -> placement.Requirement:
         """Returns the placement requirement that follows from the rank."""
         return placement.Requirement(self.min_speed)
 
     def sort_key(self) -> tuple:
-        """Returns the sort key; the lowest is placed first."""
-        return (not self.guaranteed, self.stage, self.priority, self.due_ms)
+        """Returns the sort key; the lowest is placed first.
+
+        Guaranteed units, and all units unless the order is by cost of delay,
+        are ordered by stage, priority and due time.
+        """
+        if self.guaranteed or self.work is None:
+            return (not self.guaranteed, self.stage, self.priority, self.due_ms)
+        if self.work.overdue:
+            return (True, 0, 0.0, 0, self.due_ms)
+        cost = delay_cost.loss_per_core_s(self.work)
+        return (True, 1, -cost, self.priority, self.due_ms)
 
 
 def guaranteed_jobs(tables: tables_module.Tables) -> set[str]:
@@ -98,7 +116,7 @@
     guaranteed: set[str],
     now_ms: int,
 ) -> Rank:
-    """Returns the unit's scheduling rank."""
+    """Returns the unit's scheduling rank by stage, priority and due time."""
     entry = unit.entry
     queue = tables.queue_of(entry.job)
     clock_start_ms = _clock_start_ms(tables, unit, now_ms)
@@ -172,6 +190,9 @@
 ) -> list[WaitingStep]:
     """Returns the steps with units that may start now, in rank order."""
     found = []
+    means = None
+    if tables.policy.delay_cost_order:
+        means = mean_core_s_by_queue(tables)
     for entry in tables.entries_by_id.values():
         if entry.state.final:
             continue
@@ -184,6 +205,94 @@
             )
             if units:
                 step_rank = rank(tables, units[0], guaranteed, now_ms)
+                if means is not None:
+                    work = _waiting_work(tables, units, means, now_ms)
+                    step_rank = dataclasses.replace(step_rank, work=work)
                 found.append(WaitingStep(step_rank, units))
     found.sort(key=lambda step: (step.rank.sort_key(), step.units[0].key))
     return found
+
+
+def mean_core_s_by_queue(tables: tables_module.Tables) -> dict[str, float]:
+    """Returns the mean work of the open jobs of each queue."""
+    sums: dict[str, tuple[float, int]] = {}
+    for entry in tables.entries_by_id.values():
+        if entry.state.final:
+            continue
+        name = entry.job.queue.name
+        total, count = sums.get(name, (0.0, 0))
+        sums[name] = (total + declared_core_s(entry), count + 1)
+    return {name: total / count for name, (total, count) in sums.items()}
+
+
+def declared_core_s(entry: progress.JobEntry) -> float:
+    """Returns the declared work of one occurrence of a job."""
+    if entry.declared_core_s is None:
+        entry.declared_core_s = preemption.declared_core_s(entry.job)
+    return entry.declared_core_s
+
+
+def running_work(
+    tables: tables_module.Tables,
+    run: progress.Run,
+    means: dict[str, float],
+    now_ms: int,
+) -> delay_cost.Work:
+    """Returns the work that a running unit and the steps after it need."""
+    unit = run.unit
+    own_ms = tables.durations.expected_ms(unit.entry.job, unit.key.step)
+    left_ms = tables.durations.remaining_ms(run, now_ms)
+    remaining_ms = _remaining_work_ms(tables, unit) - own_ms + left_ms
+    core_s = unit.size * preemption.cores(unit.step.room) * left_ms / 1000
+    return _work(tables, unit, means, core_s, remaining_ms, now_ms)
+
+
+def _waiting_work(
+    tables: tables_module.Tables,
+    units: tuple[progress.Unit, ...],
+    means: dict[str, float],
+    now_ms: int,
+) -> delay_cost.Work:
+    """Returns the work of units of a step and of the steps after it.
+
+    Running units are left out: their capacity is in use already, and the value
+    of the job depends on the units that wait.
+    """
+    unit = units[0]
+    job = unit.entry.job
+    core_s = 0.0
+    for number in range(unit.key.step, len(job.steps)):
+        if (unit.key.occurrence, number) in unit.entry.done_steps:
+            continue
+        step = job.steps[number]
+        tasks = step.count
+        if number == unit.key.step:
+            tasks = sum(each.size for each in units)
+        work_ms = tables.durations.expected_ms(job, number)
+        core_s += tasks * preemption.cores(step.room) * work_ms / 1000
+    remaining_ms = _remaining_work_ms(tables, unit)
+    return _work(tables, unit, means, core_s, remaining_ms, now_ms)
+
+
+def _work(
+    tables: tables_module.Tables,
+    unit: progress.Unit,
+    means: dict[str, float],
+    core_s: float,
+    remaining_ms: float,
+    now_ms: int,
+) -> delay_cost.Work:
+    entry = unit.entry
+    job_core_s = declared_core_s(entry)
+    mean_core_s = means.get(entry.job.queue.name, job_core_s)
+    allowed_ms = objective_ms(tables, entry)
+    end_ms = now_ms + remaining_ms - _clock_start_ms(tables, unit, now_ms)
+    return delay_cost.Work(
+        delay_cost.value(
+            tables.queue_of(entry.job).priority, job_core_s, mean_core_s
+        ),
+        core_s,
+        remaining_ms,
+        allowed_ms - end_ms,
+        admission.LATE_RATIO * allowed_ms - end_ms,
+    )
--- a/packages/placer/src/laburnumgate_placer/overload/preemption.py
+++ b/packages/placer/src/laburnumgate_placer/overload/preemption.py
@@ -9,6 +9,8 @@
 import collections
 import dataclasses
 
+from laburnumgate_placer import model
+
 # Number of cores that an accelerator counts as when work is compared. The
 # platform's price of wasted work uses the same weight.
 CORES_PER_GPU = 8
@@ -40,6 +42,19 @@
     spent: float = 0.0
 
 
+def cores(resources: model.Resources) -> float:
+    """Returns the cores, with accelerators converted to cores."""
+    return resources.cpu / 1000 + CORES_PER_GPU * resources.gpu
+
+
+def declared_core_s(job: model.Job) -> float:
+    """Returns the declared work of one occurrence of a job."""
+    total = 0.0
+    for step in job.steps:
+        total += step.count * cores(step.room) * step.estimate_ms / 1000
+    return total
+
+
 def stop_loss(victim: Victim, stop_ms: int, restore_ms: int) -> float:
     """Returns the core-seconds that stopping a run throws away.
 
--- a/packages/placer/src/laburnumgate_placer/progress.py
+++ b/packages/placer/src/laburnumgate_placer/progress.py
@@ -198,6 +198,8 @@
       open_steps: (occurrence, step) of opened steps that are not done.
       done_steps: (occurrence, step) of completed steps.
       next_occurrence: first occurrence that is not opened yet.
+      declared_core_s: declared work of one occurrence, None until it was asked
+        for.
       _units_by_step: units of the steps that were asked for.
     """
 
@@ -211,6 +213,7 @@
     open_steps: set[tuple[int, int]] = dataclasses.field(default_factory=set)
     done_steps: set[tuple[int, int]] = dataclasses.field(default_factory=set)
     next_occurrence: int = 0
+    declared_core_s: float | None = None
     _units_by_step: dict[tuple[int, int], list[Unit]] = dataclasses.field(
         default_factory=dict
     )
--- a/packages/placer/src/laburnumgate_placer/reclaim.py
+++ b/packages/placer/src/laburnumgate_placer/reclaim.py
@@ -101,7 +101,7 @@
 
 def resource_cores(resources: model.Resources) -> float:
     """Returns the cores, with accelerators converted to cores."""
-    return resources.cpu / 1000 + preemption.CORES_PER_GPU * resources.gpu
+    return preemption.cores(resources)
 
 
 def _stop_cost(
--- /dev/null
+++ b/packages/placer/tests/test_overload_delay_cost.py
@@ -0,0 +1,221 @@
+"""Tests of the cost of a delay and of the order that follows from it."""
+
+import random
+
+import builders
+from hypothesis import given
+from hypothesis import strategies as st
+from laburnumgate_placer import lifecycle
+from laburnumgate_placer import ordering
+from laburnumgate_placer import policy
+from laburnumgate_placer import scheduling
+from laburnumgate_placer.overload import delay_cost
+
+_ON = policy.Policy(delay_cost_order=True)
+_URGENT = builders.replace(
+    builders.QUEUE,
+    name="urgent",
+    prefix="/u/",
+    priority=0,
+    stretch=1.5,
+    objective_ms=300,
+)
+_NORMAL = builders.replace(
+    builders.QUEUE,
+    name="normal",
+    prefix="/n/",
+    priority=1,
+    stretch=3.0,
+    objective_ms=1_000,
+)
+_BATCH = builders.replace(
+    builders.QUEUE,
+    name="batch",
+    prefix="/b/",
+    priority=2,
+    stretch=3.0,
+    objective_ms=3_000,
+)
+
+
+def _tables(setting=_ON, endpoints=0, accounts=()):
+    tables = builders.tables(
+        _URGENT, _NORMAL, _BATCH, accounts=accounts, policy=setting
+    )
+    for number in range(endpoints):
+        builders.add_endpoint(tables, f"e{number}")
+    return tables
+
+
+def _open(tables, job_id, queue, step):
+    job = builders.job(
+        job_id * 16, step, queue=queue, accepted_ms=tables.wall.now_ms()
+    )
+    return lifecycle.open_job(tables, job)
+
+
+def _urgent(tables, job_id, gpu=4):
+    step = builders.step(count=5, gpu=gpu, gang=True, estimate_ms=2_000)
+    return _open(tables, job_id, _URGENT, step)
+
+
+def _batch(tables, job_id, count=39):
+    step = builders.step(count=count, estimate_ms=8_000)
+    return _open(tables, job_id, _BATCH, step)
+
+
+def _advance(tables, duration_ms):
+    tables.monotonic.advance(duration_ms)
+    tables.wall.advance(duration_ms)
+
+
+def _order(tables, guaranteed=frozenset()):
+    ranked = ordering.waiting_steps(
+        tables, set(guaranteed), tables.monotonic.now_ms()
+    )
+    return "".join(step.units[0].key.job_id[0] for step in ranked)
+
+
+def _work(slack_ms, late_slack_ms=None, core_s=100.0, value=1.0):
+    if late_slack_ms is None:
+        late_slack_ms = slack_ms + 10_000
+    return delay_cost.Work(value, core_s, 2_000, slack_ms, late_slack_ms)
+
+
+def test_waiting_with_a_distant_deadline_costs_nothing_yet():
+    """Guards against patient work that displaces work which is in a hurry."""
+    assert delay_cost.loss(_work(60_000)) == 0
+    assert 0 < delay_cost.loss(_work(10_000)) < delay_cost.loss(_work(1_000))
+
+
+def test_a_missed_deadline_costs_nothing_more():
+    """Guards against delaying work of use for work whose value is lost."""
+    assert delay_cost.loss(_work(-1, -1)) == 0
+    assert 0 < delay_cost.loss(_work(-1, 2_000)) < delay_cost.loss(_work(0))
+
+
+@given(
+    st.floats(-20_000, 60_000),
+    st.floats(0, 30_000),
+    st.floats(0, 30_000),
+    st.floats(0.1, 1e5),
+)
+def test_a_longer_delay_never_costs_less(slack_ms, delay_ms, more_ms, core_s):
+    """Guards against stops and refusals that seem to gain by a delay."""
+    work = _work(slack_ms, core_s=core_s)
+    first = delay_cost.loss(work, delay_ms)
+    assert 0 <= first <= delay_cost.loss(work, delay_ms + more_ms) <= work.value
+
+
+def test_large_jobs_do_not_starve():
+    """Guards against an order in which small jobs always overtake."""
+    per_core_s = [
+        delay_cost.value(1, core_s, 100.0) / core_s
+        for core_s in (100.0, 1e3, 1e5)
+    ]
+    # Half of the value per core-second of a mean job is kept at any size.
+    assert min(per_core_s) >= 0.5 * per_core_s[0]
+
+
+def test_late_urgent_work_precedes_patient_work():
+    """Guards against one burst after which all urgent work is late.
+
+    Load pattern: an urgent gang has 1.3 s of slack and is held up for 2 s
+    beside batch work that can wait for 19 s.
+    """
+    orders = {}
+    for setting in (policy.Policy(), _ON):
+        tables = _tables(setting)
+        _batch(tables, "b")
+        _urgent(tables, "a")
+        _advance(tables, 2_000)
+        orders[setting.delay_cost_order] = _order(tables)
+    assert orders == {False: "ba", True: "ab"}
+
+
+def test_work_that_can_be_on_time_precedes_equal_work_that_is_late():
+    """Guards against a queue in which each job waits until it is late."""
+    tables = _tables()
+    _urgent(tables, "a")
+    _advance(tables, 2_000)
+    _urgent(tables, "b")
+    assert _order(tables) == "ba"
+
+
+def test_guaranteed_work_stays_first():
+    """Guards against a guarantee that is missed for more valuable work."""
+    tables = _tables()
+    _urgent(tables, "c")
+    guaranteed = _urgent(tables, "d", gpu=8)
+    _advance(tables, 30_000)
+    _urgent(tables, "a", gpu=1)
+    order = _order(tables, {guaranteed.job.job_id})
+    assert order[0] == "d"
+
+
+def test_the_cheapest_job_starts_within_the_bound():
+    """Guards against starving work whose value is lost.
+
+    Load pattern: urgent work arrives for as long as the batch job waits, and
+    takes all of the pool.
+    """
+    tables = _tables(endpoints=1)
+    batch = _batch(tables, "b", count=8)
+    objective_ms = 3 * 8_000 + 3_000
+    bound_ms = 3 * objective_ms + delay_cost.MAX_OVERDUE_MS
+    started_ms = None
+    for number in range(200):
+        waited_ms = number * 1_000
+        job = builders.job(
+            f"{number:016x}",
+            builders.step(gpu=8, estimate_ms=900),
+            queue=_URGENT,
+            accepted_ms=tables.wall.now_ms(),
+        )
+        entry = lifecycle.open_job(tables, job)
+        scheduling.Scheduler(tables).run()
+        if batch.runs():
+            started_ms = waited_ms
+            break
+        for run in entry.runs():
+            lifecycle.stop_run(tables, run, "the test ends it")
+            for member in list(run.members):
+                lifecycle.mark_terminated(tables, member)
+        tables.entries_by_id.pop(job.job_id, None)
+        _advance(tables, 1_000)
+    assert started_ms is not None
+    # It was overtaken until it was overdue, and started in the next pass.
+    assert bound_ms - 9_000 < started_ms <= bound_ms + 1_000
+
+
+def test_the_default_policy_orders_as_before():
+    """Guards against a changed order where the setting is off."""
+    rng = random.Random(5)
+    for _ in range(20):
+        tables = _tables(policy.Policy())
+        for name in "abcdef0123456789":
+            queue = rng.choice((_URGENT, _NORMAL, _BATCH))
+            step = builders.step(
+                count=rng.randint(1, 9),
+                gang=rng.random() < 0.5,
+                estimate_ms=rng.randint(500, 9_000),
+            )
+            _open(tables, name, queue, step)
+            _advance(tables, rng.randint(0, 6_000))
+        guaranteed = {name * 16 for name in "a3"}
+        now_ms = tables.monotonic.now_ms()
+        ranked = ordering.waiting_steps(tables, guaranteed, now_ms)
+        keys = [(step.rank.sort_key(), step.units[0].key) for step in ranked]
+        assert keys == sorted(
+            (
+                (
+                    step.rank.guaranteed is False,
+                    step.rank.stage,
+                    step.rank.priority,
+                    step.rank.due_ms,
+                ),
+                step.units[0].key,
+            )
+            for step in ranked
+        )
+        assert all(step.rank.work is None for step in ranked)
