Choose runs to stop by what the stop costs callers

With delay_cost_order, a stop is made only where the delay and the work thrown away cost less than the earlier start saves. The bounds in core-seconds stay.

--- a/packages/placer/src/laburnumgate_placer/lookahead.py
+++ b/packages/placer/src/laburnumgate_placer/lookahead.py
@@ -15,6 +15,7 @@
 from laburnumgate_placer import reclaim
 from laburnumgate_placer import reservation
 from laburnumgate_placer import tables as tables_module
+from laburnumgate_placer.overload import delay_cost
 from laburnumgate_placer.overload import passes
 from laburnumgate_placer.overload import preemption
 
@@ -180,6 +181,8 @@
         scope = self._preemption_scope(
             pool, rank, unit, protected, in_time, now_ms
         )
+        if scope is not None and rank.work is not None:
+            scope = self._bounded_by_loss(scope, rank, unit, expected, now_ms)
         if self._reclaim(pool, rank, unit, endpoints, scope, now_ms):
             in_time = True
         return _Outlook(
@@ -269,6 +272,34 @@
             )
         return None
 
+    def _bounded_by_loss(
+        self,
+        scope: reclaim.Scope,
+        rank: ordering.Rank,
+        unit: progress.Unit,
+        expected: reservation.Reservation | None,
+        now_ms: int,
+    ) -> reclaim.Scope:
+        """Permits only stops that cost callers less than they save."""
+        otherwise_ms = None if expected is None else expected.start_ms - now_ms
+        saved = delay_cost.saved_by_start(
+            rank.work, self._tables.bounds.stop_ms, otherwise_ms
+        )
+        step_key = (unit.key.occurrence, unit.key.step)
+        waiting = [
+            other
+            for other in unit.entry.step_units(step_key)
+            if other.state == progress.UnitState.WAITING
+        ]
+        return dataclasses.replace(
+            scope,
+            # All waiting units of the step have to start to save the value.
+            max_loss=saved / max(1, len(waiting)),
+            delay_ms=self._tables.durations.expected_ms(
+                unit.entry.job, unit.key.step
+            ),
+        )
+
     def _work_core_s(self, unit: progress.Unit) -> float:
         """Returns the expected work of a unit in core-seconds."""
         work_ms = self._tables.durations.expected_ms(
--- a/packages/placer/src/laburnumgate_placer/overload/delay_cost.py
+++ b/packages/placer/src/laburnumgate_placer/overload/delay_cost.py
@@ -9,7 +9,8 @@
 is missed, for each core-second that the work still needs, discounted by
 exp(-slack / (K x remaining time)). A job has two deadlines: its objective, and
 `admission.LATE_RATIO` times its objective. Waiting order, refusals and stops
-all use `loss`, so that they cannot contradict each other.
+all use this function (`loss`, and its change by a delay, `added_loss`), so that
+they cannot contradict each other.
 
 Bound on the wait: work that misses its last deadline is worth nothing to its
 caller, and its loss is 0. From `MAX_OVERDUE_MS` after that deadline, it is
@@ -98,6 +99,34 @@
     return work.value * lost
 
 
+def added_loss(work: Work, delay_ms: float) -> float:
+    """Returns the value that a delay costs, beyond what is at risk without it.
+
+    A deadline that is met without the delay and missed with it costs its whole
+    part of the value.
+    """
+    if delay_ms <= 0:
+        return 0.0
+    lost = ON_TIME_PART * _added_risk(work, work.slack_ms, delay_ms)
+    lost += (1 - ON_TIME_PART) * _added_risk(work, work.late_slack_ms, delay_ms)
+    return work.value * lost
+
+
+def saved_by_start(
+    work: Work, after_ms: float, otherwise_ms: float | None
+) -> float:
+    """Returns the value that is saved if waiting work starts earlier.
+
+    Args:
+      work: the work that waits.
+      after_ms: delay of the earlier start.
+      otherwise_ms: delay of the start otherwise; None if it is unknown, in
+        which case no deadline is expected to be met.
+    """
+    delay_ms = math.inf if otherwise_ms is None else otherwise_ms - after_ms
+    return added_loss(work.later(after_ms), delay_ms)
+
+
 def loss_per_core_s(work: Work) -> float:
     """Returns the loss by waiting for each core-second that is left."""
     return loss(work) / max(0.001, work.core_s)
@@ -112,3 +141,9 @@
     if exponent > FAR:
         return 0.0
     return math.exp(-exponent)
+
+
+def _added_risk(work: Work, slack_ms: float, delay_ms: float) -> float:
+    if 0 <= slack_ms < delay_ms:
+        return 1.0
+    return _risk(work, slack_ms, delay_ms) - _risk(work, slack_ms, 0.0)
--- a/packages/placer/src/laburnumgate_placer/overload/preemption.py
+++ b/packages/placer/src/laburnumgate_placer/overload/preemption.py
@@ -10,6 +10,7 @@
 import dataclasses
 
 from laburnumgate_placer import model
+from laburnumgate_placer.overload import delay_cost
 
 # Number of cores that an accelerator counts as when work is compared. The
 # platform's price of wasted work uses the same weight.
@@ -77,6 +78,48 @@
     return loss * (1 + victim.stopped_before)
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class ValueLoss:
+    """Value that the stop of a run costs its caller.
+
+    Attributes:
+      delayed: cost of the delay of the job. Several stops of the same job delay
+        it once.
+      wasted: share of the job's value that the work thrown away stands for,
+        which takes capacity again.
+    """
+
+    delayed: float
+    wasted: float
+
+
+def stop_value_loss(
+    victim: Victim,
+    work: delay_cost.Work,
+    job_core_s: float,
+    delay_ms: float,
+    stop_ms: int,
+    restore_ms: int,
+) -> ValueLoss:
+    """Returns the value that a stop costs the caller of a run.
+
+    Args:
+      victim: the run.
+      work: what the unit and the steps after it still need.
+      job_core_s: work of the whole job.
+      delay_ms: how long the run waits for capacity after the stop.
+      stop_ms: maximum time to stop a task.
+      restore_ms: time that a task needs to resume from a checkpoint.
+    """
+    again_ms = victim.ran_ms
+    if victim.resumes:
+        again_ms = min(again_ms, restore_ms)
+    delayed = delay_cost.added_loss(work, delay_ms + stop_ms + again_ms)
+    thrown_away = stop_cost(victim, stop_ms, restore_ms)
+    wasted = work.value * thrown_away / max(0.001, job_core_s)
+    return ValueLoss(delayed * (1 + victim.stopped_before), wasted)
+
+
 def may_preempt(*, guaranteed: bool, stopped_before: int) -> bool:
     """Whether work may be stopped for a unit.
 
--- a/packages/placer/src/laburnumgate_placer/reclaim.py
+++ b/packages/placer/src/laburnumgate_placer/reclaim.py
@@ -4,6 +4,7 @@
 
 from laburnumgate_placer import endpoint_table
 from laburnumgate_placer import model
+from laburnumgate_placer import ordering
 from laburnumgate_placer import placement
 from laburnumgate_placer import progress
 from laburnumgate_placer import tables as tables_module
@@ -21,8 +22,8 @@
     Attributes:
       victims: the runs to stop.
       endpoint_ids: endpoints to hold for the unit.
-      cost: core-seconds that the stops cost, weighted by what the victims have
-        lost before.
+      cost: what the stops cost: core-seconds, weighted by what the victims have
+        lost before, or the value that their callers lose.
     """
 
     victims: tuple[progress.Run, ...]
@@ -42,7 +43,11 @@
         may be stopped.
       max_cost: with `below_priority`, core-seconds that the stops may cost.
       guaranteed: whether the unit is guaranteed, in which case stops of runs
-        that resume do not count towards `max_cost`.
+        that resume do not count towards `max_cost` and `max_loss`.
+      max_loss: with `below_priority`, value that the stops may cost callers;
+        None if stops are not chosen by cost of delay.
+      delay_ms: how long the freed capacity is used by the unit, and thus not
+        available to the stopped runs.
     """
 
     protected: set[str]
@@ -50,6 +55,61 @@
     resumable: bool = False
     max_cost: float = 0.0
     guaranteed: bool = False
+    max_loss: float | None = None
+    delay_ms: float = 0.0
+
+
+class _Costs:
+    """Costs of stops during one search."""
+
+    def __init__(self, tables: tables_module.Tables, scope: Scope, now_ms: int):
+        self._tables = tables
+        self._scope = scope
+        self._now_ms = now_ms
+        self._means: dict[str, float] | None = None
+        self._loss_by_run: dict[int, preemption.ValueLoss] = {}
+
+    def core_s(self, run: progress.Run) -> float:
+        """Returns the weighted core-seconds that a stop costs."""
+        return _stop_cost(self._tables, run, self._now_ms)
+
+    def loss(self, run: progress.Run) -> preemption.ValueLoss:
+        """Returns the value that a stop costs the caller of the run."""
+        known = self._loss_by_run.get(id(run))
+        if known is not None:
+            return known
+        if self._means is None:
+            self._means = ordering.mean_core_s_by_queue(self._tables)
+        bounds = self._tables.bounds
+        found = preemption.stop_value_loss(
+            _victim(run, self._now_ms),
+            ordering.running_work(self._tables, run, self._means, self._now_ms),
+            ordering.declared_core_s(run.unit.entry),
+            self._scope.delay_ms,
+            bounds.stop_ms,
+            bounds.restore_ms,
+        )
+        self._loss_by_run[id(run)] = found
+        return found
+
+    def total_loss(self, victims: list[progress.Run]) -> float:
+        """Returns the value that the stops of several runs cost callers."""
+        delayed_by_job: dict[str, float] = {}
+        wasted = 0.0
+        for run in victims:
+            loss = self.loss(run)
+            job_id = run.unit.key.job_id
+            delayed_by_job[job_id] = max(
+                loss.delayed, delayed_by_job.get(job_id, 0.0)
+            )
+            wasted += loss.wasted
+        return wasted + sum(delayed_by_job.values())
+
+    def total(self, victims: list[progress.Run]) -> float:
+        """Returns the cost by which stops are compared."""
+        if self._scope.max_loss is not None:
+            return self.total_loss(victims)
+        return sum(self.core_s(run) for run in victims)
 
 
 def plan(
@@ -75,8 +135,11 @@
       if the unit does not fit after any permitted stops.
     """
     best: Plan | None = None
+    costs = _Costs(tables, scope, now_ms)
     for group in _candidate_groups(unit, endpoints):
-        found = _plan_group(tables, unit, group, scope, requirement, now_ms)
+        found = _plan_group(
+            tables, unit, group, scope, costs, requirement, now_ms
+        )
         if found is None:
             continue
         if best is None or found.cost < best.cost:
@@ -140,6 +203,7 @@
     unit: progress.Unit,
     group: list[endpoint_table.EndpointState],
     scope: Scope,
+    costs: _Costs,
     requirement: placement.Requirement,
     now_ms: int,
 ) -> Plan | None:
@@ -158,7 +222,7 @@
         _add_free(free_by_id, run)
     candidates = sorted(
         runs.values(),
-        key=lambda r: _cost_per_accelerator(tables, r, free_by_id, now_ms),
+        key=lambda r: _cost_per_accelerator(costs, r, free_by_id),
     )
     count = _necessary_count(unit, group, free_by_id, candidates, requirement)
     if count is None:
@@ -171,15 +235,27 @@
         return None
     chosen_ids = frozenset(chosen)
     victims = _necessary_victims(unit, group, victims, free_by_id, chosen_ids)
-    cost_by_run = {id(r): _stop_cost(tables, r, now_ms) for r in victims}
-    counted = sum(
-        cost_by_run[id(run)]
+    if scope.below_priority is not None and not _worthwhile(
+        victims, scope, costs
+    ):
+        return None
+    return Plan(tuple(victims), chosen_ids, costs.total(victims))
+
+
+def _worthwhile(
+    victims: list[progress.Run], scope: Scope, costs: _Costs
+) -> bool:
+    """Whether stopping the runs costs less than is permitted."""
+    counted = [
+        run
         for run in victims
         if not (scope.guaranteed and run.unit.step.checkpointing)
-    )
-    if scope.below_priority is not None and counted > scope.max_cost:
-        return None
-    return Plan(tuple(victims), chosen_ids, sum(cost_by_run.values()))
+    ]
+    if sum(costs.core_s(run) for run in counted) > scope.max_cost:
+        return False
+    if not counted or scope.max_loss is None:
+        return True
+    return costs.total_loss(counted) < scope.max_loss
 
 
 def _necessary_count(
@@ -275,10 +351,9 @@
 
 
 def _cost_per_accelerator(
-    tables: tables_module.Tables,
+    costs: _Costs,
     run: progress.Run,
     free_by_id: dict[str, model.Resources],
-    now_ms: int,
 ) -> float:
     """Returns the cost per accelerator that a stop frees in the group."""
     freed = sum(
@@ -286,4 +361,4 @@
         for member in run.members
         if member.endpoint_id in free_by_id and not member.terminated
     )
-    return _stop_cost(tables, run, now_ms) / max(1, freed)
+    return costs.total([run]) / max(1, freed)
--- a/packages/placer/tests/test_overload_delay_cost.py
+++ b/packages/placer/tests/test_overload_delay_cost.py
@@ -219,3 +219,93 @@
             for step in ranked
         )
         assert all(step.rank.work is None for step in ranked)
+
+
+def test_a_deadline_missed_by_a_delay_costs_its_whole_part():
+    """Guards against a stop that seems free because its job just fits."""
+    just_fits = _work(0, 60_000)
+    assert delay_cost.added_loss(just_fits, 1) >= delay_cost.ON_TIME_PART
+    assert delay_cost.added_loss(just_fits, 0) == 0
+    assert delay_cost.added_loss(_work(-1, 60_000), 1_000) == 0
+
+
+def test_a_start_that_is_no_earlier_saves_nothing():
+    """Guards against stops for a unit that fits as soon without them."""
+    work = _work(1_300)
+    assert delay_cost.saved_by_start(work, 200, 150) == 0
+    soon = delay_cost.saved_by_start(work, 200, 1_000)
+    late = delay_cost.saved_by_start(work, 200, 5_000)
+    assert 0 < soon < late < delay_cost.saved_by_start(work, 200, None)
+
+
+def _started(tables, scheduler, entry):
+    scheduler.run()
+    for run in entry.runs():
+        builders.start(tables, run)
+    assert entry.runs()
+
+
+def _stopped_of_seven(setting, queue, waited_ms):
+    """Runs seven jobs of 1 accelerator, and then adds an urgent one of 8.
+
+    Returns:
+      How many of the seven were stopped.
+    """
+    tables = _tables(setting, endpoints=1)
+    scheduler = scheduling.Scheduler(tables)
+    others = []
+    for name in "0123456":
+        entry = _open(tables, name, queue, builders.step(estimate_ms=2_400))
+        entry.arrived_ms -= waited_ms
+        _started(tables, scheduler, entry)
+        others.append(entry)
+    _advance(tables, 1_000)
+    step = builders.step(gpu=8, estimate_ms=2_000)
+    _open(tables, "a", _URGENT, step)
+    scheduler.run()
+    return sum(run.unit.preempted for each in others for run in each.runs())
+
+
+def test_patient_work_gives_way_to_urgent_work():
+    """Guards against urgent work that waits for work which has slack."""
+    assert _stopped_of_seven(_ON, _BATCH, 0) == 7
+
+
+def test_nothing_is_stopped_that_costs_callers_more_than_it_saves():
+    """Guards against seven late jobs in order that one is on time.
+
+    Load pattern: an urgent unit arrives while jobs run that just meet their
+    objectives. By core-seconds alone, the stops pay.
+    """
+    assert _stopped_of_seven(policy.Policy(), _NORMAL, 5_500) == 7
+    assert _stopped_of_seven(_ON, _NORMAL, 5_500) == 0
+
+
+def test_the_run_whose_caller_loses_least_gives_way():
+    """Guards against stops that make another job late.
+
+    Load pattern: a normal job that has to end soon started just now, and a
+    batch job with slack started earlier. By core-seconds lost, the normal job
+    is the cheapest one to stop.
+    """
+    stopped = {}
+    for setting in (policy.Policy(), _ON):
+        tables = _tables(setting, endpoints=1)
+        scheduler = scheduling.Scheduler(tables)
+        batch = _batch(tables, "b", count=4)
+        _started(tables, scheduler, batch)
+        _advance(tables, 300)
+        step = builders.step(count=4, estimate_ms=4_000)
+        normal = _open(tables, "c", _NORMAL, step)
+        normal.arrived_ms -= 8_500
+        _started(tables, scheduler, normal)
+        _advance(tables, 100)
+        step = builders.step(gpu=4, estimate_ms=2_000)
+        _open(tables, "a", _URGENT, step)
+        scheduler.run()
+        stopped[setting.delay_cost_order] = {
+            entry.job.queue.name
+            for entry in (batch, normal)
+            if any(run.unit.preempted for run in entry.runs())
+        }
+    assert stopped == {False: {"normal"}, True: {"batch"}}
