--- a/packages/placer/src/laburnumgate_placer/overload/preemption.py
+++ b/packages/placer/src/laburnumgate_placer/overload/preemption.py
@@ -9,6 +9,9 @@
 import collections
 import dataclasses
 
+from laburnumgate_placer import model
+from laburnumgate_placer.overload import delay_cost
+
 # Number of cores that an accelerator counts as when work is compared. The
 # platform's price of wasted work uses the same weight.
 CORES_PER_GPU = 8
@@ -40,6 +43,19 @@
     spent: float = 0.0
 
 
+def cores(resources: model.Resources) -> float:
+    """Returns the cores, with accelerators converted to cores."""
+    return resources.cpu / 1000 + CORES_PER_GPU * resources.gpu
+
+
+def declared_core_s(job: model.Job) -> float:
+    """Returns the declared work of one occurrence of a job."""
+    total = 0.0
+    for step in job.steps:
+        total += step.count * cores(step.room) * step.estimate_ms / 1000
+    return total
+
+
 def stop_loss(victim: Victim, stop_ms: int, restore_ms: int) -> float:
     """Returns the core-seconds that stopping a run throws away.
 
@@ -62,6 +78,48 @@
     return loss * (1 + victim.stopped_before)
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class ValueLoss:
+    """Value that the stop of a run costs its caller.
+
+    Attributes:
+      delayed: cost of the delay of the job. Several stops of the same job delay
+        it once.
+      wasted: share of the job's value that the work thrown away stands for,
+        which takes capacity again.
+    """
+
+    delayed: float
+    wasted: float
+
+
+def stop_value_loss(
+    victim: Victim,
+    work: delay_cost.Work,
+    job_core_s: float,
+    delay_ms: float,
+    stop_ms: int,
+    restore_ms: int,
+) -> ValueLoss:
+    """Returns the value that a stop costs the caller of a run.
+
+    Args:
+      victim: the run.
+      work: what the unit and the steps after it still need.
+      job_core_s: work of the whole job.
+      delay_ms: how long the run waits for capacity after the stop.
+      stop_ms: maximum time to stop a task.
+      restore_ms: time that a task needs to resume from a checkpoint.
+    """
+    again_ms = victim.ran_ms
+    if victim.resumes:
+        again_ms = min(again_ms, restore_ms)
+    delayed = delay_cost.added_loss(work, delay_ms + stop_ms + again_ms)
+    thrown_away = stop_cost(victim, stop_ms, restore_ms)
+    wasted = work.value * thrown_away / max(0.001, job_core_s)
+    return ValueLoss(delayed * (1 + victim.stopped_before), wasted)
+
+
 def may_preempt(*, guaranteed: bool, stopped_before: int) -> bool:
     """Whether work may be stopped for a unit.
 
--- a/packages/placer/tests/test_placement_packing.py
+++ b/packages/placer/tests/test_placement_packing.py
@@ -1,4 +1,4 @@
-"""Tests of where urgent and patient units are placed with `urgent_headroom`."""
+"""Tests of where units are placed with headroom and on the fastest."""
 
 import builders
 from laburnumgate_placer import lifecycle
@@ -21,7 +21,9 @@
 
 def _tables(racks=3, on=True):
     tables = builders.tables(
-        URGENT, PATIENT, policy=policy.Policy(urgent_headroom=on)
+        URGENT,
+        PATIENT,
+        policy=policy.Policy(urgent_headroom=on, urgent_on_fastest=on),
     )
     for number in range(racks * RACK_SIZE):
         builders.add_endpoint(
