Scale only the speeds that were just estimated

Each update of the speed estimates normalised the speeds of all endpoints to a median of 1. The scale of those with recent work was then pulled back by declared durations, so that each update normalised again and the speeds of endpoints without recent work, for example those that a new leader restored, drifted without bound.

--- a/packages/placer/src/laburnumgate_placer/speeds.py
+++ b/packages/placer/src/laburnumgate_placer/speeds.py
@@ -123,12 +123,16 @@
         if not self._changed:
             return False
         self._changed = False
+        solved: list[str] = []
         for _ in range(ITERATIONS):
             for step in self._steps_by_key.values():
                 self._solve_work(step)
-            for endpoint_id in self._recent_by_endpoint:
-                self._solve_speed(endpoint_id)
-        self._normalise()
+            solved = [
+                endpoint_id
+                for endpoint_id in self._recent_by_endpoint
+                if self._solve_speed(endpoint_id)
+            ]
+        self._normalise(solved)
         self._update_speeds()
         return True
 
@@ -157,13 +161,19 @@
             for endpoint_id, speed in self._log_speed_by_endpoint.items()
         }
 
-    def _normalise(self) -> None:
+    def _normalise(self, solved: list[str]) -> None:
+        """Scales the speeds that were just estimated, and the work of steps.
+
+        The other speeds were scaled when they were estimated. Scaling them
+        again with each update would let them drift without bound.
+        """
         known = self._log_speed_by_endpoint
         if len(known) < MIN_ENDPOINTS_TO_NORMALISE:
             return
         shift = statistics.median(known.values())
-        for endpoint_id in known:
-            known[endpoint_id] -= shift
+        for endpoint_id in solved:
+            speed = known[endpoint_id] - shift
+            known[endpoint_id] = min(MAX_LOG_SPEED, max(MIN_LOG_SPEED, speed))
         for step in self._steps_by_key.values():
             step.work -= shift
 
@@ -177,7 +187,8 @@
             weight += count
         step.work = total / weight
 
-    def _solve_speed(self, endpoint_id: str) -> None:
+    def _solve_speed(self, endpoint_id: str) -> bool:
+        """Estimates a speed; returns whether there are rates for it."""
         total = 0.0
         weight = SPEED_PRIOR_WEIGHT
         for key in self._recent_by_endpoint[endpoint_id]:
@@ -187,6 +198,8 @@
             rate, count = step.rate(endpoint_id)
             total += count * (rate + step.work)
             weight += count
+        if weight <= SPEED_PRIOR_WEIGHT:
+            return False
         speed = min(MAX_LOG_SPEED, max(MIN_LOG_SPEED, total / weight))
-        if weight > SPEED_PRIOR_WEIGHT:
-            self._log_speed_by_endpoint[endpoint_id] = speed
+        self._log_speed_by_endpoint[endpoint_id] = speed
+        return True
--- a/packages/placer/tests/test_speeds.py
+++ b/packages/placer/tests/test_speeds.py
@@ -111,3 +111,33 @@
         table.solve()
     for endpoint_id, speed in speed_by_id.items():
         assert 0.8 * speed < table.speed(endpoint_id) < 1.25 * speed
+
+
+def test_restored_speeds_do_not_drift():
+    """Guards against endpoints without recent work that seem ever faster.
+
+    Every update normalised the speeds of all endpoints. The work of the
+    endpoints that were in use was then estimated anew from declared durations,
+    so that the next update normalised again, and the speeds of the others
+    drifted without bound.
+    """
+    table = speeds.SpeedTable()
+    table.restore({f"idle{n}": 0.0 for n in range(6)})
+    in_use = {f"e{n}": 1.0 for n in range(8)}
+    for update in range(400):
+        # Declared durations are five times too long.
+        _run(table, (update // 20,), 2_000, 10_000, in_use, worked_ms=1_000)
+        table.solve()
+    for number in range(6):
+        assert 0.5 < table.speed(f"idle{number}") < 2.0
+
+
+def test_speeds_stay_within_their_bounds():
+    """Guards against estimates that normalisation moves out of bounds."""
+    table = speeds.SpeedTable()
+    speed_by_id = {f"e{n}": 1.0 for n in range(9)} | {"fast": 60.0}
+    for update in range(50):
+        _run(table, (update // 10,), 200_000, 10_000, speed_by_id)
+        table.solve()
+    for endpoint_id in speed_by_id:
+        assert 0.04 < table.speed(endpoint_id) <= 4.01
