Count a failed run when its end is reported

A run counted towards the attempts of its step only once all of its tasks had terminated. If the leader changed after the end of the failed task of a gang was acknowledged and before the other tasks had ended, the next leader did not know of the failure; nor was one counted that was reported after its run had been given up. Either led to one start too many (BUDGET). Numbers of failed runs are now recorded with the job.

--- a/packages/placer/src/laburnumgate_placer/lifecycle.py
+++ b/packages/placer/src/laburnumgate_placer/lifecycle.py
@@ -181,6 +181,10 @@
     metrics.RUN_ENDS.inc({"end": row.kind.value})
     tables.mark_dirty(row.task.job_id)
     done = row.kind == model.EndKind.DONE and not unit.step.long_running
+    if row.kind == model.EndKind.FAILED:
+        state.record_failure(row.task.job_id, tables.monotonic.now_ms())
+        unit.avoided_endpoints.add(state.info.endpoint_id)
+        _count_failure(unit, row.run)
     if member is None:
         if done and unit.state != progress.UnitState.DONE:
             # The run was given up while its endpoint was unreachable, but it
@@ -188,6 +192,8 @@
             _complete_unit(tables, entry, unit)
             if unit.run is not None:
                 stop_run(tables, unit.run, "an earlier run was done")
+        elif unit.state == progress.UnitState.WAITING:
+            _fail_if_exhausted(tables, unit)
         return
     run = member.run
     if done:
@@ -200,9 +206,6 @@
             unit.checkpoint = row.checkpoint
         if run.result is None or row.kind == model.EndKind.FAILED:
             run.result = row.kind
-        if row.kind == model.EndKind.FAILED:
-            state.record_failure(row.task.job_id, tables.monotonic.now_ms())
-            unit.avoided_endpoints.add(state.info.endpoint_id)
     mark_terminated(tables, member)
 
 
@@ -361,19 +364,38 @@
     unit.ready_ms = tables.monotonic.now_ms()
     if entry.state.final:
         return
-    if run.result == model.EndKind.FAILED and not unit.step.long_running:
-        unit.failures += 1
-        unit.backoff_until_ms = unit.ready_ms + RETRY_PAUSE_MS
-        attempts = tables.queue_of(entry.job).attempts
-        if unit.failures >= attempts:
-            reason = f"{unit.failures} runs of step {unit.key.step} failed"
-            set_state(tables, entry, model.JobState.FAILED, reason)
-            _stop_all(tables, entry, "job failed")
+    if _fail_if_exhausted(tables, unit):
         return
-    if run.result is None:
+    if run.number in unit.failed_runs or run.result is None:
         unit.backoff_until_ms = unit.ready_ms + RETRY_PAUSE_MS
 
 
+def _count_failure(unit: progress.Unit, number: int) -> None:
+    """Counts a failed run once, however many of its tasks failed.
+
+    It counts when its end is reported, since the end is acknowledged then and
+    not reported again, and also if the run was given up before.
+    """
+    if unit.step.long_running or number in unit.failed_runs:
+        return
+    unit.failed_runs.add(number)
+    unit.failures += 1
+
+
+def _fail_if_exhausted(
+    tables: tables_module.Tables, unit: progress.Unit
+) -> bool:
+    """Fails the job of a unit without attempts left; returns whether it did."""
+    entry = unit.entry
+    attempts = tables.queue_of(entry.job).attempts
+    if unit.step.long_running or unit.failures < max(1, attempts):
+        return False
+    reason = f"{unit.failures} runs of step {unit.key.step} failed"
+    set_state(tables, entry, model.JobState.FAILED, reason)
+    _stop_all(tables, entry, "job failed")
+    return True
+
+
 def _record_success(
     tables: tables_module.Tables,
     run: progress.Run,
--- a/packages/placer/src/laburnumgate_placer/progress.py
+++ b/packages/placer/src/laburnumgate_placer/progress.py
@@ -111,7 +111,9 @@
       entry: progress of its job.
       state: whether it waits, is placed or is done.
       last_run: number of its latest run.
-      failures: runs that failed.
+      failures: number of runs that failed.
+      failed_runs: numbers of the failed runs that are known; ends of the same
+        run that are reported later do not count again.
       checkpoint: latest checkpoint, empty for none.
       run: current run.
       ready_ms: monotonic time from which it could have started.
@@ -128,6 +130,7 @@
     state: UnitState = UnitState.WAITING
     last_run: int = 0
     failures: int = 0
+    failed_runs: set[int] = dataclasses.field(default_factory=set)
     checkpoint: str = ""
     run: Run | None = None
     ready_ms: int = 0
@@ -333,6 +336,16 @@
             "units": rows,
             # Apart from the units, whose rows earlier releases read as well.
             "losses": _loss_rows(entry),
+            "failed_runs": [
+                [
+                    unit.key.occurrence,
+                    unit.key.step,
+                    unit.key.index,
+                    sorted(unit.failed_runs),
+                ]
+                for unit in entry.units_by_key.values()
+                if unit.failed_runs and unit.state != UnitState.DONE
+            ],
             "machines": {
                 member.endpoint_id: member.machine
                 for run in entry.runs()
@@ -415,6 +428,9 @@
                 entry.units_by_key[key] = Unit(
                     key, step, entry, ready_ms=now_ms
                 )
+    for occurrence, step, index, numbers in content.get("failed_runs", ()):
+        key = model.UnitKey(entry.job.job_id, occurrence, step, index)
+        entry.units_by_key[key].failed_runs.update(numbers)
     for occurrence, step, index, *values in content.get("losses", ()):
         key = model.UnitKey(entry.job.job_id, occurrence, step, index)
         entry.units_by_key[key].add_loss(model.EndpointLoss(*values))
--- a/packages/placer/tests/test_lifecycle.py
+++ b/packages/placer/tests/test_lifecycle.py
@@ -5,6 +5,7 @@
 from laburnumgate_placer import model
 from laburnumgate_placer import progress
 from laburnumgate_placer import reports
+import pytest
 
 _DONE = model.EndKind.DONE
 _FAILED = model.EndKind.FAILED
@@ -227,3 +228,68 @@
     progress.restore(restored, progress.encode(entry), 1_000_000, 0)
     assert restored.done_steps == {(0, 0)}
     assert restored.open_steps == {(0, 1)}
+
+
+def _restored(tables, entry):
+    copy = progress.JobEntry(entry.job, tables.monotonic.now_ms())
+    progress.restore(copy, progress.encode(entry), 0, 0)
+    tables.entries_by_id[entry.job.job_id] = copy
+    return copy
+
+
+@pytest.mark.parametrize("kind", [_FAILED, model.EndKind.BROKEN])
+def test_a_failed_gang_counts_once_across_a_change_of_the_leader(kind):
+    """Guards against one start too many after the leader changes.
+
+    The end of the failed task is recorded and acknowledged, and the leader
+    ends before the other tasks of the gang do.
+    """
+    tables = builders.tables()
+    state = builders.add_endpoint(tables)
+    other = builders.add_endpoint(tables, "e2")
+    entry, unit, run = _started(
+        tables, builders.step(count=3, gang=True), endpoints=["e1", "e2", "e2"]
+    )
+    lifecycle.apply_end(tables, state, builders.end(run.members[0], 1, _FAILED))
+    unit = next(iter(_restored(tables, entry).units_by_key.values()))
+    left = unit.run.members
+    broken = model.EndKind.BROKEN
+    lifecycle.apply_end(tables, other, builders.end(left[0], 1, kind))
+    lifecycle.apply_end(tables, other, builders.end(left[1], 2, broken))
+    assert unit.run is None
+    assert unit.failures == 1
+
+
+def test_a_failure_that_is_reported_late_counts():
+    """Guards against one start too many after a run was given up.
+
+    The lease of the first run expires while its endpoint is cut off. It turns
+    out later that the run had failed.
+    """
+    queue = builders.replace(builders.QUEUE, attempts=2)
+    tables = builders.tables(queue)
+    state = builders.add_endpoint(tables)
+    builders.add_endpoint(tables, "e2")
+    entry, unit, first = _started(tables, builders.step())
+    lifecycle.expire_leases(tables, state)
+    second = lifecycle.assign(tables, unit, ["e2"])
+    builders.start(tables, second)
+    late = builders.end(first.members[0], 1, _FAILED)
+    lifecycle.apply_end(tables, state, late)
+    assert not entry.state.final, "the second run may still complete the job"
+    end = builders.end(second.members[0], 1, _FAILED)
+    lifecycle.apply_end(tables, tables.endpoints.by_id["e2"], end)
+    assert entry.state == model.JobState.FAILED
+
+
+def test_a_late_failure_ends_a_job_that_waits_for_its_next_run():
+    """Guards against a start after the last attempt has failed."""
+    queue = builders.replace(builders.QUEUE, attempts=1)
+    tables = builders.tables(queue)
+    state = builders.add_endpoint(tables)
+    entry, unit, run = _started(tables, builders.step())
+    lifecycle.expire_leases(tables, state)
+    assert unit.run is None
+    late = builders.end(run.members[0], 1, _FAILED)
+    lifecycle.apply_end(tables, state, late)
+    assert entry.state == model.JobState.FAILED
