--- a/packages/placer/src/laburnumgate_placer/overload/preemption.py
+++ b/packages/placer/src/laburnumgate_placer/overload/preemption.py
@@ -120,6 +120,20 @@
     return ValueLoss(delayed * (1 + victim.stopped_before), wasted)
 
 
+def weighted_core_s(core_s: float, levels_below: int) -> float:
+    """Returns lost core-seconds, weighted by the priority of the lost work.
+
+    A core-second of the next lower priority is worth `PRIORITY_RATIO` times
+    less to callers.
+
+    Args:
+      core_s: core-seconds that a stop throws away.
+      levels_below: by how many levels the priority of the stopped work is
+        below that of the work that it is stopped for.
+    """
+    return core_s / delay_cost.PRIORITY_RATIO ** max(0, levels_below)
+
+
 def may_preempt(*, guaranteed: bool, stopped_before: int) -> bool:
     """Whether work may be stopped for a unit.
 
--- a/packages/placer/src/laburnumgate_placer/reclaim.py
+++ b/packages/placer/src/laburnumgate_placer/reclaim.py
@@ -41,7 +41,8 @@
         this one may be stopped.
       resumable: with `below_priority`, only runs that resume from a checkpoint
         may be stopped.
-      max_cost: with `below_priority`, core-seconds that the stops may cost.
+      max_cost: with `below_priority`, core-seconds that the stops may cost;
+        with `max_loss`, weighted by the priority of the stopped work.
       guaranteed: whether the unit is guaranteed, in which case stops of runs
         that resume do not count towards `max_cost` and `max_loss`.
       max_loss: with `below_priority`, value that the stops may cost callers;
@@ -70,8 +71,17 @@
         self._loss_by_run: dict[int, preemption.ValueLoss] = {}
 
     def core_s(self, run: progress.Run) -> float:
-        """Returns the weighted core-seconds that a stop costs."""
-        return _stop_cost(self._tables, run, self._now_ms)
+        """Returns the weighted core-seconds that a stop costs.
+
+        If stops are chosen by cost of delay, work of a lower priority counts
+        less.
+        """
+        cost = _stop_cost(self._tables, run, self._now_ms)
+        if self._scope.max_loss is None:
+            return cost
+        queue = self._tables.queue_of(run.unit.entry.job)
+        levels_below = queue.priority - self._scope.below_priority
+        return preemption.weighted_core_s(cost, levels_below)
 
     def loss(self, run: progress.Run) -> preemption.ValueLoss:
         """Returns the value that a stop costs the caller of the run."""
--- a/packages/placer/tests/test_overload_delay_cost.py
+++ b/packages/placer/tests/test_overload_delay_cost.py
@@ -309,3 +309,43 @@
             if any(run.unit.preempted for run in entry.runs())
         }
     assert stopped == {False: {"normal"}, True: {"batch"}}
+
+
+def test_urgent_work_stops_more_than_its_own_work_of_a_low_priority():
+    """Guards against urgent work that is late although batch work could wait.
+
+    Load pattern: an urgent unit needs a whole endpoint. Batch tasks have run
+    there for long, so that more core-seconds are lost than it needs itself.
+    """
+    stopped = {}
+    for setting in (policy.Policy(), _ON):
+        tables = _tables(setting, endpoints=1)
+        scheduler = scheduling.Scheduler(tables)
+        batch = _batch(tables, "b", count=8)
+        _started(tables, scheduler, batch)
+        _advance(tables, 5_000)
+        step = builders.step(gpu=8, estimate_ms=2_000)
+        _open(tables, "a", _URGENT, step)
+        scheduler.run()
+        stopped[setting.delay_cost_order] = sum(
+            run.unit.preempted for run in batch.runs()
+        )
+    assert stopped == {False: 0, True: 8}
+
+
+def test_work_of_the_next_priority_gives_way_for_a_limited_loss():
+    """Guards against a large gang that is thrown away for a small urgent job.
+
+    Load pattern: a normal gang has run for long when an urgent job arrives
+    that needs a small part of its endpoint. By value alone, the stop pays,
+    but the capacity that it wastes would have served several urgent jobs.
+    """
+    tables = _tables(_ON, endpoints=1)
+    scheduler = scheduling.Scheduler(tables)
+    step = builders.step(count=8, gang=True, estimate_ms=60_000)
+    gang = _open(tables, "c", _NORMAL, step)
+    _started(tables, scheduler, gang)
+    _advance(tables, 20_000)
+    _open(tables, "a", _URGENT, builders.step(gpu=1, estimate_ms=2_000))
+    scheduler.run()
+    assert not any(run.unit.preempted for run in gang.runs())
