--- a/packages/placer/src/laburnumgate_placer/accounts/holds.py
+++ b/packages/placer/src/laburnumgate_placer/accounts/holds.py
@@ -10,6 +10,8 @@
 from laburnumgate_placer import progress
 from laburnumgate_placer import tables as tables_module
 from laburnumgate_placer.accounts import limits
+from laburnumgate_placer.accounts import shares
+from laburnumgate_placer.accounts import standings
 
 _LOGGER = logging.getLogger(__name__)
 
@@ -153,19 +155,30 @@
     return f"the account's limit on {resource} is exceeded"
 
 
-def dump(tables: tables_module.Tables) -> dict[str, dict[str, list[int]]]:
-    """Returns usage and limit of each account, in the order of resources."""
+def dump(tables: tables_module.Tables) -> dict[str, dict]:
+    """Returns what each account uses and may use.
+
+    Usage, limit and share are listed in the order of resources; `excess` is the
+    number of open jobs beyond the rate of the account.
+    """
+    share_by_account = _shares(tables)
+    excess_by_account = standings.count_excess(tables)
     return {
         account: {
             "usage": _amounts(tables.usage.usage(account)),
             "limit": _amounts(tables.config.limit(account)),
+            "share": [
+                round(share, 3) for share in share_by_account[account].values()
+            ],
+            "excess": excess_by_account.get(account, 0),
         }
         for account in _accounts(tables)
     }
 
 
 def set_metrics(tables: tables_module.Tables) -> None:
-    """Sets the metrics of usage and limit by account and resource."""
+    """Sets the metrics of usage, limit and share by account and resource."""
+    share_by_account = _shares(tables)
     for account in _accounts(tables):
         usage = tables.usage.usage(account)
         limit = tables.config.limit(account)
@@ -173,6 +186,22 @@
             labels = {"account": account, "resource": resource}
             metrics.ACCOUNT_USAGE.set(labels, getattr(usage, resource))
             metrics.ACCOUNT_LIMIT.set(labels, getattr(limit, resource))
+            share = share_by_account[account][resource]
+            metrics.ACCOUNT_SHARE.set(labels, share)
+
+
+def _shares(tables: tables_module.Tables) -> dict[str, dict[str, float]]:
+    """Returns the weighted share of each resource by account."""
+    tables.capacity.refresh(tables.endpoints, tables.monotonic.now_ms())
+    weights = standings.weights(tables)
+    return {
+        account: shares.share_by_resource(
+            tables.usage.usage(account),
+            tables.capacity.total(),
+            weights.of(account),
+        )
+        for account in _accounts(tables)
+    }
 
 
 def _accounts(tables: tables_module.Tables) -> list[str]:
--- a/packages/placer/src/laburnumgate_placer/accounts/limits.py
+++ b/packages/placer/src/laburnumgate_placer/accounts/limits.py
@@ -12,6 +12,9 @@
 # Number of tasks that may start where nothing is limited.
 UNLIMITED = 1_000_000
 RESOURCES = ("cpu", "mem_mb", "gpu")
+# Part of the pool that the tasks of one step may use at once. The objective of
+# a wider step allows for several waves.
+WAVE_POOL_PART = 0.25
 
 
 def strictest(limits: Iterable[model.Resources]) -> model.Resources:
@@ -38,6 +41,22 @@
     return max(0, most)
 
 
+def waves(step: model.Step, limit: model.Resources, pool_slots: int) -> int:
+    """Returns in how many waves the tasks of a step have to run.
+
+    Args:
+      step: the step; a gang always runs at once.
+      limit: limit of its account.
+      pool_slots: how many tasks of the step the pool could run; 0 if unknown.
+    """
+    if step.gang or step.count <= 1:
+        return 1
+    at_once = count_allowed(limit, NO_LIMIT, step.room)
+    if pool_slots > 0:
+        at_once = min(at_once, int(WAVE_POOL_PART * pool_slots))
+    return -(-step.count // max(1, at_once))
+
+
 def exceeded(
     limit: model.Resources, usage: model.Resources, task: model.Resources
 ) -> str | None:
--- /dev/null
+++ b/packages/placer/src/laburnumgate_placer/accounts/shares.py
@@ -0,0 +1,176 @@
+"""Calculates the order between client accounts while there is too little room.
+
+Load pattern: one account submits many times what it usually does, or one large
+account has most of the pool running, and the work of the others waits behind
+it. While units wait and the pool is nearly full, work of accounts that use less
+of the pool for their weight precedes that of the others. Jobs that an account
+submits beyond its rate come last.
+
+The results follow from what is running and from the stored times of
+submissions, so that a new leader comes to the same order.
+"""
+
+import bisect
+from collections.abc import Mapping
+import dataclasses
+import math
+
+from laburnumgate_placer import model
+from laburnumgate_placer.accounts import limits
+
+# Shares are compared in steps of this part of the pool. Accounts with about the
+# same share stay ordered by due time.
+SHARE_STEP = 0.05
+# Shares apply while less than this part of the pool is free.
+MAX_FREE_PART = 0.1
+# Weight of an account without one if all accounts have shares.
+EQUAL_WEIGHT = 1.0
+# Costs of delay within this ratio are taken as equal. Declared durations are
+# off by half, so that smaller differences mean little.
+COST_RATIO = 2.0
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Standing:
+    """Position of a waiting job among those of other accounts.
+
+    Attributes:
+      excess: whether its account submitted it beyond its rate.
+      share: weighted dominant share of its account, in `SHARE_STEP`.
+      contended: whether there is too little room; if not, neither of the others
+        is set, and costs of delay are compared exactly.
+      max_cost: cost of delay up to which the job ranks, see `coarse_cost`; only
+        set for excess jobs.
+    """
+
+    excess: bool = False
+    share: int = 0
+    contended: bool = True
+    max_cost: float = math.inf
+
+    def coarse_cost(self, cost: float) -> float:
+        """Returns the cost of delay by which work ranks before its share.
+
+        Costs are rounded down to powers of `COST_RATIO`.
+        """
+        if not self.contended or cost <= 0:
+            return cost
+        exponent = math.floor(math.log(cost, COST_RATIO))
+        return min(COST_RATIO**exponent, self.max_cost)
+
+
+# Standing of work that the shares of accounts do not concern.
+NEUTRAL = Standing(contended=False)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Weights:
+    """Weights of accounts relative to their mean.
+
+    Configured weights are in jobs per second. Relative to their mean, a share
+    that is divided by a weight still is about a part of the pool.
+
+    Attributes:
+      by_account: the weight of each account that has one.
+      default: weight of all other accounts.
+    """
+
+    by_account: Mapping[str, float]
+    default: float = 1.0
+
+    def of(self, account: str) -> float:
+        """Returns the weight of an account."""
+        return self.by_account.get(account, self.default)
+
+
+def relative_weights(
+    weight_by_account: Mapping[str, float], *, equal: bool
+) -> Weights:
+    """Returns the weights for the comparison of shares.
+
+    An account without a weight has `EQUAL_WEIGHT` if `equal` is set. If not, it
+    has the mean weight: it neither gains nor loses by having none.
+    """
+    found = {
+        account: weight if weight > 0 else EQUAL_WEIGHT
+        for account, weight in weight_by_account.items()
+        if weight > 0 or equal
+    }
+    if not found:
+        return Weights({})
+    mean = sum(found.values()) / len(found)
+    return Weights(
+        {account: weight / mean for account, weight in found.items()},
+        EQUAL_WEIGHT / mean if equal else 1.0,
+    )
+
+
+def share_by_resource(
+    usage: model.Resources, capacity: model.Resources, weight: float
+) -> dict[str, float]:
+    """Returns the part of the pool that is used, divided by the weight."""
+    found = {}
+    for resource in limits.RESOURCES:
+        total = getattr(capacity, resource)
+        used = getattr(usage, resource)
+        found[resource] = used / total / weight if total > 0 else 0.0
+    return found
+
+
+def dominant_share(
+    usage: model.Resources, capacity: model.Resources, weight: float
+) -> int:
+    """Returns the largest share of any resource, in `SHARE_STEP`."""
+    largest = max(share_by_resource(usage, capacity, weight).values())
+    return round(largest / SHARE_STEP)
+
+
+def is_contended(free: model.Resources, capacity: model.Resources) -> bool:
+    """Whether a pool for which units wait has too little room.
+
+    Cores count where the pool has no accelerators.
+    """
+    if capacity.gpu > 0:
+        return free.gpu < MAX_FREE_PART * capacity.gpu
+    return free.cpu < MAX_FREE_PART * capacity.cpu
+
+
+class Submissions:
+    """Times at which the known jobs of each account were accepted."""
+
+    def __init__(self):
+        # (time, job id), sorted. The id orders jobs of the same millisecond in
+        # the same way on every host.
+        self._times_by_account: dict[str, list[tuple[int, str]]] = {}
+
+    def add(self, job: model.Job) -> None:
+        """Adds a job that is not known yet."""
+        times = self._times_by_account.setdefault(job.account, [])
+        bisect.insort(times, (job.accepted_ms, job.job_id))
+
+    def remove(self, job: model.Job) -> None:
+        """Removes a job."""
+        times = self._times_by_account.get(job.account, [])
+        position = bisect.bisect_left(times, (job.accepted_ms, job.job_id))
+        if times[position : position + 1] == [(job.accepted_ms, job.job_id)]:
+            del times[position]
+
+    def count_before(self, job: model.Job, window_ms: int) -> int:
+        """Returns how many jobs its account submitted shortly before a job."""
+        times = self._times_by_account.get(job.account, [])
+        first = bisect.bisect_left(times, (job.accepted_ms - window_ms + 1, ""))
+        end = bisect.bisect_left(times, (job.accepted_ms, job.job_id))
+        return end - first
+
+    def is_excess(self, job: model.Job, weight: float, window_ms: int) -> bool:
+        """Whether a job exceeds the rate of its account.
+
+        Args:
+          job: the job.
+          weight: jobs per second that its account may submit; 0 for any number.
+          window_ms: period before the job over which they are counted.
+        """
+        if weight <= 0:
+            return False
+        allowed = weight * window_ms / 1000
+        return self.count_before(job, window_ms) > allowed
--- /dev/null
+++ b/packages/placer/src/laburnumgate_placer/accounts/standings.py
@@ -0,0 +1,117 @@
+"""Applies the shares of accounts to the jobs that wait in a placement pass."""
+
+from collections.abc import Iterable
+
+from laburnumgate_placer import model
+from laburnumgate_placer import tables as tables_module
+from laburnumgate_placer.accounts import shares
+
+# Pause of the shares after an unexpected error, so that the log is not flooded.
+ERROR_PAUSE_MS = 5_000
+
+
+def in_use(tables: tables_module.Tables) -> bool:
+    """Whether the order depends on accounts at all."""
+    return tables.policy.equal_account_shares or tables.config.has_weights()
+
+
+class Standings:
+    """Standings of jobs during one pass.
+
+    What is needed of the pool and of an account is computed when it is first
+    asked for, and not without contention.
+    """
+
+    def __init__(self, tables: tables_module.Tables, now_ms: int):
+        self._tables = tables
+        self._now_ms = now_ms
+        self._contended_by_service: dict[str, bool] = {}
+        self._standings_by_account: dict[
+            str, tuple[shares.Standing, shares.Standing]
+        ] = {}
+        self._weights: shares.Weights | None = None
+
+    def contended(self, jobs: Iterable[model.Job]) -> bool:
+        """Whether there is too little room for any of the jobs."""
+        services = {self._tables.queue_of(job).service for job in jobs}
+        return any(self._is_contended(service) for service in services)
+
+    def of(self, job: model.Job) -> shares.Standing:
+        """Returns the standing of a job that waits."""
+        if not self._is_contended(self._tables.queue_of(job).service):
+            return shares.NEUTRAL
+        known = self._standings_by_account.get(job.account)
+        if known is None:
+            known = self._of_account(job.account)
+            self._standings_by_account[job.account] = known
+        ordinary, excess = known
+        return excess if is_excess(self._tables, job) else ordinary
+
+    def _is_contended(self, service: str) -> bool:
+        found = self._contended_by_service.get(service)
+        if found is None:
+            found = self._has_little_room(service)
+            self._contended_by_service[service] = found
+        return found
+
+    def _has_little_room(self, service: str) -> bool:
+        tables = self._tables
+        free_cpu = free_gpu = 0
+        for state in tables.endpoints.usable(
+            service, tables.config.zones_out, self._now_ms
+        ):
+            capacity = state.info.capacity
+            free_cpu += max(0, capacity.cpu - state.used.cpu)
+            free_gpu += max(0, capacity.gpu - state.used.gpu)
+        return shares.is_contended(
+            model.Resources(cpu=free_cpu, gpu=free_gpu),
+            tables.capacity.of(service),
+        )
+
+    def _of_account(
+        self, account: str
+    ) -> tuple[shares.Standing, shares.Standing]:
+        """Returns the standings of ordinary and of excess jobs."""
+        if self._weights is None:
+            self._weights = weights(self._tables)
+        share = shares.dominant_share(
+            self._tables.usage.usage(account),
+            self._tables.capacity.total(),
+            self._weights.of(account),
+        )
+        return shares.Standing(False, share), shares.Standing(True, share)
+
+
+def weights(tables: tables_module.Tables) -> shares.Weights:
+    """Returns the weights of all accounts."""
+    config = tables.config.current
+    accounts = config.accounts_by_name if config is not None else {}
+    return shares.relative_weights(
+        {name: account.weight for name, account in accounts.items()},
+        equal=tables.policy.equal_account_shares,
+    )
+
+
+def is_excess(tables: tables_module.Tables, job: model.Job) -> bool:
+    """Whether a job exceeds the rate of its account."""
+    weight = tables.config.weight(job.account)
+    if weight <= 0:
+        return False
+    return tables.jobs.submissions().is_excess(
+        job, weight, tables.bounds.rate_window_ms
+    )
+
+
+def count_excess(tables: tables_module.Tables) -> dict[str, int]:
+    """Returns the number of open jobs that exceed the rate of an account.
+
+    Accounts without any are not listed.
+    """
+    found: dict[str, int] = {}
+    if not tables.config.has_weights():
+        return found
+    for entry in tables.entries_by_id.values():
+        if not entry.state.final and is_excess(tables, entry.job):
+            account = entry.job.account
+            found[account] = found.get(account, 0) + 1
+    return found
--- a/packages/placer/src/laburnumgate_placer/config_table.py
+++ b/packages/placer/src/laburnumgate_placer/config_table.py
@@ -57,6 +57,7 @@
             tuple[int, dict[str, model.Resources]]
         ] = collections.deque()
         self._limit_by_account: dict[str, model.Resources] = {}
+        self._weight_by_account: dict[str, float] = {}
         self.current: model.Configuration | None = None
         self.zones_out: set[str] = set()
         self.waves_by_number: dict[int, model.Wave] = {}
@@ -76,6 +77,11 @@
         changed = self.current is None or config.version != self.current.version
         self.current = config
         self._replace_limits(config)
+        self._weight_by_account = {
+            account.name: account.weight
+            for account in config.accounts_by_name.values()
+            if account.weight > 0
+        }
         if changed:
             events.emit(
                 _LOGGER,
@@ -104,6 +110,14 @@
         earlier = [known.get(account) for _, known in self._earlier]
         return limits.strictest([limit, *filter(None, earlier)])
 
+    def has_weights(self) -> bool:
+        """Whether any account has a weight."""
+        return bool(self._weight_by_account)
+
+    def weight(self, account: str) -> float:
+        """Returns the weight of an account, 0 for none."""
+        return self._weight_by_account.get(account, 0.0)
+
     def _replace_limits(self, config: model.Configuration) -> None:
         replaced = self._limit_by_account
         self._limit_by_account = {
--- a/packages/placer/src/laburnumgate_placer/durations.py
+++ b/packages/placer/src/laburnumgate_placer/durations.py
@@ -32,12 +32,22 @@
             return observed_ms
         return self._declared_ms(job, number)
 
-    def critical_path_ms(self, job: model.Job) -> float:
-        """Returns the expected duration of the job's critical path."""
+    def critical_path_ms(
+        self, job: model.Job, waves: tuple[int, ...] | None = None
+    ) -> float:
+        """Returns the expected duration of the job's critical path.
+
+        Args:
+          job: the job.
+          waves: how often each step counts; None for once.
+        """
         ends: list[float] = []
         for number, step in enumerate(job.steps):
             before = max((ends[n] for n in step.after), default=0.0)
-            ends.append(before + self.expected_ms(job, number))
+            own = self.expected_ms(job, number)
+            if waves is not None:
+                own *= waves[number]
+            ends.append(before + own)
         return max(ends)
 
     def remaining_ms(self, run: progress.Run, now_ms: int) -> float:
--- a/packages/placer/src/laburnumgate_placer/job_table.py
+++ b/packages/placer/src/laburnumgate_placer/job_table.py
@@ -5,6 +5,7 @@
 
 from laburnumgate_placer import model
 from laburnumgate_placer import records
+from laburnumgate_placer.accounts import shares
 
 _LOGGER = logging.getLogger(__name__)
 
@@ -17,6 +18,8 @@
         self._states_by_id: dict[str, records.StateChanged] = {}
         self._cancelled_ids: set[str] = set()
         self._pending_by_queue: collections.Counter[str] = collections.Counter()
+        # None until they are asked for: few hosts need them.
+        self._submissions: shares.Submissions | None = None
 
     def apply(self, record: records.JobRecord) -> bool:
         """Applies a record; returns whether it had an effect."""
@@ -61,10 +64,20 @@
         """Returns the number of queued jobs of a queue."""
         return self._pending_by_queue[queue]
 
+    def submissions(self) -> shares.Submissions:
+        """Returns when the known jobs of each account were accepted."""
+        if self._submissions is None:
+            self._submissions = shares.Submissions()
+            for job in self.jobs_by_id.values():
+                self._submissions.add(job)
+        return self._submissions
+
     def _submit(self, job: model.Job) -> bool:
         if job.job_id in self.jobs_by_id:
             return False
         self.jobs_by_id[job.job_id] = job
+        if self._submissions is not None:
+            self._submissions.add(job)
         if self.state(job.job_id) == model.JobState.QUEUED:
             self._pending_by_queue[job.queue.name] += 1
         return True
@@ -73,7 +86,9 @@
         self._states_by_id[record.job_id] = record
 
     def _drop(self, job_id: str) -> None:
-        self.jobs_by_id.pop(job_id, None)
+        job = self.jobs_by_id.pop(job_id, None)
+        if job is not None and self._submissions is not None:
+            self._submissions.remove(job)
         self._states_by_id.pop(job_id, None)
         self._cancelled_ids.discard(job_id)
 
--- a/packages/placer/src/laburnumgate_placer/metrics.py
+++ b/packages/placer/src/laburnumgate_placer/metrics.py
@@ -66,6 +66,11 @@
     "laburnumgate_account_limit",
     "Limit of an account, by account and resource; 0 for none.",
 )
+ACCOUNT_SHARE = _gauge(
+    "laburnumgate_account_share",
+    "Part of the pool that an account may have running, divided by its weight"
+    " relative to the mean, by account and resource.",
+)
 ACCOUNT_HELD = _counter(
     "laburnumgate_account_held_total",
     "How often an account was held back by its limit.",
--- a/packages/placer/src/laburnumgate_placer/ordering.py
+++ b/packages/placer/src/laburnumgate_placer/ordering.py
@@ -1,16 +1,40 @@
-"""Computes the order in which waiting units are placed."""
+"""Computes the order in which waiting units are placed.
+
+While there is too little room, the shares of accounts decide between units
+without a guarantee of the same stage and priority; jobs beyond the rate of
+their account come last there, and units of accounts with the same share stay in
+order of their due time.
+
+If the order is by cost of delay, there are no stages, and costs differ between
+any two units. A share then decides between units of the same priority whose
+costs are about the same (`shares.COST_RATIO`). It does not change a cost: a
+unit that loses twice as much by waiting still precedes one of an account that
+uses less, so that shares never waste more value than the estimates are off by.
+Excess jobs rank no higher than the cheapest other unit of their priority that
+loses anything by waiting, and after it. Work that loses nothing by waiting is
+not delayed by them at any cost, and holding them back for it would rank urgent
+excess jobs after all patient work. Overdue work precedes both, because the
+bound on its wait holds for every account.
+"""
 
 import dataclasses
 import enum
+import logging
 
+from laburnumgate_placer import events
 from laburnumgate_placer import model
 from laburnumgate_placer import placement
 from laburnumgate_placer import progress
 from laburnumgate_placer import tables as tables_module
+from laburnumgate_placer.accounts import limits
+from laburnumgate_placer.accounts import shares
+from laburnumgate_placer.accounts import standings
 from laburnumgate_placer.overload import admission
 from laburnumgate_placer.overload import delay_cost
 from laburnumgate_placer.overload import preemption
 
+_LOGGER = logging.getLogger(__name__)
+
 
 class Stage(enum.IntEnum):
     """Whether a job can still meet its objective if it starts now."""
@@ -32,6 +56,8 @@
       min_speed: lowest endpoint speed at which it ends in time.
       preference: which of several possible endpoints it prefers.
       work: the work that waits; None unless the order is by cost of delay.
+      standing: position among the jobs of other accounts; None unless shares
+        apply. If one unit of a pass has one, all without a guarantee have.
     """
 
     guaranteed: bool
@@ -41,6 +67,7 @@
     min_speed: float = 0.0
     preference: placement.Preference = placement.Preference.SLOWEST
     work: delay_cost.Work | None = None
+    standing: shares.Standing | None = None
 
     @property
     def overdue(self) -> bool:
@@ -55,14 +82,36 @@
         """Returns the sort key; the lowest is placed first.
 
         Guaranteed units, and all units unless the order is by cost of delay,
-        are ordered by stage, priority and due time.
+        are ordered by stage, priority and due time. Shares of accounts come
+        before the due time, except among guaranteed units.
         """
-        if self.guaranteed or self.work is None:
+        standing = self.standing
+        if self.guaranteed or (self.work is None and standing is None):
             return (not self.guaranteed, self.stage, self.priority, self.due_ms)
+        if self.work is None:
+            return (
+                True,
+                self.stage,
+                self.priority,
+                standing.excess,
+                standing.share,
+                self.due_ms,
+            )
         if self.work.overdue:
             return (True, 0, 0.0, 0, self.due_ms)
         cost = delay_cost.loss_per_core_s(self.work)
-        return (True, 1, -cost, self.priority, self.due_ms)
+        if standing is None:
+            return (True, 1, -cost, self.priority, self.due_ms)
+        return (
+            True,
+            1,
+            -standing.coarse_cost(cost),
+            self.priority,
+            standing.excess,
+            standing.share,
+            -cost,
+            self.due_ms,
+        )
 
 
 def guaranteed_jobs(tables: tables_module.Tables) -> set[str]:
@@ -107,24 +156,63 @@
 def objective_ms(
     tables: tables_module.Tables, entry: progress.JobEntry
 ) -> float:
-    """Returns the longest duration with which the job is on time."""
+    """Returns the longest duration with which the job is on time.
+
+    A step that is too wide to run at once counts once for each of its waves.
+    """
     queue = tables.queue_of(entry.job)
-    critical_path_ms = tables.durations.critical_path_ms(entry.job)
+    critical_path_ms = tables.durations.critical_path_ms(
+        entry.job, _waves(tables, entry)
+    )
     return queue.stretch * critical_path_ms + queue.objective_ms
 
 
+def _waves(
+    tables: tables_module.Tables, entry: progress.JobEntry
+) -> tuple[int, ...] | None:
+    """Returns in how many waves each step has to run, None if all in one.
+
+    Waves count for accounts with a limit, and in the order by cost of delay.
+    """
+    job = entry.job
+    limit = tables.config.limit(job.account)
+    if limit == limits.NO_LIMIT and not tables.policy.delay_cost_order:
+        return None
+    computed_for = (tables.capacity.changes, limit)
+    if entry.waves[0] != computed_for:
+        service = tables.queue_of(job).service
+        waves = tuple(
+            limits.waves(
+                step, limit, tables.capacity.slots(service, step.charged)
+            )
+            for step in job.steps
+        )
+        found = waves if max(waves) > 1 else None
+        entry.waves = (computed_for, found)
+    return entry.waves[1]
+
+
 def rank(
     tables: tables_module.Tables,
     unit: progress.Unit,
     guaranteed: set[str],
     now_ms: int,
+    waiting: int = 1,
 ) -> Rank:
-    """Returns the unit's scheduling rank by stage, priority and due time."""
+    """Returns the unit's scheduling rank by stage, priority and due time.
+
+    Args:
+      tables: the leader's tables.
+      unit: the unit.
+      guaranteed: ids of the jobs that are covered by guarantees.
+      now_ms: monotonic time.
+      waiting: how many units of its step wait, including this one.
+    """
     entry = unit.entry
     queue = tables.queue_of(entry.job)
     clock_start_ms = _clock_start_ms(tables, unit, now_ms)
     allowed_ms = objective_ms(tables, entry)
-    remaining_ms = _remaining_work_ms(tables, unit)
+    remaining_ms = _remaining_work_ms(tables, unit, waiting)
     due_ms = clock_start_ms + allowed_ms - remaining_ms
     stage = Stage.ON_TIME
     if now_ms > due_ms:
@@ -170,10 +258,17 @@
 
 
 def _remaining_work_ms(
-    tables: tables_module.Tables, unit: progress.Unit
+    tables: tables_module.Tables, unit: progress.Unit, waiting: int
 ) -> float:
-    """Returns the expected duration of the longest path from this step."""
+    """Returns the expected duration of the longest path from this step.
+
+    Args:
+      tables: the leader's tables.
+      unit: the unit that is next.
+      waiting: how many units of its step, including this one, have to run.
+    """
     job = unit.entry.job
+    waves = _waves(tables, unit.entry)
     ends: dict[int, float] = {}
     for number in range(len(job.steps) - 1, unit.key.step - 1, -1):
         later = [
@@ -182,10 +277,26 @@
             if number in job.steps[n].after
         ]
         own = tables.durations.expected_ms(job, number)
+        if waves is not None:
+            own *= _waves_left(job, number, waves, unit, waiting)
         ends[number] = own + max(later, default=0.0)
     return ends[unit.key.step]
 
 
+def _waves_left(
+    job: model.Job,
+    number: int,
+    waves: tuple[int, ...],
+    unit: progress.Unit,
+    waiting: int,
+) -> int:
+    """Returns how many waves of a step have not started yet."""
+    if number != unit.key.step:
+        return waves[number]
+    # Proportional to the tasks that are left.
+    return -(-waves[number] * waiting // job.steps[number].count)
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class WaitingStep:
     """Units of one step that may start now; they share a rank.
@@ -205,6 +316,13 @@
     """Returns the steps with units that may start now, in rank order."""
     found = []
     means = None
+    shares_in_use = standings.in_use(tables)
+    if (
+        shares_in_use
+        or tables.policy.delay_cost_order
+        or tables.config.has_limits()
+    ):
+        tables.capacity.refresh(tables.endpoints, now_ms)
     if tables.policy.delay_cost_order:
         means = mean_core_s_by_queue(tables)
     for entry in tables.entries_by_id.values():
@@ -218,15 +336,104 @@
                 and unit.backoff_until_ms <= now_ms
             )
             if units:
-                step_rank = rank(tables, units[0], guaranteed, now_ms)
+                step_rank = rank(
+                    tables, units[0], guaranteed, now_ms, len(units)
+                )
                 if means is not None:
                     work = _waiting_work(tables, units, means, now_ms)
                     step_rank = dataclasses.replace(step_rank, work=work)
                 found.append(WaitingStep(step_rank, units))
+    if found and shares_in_use:
+        found = _with_standings(tables, found, now_ms)
     found.sort(key=lambda step: (step.rank.sort_key(), step.units[0].key))
     return found
 
 
+def _with_standings(
+    tables: tables_module.Tables, found: list[WaitingStep], now_ms: int
+) -> list[WaitingStep]:
+    """Returns the steps with the standings of their accounts.
+
+    Returns them as they are without contention, and after an error, for
+    `standings.ERROR_PAUSE_MS`.
+    """
+    if now_ms < tables.shares_paused_until_ms:
+        return found
+    try:
+        of_pass = standings.Standings(tables, now_ms)
+        if not of_pass.contended(step.units[0].entry.job for step in found):
+            return found
+        return _limit_excess_costs(
+            tables, [_with_standing(of_pass, step) for step in found]
+        )
+    except Exception as error:  # The order without shares is a valid one.
+        tables.shares_paused_until_ms = now_ms + standings.ERROR_PAUSE_MS
+        events.emit(
+            _LOGGER,
+            events.Event.TASK_FAILED,
+            task="ordering.waiting_steps",
+            reason=repr(error),
+        )
+        return found
+
+
+def _with_standing(
+    of_pass: standings.Standings, step: WaitingStep
+) -> WaitingStep:
+    if step.rank.guaranteed:
+        return step
+    standing = of_pass.of(step.units[0].entry.job)
+    ranked = dataclasses.replace(step.rank, standing=standing)
+    return WaitingStep(ranked, step.units)
+
+
+def _limit_excess_costs(
+    tables: tables_module.Tables, found: list[WaitingStep]
+) -> list[WaitingStep]:
+    """Limits the costs by which excess jobs rank in the order by cost.
+
+    An excess job ranks no higher than the cheapest other unit of its service
+    and priority that loses anything by waiting.
+    """
+    if not tables.policy.delay_cost_order:
+        return found
+    excess = [
+        index
+        for index, step in enumerate(found)
+        if step.rank.standing is not None and step.rank.standing.excess
+    ]
+    if not excess:
+        return found
+    lowest: dict[tuple[str, int], float] = {}
+    for step in found:
+        standing = step.rank.standing
+        if standing is None or standing.excess:
+            continue
+        cost = delay_cost.loss_per_core_s(step.rank.work)
+        if cost <= 0:
+            continue
+        key = _cost_class(tables, step)
+        cost = standing.coarse_cost(cost)
+        lowest[key] = min(cost, lowest.get(key, cost))
+    for index in excess:
+        step = found[index]
+        max_cost = lowest.get(_cost_class(tables, step))
+        if max_cost is None:
+            continue
+        standing = dataclasses.replace(step.rank.standing, max_cost=max_cost)
+        ranked = dataclasses.replace(step.rank, standing=standing)
+        found[index] = WaitingStep(ranked, step.units)
+    return found
+
+
+def _cost_class(
+    tables: tables_module.Tables, step: WaitingStep
+) -> tuple[str, int]:
+    """Returns the service and the priority of a step."""
+    service = tables.queue_of(step.units[0].entry.job).service
+    return (service, step.rank.priority)
+
+
 def mean_core_s_by_queue(tables: tables_module.Tables) -> dict[str, float]:
     """Returns the mean work of the open jobs of each queue."""
     sums: dict[str, tuple[float, int]] = {}
@@ -256,7 +463,7 @@
     unit = run.unit
     own_ms = tables.durations.expected_ms(unit.entry.job, unit.key.step)
     left_ms = tables.durations.remaining_ms(run, now_ms)
-    remaining_ms = _remaining_work_ms(tables, unit) - own_ms + left_ms
+    remaining_ms = _remaining_work_ms(tables, unit, 1) - own_ms + left_ms
     core_s = unit.size * preemption.cores(unit.step.room) * left_ms / 1000
     return _work(tables, unit, means, core_s, remaining_ms, now_ms)
 
@@ -284,7 +491,7 @@
             tasks = sum(each.size for each in units)
         work_ms = tables.durations.expected_ms(job, number)
         core_s += tasks * preemption.cores(step.room) * work_ms / 1000
-    remaining_ms = _remaining_work_ms(tables, unit)
+    remaining_ms = _remaining_work_ms(tables, unit, len(units))
     return _work(tables, unit, means, core_s, remaining_ms, now_ms)
 
 
--- a/packages/placer/src/laburnumgate_placer/progress.py
+++ b/packages/placer/src/laburnumgate_placer/progress.py
@@ -200,6 +200,8 @@
       next_occurrence: first occurrence that is not opened yet.
       declared_core_s: declared work of one occurrence, None until it was asked
         for.
+      waves: in how many waves each step has to run, None for one; and the
+        state of the pool and the limit that this was computed for.
       _units_by_step: units of the steps that were asked for.
     """
 
@@ -214,6 +216,7 @@
     done_steps: set[tuple[int, int]] = dataclasses.field(default_factory=set)
     next_occurrence: int = 0
     declared_core_s: float | None = None
+    waves: tuple[object, tuple[int, ...] | None] = (None, None)
     _units_by_step: dict[tuple[int, int], list[Unit]] = dataclasses.field(
         default_factory=dict
     )
--- a/packages/placer/src/laburnumgate_placer/tables.py
+++ b/packages/placer/src/laburnumgate_placer/tables.py
@@ -13,6 +13,7 @@
 from laburnumgate_placer import limits
 from laburnumgate_placer import model
 from laburnumgate_placer import policy as policy_module
+from laburnumgate_placer import pool_capacity
 from laburnumgate_placer import progress
 from laburnumgate_placer.accounts import usage
 
@@ -23,10 +24,14 @@
     Attributes:
       token: fencing token of the term.
       usage: what each account may have running.
+      capacity: capacity of the listed endpoints, as of the latest pass that
+        needed it.
       entries_by_id: open jobs, and ended jobs that still have runs.
       dirty: ids of jobs with progress that is not recorded yet.
       assigned_runs: runs to start once their assignment is recorded.
       pending_stops: members to stop.
+      shares_paused_until_ms: monotonic time until which shares of accounts do
+        not count in the order, after an error.
       wake: set when a placement pass or a flush may be due.
     """
 
@@ -52,10 +57,12 @@
         self.advice = advice.AdviceTable()
         self.crashes = crashes.CrashTable()
         self.usage = usage.UsageLedger()
+        self.capacity = pool_capacity.PoolCapacity()
         self.entries_by_id: dict[str, progress.JobEntry] = {}
         self.dirty: set[str] = set()
         self.assigned_runs: list[progress.Run] = []
         self.pending_stops: list[progress.Member] = []
+        self.shares_paused_until_ms = 0
         self.wake = asyncio.Event()
 
     def queue_of(self, job: model.Job) -> model.Queue:
