--- a/packages/placer/src/laburnumgate_placer/accounts/shares.py
+++ b/packages/placer/src/laburnumgate_placer/accounts/shares.py
@@ -25,9 +25,6 @@
 MAX_FREE_PART = 0.1
 # Weight of an account without one if all accounts have shares.
 EQUAL_WEIGHT = 1.0
-# Costs of delay within this ratio are taken as equal. Declared durations are
-# off by half, so that smaller differences mean little.
-COST_RATIO = 2.0
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -51,12 +48,13 @@
     def coarse_cost(self, cost: float) -> float:
         """Returns the cost of delay by which work ranks before its share.
 
-        Costs are rounded down to powers of `COST_RATIO`.
+        Costs are rounded down to powers of 2: declared durations are off by
+        half, so that smaller differences mean little.
         """
         if not self.contended or cost <= 0:
             return cost
-        exponent = math.floor(math.log(cost, COST_RATIO))
-        return min(COST_RATIO**exponent, self.max_cost)
+        _, exponent = math.frexp(cost)
+        return min(math.ldexp(1.0, exponent - 1), self.max_cost)
 
 
 # Standing of work that the shares of accounts do not concern.
--- a/packages/placer/src/laburnumgate_placer/accounts/standings.py
+++ b/packages/placer/src/laburnumgate_placer/accounts/standings.py
@@ -1,7 +1,5 @@
 """Applies the shares of accounts to the jobs that wait in a placement pass."""
 
-from collections.abc import Iterable
-
 from laburnumgate_placer import model
 from laburnumgate_placer import tables as tables_module
 from laburnumgate_placer.accounts import shares
@@ -31,9 +29,9 @@
         ] = {}
         self._weights: shares.Weights | None = None
 
-    def contended(self, jobs: Iterable[model.Job]) -> bool:
-        """Whether there is too little room for any of the jobs."""
-        services = {self._tables.queue_of(job).service for job in jobs}
+    def contended(self) -> bool:
+        """Whether any service has too little room."""
+        services = self._tables.capacity.services()
         return any(self._is_contended(service) for service in services)
 
     def of(self, job: model.Job) -> shares.Standing:
@@ -82,6 +80,12 @@
         return shares.Standing(False, share), shares.Standing(True, share)
 
 
+def of_pass(tables: tables_module.Tables, now_ms: int) -> Standings | None:
+    """Returns the standings for a pass, None without contention."""
+    found = Standings(tables, now_ms)
+    return found if found.contended() else None
+
+
 def weights(tables: tables_module.Tables) -> shares.Weights:
     """Returns the weights of all accounts."""
     config = tables.config.current
--- a/packages/placer/src/laburnumgate_placer/ordering.py
+++ b/packages/placer/src/laburnumgate_placer/ordering.py
@@ -5,16 +5,16 @@
 their account come last there, and units of accounts with the same share stay in
 order of their due time.
 
-If the order is by cost of delay, there are no stages, and costs differ between
-any two units. A share then decides between units of the same priority whose
-costs are about the same (`shares.COST_RATIO`). It does not change a cost: a
-unit that loses twice as much by waiting still precedes one of an account that
-uses less, so that shares never waste more value than the estimates are off by.
-Excess jobs rank no higher than the cheapest other unit of their priority that
-loses anything by waiting, and after it. Work that loses nothing by waiting is
-not delayed by them at any cost, and holding them back for it would rank urgent
-excess jobs after all patient work. Overdue work precedes both, because the
-bound on its wait holds for every account.
+If the order is by cost of delay, there are no stages, and the costs of any two
+units differ. A share then decides between units of the same priority whose
+costs are about the same (`shares.Standing.coarse_cost`). It does not change a
+cost: a unit that loses twice as much by waiting still precedes one of an
+account that uses less, so that shares waste no more value than the estimates
+are off by. An excess job ranks no higher than the cheapest other unit of its
+priority that loses anything by waiting, and after it. Units that lose nothing
+by waiting are left out of this; otherwise one patient unit would rank all
+excess jobs of its priority after all other work. Overdue work precedes all of
+these, because the bound on its wait holds for every account.
 """
 
 import dataclasses
@@ -56,8 +56,8 @@
       min_speed: lowest endpoint speed at which it ends in time.
       preference: which of several possible endpoints it prefers.
       work: the work that waits; None unless the order is by cost of delay.
-      standing: position among the jobs of other accounts; None unless shares
-        apply. If one unit of a pass has one, all without a guarantee have.
+      standing: position among the jobs of other accounts; None for all units
+        of a pass unless shares apply.
     """
 
     guaranteed: bool
@@ -160,13 +160,23 @@
 
     A step that is too wide to run at once counts once for each of its waves.
     """
+    return _allowed_ms(tables, entry, _waves(tables, entry))
+
+
+def _allowed_ms(
+    tables: tables_module.Tables,
+    entry: progress.JobEntry,
+    waves: tuple[int, ...] | None,
+) -> float:
     queue = tables.queue_of(entry.job)
-    critical_path_ms = tables.durations.critical_path_ms(
-        entry.job, _waves(tables, entry)
-    )
+    critical_path_ms = tables.durations.critical_path_ms(entry.job, waves)
     return queue.stretch * critical_path_ms + queue.objective_ms
 
 
+def _counts_waves(tables: tables_module.Tables) -> bool:
+    return tables.policy.delay_cost_order or tables.config.has_limits()
+
+
 def _waves(
     tables: tables_module.Tables, entry: progress.JobEntry
 ) -> tuple[int, ...] | None:
@@ -174,9 +184,11 @@
 
     Waves count for accounts with a limit, and in the order by cost of delay.
     """
+    if not _counts_waves(tables):
+        return None
     job = entry.job
     limit = tables.config.limit(job.account)
-    if limit == limits.NO_LIMIT and not tables.policy.delay_cost_order:
+    if not tables.policy.delay_cost_order and limit == limits.NO_LIMIT:
         return None
     computed_for = (tables.capacity.changes, limit)
     if entry.waves[0] != computed_for:
@@ -198,6 +210,7 @@
     guaranteed: set[str],
     now_ms: int,
     waiting: int = 1,
+    standing: shares.Standing | None = None,
 ) -> Rank:
     """Returns the unit's scheduling rank by stage, priority and due time.
 
@@ -207,12 +220,14 @@
       guaranteed: ids of the jobs that are covered by guarantees.
       now_ms: monotonic time.
       waiting: how many units of its step wait, including this one.
+      standing: its position among the jobs of other accounts.
     """
     entry = unit.entry
     queue = tables.queue_of(entry.job)
     clock_start_ms = _clock_start_ms(tables, unit, now_ms)
-    allowed_ms = objective_ms(tables, entry)
-    remaining_ms = _remaining_work_ms(tables, unit, waiting)
+    waves = _waves(tables, entry)
+    allowed_ms = _allowed_ms(tables, entry, waves)
+    remaining_ms = _remaining_work_ms(tables, unit, waves, waiting)
     due_ms = clock_start_ms + allowed_ms - remaining_ms
     stage = Stage.ON_TIME
     if now_ms > due_ms:
@@ -229,6 +244,7 @@
         due_ms,
         remaining_ms / max(1.0, due_ms + remaining_ms - now_ms),
         _preference(tables, queue),
+        standing=standing,
     )
 
 
@@ -258,17 +274,20 @@
 
 
 def _remaining_work_ms(
-    tables: tables_module.Tables, unit: progress.Unit, waiting: int
+    tables: tables_module.Tables,
+    unit: progress.Unit,
+    waves: tuple[int, ...] | None,
+    waiting: int,
 ) -> float:
     """Returns the expected duration of the longest path from this step.
 
     Args:
       tables: the leader's tables.
       unit: the unit that is next.
+      waves: in how many waves each step has to run, None if all in one.
       waiting: how many units of its step, including this one, have to run.
     """
     job = unit.entry.job
-    waves = _waves(tables, unit.entry)
     ends: dict[int, float] = {}
     for number in range(len(job.steps) - 1, unit.key.step - 1, -1):
         later = [
@@ -316,12 +335,8 @@
     """Returns the steps with units that may start now, in rank order."""
     found = []
     means = None
-    shares_in_use = standings.in_use(tables)
-    if (
-        shares_in_use
-        or tables.policy.delay_cost_order
-        or tables.config.has_limits()
-    ):
+    of_pass = None
+    if standings.in_use(tables) or _counts_waves(tables):
         tables.capacity.refresh(tables.endpoints, now_ms)
     if tables.policy.delay_cost_order:
         means = mean_core_s_by_queue(tables)
@@ -335,79 +350,85 @@
                 if unit.state == progress.UnitState.WAITING
                 and unit.backoff_until_ms <= now_ms
             )
-            if units:
-                step_rank = rank(
-                    tables, units[0], guaranteed, now_ms, len(units)
-                )
-                if means is not None:
-                    work = _waiting_work(tables, units, means, now_ms)
-                    step_rank = dataclasses.replace(step_rank, work=work)
-                found.append(WaitingStep(step_rank, units))
-    if found and shares_in_use:
-        found = _with_standings(tables, found, now_ms)
+            if not units:
+                continue
+            if not found:
+                of_pass = _standings(tables, now_ms)
+            standing = None
+            if of_pass is not None:
+                standing = _standing(tables, of_pass, entry.job, now_ms)
+            step_rank = rank(
+                tables, units[0], guaranteed, now_ms, len(units), standing
+            )
+            if means is not None:
+                work = _waiting_work(tables, units, means, now_ms)
+                step_rank = dataclasses.replace(step_rank, work=work)
+            found.append(WaitingStep(step_rank, units))
+    if of_pass is not None and means is not None:
+        _limit_excess_costs(tables, found)
     found.sort(key=lambda step: (step.rank.sort_key(), step.units[0].key))
     return found
 
 
-def _with_standings(
-    tables: tables_module.Tables, found: list[WaitingStep], now_ms: int
-) -> list[WaitingStep]:
-    """Returns the steps with the standings of their accounts.
-
-    Returns them as they are without contention, and after an error, for
-    `standings.ERROR_PAUSE_MS`.
-    """
-    if now_ms < tables.shares_paused_until_ms:
-        return found
+def _standings(
+    tables: tables_module.Tables, now_ms: int
+) -> standings.Standings | None:
+    """Returns the standings of this pass, None if shares do not apply."""
+    if now_ms < tables.shares_paused_until_ms or not standings.in_use(tables):
+        return None
     try:
-        of_pass = standings.Standings(tables, now_ms)
-        if not of_pass.contended(step.units[0].entry.job for step in found):
-            return found
-        return _limit_excess_costs(
-            tables, [_with_standing(of_pass, step) for step in found]
-        )
+        return standings.of_pass(tables, now_ms)
     except Exception as error:  # The order without shares is a valid one.
-        tables.shares_paused_until_ms = now_ms + standings.ERROR_PAUSE_MS
-        events.emit(
-            _LOGGER,
-            events.Event.TASK_FAILED,
-            task="ordering.waiting_steps",
-            reason=repr(error),
-        )
-        return found
+        _pause_shares(tables, error, now_ms)
+        return None
 
 
-def _with_standing(
-    of_pass: standings.Standings, step: WaitingStep
-) -> WaitingStep:
-    if step.rank.guaranteed:
-        return step
-    standing = of_pass.of(step.units[0].entry.job)
-    ranked = dataclasses.replace(step.rank, standing=standing)
-    return WaitingStep(ranked, step.units)
+def _standing(
+    tables: tables_module.Tables,
+    of_pass: standings.Standings,
+    job: model.Job,
+    now_ms: int,
+) -> shares.Standing:
+    try:
+        return of_pass.of(job)
+    except Exception as error:  # The rest of the order is a valid one.
+        _pause_shares(tables, error, now_ms)
+        return shares.NEUTRAL
+
+
+def _pause_shares(
+    tables: tables_module.Tables, error: Exception, now_ms: int
+) -> None:
+    if now_ms < tables.shares_paused_until_ms:
+        return
+    tables.shares_paused_until_ms = now_ms + standings.ERROR_PAUSE_MS
+    events.emit(
+        _LOGGER,
+        events.Event.TASK_FAILED,
+        task="ordering.waiting_steps",
+        reason=repr(error),
+    )
 
 
 def _limit_excess_costs(
     tables: tables_module.Tables, found: list[WaitingStep]
-) -> list[WaitingStep]:
+) -> None:
     """Limits the costs by which excess jobs rank in the order by cost.
 
     An excess job ranks no higher than the cheapest other unit of its service
     and priority that loses anything by waiting.
     """
-    if not tables.policy.delay_cost_order:
-        return found
     excess = [
         index
         for index, step in enumerate(found)
-        if step.rank.standing is not None and step.rank.standing.excess
+        if step.rank.standing.excess and not step.rank.guaranteed
     ]
     if not excess:
-        return found
+        return
     lowest: dict[tuple[str, int], float] = {}
     for step in found:
         standing = step.rank.standing
-        if standing is None or standing.excess:
+        if standing.excess or step.rank.guaranteed:
             continue
         cost = delay_cost.loss_per_core_s(step.rank.work)
         if cost <= 0:
@@ -423,7 +444,6 @@
         standing = dataclasses.replace(step.rank.standing, max_cost=max_cost)
         ranked = dataclasses.replace(step.rank, standing=standing)
         found[index] = WaitingStep(ranked, step.units)
-    return found
 
 
 def _cost_class(
@@ -463,9 +483,10 @@
     unit = run.unit
     own_ms = tables.durations.expected_ms(unit.entry.job, unit.key.step)
     left_ms = tables.durations.remaining_ms(run, now_ms)
-    remaining_ms = _remaining_work_ms(tables, unit, 1) - own_ms + left_ms
+    waves = _waves(tables, unit.entry)
+    remaining_ms = _remaining_work_ms(tables, unit, waves, 1) - own_ms + left_ms
     core_s = unit.size * preemption.cores(unit.step.room) * left_ms / 1000
-    return _work(tables, unit, means, core_s, remaining_ms, now_ms)
+    return _work(tables, unit, means, core_s, remaining_ms, waves, now_ms)
 
 
 def _waiting_work(
@@ -491,8 +512,9 @@
             tasks = sum(each.size for each in units)
         work_ms = tables.durations.expected_ms(job, number)
         core_s += tasks * preemption.cores(step.room) * work_ms / 1000
-    remaining_ms = _remaining_work_ms(tables, unit, len(units))
-    return _work(tables, unit, means, core_s, remaining_ms, now_ms)
+    waves = _waves(tables, unit.entry)
+    remaining_ms = _remaining_work_ms(tables, unit, waves, len(units))
+    return _work(tables, unit, means, core_s, remaining_ms, waves, now_ms)
 
 
 def _work(
@@ -501,12 +523,13 @@
     means: dict[str, float],
     core_s: float,
     remaining_ms: float,
+    waves: tuple[int, ...] | None,
     now_ms: int,
 ) -> delay_cost.Work:
     entry = unit.entry
     job_core_s = declared_core_s(entry)
     mean_core_s = means.get(entry.job.queue.name, job_core_s)
-    allowed_ms = objective_ms(tables, entry)
+    allowed_ms = _allowed_ms(tables, entry, waves)
     end_ms = now_ms + remaining_ms - _clock_start_ms(tables, unit, now_ms)
     return delay_cost.Work(
         delay_cost.value(
--- a/packages/placer/src/laburnumgate_placer/pool_capacity.py
+++ b/packages/placer/src/laburnumgate_placer/pool_capacity.py
@@ -49,6 +49,10 @@
         """Returns the capacity of all services together."""
         return self._total
 
+    def services(self) -> list[str]:
+        """Returns the services that have endpoints."""
+        return list(self._by_service)
+
     def of(self, service: str) -> model.Resources:
         """Returns the capacity of a service."""
         return self._by_service.get(service, _NONE)
