Let shares decide which unit of a priority takes which place

Buckets of costs did not keep a flood of one account from delaying the others in the order by cost of delay: its older jobs cost more than their new ones.

--- a/packages/placer/src/laburnumgate_placer/accounts/shares.py
+++ b/packages/placer/src/laburnumgate_placer/accounts/shares.py
@@ -11,9 +11,10 @@
 """
 
 import bisect
+from collections.abc import Hashable
 from collections.abc import Mapping
+from collections.abc import Sequence
 import dataclasses
-import math
 
 from laburnumgate_placer import model
 from laburnumgate_placer.accounts import limits
@@ -29,36 +30,44 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Standing:
-    """Position of a waiting job among those of other accounts.
+    """Position of waiting work among that of other accounts.
 
     Attributes:
+      share_class: shares decide between work of the same class.
       excess: whether its account submitted it beyond its rate.
       share: weighted dominant share of its account, in `SHARE_STEP`.
-      contended: whether there is too little room; if not, neither of the others
-        is set, and costs of delay are compared exactly.
-      max_cost: cost of delay up to which the job ranks, see `coarse_cost`; only
-        set for excess jobs.
     """
 
-    excess: bool = False
-    share: int = 0
-    contended: bool = True
-    max_cost: float = math.inf
+    share_class: Hashable
+    excess: bool
+    share: int
 
-    def coarse_cost(self, cost: float) -> float:
-        """Returns the cost of delay by which work ranks before its share.
 
-        Costs are rounded down to powers of 2: declared durations are off by
-        half, so that smaller differences mean little.
-        """
-        if not self.contended or cost <= 0:
-            return cost
-        _, exponent = math.frexp(cost)
-        return min(math.ldexp(1.0, exponent - 1), self.max_cost)
+def order(standings: Sequence[Standing | None]) -> list[int]:
+    """Returns the order of waiting work that follows from the standings.
+
+    Each class keeps its places. Within them, excess work comes last, then the
+    lower share first, and the order is kept otherwise.
 
+    Args:
+      standings: standings of the work in its order so far, None for work that
+        keeps its place.
 
-# Standing of work that the shares of accounts do not concern.
-NEUTRAL = Standing(contended=False)
+    Returns:
+      Positions in `standings`.
+    """
+    places_by_class: dict[Hashable, list[int]] = {}
+    for place, standing in enumerate(standings):
+        if standing is not None:
+            places_by_class.setdefault(standing.share_class, []).append(place)
+    found = list(range(len(standings)))
+    for places in places_by_class.values():
+        taken_by = sorted(
+            places, key=lambda p: (standings[p].excess, standings[p].share)
+        )
+        for place, position in zip(places, taken_by, strict=True):
+            found[place] = position
+    return found
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/packages/placer/src/laburnumgate_placer/accounts/standings.py
+++ b/packages/placer/src/laburnumgate_placer/accounts/standings.py
@@ -1,4 +1,4 @@
-"""Applies the shares of accounts to the jobs that wait in a placement pass."""
+"""Applies the shares of accounts to the work that waits in a placement pass."""
 
 from laburnumgate_placer import model
 from laburnumgate_placer import tables as tables_module
@@ -14,19 +14,17 @@
 
 
 class Standings:
-    """Standings of jobs during one pass.
+    """Standings of waiting work during one pass.
 
     What is needed of the pool and of an account is computed when it is first
-    asked for, and not without contention.
+    asked for.
     """
 
     def __init__(self, tables: tables_module.Tables, now_ms: int):
         self._tables = tables
         self._now_ms = now_ms
         self._contended_by_service: dict[str, bool] = {}
-        self._standings_by_account: dict[
-            str, tuple[shares.Standing, shares.Standing]
-        ] = {}
+        self._share_by_account: dict[str, int] = {}
         self._weights: shares.Weights | None = None
 
     def contended(self) -> bool:
@@ -34,16 +32,24 @@
         services = self._tables.capacity.services()
         return any(self._is_contended(service) for service in services)
 
-    def of(self, job: model.Job) -> shares.Standing:
-        """Returns the standing of a job that waits."""
-        if not self._is_contended(self._tables.queue_of(job).service):
-            return shares.NEUTRAL
-        known = self._standings_by_account.get(job.account)
-        if known is None:
-            known = self._of_account(job.account)
-            self._standings_by_account[job.account] = known
-        ordinary, excess = known
-        return excess if is_excess(self._tables, job) else ordinary
+    def of(
+        self, job: model.Job, service: str, rank_class: tuple
+    ) -> shares.Standing | None:
+        """Returns the standing of work, None if its service has room.
+
+        Args:
+          job: its job.
+          service: service that runs it.
+          rank_class: what it has in common with the work of the service that it
+            is compared with.
+        """
+        if not self._is_contended(service):
+            return None
+        return shares.Standing(
+            (service, rank_class),
+            is_excess(self._tables, job),
+            self._share(job.account),
+        )
 
     def _is_contended(self, service: str) -> bool:
         found = self._contended_by_service.get(service)
@@ -66,18 +72,18 @@
             tables.capacity.of(service),
         )
 
-    def _of_account(
-        self, account: str
-    ) -> tuple[shares.Standing, shares.Standing]:
-        """Returns the standings of ordinary and of excess jobs."""
-        if self._weights is None:
-            self._weights = weights(self._tables)
-        share = shares.dominant_share(
-            self._tables.usage.usage(account),
-            self._tables.capacity.total(),
-            self._weights.of(account),
-        )
-        return shares.Standing(False, share), shares.Standing(True, share)
+    def _share(self, account: str) -> int:
+        found = self._share_by_account.get(account)
+        if found is None:
+            if self._weights is None:
+                self._weights = weights(self._tables)
+            found = shares.dominant_share(
+                self._tables.usage.usage(account),
+                self._tables.capacity.total(),
+                self._weights.of(account),
+            )
+            self._share_by_account[account] = found
+        return found
 
 
 def of_pass(tables: tables_module.Tables, now_ms: int) -> Standings | None:
--- a/packages/placer/src/laburnumgate_placer/ordering.py
+++ b/packages/placer/src/laburnumgate_placer/ordering.py
@@ -1,20 +1,20 @@
 """Computes the order in which waiting units are placed.
 
 While there is too little room, the shares of accounts decide between units
-without a guarantee of the same stage and priority; jobs beyond the rate of
-their account come last there, and units of accounts with the same share stay in
-order of their due time.
-
-If the order is by cost of delay, there are no stages, and the costs of any two
-units differ. A share then decides between units of the same priority whose
-costs are about the same (`shares.Standing.coarse_cost`). It does not change a
-cost: a unit that loses twice as much by waiting still precedes one of an
-account that uses less, so that shares waste no more value than the estimates
-are off by. An excess job ranks no higher than the cheapest other unit of its
-priority that loses anything by waiting, and after it. Units that lose nothing
-by waiting are left out of this; otherwise one patient unit would rank all
-excess jobs of its priority after all other work. Overdue work precedes all of
-these, because the bound on its wait holds for every account.
+without a guarantee of the same stage and priority: jobs beyond the rate of
+their account come last, and then the lower share first. Units of accounts with
+the same share stay in order of their due time.
+
+In the order by cost of delay, there are no stages, and the costs of any two
+units differ. Shares then decide between all units of a priority that lose
+anything by waiting. The order gives each priority certain places among the
+others, by the costs of its units; shares only decide which unit of the priority
+takes which of them, so that a low share never lifts patient work above urgent
+work. Shares that decide only between units of about the same cost are not
+enough: the work of a large account that has waited for long costs more than the
+new work of small accounts, which is late by the time that it costs as much.
+Overdue work keeps its place, because the bound on its wait holds for every
+account.
 """
 
 import dataclasses
@@ -56,8 +56,6 @@
       min_speed: lowest endpoint speed at which it ends in time.
       preference: which of several possible endpoints it prefers.
       work: the work that waits; None unless the order is by cost of delay.
-      standing: position among the jobs of other accounts; None for all units
-        of a pass unless shares apply.
     """
 
     guaranteed: bool
@@ -67,7 +65,6 @@
     min_speed: float = 0.0
     preference: placement.Preference = placement.Preference.SLOWEST
     work: delay_cost.Work | None = None
-    standing: shares.Standing | None = None
 
     @property
     def overdue(self) -> bool:
@@ -82,36 +79,27 @@
         """Returns the sort key; the lowest is placed first.
 
         Guaranteed units, and all units unless the order is by cost of delay,
-        are ordered by stage, priority and due time. Shares of accounts come
-        before the due time, except among guaranteed units.
+        are ordered by stage, priority and due time.
         """
-        standing = self.standing
-        if self.guaranteed or (self.work is None and standing is None):
+        if self.guaranteed or self.work is None:
             return (not self.guaranteed, self.stage, self.priority, self.due_ms)
-        if self.work is None:
-            return (
-                True,
-                self.stage,
-                self.priority,
-                standing.excess,
-                standing.share,
-                self.due_ms,
-            )
         if self.work.overdue:
             return (True, 0, 0.0, 0, self.due_ms)
         cost = delay_cost.loss_per_core_s(self.work)
-        if standing is None:
-            return (True, 1, -cost, self.priority, self.due_ms)
-        return (
-            True,
-            1,
-            -standing.coarse_cost(cost),
-            self.priority,
-            standing.excess,
-            standing.share,
-            -cost,
-            self.due_ms,
-        )
+        return (True, 1, -cost, self.priority, self.due_ms)
+
+    def share_class(self) -> tuple | None:
+        """Returns what units have in common between which shares decide.
+
+        Returns None if the unit keeps its place.
+        """
+        if self.guaranteed:
+            return None
+        if self.work is None:
+            return (self.stage, self.priority)
+        if self.work.overdue:
+            return None
+        return (delay_cost.loss(self.work) > 0, self.priority)
 
 
 def guaranteed_jobs(tables: tables_module.Tables) -> set[str]:
@@ -210,7 +198,6 @@
     guaranteed: set[str],
     now_ms: int,
     waiting: int = 1,
-    standing: shares.Standing | None = None,
 ) -> Rank:
     """Returns the unit's scheduling rank by stage, priority and due time.
 
@@ -220,7 +207,6 @@
       guaranteed: ids of the jobs that are covered by guarantees.
       now_ms: monotonic time.
       waiting: how many units of its step wait, including this one.
-      standing: its position among the jobs of other accounts.
     """
     entry = unit.entry
     queue = tables.queue_of(entry.job)
@@ -244,7 +230,6 @@
         due_ms,
         remaining_ms / max(1.0, due_ms + remaining_ms - now_ms),
         _preference(tables, queue),
-        standing=standing,
     )
 
 
@@ -335,7 +320,6 @@
     """Returns the steps with units that may start now, in rank order."""
     found = []
     means = None
-    of_pass = None
     if standings.in_use(tables) or _counts_waves(tables):
         tables.capacity.refresh(tables.endpoints, now_ms)
     if tables.policy.delay_cost_order:
@@ -352,106 +336,57 @@
             )
             if not units:
                 continue
-            if not found:
-                of_pass = _standings(tables, now_ms)
-            standing = None
-            if of_pass is not None:
-                standing = _standing(tables, of_pass, entry.job, now_ms)
-            step_rank = rank(
-                tables, units[0], guaranteed, now_ms, len(units), standing
-            )
+            step_rank = rank(tables, units[0], guaranteed, now_ms, len(units))
             if means is not None:
                 work = _waiting_work(tables, units, means, now_ms)
                 step_rank = dataclasses.replace(step_rank, work=work)
             found.append(WaitingStep(step_rank, units))
-    if of_pass is not None and means is not None:
-        _limit_excess_costs(tables, found)
     found.sort(key=lambda step: (step.rank.sort_key(), step.units[0].key))
-    return found
+    return _by_shares(tables, found, now_ms)
 
 
-def _standings(
-    tables: tables_module.Tables, now_ms: int
-) -> standings.Standings | None:
-    """Returns the standings of this pass, None if shares do not apply."""
-    if now_ms < tables.shares_paused_until_ms or not standings.in_use(tables):
-        return None
+def _by_shares(
+    tables: tables_module.Tables, found: list[WaitingStep], now_ms: int
+) -> list[WaitingStep]:
+    """Returns the steps in the order that follows from the accounts' shares.
+
+    Returns them as they are without contention, and after an error, for
+    `standings.ERROR_PAUSE_MS`.
+    """
+    if not found or not standings.in_use(tables):
+        return found
+    if now_ms < tables.shares_paused_until_ms:
+        return found
     try:
-        return standings.of_pass(tables, now_ms)
+        of_pass = standings.of_pass(tables, now_ms)
+        if of_pass is None:
+            return found
+        ordered = shares.order(
+            [_standing(tables, of_pass, step) for step in found]
+        )
+        return [found[position] for position in ordered]
     except Exception as error:  # The order without shares is a valid one.
-        _pause_shares(tables, error, now_ms)
-        return None
+        tables.shares_paused_until_ms = now_ms + standings.ERROR_PAUSE_MS
+        events.emit(
+            _LOGGER,
+            events.Event.TASK_FAILED,
+            task="ordering.waiting_steps",
+            reason=repr(error),
+        )
+        return found
 
 
 def _standing(
     tables: tables_module.Tables,
     of_pass: standings.Standings,
-    job: model.Job,
-    now_ms: int,
-) -> shares.Standing:
-    try:
-        return of_pass.of(job)
-    except Exception as error:  # The rest of the order is a valid one.
-        _pause_shares(tables, error, now_ms)
-        return shares.NEUTRAL
-
-
-def _pause_shares(
-    tables: tables_module.Tables, error: Exception, now_ms: int
-) -> None:
-    if now_ms < tables.shares_paused_until_ms:
-        return
-    tables.shares_paused_until_ms = now_ms + standings.ERROR_PAUSE_MS
-    events.emit(
-        _LOGGER,
-        events.Event.TASK_FAILED,
-        task="ordering.waiting_steps",
-        reason=repr(error),
-    )
-
-
-def _limit_excess_costs(
-    tables: tables_module.Tables, found: list[WaitingStep]
-) -> None:
-    """Limits the costs by which excess jobs rank in the order by cost.
-
-    An excess job ranks no higher than the cheapest other unit of its service
-    and priority that loses anything by waiting.
-    """
-    excess = [
-        index
-        for index, step in enumerate(found)
-        if step.rank.standing.excess and not step.rank.guaranteed
-    ]
-    if not excess:
-        return
-    lowest: dict[tuple[str, int], float] = {}
-    for step in found:
-        standing = step.rank.standing
-        if standing.excess or step.rank.guaranteed:
-            continue
-        cost = delay_cost.loss_per_core_s(step.rank.work)
-        if cost <= 0:
-            continue
-        key = _cost_class(tables, step)
-        cost = standing.coarse_cost(cost)
-        lowest[key] = min(cost, lowest.get(key, cost))
-    for index in excess:
-        step = found[index]
-        max_cost = lowest.get(_cost_class(tables, step))
-        if max_cost is None:
-            continue
-        standing = dataclasses.replace(step.rank.standing, max_cost=max_cost)
-        ranked = dataclasses.replace(step.rank, standing=standing)
-        found[index] = WaitingStep(ranked, step.units)
-
-
-def _cost_class(
-    tables: tables_module.Tables, step: WaitingStep
-) -> tuple[str, int]:
-    """Returns the service and the priority of a step."""
-    service = tables.queue_of(step.units[0].entry.job).service
-    return (service, step.rank.priority)
+    step: WaitingStep,
+) -> shares.Standing | None:
+    """Returns the standing of a step, None if it keeps its place."""
+    share_class = step.rank.share_class()
+    if share_class is None:
+        return None
+    job = step.units[0].entry.job
+    return of_pass.of(job, tables.queue_of(job).service, share_class)
 
 
 def mean_core_s_by_queue(tables: tables_module.Tables) -> dict[str, float]:
