--- a/packages/placer/tests/test_accounts_shares.py
+++ b/packages/placer/tests/test_accounts_shares.py
@@ -46,7 +46,6 @@
     objective_ms=3_000,
 )
 _QUEUES = (_URGENT, _NORMAL, _BATCH)
-_POOL = model.Resources(128_000, 256_000, 32)
 
 
 def _account(name, weight=0.0, **fields):
@@ -565,6 +564,78 @@
     assert holds.dump(after) == holds.dump(before)
 
 
+def test_service_with_room_keeps_its_order():
+    """Guards against shares that apply where only another pool is full."""
+    other = builders.replace(
+        _NORMAL, name="other", prefix="/o/", service="other"
+    )
+    accounts = (_account("large"), _account("small"))
+    tables = builders.tables(_NORMAL, other, accounts=accounts, policy=_EQUAL)
+    builders.add_endpoint(tables, "e0")
+    builders.add_endpoint(tables, "e1", service="other")
+    _run_all(tables, _submit(tables, "1" * 16, "large", count=8))
+    _submit(tables, "a" * 16, "large")
+    _submit(tables, "c" * 16, "large", other)
+    _advance(tables, 10)
+    _submit(tables, "b" * 16, "small")
+    _submit(tables, "d" * 16, "small", other)
+    orders = []
+    for other_gpu in (8, 0):
+        for endpoint_id, gpu in (("e0", 8), ("e1", other_gpu)):
+            state = tables.endpoints.by_id[endpoint_id]
+            state.used = model.Resources(0, 0, gpu)
+        orders.append("".join(job_id[0] for job_id in _order(tables)))
+    both_full, one_full = orders
+    assert both_full.index("b") < both_full.index("a")
+    assert both_full.index("d") < both_full.index("c")
+    assert one_full.index("b") < one_full.index("a")
+    assert one_full.index("c") < one_full.index("d")
+
+
+def test_cut_off_endpoints_are_not_free():
+    """Guards against shares that do not apply because of a cut zone's room."""
+    tables = _tables(_account("large"), _account("small"), setting=_EQUAL)
+    _run_all(tables, _submit(tables, "1" * 16, "large", count=24))
+    _submit(tables, "a" * 16, "large")
+    _advance(tables, 10)
+    _submit(tables, "b" * 16, "small")
+    assert _order(tables) == ["a" * 16, "b" * 16]
+    # Empties one endpoint into the free places of the others.
+    states = list(tables.endpoints.by_id.values())
+    for state, gpu in zip(states, (8, 8, 8, 0), strict=True):
+        state.used = model.Resources(0, 0, gpu)
+    states[3].answering = False
+    assert _order(tables) == ["b" * 16, "a" * 16]
+
+
+def test_shares_are_computed_once_a_pass_and_only_under_contention(
+    monkeypatch,
+):
+    """Guards against a pass that searches the pool for each waiting unit."""
+    tables = _tables(_account("mina", 1.0), _account("lena", 1.0))
+    calls = {"usable": 0, "share": 0}
+    usable, dominant_share = tables.endpoints.usable, shares.dominant_share
+
+    def count_usable(*args):
+        calls["usable"] += 1
+        return usable(*args)
+
+    def count_share(*args):
+        calls["share"] += 1
+        return dominant_share(*args)
+
+    monkeypatch.setattr(tables.endpoints, "usable", count_usable)
+    monkeypatch.setattr(shares, "dominant_share", count_share)
+    for number in range(20):
+        account = ("mina", "lena")[number % 2]
+        _submit(tables, f"{number + 16:016x}", account)
+    _order(tables)
+    assert calls == {"usable": 1, "share": 0}
+    _run_all(tables, _submit(tables, "1" * 16, "mina", count=31))
+    _order(tables)
+    assert calls == {"usable": 2, "share": 2}
+
+
 def test_shares_never_take_an_account_above_its_limit():
     """Guards against a low share that overrides a limit."""
     limited = _account("mina", 9.0, limit=model.Resources(gpu=1))
