--- a/packages/placer/src/laburnumgate_placer/ordering.py
+++ b/packages/placer/src/laburnumgate_placer/ordering.py
@@ -1,16 +1,40 @@
-"""Computes the order in which waiting units are placed."""
+"""Computes the order in which waiting units are placed.
+
+While there is too little room, the shares of accounts decide between units
+without a guarantee of the same stage and priority: jobs beyond the rate of
+their account come last, and then the lower share first. Units of accounts with
+the same share stay in order of their due time.
+
+In the order by cost of delay, there are no stages, and the costs of any two
+units differ. Shares then decide between all units of a priority that lose
+anything by waiting. The order gives each priority certain places among the
+others, by the costs of its units; shares only decide which unit of the priority
+takes which of them, so that a low share never lifts patient work above urgent
+work. Shares that decide only between units of about the same cost are not
+enough: the work of a large account that has waited for long costs more than the
+new work of small accounts, which is late by the time that it costs as much.
+Overdue work keeps its place, because the bound on its wait holds for every
+account.
+"""
 
 import dataclasses
 import enum
+import logging
 
+from laburnumgate_placer import events
 from laburnumgate_placer import model
 from laburnumgate_placer import placement
 from laburnumgate_placer import progress
 from laburnumgate_placer import tables as tables_module
+from laburnumgate_placer.accounts import limits
+from laburnumgate_placer.accounts import shares
+from laburnumgate_placer.accounts import standings
 from laburnumgate_placer.overload import admission
 from laburnumgate_placer.overload import delay_cost
 from laburnumgate_placer.overload import preemption
 
+_LOGGER = logging.getLogger(__name__)
+
 
 class Stage(enum.IntEnum):
     """Whether a job can still meet its objective if it starts now."""
@@ -64,6 +88,19 @@
         cost = delay_cost.loss_per_core_s(self.work)
         return (True, 1, -cost, self.priority, self.due_ms)
 
+    def share_class(self) -> tuple | None:
+        """Returns what units have in common between which shares decide.
+
+        Returns None if the unit keeps its place.
+        """
+        if self.guaranteed:
+            return None
+        if self.work is None:
+            return (self.stage, self.priority)
+        if self.work.overdue:
+            return None
+        return (delay_cost.loss(self.work) > 0, self.priority)
+
 
 def guaranteed_jobs(tables: tables_module.Tables) -> set[str]:
     """Returns the ids of open jobs covered by their accounts' guarantees.
@@ -107,24 +144,76 @@
 def objective_ms(
     tables: tables_module.Tables, entry: progress.JobEntry
 ) -> float:
-    """Returns the longest duration with which the job is on time."""
+    """Returns the longest duration with which the job is on time.
+
+    A step that is too wide to run at once counts once for each of its waves.
+    """
+    return _allowed_ms(tables, entry, _waves(tables, entry))
+
+
+def _allowed_ms(
+    tables: tables_module.Tables,
+    entry: progress.JobEntry,
+    waves: tuple[int, ...] | None,
+) -> float:
     queue = tables.queue_of(entry.job)
-    critical_path_ms = tables.durations.critical_path_ms(entry.job)
+    critical_path_ms = tables.durations.critical_path_ms(entry.job, waves)
     return queue.stretch * critical_path_ms + queue.objective_ms
 
 
+def _counts_waves(tables: tables_module.Tables) -> bool:
+    return tables.policy.delay_cost_order or tables.config.has_limits()
+
+
+def _waves(
+    tables: tables_module.Tables, entry: progress.JobEntry
+) -> tuple[int, ...] | None:
+    """Returns in how many waves each step has to run, None if all in one.
+
+    Waves count for accounts with a limit, and in the order by cost of delay.
+    """
+    if not _counts_waves(tables):
+        return None
+    job = entry.job
+    limit = tables.config.limit(job.account)
+    if not tables.policy.delay_cost_order and limit == limits.NO_LIMIT:
+        return None
+    computed_for = (tables.capacity.changes, limit)
+    if entry.waves[0] != computed_for:
+        service = tables.queue_of(job).service
+        waves = tuple(
+            limits.waves(
+                step, limit, tables.capacity.slots(service, step.charged)
+            )
+            for step in job.steps
+        )
+        found = waves if max(waves) > 1 else None
+        entry.waves = (computed_for, found)
+    return entry.waves[1]
+
+
 def rank(
     tables: tables_module.Tables,
     unit: progress.Unit,
     guaranteed: set[str],
     now_ms: int,
+    waiting: int = 1,
 ) -> Rank:
-    """Returns the unit's scheduling rank by stage, priority and due time."""
+    """Returns the unit's scheduling rank by stage, priority and due time.
+
+    Args:
+      tables: the leader's tables.
+      unit: the unit.
+      guaranteed: ids of the jobs that are covered by guarantees.
+      now_ms: monotonic time.
+      waiting: how many units of its step wait, including this one.
+    """
     entry = unit.entry
     queue = tables.queue_of(entry.job)
     clock_start_ms = _clock_start_ms(tables, unit, now_ms)
-    allowed_ms = objective_ms(tables, entry)
-    remaining_ms = _remaining_work_ms(tables, unit)
+    waves = _waves(tables, entry)
+    allowed_ms = _allowed_ms(tables, entry, waves)
+    remaining_ms = _remaining_work_ms(tables, unit, waves, waiting)
     due_ms = clock_start_ms + allowed_ms - remaining_ms
     stage = Stage.ON_TIME
     if now_ms > due_ms:
@@ -170,9 +259,19 @@
 
 
 def _remaining_work_ms(
-    tables: tables_module.Tables, unit: progress.Unit
+    tables: tables_module.Tables,
+    unit: progress.Unit,
+    waves: tuple[int, ...] | None,
+    waiting: int,
 ) -> float:
-    """Returns the expected duration of the longest path from this step."""
+    """Returns the expected duration of the longest path from this step.
+
+    Args:
+      tables: the leader's tables.
+      unit: the unit that is next.
+      waves: in how many waves each step has to run, None if all in one.
+      waiting: how many units of its step, including this one, have to run.
+    """
     job = unit.entry.job
     ends: dict[int, float] = {}
     for number in range(len(job.steps) - 1, unit.key.step - 1, -1):
@@ -182,10 +281,26 @@
             if number in job.steps[n].after
         ]
         own = tables.durations.expected_ms(job, number)
+        if waves is not None:
+            own *= _waves_left(job, number, waves, unit, waiting)
         ends[number] = own + max(later, default=0.0)
     return ends[unit.key.step]
 
 
+def _waves_left(
+    job: model.Job,
+    number: int,
+    waves: tuple[int, ...],
+    unit: progress.Unit,
+    waiting: int,
+) -> int:
+    """Returns how many waves of a step have not started yet."""
+    if number != unit.key.step:
+        return waves[number]
+    # Proportional to the tasks that are left.
+    return -(-waves[number] * waiting // job.steps[number].count)
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class WaitingStep:
     """Units of one step that may start now; they share a rank.
@@ -205,6 +320,8 @@
     """Returns the steps with units that may start now, in rank order."""
     found = []
     means = None
+    if standings.in_use(tables) or _counts_waves(tables):
+        tables.capacity.refresh(tables.endpoints, now_ms)
     if tables.policy.delay_cost_order:
         means = mean_core_s_by_queue(tables)
     for entry in tables.entries_by_id.values():
@@ -217,14 +334,59 @@
                 if unit.state == progress.UnitState.WAITING
                 and unit.backoff_until_ms <= now_ms
             )
-            if units:
-                step_rank = rank(tables, units[0], guaranteed, now_ms)
-                if means is not None:
-                    work = _waiting_work(tables, units, means, now_ms)
-                    step_rank = dataclasses.replace(step_rank, work=work)
-                found.append(WaitingStep(step_rank, units))
+            if not units:
+                continue
+            step_rank = rank(tables, units[0], guaranteed, now_ms, len(units))
+            if means is not None:
+                work = _waiting_work(tables, units, means, now_ms)
+                step_rank = dataclasses.replace(step_rank, work=work)
+            found.append(WaitingStep(step_rank, units))
     found.sort(key=lambda step: (step.rank.sort_key(), step.units[0].key))
-    return found
+    return _by_shares(tables, found, now_ms)
+
+
+def _by_shares(
+    tables: tables_module.Tables, found: list[WaitingStep], now_ms: int
+) -> list[WaitingStep]:
+    """Returns the steps in the order that follows from the accounts' shares.
+
+    Returns them as they are without contention, and after an error, for
+    `standings.ERROR_PAUSE_MS`.
+    """
+    if not found or not standings.in_use(tables):
+        return found
+    if now_ms < tables.shares_paused_until_ms:
+        return found
+    try:
+        of_pass = standings.of_pass(tables, now_ms)
+        if of_pass is None:
+            return found
+        ordered = shares.order(
+            [_standing(tables, of_pass, step) for step in found]
+        )
+        return [found[position] for position in ordered]
+    except Exception as error:  # The order without shares is a valid one.
+        tables.shares_paused_until_ms = now_ms + standings.ERROR_PAUSE_MS
+        events.emit(
+            _LOGGER,
+            events.Event.TASK_FAILED,
+            task="ordering.waiting_steps",
+            reason=repr(error),
+        )
+        return found
+
+
+def _standing(
+    tables: tables_module.Tables,
+    of_pass: standings.Standings,
+    step: WaitingStep,
+) -> shares.Standing | None:
+    """Returns the standing of a step, None if it keeps its place."""
+    share_class = step.rank.share_class()
+    if share_class is None:
+        return None
+    job = step.units[0].entry.job
+    return of_pass.of(job, tables.queue_of(job).service, share_class)
 
 
 def mean_core_s_by_queue(tables: tables_module.Tables) -> dict[str, float]:
@@ -256,9 +418,10 @@
     unit = run.unit
     own_ms = tables.durations.expected_ms(unit.entry.job, unit.key.step)
     left_ms = tables.durations.remaining_ms(run, now_ms)
-    remaining_ms = _remaining_work_ms(tables, unit) - own_ms + left_ms
+    waves = _waves(tables, unit.entry)
+    remaining_ms = _remaining_work_ms(tables, unit, waves, 1) - own_ms + left_ms
     core_s = unit.size * preemption.cores(unit.step.room) * left_ms / 1000
-    return _work(tables, unit, means, core_s, remaining_ms, now_ms)
+    return _work(tables, unit, means, core_s, remaining_ms, waves, now_ms)
 
 
 def _waiting_work(
@@ -284,8 +447,9 @@
             tasks = sum(each.size for each in units)
         work_ms = tables.durations.expected_ms(job, number)
         core_s += tasks * preemption.cores(step.room) * work_ms / 1000
-    remaining_ms = _remaining_work_ms(tables, unit)
-    return _work(tables, unit, means, core_s, remaining_ms, now_ms)
+    waves = _waves(tables, unit.entry)
+    remaining_ms = _remaining_work_ms(tables, unit, waves, len(units))
+    return _work(tables, unit, means, core_s, remaining_ms, waves, now_ms)
 
 
 def _work(
@@ -294,12 +458,13 @@
     means: dict[str, float],
     core_s: float,
     remaining_ms: float,
+    waves: tuple[int, ...] | None,
     now_ms: int,
 ) -> delay_cost.Work:
     entry = unit.entry
     job_core_s = declared_core_s(entry)
     mean_core_s = means.get(entry.job.queue.name, job_core_s)
-    allowed_ms = objective_ms(tables, entry)
+    allowed_ms = _allowed_ms(tables, entry, waves)
     end_ms = now_ms + remaining_ms - _clock_start_ms(tables, unit, now_ms)
     return delay_cost.Work(
         delay_cost.value(
