Let urgent work displace other work of its account, and mend limit checks

Several units of one account could reserve endpoints or stop other accounts' runs although the account's limit permitted only one of them. A run with a sent order was stopped when its limit was lowered. A recorded run on an endpoint that is no longer listed was given up if the record of another job named an earlier incarnation of it. An error in the limit check ended the placement pass. Older limits were dropped after 2 s instead of 3 s.

--- a/packages/placer/src/laburnumgate_placer/accounts/limits.py
+++ b/packages/placer/src/laburnumgate_placer/accounts/limits.py
@@ -51,6 +51,18 @@
     return None
 
 
+def scarcest(
+    limit: model.Resources, usage: model.Resources, task: model.Resources
+) -> str:
+    """Returns the resource of the task whose limit is used up most."""
+    found = [
+        (getattr(usage, name) / getattr(limit, name), name)
+        for name in RESOURCES
+        if getattr(limit, name) > 0 and getattr(task, name) > 0
+    ]
+    return max(found)[1]
+
+
 def _smaller(known: int, amount: int) -> int:
     if amount <= 0:
         return known
--- a/packages/placer/src/laburnumgate_placer/accounts/usage.py
+++ b/packages/placer/src/laburnumgate_placer/accounts/usage.py
@@ -16,22 +16,25 @@
     """
 
     def __init__(self):
-        self._counted: set[progress.Member] = set()
+        # Dictionaries without values, which keep the order of assignment.
+        self._members_by_account: dict[str, dict[progress.Member, None]] = {}
         self._usage_by_account: dict[str, model.Resources] = {}
         self._changes_by_account: dict[str, int] = {}
 
     def add(self, member: progress.Member) -> None:
         """Counts a member; has no effect if it is counted or terminated."""
-        if member in self._counted or member.terminated:
+        counted = self._members_by_account.setdefault(_account(member), {})
+        if member in counted or member.terminated:
             return
-        self._counted.add(member)
+        counted[member] = None
         self._change(member, 1)
 
     def remove(self, member: progress.Member) -> None:
         """Stops counting a member; has no effect if it is not counted."""
-        if member not in self._counted:
+        counted = self._members_by_account.get(_account(member), {})
+        if member not in counted:
             return
-        self._counted.discard(member)
+        del counted[member]
         self._change(member, -1)
 
     def usage(self, account: str) -> model.Resources:
@@ -46,10 +49,18 @@
         """Returns the accounts that had anything running in this term."""
         return list(self._usage_by_account)
 
+    def runs(self, account: str) -> list[progress.Run]:
+        """Returns the runs with counted members, in order of assignment."""
+        members = self._members_by_account.get(account, {})
+        return list({id(member.run): member.run for member in members}.values())
+
     def _change(self, member: progress.Member, sign: int) -> None:
-        unit = member.run.unit
-        account = unit.entry.job.account
+        account = _account(member)
         self._usage_by_account[account] = self.usage(account).plus(
-            unit.step.room, sign
+            member.run.unit.step.room, sign
         )
         self._changes_by_account[account] = self.changes(account) + 1
+
+
+def _account(member: progress.Member) -> str:
+    return member.run.unit.entry.job.account
--- a/packages/placer/src/laburnumgate_placer/launcher.py
+++ b/packages/placer/src/laburnumgate_placer/launcher.py
@@ -162,9 +162,11 @@
                 if not self._may_order():
                     # A later leader may count on the end of all leases.
                     return "leadership is not confirmed"
-                obstacle = self._endpoint_obstacle(state) or holds.run_obstacle(
-                    tables, run
-                )
+                obstacle = self._endpoint_obstacle(state)
+                if obstacle is None and not _any_order_sent(run):
+                    # Once an order is sent, the run may be running, and a
+                    # lowered limit stops nothing that is running.
+                    obstacle = holds.run_obstacle(tables, run)
                 if obstacle is not None:
                     return obstacle
                 first = not member.start_sent
@@ -282,3 +284,8 @@
             endpoints=sorted({m.endpoint_id for m in run.members}),
             reason=reason,
         )
+
+
+def _any_order_sent(run: progress.Run) -> bool:
+    """Whether a start order of the run may be in flight or executed."""
+    return any(member.start_sent for member in run.members)
--- a/packages/placer/src/laburnumgate_placer/leader.py
+++ b/packages/placer/src/laburnumgate_placer/leader.py
@@ -312,14 +312,7 @@
     def _adopt(self, entry: progress.JobEntry) -> None:
         """Adopts recorded runs; endpoint reports decide if they still run."""
         for run in entry.runs():
-            for member in run.members:
-                state = self._live_list.state_for(member)
-                if state.ended or state.info.born_ms != member.born_ms:
-                    lifecycle.lose_recorded(self.tables, state, member)
-                    continue
-                member.report_valid_from_ms = 1
-                state.charge(member)
-                self.tables.usage.add(member)
+            lifecycle.adopt(self.tables, run, self._live_list.state_for)
             events.emit(
                 _LOGGER,
                 events.Event.RUN_ADOPTED,
--- a/packages/placer/src/laburnumgate_placer/lifecycle.py
+++ b/packages/placer/src/laburnumgate_placer/lifecycle.py
@@ -1,5 +1,6 @@
 """State transitions of jobs, units, runs and members, without I/O."""
 
+from collections.abc import Callable
 import logging
 
 from laburnumgate_placer import endpoint_table
@@ -102,6 +103,26 @@
     return run
 
 
+def adopt(
+    tables: tables_module.Tables,
+    run: progress.Run,
+    state_for: Callable[[progress.Member], endpoint_table.EndpointState],
+) -> None:
+    """Adopts a run that an earlier leader recorded.
+
+    Its members count until a report or the end of their leases decides. Members
+    on an ended incarnation are given up.
+    """
+    for member in run.members:
+        state = state_for(member)
+        if state.ended or state.info.born_ms != member.born_ms:
+            lose_recorded(tables, state, member)
+            continue
+        member.report_valid_from_ms = 1
+        state.charge(member)
+        tables.usage.add(member)
+
+
 def stop_run(
     tables: tables_module.Tables, run: progress.Run, reason: str
 ) -> None:
--- a/packages/placer/src/laburnumgate_placer/limits.py
+++ b/packages/placer/src/laburnumgate_placer/limits.py
@@ -53,7 +53,7 @@
     interference_ms: int = 4_000
     notice_ms: int = 4_500
     contact_ms: int = 3_000
-    config_apply_ms: int = 2_000
+    config_apply_ms: int = 3_000
     rate_window_ms: int = 5_000
 
     @property
--- a/packages/placer/src/laburnumgate_placer/live_list.py
+++ b/packages/placer/src/laburnumgate_placer/live_list.py
@@ -55,8 +55,13 @@
         """Returns the state of a recorded member's endpoint, listed or not."""
         by_id = self._tables.endpoints.by_id
         state = by_id.get(member.endpoint_id)
-        if state is not None:
+        if state is not None and not (0 < state.info.born_ms < member.born_ms):
             return state
+        if state is not None:
+            # A record of another job named an earlier incarnation.
+            lifecycle.end_incarnation(
+                self._tables, state, "a later incarnation is recorded"
+            )
         # The endpoint is no longer listed and its address is unknown, so its
         # runs count as present until no lease can be valid any more.
         info = model.Endpoint(
--- a/packages/placer/src/laburnumgate_placer/lookahead.py
+++ b/packages/placer/src/laburnumgate_placer/lookahead.py
@@ -15,6 +15,7 @@
 from laburnumgate_placer import reclaim
 from laburnumgate_placer import reservation
 from laburnumgate_placer import tables as tables_module
+from laburnumgate_placer.accounts import displacement
 from laburnumgate_placer.overload import delay_cost
 from laburnumgate_placer.overload import passes
 from laburnumgate_placer.overload import preemption
@@ -52,6 +53,9 @@
         self._loss_window = preemption.LossWindow()
         self._reclaimed_by_unit: dict[model.UnitKey, frozenset[str]] = {}
         self._outlook_by_key: dict[tuple, _Outlook] = {}
+        # Searches for runs of the same account that found none, each with the
+        # monotonic time until which and the state for which that holds.
+        self._not_displaced_by_unit: dict[model.UnitKey, tuple[int, tuple]] = {}
 
     def forget(self, waiting: list[ordering.WaitingStep], now_ms: int) -> None:
         """Discards what was found for units that no longer wait."""
@@ -59,6 +63,9 @@
         for key, outlook in list(self._outlook_by_key.items()):
             if outlook.until_ms < from_ms:
                 del self._outlook_by_key[key]
+        for key, (until_ms, _) in list(self._not_displaced_by_unit.items()):
+            if until_ms < now_ms:
+                del self._not_displaced_by_unit[key]
         if not self._reclaimed_by_unit:
             return
         keys = {unit.key for step in waiting for unit in step.units}
@@ -72,6 +79,92 @@
             return False
         return any(unit.key in self._reclaimed_by_unit for unit in units)
 
+    def give_up(
+        self, pool: pool_module.Pool, units: list[progress.Unit]
+    ) -> None:
+        """Ends the holds of units that may not start after all."""
+        if not self._reclaimed_by_unit:
+            return
+        for unit in units:
+            if self._reclaimed_by_unit.pop(unit.key, None):
+                pool.release(unit.key)
+
+    def displace(
+        self,
+        pool: pool_module.Pool,
+        rank: ordering.Rank,
+        unit: progress.Unit,
+        endpoints: list[endpoint_table.EndpointState],
+        protected: set[str],
+        claimed: model.Resources,
+        now_ms: int,
+    ) -> displacement.Plan | None:
+        """Stops runs of a unit's account, the limit of which holds it back.
+
+        Args:
+          pool: the pool of the unit.
+          rank: rank of the unit.
+          unit: the unit.
+          endpoints: endpoints that may run it.
+          protected: ids of jobs that are covered by guarantees.
+          claimed: what other units of the account will take first.
+          now_ms: monotonic time.
+
+        Returns:
+          What was stopped, or None if nothing may be stopped, or is known not
+          to help.
+        """
+        tables = self._tables
+        due = guarantee_due(tables, rank, unit, now_ms)
+        account = unit.entry.job.account
+        limit = tables.config.limit(account)
+        state = (tables.usage.changes(account), limit, claimed, rank.stage, due)
+        known = self._not_displaced_by_unit.get(unit.key)
+        if known is not None and known[1] == state and now_ms < known[0]:
+            return None
+        if pool.displacements >= passes.MAX_DISPLACEMENTS and not due:
+            return None
+        pool.displacements += 1
+        lacks = displacement.lacking(
+            limit,
+            tables.usage.usage(account).plus(claimed),
+            model.Resources().plus(unit.step.room, unit.size),
+        )
+        start_ms = displacement.expected_start_ms(
+            self._forecast.ends(now_ms), account, lacks
+        )
+        scope = self._preemption_scope(
+            pool,
+            rank,
+            unit,
+            protected,
+            start_ms is not None and start_ms <= rank.due_ms,
+            now_ms,
+        )
+        if scope is not None and rank.work is not None:
+            scope = self._bounded_by_loss(scope, rank, unit, start_ms, now_ms)
+        plan = None
+        if scope is not None:
+            plan = displacement.plan(
+                tables,
+                unit,
+                endpoints,
+                pool.free_by_id,
+                scope,
+                rank.requirement(),
+                claimed,
+                now_ms,
+            )
+        if plan is None:
+            until_ms = now_ms + passes.DISPLACEMENT_VALID_MS
+            self._not_displaced_by_unit[unit.key] = (until_ms, state)
+            return None
+        self._stop_for(unit, plan.victims, now_ms)
+        if plan.endpoint_ids:
+            self._reclaimed_by_unit[unit.key] = plan.endpoint_ids
+            pool.hold(unit.key, plan.endpoint_ids)
+        return plan
+
     def hold_all(self, pool: pool_module.Pool) -> None:
         """Holds the endpoints on which runs were stopped for their units."""
         for key, endpoint_ids in self._reclaimed_by_unit.items():
@@ -182,7 +275,8 @@
             pool, rank, unit, protected, in_time, now_ms
         )
         if scope is not None and rank.work is not None:
-            scope = self._bounded_by_loss(scope, rank, unit, expected, now_ms)
+            start_ms = None if expected is None else expected.start_ms
+            scope = self._bounded_by_loss(scope, rank, unit, start_ms, now_ms)
         if self._reclaim(pool, rank, unit, endpoints, scope, now_ms):
             in_time = True
         return _Outlook(
@@ -210,7 +304,20 @@
         )
         if plan is None:
             return False
-        for run in plan.victims:
+        self._stop_for(unit, plan.victims, now_ms)
+        self._reclaimed_by_unit[unit.key] = plan.endpoint_ids
+        pool.release(unit.key)
+        return True
+
+    def _stop_for(
+        self,
+        unit: progress.Unit,
+        victims: tuple[progress.Run, ...],
+        now_ms: int,
+    ) -> None:
+        """Stops runs so that a unit can start."""
+        tables = self._tables
+        for run in victims:
             loss = reclaim.stop_loss(tables, run, now_ms)
             self._loss_window.record(now_ms, loss)
             unit.spent_core_s += loss
@@ -218,9 +325,6 @@
             lifecycle.stop_run(
                 tables, run, f"preempted for job {unit.key.job_id}"
             )
-        self._reclaimed_by_unit[unit.key] = plan.endpoint_ids
-        pool.release(unit.key)
-        return True
 
     def hold(self, pool: pool_module.Pool, unit: progress.Unit) -> None:
         """Holds the endpoints for a unit on which runs were stopped for it."""
@@ -277,11 +381,14 @@
         scope: reclaim.Scope,
         rank: ordering.Rank,
         unit: progress.Unit,
-        expected: reservation.Reservation | None,
+        start_ms: float | None,
         now_ms: int,
     ) -> reclaim.Scope:
-        """Permits only stops that cost callers less than they save."""
-        otherwise_ms = None if expected is None else expected.start_ms - now_ms
+        """Permits only stops that cost callers less than they save.
+
+        `start_ms` is when the unit is expected to start without them.
+        """
+        otherwise_ms = None if start_ms is None else start_ms - now_ms
         saved = delay_cost.saved_by_start(
             rank.work, self._tables.bounds.stop_ms, otherwise_ms
         )
--- a/packages/placer/src/laburnumgate_placer/overload/passes.py
+++ b/packages/placer/src/laburnumgate_placer/overload/passes.py
@@ -9,6 +9,13 @@
 MAX_LOOKAHEADS = 6
 # How long the result of such a search is used.
 LOOKAHEAD_VALID_MS = 150
+# Maximum number of searches of a pass for work that units of accounts at their
+# limits may stop. They are counted apart from the searches above, so that an
+# account at its limit delays no search for other accounts.
+MAX_DISPLACEMENTS = 2
+# How long such a search is not repeated while the usage of the account and its
+# limit stay the same. Runs may be stopped only some time after their start.
+DISPLACEMENT_VALID_MS = 300
 # Minimum interval between passes, and minimum multiple of the duration of the
 # last pass that is left to renewals, orders and heartbeats.
 MIN_INTERVAL_MS = 4
--- a/packages/placer/src/laburnumgate_placer/pool.py
+++ b/packages/placer/src/laburnumgate_placer/pool.py
@@ -23,6 +23,7 @@
       free_by_id: remaining capacity by endpoint id.
       failed_fit_keys: fit keys of units that did not fit in this pass.
       lookaheads: searches among running work made in this pass.
+      displacements: searches among running work of accounts at their limits.
       holders_by_id: units for which runs were stopped, by the ids of the
         endpoints that are held for them.
       reservations_by_unit: reservations of higher-ranked units.
@@ -32,6 +33,7 @@
     free_by_id: dict[str, model.Resources]
     failed_fit_keys: set[tuple] = dataclasses.field(default_factory=set)
     lookaheads: int = 0
+    displacements: int = 0
     holders_by_id: dict[str, model.UnitKey] = dataclasses.field(
         default_factory=dict
     )
--- a/packages/placer/src/laburnumgate_placer/reclaim.py
+++ b/packages/placer/src/laburnumgate_placer/reclaim.py
@@ -48,6 +48,7 @@
         None if stops are not chosen by cost of delay.
       delay_ms: how long the freed capacity is used by the unit, and thus not
         available to the stopped runs.
+      account: if set, only runs of this account may be stopped.
     """
 
     protected: set[str]
@@ -57,9 +58,10 @@
     guaranteed: bool = False
     max_loss: float | None = None
     delay_ms: float = 0.0
+    account: str | None = None
 
 
-class _Costs:
+class Costs:
     """Costs of stops during one search."""
 
     def __init__(self, tables: tables_module.Tables, scope: Scope, now_ms: int):
@@ -135,7 +137,7 @@
       if the unit does not fit after any permitted stops.
     """
     best: Plan | None = None
-    costs = _Costs(tables, scope, now_ms)
+    costs = Costs(tables, scope, now_ms)
     for group in _candidate_groups(unit, endpoints):
         found = _plan_group(
             tables, unit, group, scope, costs, requirement, now_ms
@@ -203,7 +205,7 @@
     unit: progress.Unit,
     group: list[endpoint_table.EndpointState],
     scope: Scope,
-    costs: _Costs,
+    costs: Costs,
     requirement: placement.Requirement,
     now_ms: int,
 ) -> Plan | None:
@@ -216,7 +218,7 @@
             run = member.run
             if run.phase == progress.Phase.STOPPING:
                 stopping[id(run)] = run
-            elif _may_stop(tables, run, scope, now_ms):
+            elif may_stop(tables, run, scope, now_ms):
                 runs[id(run)] = run
     for run in stopping.values():
         _add_free(free_by_id, run)
@@ -235,17 +237,15 @@
         return None
     chosen_ids = frozenset(chosen)
     victims = _necessary_victims(unit, group, victims, free_by_id, chosen_ids)
-    if scope.below_priority is not None and not _worthwhile(
-        victims, scope, costs
-    ):
+    if not worthwhile(victims, scope, costs):
         return None
     return Plan(tuple(victims), chosen_ids, costs.total(victims))
 
 
-def _worthwhile(
-    victims: list[progress.Run], scope: Scope, costs: _Costs
-) -> bool:
+def worthwhile(victims: list[progress.Run], scope: Scope, costs: Costs) -> bool:
     """Whether stopping the runs costs less than is permitted."""
+    if scope.below_priority is None:
+        return True
     counted = [
         run
         for run in victims
@@ -317,17 +317,20 @@
     return needed
 
 
-def _may_stop(
+def may_stop(
     tables: tables_module.Tables,
     run: progress.Run,
     scope: Scope,
     now_ms: int,
 ) -> bool:
+    """Whether a run is within the scope."""
     if run.phase != progress.Phase.RUNNING or run.unit.step.long_running:
         return False
     job = run.unit.entry.job
     if job.job_id in scope.protected:
         return False
+    if scope.account is not None and job.account != scope.account:
+        return False
     if scope.below_priority is None:
         return True
     if tables.queue_of(job).priority <= scope.below_priority:
@@ -351,7 +354,7 @@
 
 
 def _cost_per_accelerator(
-    costs: _Costs,
+    costs: Costs,
     run: progress.Run,
     free_by_id: dict[str, model.Resources],
 ) -> float:
--- a/packages/placer/src/laburnumgate_placer/scheduling.py
+++ b/packages/placer/src/laburnumgate_placer/scheduling.py
@@ -47,14 +47,18 @@
             self._reported_steps.clear()
         # What is held for units that their accounts' limits hold back is
         # released before anything is placed.
-        self._look_ahead.forget(self._holds.startable(waiting), now_ms)
+        held_for = self._holds.begin_pass(
+            waiting, self._look_ahead.reclaims_for, now_ms
+        )
+        self._look_ahead.forget(held_for, now_ms)
         # Guaranteed units come first, then units for which runs were stopped.
         # If such a unit became late in the meantime, other units would rank
         # above it and take the reclaimed capacity.
         waiting.sort(
             key=lambda step: (
                 not step.rank.guaranteed,
-                not self._look_ahead.reclaims_for(step.units),
+                not self._look_ahead.reclaims_for(step.units)
+                and not self._holds.has_claim(step.units),
             )
         )
         for step in waiting:
@@ -73,16 +77,7 @@
         self, waiting: ordering.WaitingStep, error: Exception, now_ms: int
     ) -> None:
         """Delays the units of a step that cannot be placed for an error."""
-        step_key = _step_key(waiting.units[0])
-        events.emit(
-            _LOGGER,
-            events.Event.TASK_FAILED,
-            task="Scheduler.run",
-            job=step_key[0],
-            occurrence=step_key[1],
-            step=step_key[2],
-            reason=repr(error),
-        )
+        _log_error(waiting, error, "Scheduler.run")
         for unit in waiting.units:
             unit.backoff_until_ms = now_ms + ERROR_PAUSE_MS
 
@@ -95,6 +90,8 @@
     ) -> None:
         """Places the waiting units of one step."""
         units = self._holds.admit(waiting, now_ms)
+        if len(units) < len(waiting.units):
+            self._hold_back(pool, waiting, units, protected, now_ms)
         if not units:
             return
         if self._independent(units[0]):
@@ -109,6 +106,54 @@
                     self._look_ahead.hold(pool, other)
                 return
 
+    def _hold_back(
+        self,
+        pool: pool_module.Pool,
+        waiting: ordering.WaitingStep,
+        admitted: list[progress.Unit],
+        protected: set[str],
+        now_ms: int,
+    ) -> None:
+        """Handles the units of a step that their account's limit holds back.
+
+        Runs of the same account may be stopped for them. What is freed is kept
+        for the unit that they were stopped for, which starts once their end is
+        certain.
+        """
+        startable = {unit.key for unit in admitted}
+        held = [
+            unit
+            for unit in waiting.units
+            if unit.key not in startable
+            and not self._holds.waits_for_stops(unit)
+        ]
+        self._look_ahead.give_up(pool, held)
+        rank = waiting.rank
+        if not rank.guaranteed and rank.stage != ordering.Stage.ON_TIME:
+            return
+        try:
+            for unit in held:
+                endpoints = self._endpoints_for(
+                    pool, rank, unit, protected, now_ms
+                )
+                # Endpoints that are too slow are used if none is fast enough.
+                endpoints = self._fast_endpoints(endpoints, rank) or endpoints
+                plan = self._look_ahead.displace(
+                    pool,
+                    rank,
+                    unit,
+                    endpoints,
+                    protected,
+                    self._holds.claimed((unit,), rank.guaranteed),
+                    now_ms,
+                )
+                if plan is None:
+                    return
+                runs = (*plan.victims, *plan.stopping)
+                self._holds.claim(unit, rank.guaranteed, runs, now_ms)
+        except Exception as error:  # The limit holds without displacement.
+            _log_error(waiting, error, "Scheduler.displace")
+
     def _independent(self, unit: progress.Unit) -> bool:
         """Whether the units of the step can be placed in one go."""
         step = unit.step
@@ -207,7 +252,7 @@
                     pool, requirement, unit, fast, tickets, fast_key, now_ms
                 ):
                     return True
-                if self._look_ahead.reclaim_or_reserve(
+                if self._look_ahead_for(
                     pool, rank, unit, fast, protected, fast_key, now_ms
                 ):
                     return False
@@ -223,7 +268,7 @@
         ):
             return True
         self._log_not_placed(pool, rank, unit)
-        self._look_ahead.reclaim_or_reserve(
+        self._look_ahead_for(
             pool,
             rank,
             unit,
@@ -234,6 +279,30 @@
         )
         return False
 
+    def _look_ahead_for(
+        self,
+        pool: pool_module.Pool,
+        rank: ordering.Rank,
+        unit: progress.Unit,
+        endpoints: list[endpoint_table.EndpointState],
+        protected: set[str],
+        key: tuple,
+        now_ms: int,
+    ) -> bool:
+        """Stops runs or reserves endpoints for a unit, if its limit permits.
+
+        Returns whether it has to wait rather than start on other endpoints.
+        """
+        if not self._holds.may_look_ahead(unit, rank.guaranteed):
+            return True
+        in_time = self._look_ahead.reclaim_or_reserve(
+            pool, rank, unit, endpoints, protected, key, now_ms
+        )
+        reclaims = self._look_ahead.reclaims_for((unit,))
+        if reclaims or unit.key in pool.reservations_by_unit:
+            self._holds.expect(unit, reclaims, rank.guaranteed, now_ms)
+        return in_time
+
     def _endpoints_for(
         self,
         pool: pool_module.Pool,
@@ -369,6 +438,22 @@
         self._look_ahead.assigned(pool, run, now_ms)
 
 
+def _log_error(
+    waiting: ordering.WaitingStep, error: Exception, task: str
+) -> None:
+    """Logs an unexpected error that concerns a step."""
+    step_key = _step_key(waiting.units[0])
+    events.emit(
+        _LOGGER,
+        events.Event.TASK_FAILED,
+        task=task,
+        job=step_key[0],
+        occurrence=step_key[1],
+        step=step_key[2],
+        reason=repr(error),
+    )
+
+
 def _fit_key(unit: progress.Unit) -> tuple:
     """Returns a key shared by units that need the same placement.
 
