--- a/deploy/tests/soak.py
+++ b/deploy/tests/soak.py
@@ -20,7 +20,10 @@
 import standin_worker
 
 _ROOT = pathlib.Path(__file__).resolve().parents[2]
-_KEY = "soak-key"
+# Accounts by API key. With limits, each may have at most this many accelerators
+# running; the workers have 48 together.
+_ACCOUNT_BY_KEY = {"soak-key-t": "t", "soak-key-u": "u"}
+_LIMIT_GPU_BY_ACCOUNT = {"t": 12, "u": 20}
 _HOSTNAME = "soak.example"
 # Time that accepted jobs get to end after the faults, in seconds. It covers the
 # time limits in `_SETTINGS`.
@@ -200,6 +203,7 @@
         workers: int,
         crashing_share: float,
         shrinks: bool,
+        limits: bool,
     ):
         self.rng = random.Random(seed)
         # Separate, so that `seed` draws the same load and other faults whatever
@@ -208,15 +212,21 @@
         self.crashing_share = crashing_share
         self.capacity_rng = random.Random(f"{seed} capacity")
         self.shrinks = shrinks
+        # Separate as well; without limits all jobs are of one account.
+        self.account_rng = random.Random(f"{seed} accounts")
+        self.limits = limits
         self.folder = pathlib.Path(tempfile.mkdtemp(prefix="soak-"))
         self.store = standin_store.Store(self.rng)
         self.fleet = standin_worker.Fleet(self.rng, self.crash_rng)
+        if limits:
+            self.fleet.limit_by_account = _LIMIT_GPU_BY_ACCOUNT
         self.host_count = hosts
         self.worker_count = workers
         self.hosts: list[HostProcess] = []
         self.store_proxies: list[Proxy] = []
         self.worker_proxies: list[Proxy] = []
         self.answers: dict[str, list[int]] = {}
+        self.key_by_job: dict[str, str] = {}
         self.cancelled: set[str] = set()
         self.crashing: set[str] = set()
         self.cut_off: list[str] = []
@@ -262,7 +272,15 @@
                     "stretch": 3.0,
                 }
             ],
-            "tenants": [{"name": "t", "api_keys": [_KEY]}],
+            "tenants": [
+                {"name": name, "api_keys": [key]}
+                | (
+                    {"max_count": {"gpu": _LIMIT_GPU_BY_ACCOUNT[name]}}
+                    if self.limits
+                    else {}
+                )
+                for key, name in _ACCOUNT_BY_KEY.items()
+            ],
         }
         self.store.put("keyed.op", "config", orjson.dumps(config))
         for number in range(self.worker_count):
@@ -349,11 +367,21 @@
         gang = self.rng.random() < 0.5
         counts = [self.rng.randint(1, 4) for _ in range(self.rng.randint(1, 2))]
         gpu = self.rng.choice([1, 2, 4, 8])
+        key = next(iter(_ACCOUNT_BY_KEY))
+        if self.limits:
+            key = self.account_rng.choice(list(_ACCOUNT_BY_KEY))
+            while gang and max(counts) * gpu > min(
+                _LIMIT_GPU_BY_ACCOUNT.values()
+            ):
+                # The gang would be rejected at submission.
+                gpu //= 2
+        self.key_by_job[job_id] = key
         spec = {
             "s": self.rng.uniform(0.2, 2.0),
             "gang": gang,
             "counts": counts,
             "gpu": gpu,
+            "account": _ACCOUNT_BY_KEY[key],
             "after": {"1": [0]} if len(counts) > 1 else {},
             "crashing": standin_crashes.draw_crashing(
                 self.crash_rng, self.crashing_share, counts
@@ -398,7 +426,7 @@
                 data=orjson.dumps(body) if body else None,
                 headers={
                     "Host": _HOSTNAME,
-                    "X-Laburnumgate-Credential": _KEY,
+                    "X-Laburnumgate-Credential": self.key_by_job[job_id],
                     "X-Laburnumgate-Deadline-Ms": "3000",
                 },
             ) as response:
@@ -557,12 +585,13 @@
     workers: int = 6,
     crashing_share: float = CRASHING_SHARE,
     shrinks: bool = True,
+    limits: bool = False,
 ) -> list[str]:
     """Runs one seed and returns the violations.
 
     The hosts' logs are kept if there is a violation.
     """
-    soak = Soak(seed, hosts, workers, crashing_share, shrinks)
+    soak = Soak(seed, hosts, workers, crashing_share, shrinks, limits)
     violations = asyncio.run(soak.run(seconds))
     if violations:
         violations.append(f"logs in {soak.folder}; faults: {soak.faults}")
@@ -589,13 +618,20 @@
     default=True,
     help="Whether the capacity of workers shrinks at times.",
 )
-def main(seed, seeds, seconds, hosts, workers, crashing_share, shrinks) -> None:
+@click.option(
+    "--limits/--no-limits",
+    default=True,
+    help="Whether the accounts have limits.",
+)
+def main(
+    seed, seeds, seconds, hosts, workers, crashing_share, shrinks, limits
+) -> None:
     """Runs seeds sequentially and reports the result of each."""
     seed = seed or random.SystemRandom().randrange(1, 10**6)
     failed = 0
     for number in range(seed, seed + seeds):
         violations = run_seed(
-            number, seconds, hosts, workers, crashing_share, shrinks
+            number, seconds, hosts, workers, crashing_share, shrinks, limits
         )
         failed += bool(violations)
         click.echo(f"seed {number}: {'broken' if violations else 'kept'}")
--- a/deploy/tests/standin_worker.py
+++ b/deploy/tests/standin_worker.py
@@ -11,6 +11,9 @@
 
 GANG_TIMEOUT_S = 3.0
 MAX_LEASE_S = 3.0
+# The platform tolerates starts above an account's limit by this share and one
+# task more.
+QUOTA_OVERRUN = 0.1
 
 
 @dataclasses.dataclass(eq=False)
@@ -62,6 +65,8 @@
       late_order_share: fraction of the orders that are executed late.
       crash_rng: source of randomness of the crashes.
       crash_log: crashes and failed runs by task.
+      limit_by_account: accelerators that each account may have running; empty
+        without limits.
     """
 
     def __init__(self, rng, crash_rng):
@@ -75,6 +80,7 @@
         self.started: set[str] = set()
         self.end_counts: dict[str, int] = {}
         self.late_order_share = 0.0
+        self.limit_by_account: dict[str, int] = {}
 
     def check_start(self, run: Run) -> None:
         """Records a violation if the run must not start now.
@@ -82,7 +88,7 @@
         A task must not run twice at the same time, start again after an
         acknowledged end, start before the steps that it depends on, start too
         often after it crashed workers, or exceed the accelerators of its
-        worker.
+        worker or the limit of its account.
         """
         job_id, occurrence, step, _ = run.task.split(".")
         self.started.add(job_id)
@@ -116,6 +122,27 @@
                 f" at most {limit} allowed",
             )
 
+        self._check_account(run)
+
+    def _check_account(self, run: Run) -> None:
+        """Records a violation if a start exceeds its account's limit."""
+        account = run.spec.get("account")
+        limit = self.limit_by_account.get(account)
+        if limit is None:
+            return
+        used = sum(
+            other.spec["gpu"]
+            for worker in self.workers
+            for other in worker.running.values()
+            if other.spec.get("account") == account
+        )
+        if used > limit * (1 + QUOTA_OVERRUN) + run.spec["gpu"]:
+            self._record_violation(
+                run,
+                f"QUOTA: account {account} has {used} accelerators running,"
+                f" at most {limit} allowed",
+            )
+
     def tick(self) -> None:
         """Expires leases, ends finished runs, and crashes and boots workers."""
         now = time.monotonic()
--- a/deploy/tests/test_soak.py
+++ b/deploy/tests/test_soak.py
@@ -49,6 +49,13 @@
     assert not soak.run_seed(22200, _SECONDS, crashing_share=0.0)
 
 
+def test_limits_of_accounts_are_not_exceeded():
+    """Guards against starts above an account's limit under faults."""
+    assert not soak.run_seed(
+        22300, _SECONDS, hosts=3, crashing_share=0.0, shrinks=False, limits=True
+    )
+
+
 @pytest.mark.parametrize(
     ("seed", "seconds", "hosts", "workers", "crashing_share"),
     [
--- a/deploy/tests/test_soak_checks.py
+++ b/deploy/tests/test_soak_checks.py
@@ -187,3 +187,30 @@
     worker.capacity.set(2, time.monotonic() - 100.0)
     fleet.tick()
     assert not fleet.violations
+
+
+def test_start_over_the_limit_of_its_account_is_a_violation(fleet):
+    fleet.limit_by_account = {"t": 10}
+    workers = [_add_worker(fleet, f"w{number}") for number in range(3)]
+    for index in range(13):
+        task = f"{_JOB_ID}.0.0.{index}"
+        account = "u" if index == 5 else "t"
+        _start(workers[index % 3], 1, task=task, account=account)
+    # 12 of the account run: a tenth and one task more than its limit.
+    assert not fleet.violations
+    _start(workers[0], 1, task=f"{_JOB_ID}.0.1.0", account="u")
+    assert not fleet.violations
+    _start(workers[1], 1, task=f"{_JOB_ID}.0.1.1", account="t")
+    assert len(fleet.violations) == 1
+    assert "QUOTA" in fleet.violations[0]
+
+
+def test_ended_runs_of_an_account_do_not_count(fleet):
+    fleet.limit_by_account = {"t": 1}
+    worker = _add_worker(fleet)
+    for index in range(6):
+        run = _start(
+            worker, 1, task=f"{_JOB_ID}.0.0.{index}", gpu=2, account="t"
+        )
+        worker.end(run, "stopped")
+    assert not fleet.violations
--- a/packages/placer/src/laburnumgate_placer/explain.py
+++ b/packages/placer/src/laburnumgate_placer/explain.py
@@ -18,6 +18,12 @@
         events.Event.LEAD_RECOVERED,
     )
 )
+# An account that is at its limit holds back all its jobs; the event names only
+# the first of them.
+_OF_ACCOUNTS = frozenset(
+    event.number
+    for event in (events.Event.ACCOUNT_HELD, events.Event.ACCOUNT_RELEASED)
+)
 # Fields that every line has or that are the same in the whole history.
 _COMMON = frozenset({"time", "host", "level", "message", "event", "job"})
 
@@ -55,7 +61,10 @@
 
 
 def job_history(job_id: str, texts: Iterable[str]) -> JobHistory:
-    """Collects the log lines about a job, its endpoints and its leaders.
+    """Collects the log lines about a job, its account, endpoints and leaders.
+
+    The lines of endpoints, leaders and the account are those between the first
+    and the last line of the job.
 
     Args:
       job_id: id of the job.
@@ -66,6 +75,7 @@
     found: list[Line] = []
     of_endpoints: list[Line] = []
     of_leaders: list[Line] = []
+    of_accounts: list[Line] = []
     skipped = 0
     for text in texts:
         content = _parse(text)
@@ -79,7 +89,11 @@
             content.get("message", ""),
             {k: v for k, v in content.items() if k not in _COMMON},
         )
-        if content.get("job") == job_id:
+        if line.event in _OF_ACCOUNTS:
+            if content.get("job", job_id) != job_id:
+                line.details["job"] = content["job"]
+            of_accounts.append(line)
+        elif content.get("job") == job_id:
             found.append(line)
         elif line.event in _OMITTED:
             continue
@@ -95,9 +109,15 @@
     if found:
         first = min(line.time for line in found)
         last = max(line.time for line in found)
+        accounts = {line.details.get("account") for line in found} - {None}
         related = of_leaders + [
             line for line in of_endpoints if line.details["endpoint"] in used
         ]
+        related += [
+            line
+            for line in of_accounts
+            if line.details.get("account") in accounts
+        ]
         found.extend(line for line in related if first <= line.time <= last)
     found.sort(key=lambda line: line.time)
     return JobHistory(tuple(found), skipped)
