--- a/packages/placer/tests/test_accounts_ledger.py
+++ b/packages/placer/tests/test_accounts_ledger.py
@@ -202,7 +202,8 @@
             tables,
             lambda entry: self.listed[entry.key],
             lambda state: None,
-            self.monotonic.now_ms(),
+            # The first leader has led for long.
+            self.monotonic.now_ms() if self.token > 1 else 0,
         )
         self.launcher = launcher.Launcher(
             None,
@@ -336,12 +337,15 @@
         fates=_FATES,
         stale=st.booleans(),
         amount=st.sampled_from([None, None, 1, 3, 9]),
+        reborn=st.sampled_from([None, None, None, 0, 1, 2]),
     )
-    def run_jobs(self, account, counts, gang, urgent, fates, stale, amount):
+    def run_jobs(
+        self, account, counts, gang, urgent, fates, stale, amount, reborn
+    ):
         """Opens jobs, and starts them as far as they fit.
 
         Before the orders are sent, reports may be written that are read after
-        them, and the limits may change.
+        them, and the limits may change. A node may restart after them.
         """
         for count in counts:
             self.submit(account, count, 1 + count % 2, gang, urgent)
@@ -354,6 +358,8 @@
         self.order_some(6, fates)
         for number in range(_NODES if stale else 0):
             self.answer(number)
+        if reborn is not None:
+            self.restart(reborn, True, True, True)
 
     @stateful.rule(stored=st.booleans())
     def place(self, stored):
@@ -574,11 +580,16 @@
             self.ask(number)
             self.answer(number)
 
-    @stateful.rule(number=_NODE, by_ms=_ANY_MS)
-    def cut(self, number, by_ms):
-        """Cuts a node off, or mends its link, after some time."""
+    @stateful.rule(number=_NODE, by_ms=_ANY_MS, led=st.booleans())
+    def cut(self, number, by_ms, led):
+        """Cuts a node off, or mends its link, and lets time pass.
+
+        The leader may change in the meantime.
+        """
         node = self.nodes[number]
         node.cut = not node.cut
+        if led:
+            self._lead()
         self.ask(number)
         self._tick(by_ms)
         self._lapse()
@@ -608,8 +619,13 @@
                     other.end(key, kind)
         self._tick()
 
-    @stateful.rule(number=_NODE, same_id=st.booleans(), listed=st.booleans())
-    def restart(self, number, same_id, listed):
+    @stateful.rule(
+        number=_NODE,
+        same_id=st.booleans(),
+        listed=st.booleans(),
+        reported=st.booleans(),
+    )
+    def restart(self, number, same_id, listed, reported):
         """Restarts an endpoint; an order on its way may reach its next life.
 
         A second copy of an order whose run has ended already is left out: the
@@ -642,6 +658,9 @@
         if listed:
             self._list(number)
         self._tick()
+        if reported:
+            self.ask(number)
+            self.answer(number)
 
     @stateful.rule()
     def list_all(self):
