--- a/packages/placer/src/laburnumgate_placer/ordering.py
+++ b/packages/placer/src/laburnumgate_placer/ordering.py
@@ -32,6 +32,8 @@
       min_speed: lowest endpoint speed at which it ends in time.
       preference: which of several possible endpoints it prefers.
       work: the work that waits; None unless the order is by cost of delay.
+      deferred: whether other overdue work takes all of the capacity on which
+        overdue work may precede other work.
     """
 
     guaranteed: bool
@@ -41,11 +43,12 @@
     min_speed: float = 0.0
     preference: placement.Preference = placement.Preference.SLOWEST
     work: delay_cost.Work | None = None
+    deferred: bool = False
 
     @property
     def overdue(self) -> bool:
         """Whether it has waited for so long that it precedes other work."""
-        return self.work is not None and self.work.overdue
+        return self.work is not None and self.work.overdue and not self.deferred
 
     def requirement(self) -> placement.Requirement:
         """Returns the placement requirement that follows from the rank."""
@@ -59,7 +62,7 @@
         """
         if self.guaranteed or self.work is None:
             return (not self.guaranteed, self.stage, self.priority, self.due_ms)
-        if self.work.overdue:
+        if self.overdue:
             return (True, 0, 0.0, 0, self.due_ms)
         cost = delay_cost.loss_per_core_s(self.work)
         return (True, 1, -cost, self.priority, self.due_ms)
--- a/packages/placer/src/laburnumgate_placer/overload/delay_cost.py
+++ b/packages/placer/src/laburnumgate_placer/overload/delay_cost.py
@@ -14,10 +14,11 @@
 
 Bound on the wait: work that misses its last deadline is worth nothing to its
 caller, and its loss is 0. From `MAX_OVERDUE_MS` after that deadline, it is
-overdue and precedes all work without a guarantee, the oldest first. Thus the
-cheapest job is next in line at the latest LATE_RATIO x objective +
-`MAX_OVERDUE_MS` after its arrival, behind guaranteed work and work that has
-been overdue for longer.
+overdue and precedes all work without a guarantee, the oldest first, on a part
+of the pool (`overdue.SHARE`). Thus the cheapest job is next in line at the
+latest LATE_RATIO x objective + `MAX_OVERDUE_MS` after its arrival, behind
+guaranteed work and work that has been overdue for longer. The latter takes its
+core-seconds divided by that part of the pool's cores.
 """
 
 import dataclasses
@@ -132,6 +133,18 @@
     return loss(work) / max(0.001, work.core_s)
 
 
+def loss_at_deadline(work: Work) -> float:
+    """Returns the loss per core-second just before the next deadline.
+
+    This is the highest loss that the work reaches while it waits for that
+    deadline. It is 0 if the last deadline is missed.
+    """
+    wait_ms = work.slack_ms if work.slack_ms >= 0 else work.late_slack_ms
+    if wait_ms < 0:
+        return 0.0
+    return loss_per_core_s(work.later(wait_ms))
+
+
 def _risk(work: Work, slack_ms: float, delay_ms: float) -> float:
     if slack_ms < 0:
         return 0.0
--- a/packages/placer/src/laburnumgate_placer/overload/preemption.py
+++ b/packages/placer/src/laburnumgate_placer/overload/preemption.py
@@ -8,6 +8,7 @@
 
 import collections
 import dataclasses
+import math
 
 from laburnumgate_placer import model
 from laburnumgate_placer.overload import delay_cost
@@ -34,6 +35,9 @@
       resumes: whether it resumes from a checkpoint.
       stopped_before: how often runs of its unit were stopped for other work.
       spent: core-seconds that were thrown away so that it could start.
+      overdue: whether it was started before other work because it was overdue.
+        Its loss is 0, so that each unit that does not fit would stop it. It is
+        stopped once at most, or it would never end.
     """
 
     cores: float
@@ -41,6 +45,7 @@
     resumes: bool
     stopped_before: int = 0
     spent: float = 0.0
+    overdue: bool = False
 
 
 def cores(resources: model.Resources) -> float:
@@ -111,6 +116,8 @@
       stop_ms: maximum time to stop a task.
       restore_ms: time that a task needs to resume from a checkpoint.
     """
+    if victim.overdue and victim.stopped_before:
+        return ValueLoss(math.inf, 0.0)
     again_ms = victim.ran_ms
     if victim.resumes:
         again_ms = min(again_ms, restore_ms)
--- a/packages/placer/src/laburnumgate_placer/progress.py
+++ b/packages/placer/src/laburnumgate_placer/progress.py
@@ -77,7 +77,8 @@
     """One attempt to run a unit; all members share its run number.
 
     If `restored`, an earlier leader started it, and `started_ms` is the time of
-    its restoration.
+    its restoration. If `overdue`, it was assigned before work that is worth
+    more, because its unit was overdue.
     """
 
     unit: "Unit"
@@ -88,6 +89,7 @@
     assigned_ms: int = 0
     started_ms: int = 0
     restored: bool = False
+    overdue: bool = False
     tickets_by_endpoint: dict[str, str] = dataclasses.field(
         default_factory=dict
     )
--- a/packages/placer/src/laburnumgate_placer/scheduling.py
+++ b/packages/placer/src/laburnumgate_placer/scheduling.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 import logging
+import math
 
 from laburnumgate_placer import advice
 from laburnumgate_placer import endpoint_table
@@ -14,6 +15,8 @@
 from laburnumgate_placer import progress
 from laburnumgate_placer import tables as tables_module
 from laburnumgate_placer.accounts import holds
+from laburnumgate_placer.overload import overdue
+from laburnumgate_placer.overload import preemption
 
 _LOGGER = logging.getLogger(__name__)
 
@@ -43,6 +46,8 @@
         pools: dict[str, pool_module.Pool] = {}
         protected = ordering.guaranteed_jobs(tables)
         waiting = ordering.waiting_steps(tables, protected, now_ms)
+        if any(step.rank.overdue for step in waiting):
+            waiting = self._limit_overdue(waiting)
         if not waiting:
             self._reported_steps.clear()
         # What is held for units that their accounts' limits hold back is
@@ -65,10 +70,68 @@
                 pools[queue.service] = pool
             try:
                 self._place_step(pool, step, protected, now_ms)
+                if step.rank.overdue:
+                    _mark_overdue(step.units)
             except Exception as error:  # Must not keep other jobs waiting.
                 self._set_aside(step, error, now_ms)
         self._holds.end_pass(now_ms)
 
+    def _limit_overdue(
+        self, waiting: list[ordering.WaitingStep]
+    ) -> list[ordering.WaitingStep]:
+        """Defers overdue units beyond the capacity that they may take.
+
+        Returns the steps in rank order; one of which only some units are
+        deferred is returned as two.
+        """
+        total_by_service: dict[str, float] = {}
+        used_by_service: dict[str, float] = {}
+        runs: set[int] = set()
+        for state in self._tables.endpoints.by_id.values():
+            if state.ended or not state.listed:
+                continue
+            service = state.info.service
+            cores = preemption.cores(state.info.capacity)
+            total_by_service[service] = (
+                total_by_service.get(service, 0.0) + cores
+            )
+            for member in state.members.values():
+                if member.run.overdue and id(member.run) not in runs:
+                    runs.add(id(member.run))
+                    unit = member.run.unit
+                    used_by_service[service] = used_by_service.get(
+                        service, 0.0
+                    ) + unit.size * preemption.cores(unit.step.room)
+        found = []
+        for step in waiting:
+            if step.rank.guaranteed or not step.rank.overdue:
+                found.append(step)
+                continue
+            unit = step.units[0]
+            service = self._tables.queue_of(unit.entry.job).service
+            cores = unit.size * preemption.cores(unit.step.room)
+            used = used_by_service.get(service, 0.0)
+            count = overdue.count_preceding(
+                len(step.units),
+                cores,
+                used,
+                total_by_service.get(service, 0.0),
+            )
+            used_by_service[service] = used + count * cores
+            if count < len(step.units):
+                # Smaller units must not pass one that is too large for what is
+                # left, or it would never start.
+                used_by_service[service] = math.inf
+            if count:
+                found.append(
+                    dataclasses.replace(step, units=step.units[:count])
+                )
+            if count < len(step.units):
+                rank = dataclasses.replace(step.rank, deferred=True)
+                found.append(ordering.WaitingStep(rank, step.units[count:]))
+        found.sort(key=lambda step: (step.rank.sort_key(), step.units[0].key))
+        return found
+
     def _set_aside(
         self, waiting: ordering.WaitingStep, error: Exception, now_ms: int
     ) -> None:
@@ -369,6 +432,13 @@
         self._look_ahead.assigned(pool, run, now_ms)
 
 
+def _mark_overdue(units: tuple[progress.Unit, ...]) -> None:
+    """Marks the runs that were assigned before work that is worth more."""
+    for unit in units:
+        if unit.run is not None:
+            unit.run.overdue = True
+
+
 def _fit_key(unit: progress.Unit) -> tuple:
     """Returns a key shared by units that need the same placement.
 
