--- a/deploy/tests/test_decoding_fuzz.py
+++ b/deploy/tests/test_decoding_fuzz.py
@@ -134,6 +134,35 @@
         return
 
 
+_RANKED_PART = st.fixed_dictionaries(
+    {},
+    optional={
+        "steps": st.lists(st.tuples(_SCALARS, _SCALARS) | _JSON, max_size=3),
+        "queues": st.dictionaries(
+            st.text(max_size=4), st.tuples(_SCALARS, _SCALARS) | _JSON
+        ),
+        "free": st.lists(_SCALARS, max_size=4) | _JSON,
+    },
+)
+_RANKED = st.fixed_dictionaries(
+    {},
+    optional={
+        "at_ms": _SCALARS,
+        "services": st.dictionaries(st.text(max_size=4), _RANKED_PART) | _JSON,
+    },
+)
+
+
+@given(_JSON | _RANKED)
+@example({"at_ms": 0, "services": {"pool": {"steps": [[0, 1e308]]}}})
+def test_a_malformed_report_by_cost_raises_what_is_documented(content):
+    """Guards against a host that refuses callers after one bad record."""
+    try:
+        load_reports.decode_ranked(content)
+    except (ValueError, TypeError, AttributeError, KeyError):
+        return
+
+
 @given(
     st.sampled_from([200, 409, 410, 412, 500]),
     st.binary(max_size=60) | _JSON.map(orjson.dumps),
--- a/packages/placer/src/laburnumgate_placer/durations.py
+++ b/packages/placer/src/laburnumgate_placer/durations.py
@@ -77,8 +77,12 @@
         old = self._log_ratio_by_queue.get(queue, 0.0)
         self._log_ratio_by_queue[queue] = old + EWMA_WEIGHT * (ratio - old)
 
+    def ratio(self, queue_name: str) -> float:
+        """Returns the ratio of observed and declared durations of a queue."""
+        return math.exp(self._log_ratio_by_queue.get(queue_name, 0.0))
+
     def _declared_ms(self, job: model.Job, number: int) -> float:
-        ratio = math.exp(self._log_ratio_by_queue.get(job.queue.name, 0.0))
+        ratio = self.ratio(job.queue.name)
         return max(1.0, job.steps[number].estimate_ms * ratio)
 
     def _member_remaining_ms(
--- a/packages/placer/src/laburnumgate_placer/host.py
+++ b/packages/placer/src/laburnumgate_placer/host.py
@@ -108,7 +108,8 @@
             self.submissions,
             self.wall,
             bounds,
-            self.leadership.load,
+            self.leadership.load_report,
+            policy,
         )
 
     def ready(self) -> bool:
--- a/packages/placer/src/laburnumgate_placer/intake.py
+++ b/packages/placer/src/laburnumgate_placer/intake.py
@@ -11,9 +11,12 @@
 from laburnumgate_placer import events
 from laburnumgate_placer import feed
 from laburnumgate_placer import job_table
+from laburnumgate_placer import leadership
 from laburnumgate_placer import limits
 from laburnumgate_placer import load_reports
+from laburnumgate_placer import metrics
 from laburnumgate_placer import model
+from laburnumgate_placer import policy as policy_module
 from laburnumgate_placer import ports
 from laburnumgate_placer import records
 from laburnumgate_placer import topics
@@ -102,7 +105,10 @@
         submissions: writer.Writer,
         wall: clock.Clock,
         bounds: limits.Bounds,
-        load: Callable[[int], dict | None] = lambda max_age_ms: None,
+        load: Callable[
+            [int], leadership.LoadReport | None
+        ] = lambda max_age_ms: None,
+        policy: policy_module.Policy | None = None,
     ):
         """Prepares the request handling of one host.
 
@@ -116,6 +122,7 @@
           bounds: time bounds of the deployment.
           load: returns the leader's report of its backlog, None if there is
             none of the given maximum age in ms.
+          policy: scheduling policy, the default one if None.
         """
         self._config = config
         self._config_feed = config_feed
@@ -125,6 +132,7 @@
         self._wall = wall
         self._bounds = bounds
         self._load = load
+        self._policy = policy or policy_module.Policy()
         self._returns = admission.Returns()
         # Submissions that may be stored, by job id, with the wall time until
         # which that is open.
@@ -177,15 +185,23 @@
             return self.not_run(job.job_id, "this host reads the jobs first")
         if self._submissions.stalled():
             return self._refuse(job.job_id, "the log does not answer")
-        refusal = admission.decide(
-            job, self._guaranteed_gpu(job.account), self._backlog(job)
-        )
+        limit = self._config.limit(job.account)
+        refusal = admission.beyond_limit(job, limit)
+        report_age_ms = None
+        if refusal is None:
+            known, report_age_ms = self._backlog(job)
+            refusal = admission.decide(
+                job,
+                self._guaranteed_gpu(job.account),
+                known,
+                by_cost=self._policy.delay_cost_order,
+            )
         if refusal is not None:
             # An earlier attempt may have been accepted by another host.
             await self._jobs_feed.catch_up(CATCH_UP_TIMEOUT_MS)
             if job.job_id in self._jobs.jobs_by_id:
                 return self._repeated(job)
-            return self._turn_away(job, refusal)
+            return self._turn_away(job, refusal, report_age_ms)
         job = dataclasses.replace(job, accepted_ms=self._wall.now_ms())
         record = records.encode(records.Submitted(job))
         outcome = await self._submissions.append([record], _confirm_ms(wait_ms))
@@ -295,13 +311,21 @@
         found = self._config.current.accounts_by_name.get(account)
         return found.guaranteed_gpu if found is not None else 0
 
-    def _backlog(self, job: model.Job) -> admission.Backlog | None:
+    def _backlog(
+        self, job: model.Job
+    ) -> tuple[admission.Backlog | None, int | None]:
+        """Returns what is known of the job's service, and how old that is."""
         report = self._load(admission.MAX_AGE_MS)
         if report is None:
-            return None
+            return None, None
         try:
-            return load_reports.decode(report).get(job.queue.service)
-        except (ValueError, TypeError, AttributeError) as error:
+            known = load_reports.decode(report.load).get(job.queue.service)
+            if known is None or not self._policy.delay_cost_order:
+                return known, report.age_ms
+            if report.ranked is None:
+                return known, report.age_ms
+            at_ms, ranked = load_reports.decode_ranked(report.ranked)
+        except (ValueError, TypeError, AttributeError, KeyError) as error:
             events.emit(
                 _LOGGER,
                 events.Event.RECORD_SKIPPED,
@@ -309,26 +333,47 @@
                 key="load",
                 reason=str(error),
             )
-            return None
+            return None, None
+        # A host that was cut off from the log reads reports late.
+        age_ms = max(report.age_ms, self._wall.now_ms() - at_ms)
+        if age_ms > admission.MAX_AGE_MS:
+            return None, None
+        found = ranked.get(job.queue.service)
+        return dataclasses.replace(known, ranked=found), age_ms
 
     def _turn_away(
-        self, job: model.Job, refusal: admission.Refusal
+        self,
+        job: model.Job,
+        refusal: admission.Refusal,
+        report_age_ms: int | None,
     ) -> NotRun | MayHaveRun:
         verdict = self.not_run(job.job_id, refusal.reason)
         if isinstance(verdict, MayHaveRun):
             return self._in_doubt(job.job_id, "resubmit", refusal.reason)
-        now_ms = self._wall.now_ms()
-        self._returns = self._returns.next(now_ms, refusal.retry_after_ms)
-        retry_after_ms = self._returns.latest_ms - now_ms
+        retry_after_ms = refusal.retry_after_ms
+        # A job that its account's limit excludes does not compete with others
+        # for the time of its return.
+        if refusal.cause != admission.Cause.ACCOUNT_LIMIT:
+            now_ms = self._wall.now_ms()
+            self._returns = self._returns.next(now_ms, retry_after_ms)
+            retry_after_ms = self._returns.latest_ms - now_ms
+        metrics.REJECTED_JOBS.inc({"reason": refusal.cause.value})
+        inputs = {
+            "delay_ms": refusal.delay_ms,
+            "loss": refusal.loss,
+            "report_age_ms": report_age_ms,
+        }
         events.emit(
             _LOGGER,
             events.Event.REFUSED,
             job=job.job_id,
             account=job.account,
             queue=job.queue.name,
+            cause=refusal.cause.value,
             reason=refusal.reason,
             retry_after_ms=retry_after_ms,
             log_age_ms=self._jobs_feed.age_ms(),
+            **{name: v for name, v in inputs.items() if v is not None},
         )
         return NotRun(refusal.reason, retry_after_ms)
 
--- a/packages/placer/src/laburnumgate_placer/leader.py
+++ b/packages/placer/src/laburnumgate_placer/leader.py
@@ -449,6 +449,10 @@
             try:
                 holds.set_metrics(self.tables)
                 backlogs = load_reports.collect(self.tables, largest_by_service)
+                load = load_reports.encode(backlogs)
+                ranked = load_reports.encode_ranked(
+                    backlogs, self.tables.wall.now_ms()
+                )
             except Exception as error:  # Hosts then turn nothing away.
                 events.emit(
                     _LOGGER,
@@ -457,7 +461,7 @@
                     reason=repr(error),
                 )
                 continue
-            self._leadership.report_load(load_reports.encode(backlogs))
+            self._leadership.report_load(load, ranked)
 
     async def _clean_up_loop(self) -> None:
         while True:
--- a/packages/placer/src/laburnumgate_placer/leadership.py
+++ b/packages/placer/src/laburnumgate_placer/leadership.py
@@ -47,6 +47,22 @@
     token: int
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class LoadReport:
+    """A report of the backlog by the leader.
+
+    Attributes:
+      load: the report, as hosts of all builds read it.
+      ranked: the part of it that hosts of earlier builds ignore, None if the
+        leader sent none.
+      age_ms: time since it was read.
+    """
+
+    load: dict
+    ranked: dict | None
+    age_ms: int
+
+
 class Leadership:
     """Follows claims and heartbeats, and claims leadership if there is none."""
 
@@ -103,6 +119,7 @@
         )
         # Latest report of the backlog by the current leader, and its time.
         self._load: dict = {}
+        self._ranked_load: dict | None = None
         self._load_ms: int | None = None
         self._own_load: bytes | None = None
         self._lag = election.Lag()
@@ -113,20 +130,36 @@
         """Claim of this host, None if it has none or a later one is known."""
         return self._own
 
-    def report_load(self, load: dict) -> None:
-        """Sends a report of the backlog with the next heartbeat."""
+    def report_load(self, load: dict, ranked: dict | None = None) -> None:
+        """Sends a report of the backlog with the next heartbeat.
+
+        Args:
+          load: the report, as hosts of all builds read it.
+          ranked: the part of it that hosts of earlier builds ignore.
+        """
         if self._own is not None:
             own = self._own
-            self._own_load = orjson.dumps(["load", own.host, own.token, load])
+            record = ["load", own.host, own.token, load]
+            if ranked is not None:
+                record.append(ranked)
+            self._own_load = orjson.dumps(record)
 
     def load(self, max_age_ms: int) -> dict | None:
-        """Returns the leader's latest report, None if it is older."""
+        """Returns what all builds read of the latest report, None if older."""
         if self._load_ms is None:
             return None
         if self._monotonic.now_ms() - self._load_ms > max_age_ms:
             return None
         return self._load
 
+    def load_report(self, max_age_ms: int) -> LoadReport | None:
+        """Returns the leader's latest report, None if it is older."""
+        load = self.load(max_age_ms)
+        if load is None:
+            return None
+        age_ms = self._monotonic.now_ms() - self._load_ms
+        return LoadReport(load, self._ranked_load, age_ms)
+
     def confirmed_ms(self) -> int:
         """Returns the send time of the latest heartbeat that was stored."""
         return self._confirmed_ms
@@ -267,6 +300,7 @@
             return
         if kind == "load":
             self._load = details[0]
+            self._ranked_load = details[1] if len(details) > 1 else None
             self._load_ms = now_ms
             return
         gap_ms = now_ms - self._last_record_ms - self.feed.min_interval_ms
--- a/packages/placer/src/laburnumgate_placer/metrics.py
+++ b/packages/placer/src/laburnumgate_placer/metrics.py
@@ -70,6 +70,10 @@
     "laburnumgate_account_held_total",
     "How often an account was held back by its limit.",
 )
+REJECTED_JOBS = _counter(
+    "laburnumgate_rejected_jobs_total",
+    "Jobs that were turned away at submission, by reason.",
+)
 ACCEPT_SECONDS = DurationHistogram(
     "laburnumgate_accept_seconds", "From a submission to its answer."
 )
--- /dev/null
+++ b/packages/placer/tests/test_intake_rejections.py
@@ -0,0 +1,206 @@
+"""Tests of what a host answers, logs and counts when it turns a job away."""
+
+import asyncio
+import logging
+
+import builders
+import fakelog
+from laburnumgate_core import clock
+from laburnumgate_placer import config_table
+from laburnumgate_placer import events
+from laburnumgate_placer import feed
+from laburnumgate_placer import intake
+from laburnumgate_placer import job_table
+from laburnumgate_placer import leadership
+from laburnumgate_placer import limits
+from laburnumgate_placer import metrics
+from laburnumgate_placer import model
+from laburnumgate_placer import policy
+from laburnumgate_placer import ports
+from laburnumgate_placer import records
+from laburnumgate_placer import topics
+from laburnumgate_placer import writer
+from laburnumgate_placer.overload import admission
+import pytest
+
+_BATCH = builders.replace(
+    builders.QUEUE, priority=2, stretch=3.0, objective_ms=3_000
+)
+_LIMITED = model.Account(
+    "mina", frozenset({"key-1"}), limit=model.Resources(0, 0, 4)
+)
+_LOAD = {"pool": [[], [32_000, 64_000, 8]]}
+
+
+def _ranked(at_ms):
+    part = {
+        "steps": [[1e9, 500_000]],
+        "queues": {"reviews": [9.0, 1.0]},
+        "free": [0, 0, 0],
+    }
+    return {"at_ms": at_ms, "services": {"pool": part}}
+
+
+class _Host:
+    """The intake of one host, its log, and the report that it has read."""
+
+    def __init__(self, *, setting=True, accounts=()):
+        self.log = fakelog.FakeLog()
+        monotonic = clock.MonotonicClock()
+        self.wall = clock.ManualClock(1_000_000)
+        self.report = leadership.LoadReport(_LOAD, _ranked(1_000_000), 400)
+        self.config = config_table.ConfigTable()
+        self.config.publish(1, builders.config(_BATCH, accounts=accounts))
+        self.jobs = job_table.JobTable()
+        self.jobs_feed = feed.Feed(
+            self.log, monotonic, topics.JOBS, self._apply, wait_ms=50
+        )
+        self.submissions = writer.Writer(
+            self.log, monotonic, topics.JOBS, "host-h1", 1
+        )
+        self.intake = intake.Intake(
+            self.config,
+            self.jobs_feed,
+            self.jobs,
+            self.jobs_feed,
+            self.submissions,
+            self.wall,
+            limits.Bounds(),
+            lambda max_age_ms: self.report,
+            policy.Policy(delay_cost_order=setting),
+        )
+
+    def _apply(self, entry: ports.Entry) -> None:
+        self.jobs.apply(records.decode(entry.key, entry.value))
+
+    async def submit(self, *jobs, wait_ms=900):
+        """Submits jobs one after the other; returns the verdicts."""
+        tasks = [
+            asyncio.create_task(self.jobs_feed.run()),
+            asyncio.create_task(self.submissions.run()),
+        ]
+        try:
+            await self.jobs_feed.loaded.wait()
+            return [await self.intake.submit(job, wait_ms) for job in jobs]
+        finally:
+            for task in tasks:
+                task.cancel()
+
+
+def _job(name="a", gpu=1):
+    return builders.job(name * 16, builders.step(gpu=gpu), queue=_BATCH)
+
+
+def _rejected():
+    """Returns how many jobs were turned away so far, by reason."""
+    return {
+        labels["reason"]: value
+        for labels, value in metrics.REJECTED_JOBS.get_all()
+    }
+
+
+def _rejections(caplog):
+    number = events.Event.REFUSED.number
+    return [r for r in caplog.records if getattr(r, "event", 0) == number]
+
+
+def test_a_rejection_names_its_inputs_and_is_counted(caplog):
+    """Guards against a rejection that nobody can explain."""
+    caplog.set_level(logging.INFO)
+    host = _Host()
+    before = _rejected().get("backlog", 0)
+    (verdict,) = builders.run(host.submit(_job()))
+    assert verdict == intake.NotRun(
+        "the work ahead of it takes 500000 ms", 30_000
+    )
+    (record,) = _rejections(caplog)
+    assert record.cause == "backlog"
+    assert record.delay_ms == 500_000
+    assert record.loss > 0
+    assert record.report_age_ms == 400
+    assert record.retry_after_ms == 30_000
+    assert _rejected()["backlog"] == before + 1
+    assert not host.jobs.jobs_by_id
+
+
+def test_a_unit_beyond_the_limit_is_rejected_without_a_report(caplog):
+    """Guards against a job that is stored and never starts."""
+    caplog.set_level(logging.INFO)
+    host = _Host(setting=False, accounts=(_LIMITED,))
+    host.report = None
+    before = _rejected().get("account_limit", 0)
+    first, second, third = builders.run(
+        host.submit(_job(gpu=5), _job("b", gpu=5), _job("c", gpu=4))
+    )
+    # Other callers do not change the time to return.
+    assert first.retry_after_ms == second.retry_after_ms == 30_000
+    assert "gpu" in first.reason
+    assert "account mina" in first.reason
+    assert third == intake.Accepted()
+    assert [r.cause for r in _rejections(caplog)] == ["account_limit"] * 2
+    assert _rejected()["account_limit"] == before + 2
+
+
+@pytest.mark.parametrize("job", [_job(), _job(gpu=5)])
+def test_a_job_that_may_be_stored_is_not_answered_as_not_run(job):
+    """Guards against "not run" for a job whose first attempt may run.
+
+    The answer to the first attempt was lost. When it is repeated, the host
+    would turn it away, for the backlog or for a limit set meanwhile.
+    """
+    host = _Host(accounts=())
+    report, host.report = host.report, None
+
+    async def work():
+        host.log.silent_appends.add(topics.JOBS)
+        (first,) = await host.submit(job, wait_ms=300)
+        host.report = report
+        host.config.publish(
+            2, builders.config(_BATCH, accounts=(_LIMITED,), version=2)
+        )
+        before = _rejected()
+        # A writer that has not met the silent log: the first attempt is open.
+        host.intake._submissions = writer.Writer(
+            host.log, clock.MonotonicClock(), topics.JOBS, "host-h2", 1
+        )
+        (second,) = await host.submit(job, wait_ms=300)
+        assert _rejected() == before
+        return first, second
+
+    first, second = builders.run(work())
+    assert isinstance(first, intake.MayHaveRun)
+    assert isinstance(second, intake.MayHaveRun)
+    # It was the decision that was answered, not the state of the log.
+    assert "work ahead" in second.reason or "limit" in second.reason
+
+
+@pytest.mark.parametrize("job", [_job(), _job(gpu=5)])
+def test_a_job_that_another_host_stored_is_accepted(job):
+    """Guards against "not run" for a job that another host accepted."""
+    host = _Host(accounts=(_LIMITED,))
+
+    async def work():
+        host.log.put(topics.JOBS, records.encode(records.Submitted(job)))
+        return await host.submit(job)
+
+    assert builders.run(work()) == [intake.Accepted()]
+
+
+def test_no_job_is_rejected_by_an_old_or_unreadable_report():
+    """Guards against rejections for a backlog that is gone.
+
+    A host that was cut off from the log reads old reports as if they were new.
+    """
+    host = _Host()
+    host.wall.advance(admission.MAX_AGE_MS + 1)
+    assert builders.run(host.submit(_job())) == [intake.Accepted()]
+    for ranked in (None, {}, {"at_ms": 0, "services": {"pool": 1}}):
+        host = _Host()
+        host.report = leadership.LoadReport(_LOAD, ranked, 0)
+        assert builders.run(host.submit(_job())) == [intake.Accepted()]
+
+
+def test_without_the_setting_the_delay_by_cost_is_not_used():
+    """Guards against changed decisions where the setting is off."""
+    host = _Host(setting=False)
+    assert builders.run(host.submit(_job())) == [intake.Accepted()]
--- a/packages/placer/tests/test_leader.py
+++ b/packages/placer/tests/test_leader.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import functools
+import itertools
 
 import builders
 import fakelog
@@ -12,6 +13,7 @@
 from laburnumgate_placer import limits
 from laburnumgate_placer import load_reports
 from laburnumgate_placer import model
+from laburnumgate_placer import policy
 from laburnumgate_placer import ports
 from laburnumgate_placer import progress
 from laburnumgate_placer import records
@@ -40,6 +42,7 @@
         self.advisor = None
         self.machines = None
         self.queue = builders.QUEUE
+        self.policy = None
         self.machines_by_id = {}
 
     def apply_operator_entry(self, table, entry):
@@ -77,6 +80,7 @@
             _BOUNDS,
             claim_delay_ms=0,
             first_start=first_start,
+            policy=self.policy,
         )
         self.tasks[name] = asyncio.create_task(host.run())
         return host
@@ -820,6 +824,38 @@
     builders.run(work())
 
 
+def test_hosts_learn_the_delays_by_cost_and_reject_by_them():
+    """Guards against a report by cost that does not reach other hosts."""
+
+    async def work():
+        system = _System("e1")
+        system.policy = policy.Policy(delay_cost_order=True)
+        system.queue = builders.replace(builders.QUEUE, priority=2)
+        host = system.add_host("h1", first_start=True)
+        await _wait_until(lambda: host.leader and host.leader.recovered)
+        other = system.add_host("h2")
+        step = builders.step(count=60, gpu=8, estimate_ms=60_000)
+        first = builders.job("a" * 16, step, queue=system.queue)
+        await _submit(host, first)
+        await _wait_until(other.ready)
+        verdict = None
+        async with asyncio.timeout(8):
+            for number in itertools.count():
+                job = builders.replace(first, job_id=f"{number:016x}")
+                verdict = await other.intake.submit(job, 900)
+                if isinstance(verdict, intake.NotRun):
+                    break
+                await asyncio.sleep(0.3)
+        assert verdict.retry_after_ms == 30_000
+        # A job that is worth more per core-second overtakes the backlog.
+        small = builders.replace(
+            first, job_id="c" * 16, steps=(builders.step(estimate_ms=100),)
+        )
+        assert await other.intake.submit(small, 900) == intake.Accepted()
+
+    builders.run(work())
+
+
 def test_a_restarted_endpoint_gets_no_acknowledgement_of_earlier_ends():
     """Guards against the loss of an end that a new incarnation reports.
 
--- a/packages/placer/tests/test_leadership.py
+++ b/packages/placer/tests/test_leadership.py
@@ -211,3 +211,58 @@
         await _wait_until(lambda: reserve.leadership.own_claim)
 
     builders.run(work())
+
+
+def test_reports_of_both_builds_are_read():
+    """Guards against a report that hosts of another build cannot use.
+
+    A leader of the earlier build sends no delays by cost. Nothing is decided
+    by those of the leader before it.
+    """
+
+    async def work():
+        log = fakelog.FakeLog()
+        host = _Candidate(log, "h1", delay_ms=60_000)
+        await _wait_until(host.leadership.feed.loaded.is_set)
+        assert host.leadership.load_report(3_000) is None
+
+        def read():
+            report = host.leadership.load_report(3_000)
+            return report and (report.load, report.ranked)
+
+        both = ["load", "h2", 1, {"pool": []}, {"at_ms": 5}]
+        log.put(topics.LEADER, orjson.dumps(both))
+        await _wait_until(lambda: read() == ({"pool": []}, {"at_ms": 5}))
+        assert 0 <= host.leadership.load_report(3_000).age_ms < 3_000
+        log.put(topics.LEADER, orjson.dumps(["load", "h3", 2, {"pool": [1]}]))
+        await _wait_until(lambda: read() == ({"pool": [1]}, None))
+        await asyncio.sleep(0.05)
+        assert host.leadership.load_report(10) is None
+        host.kill()
+
+    builders.run(work())
+
+
+def test_the_report_without_delays_by_cost_is_sent_as_before():
+    """Guards against a record that hosts of the earlier build skip."""
+
+    async def work():
+        log = fakelog.FakeLog()
+        host = _Candidate(log, "h1", first_start=True)
+        await _wait_until(lambda: host.leadership.own_claim)
+        token = host.leadership.own_claim.token
+
+        def sent():
+            records = map(orjson.loads, log.records_by_topic[topics.LEADER])
+            return [record for record in records if record[0] == "load"]
+
+        host.leadership.report_load({"pool": []})
+        await _wait_until(
+            lambda: sent() == [["load", "h1", token, {"pool": []}]]
+        )
+        host.leadership.report_load({}, {"at_ms": 5})
+        await _wait_until(lambda: len(sent()) == 2)
+        assert sent()[1] == ["load", "h1", token, {}, {"at_ms": 5}]
+        host.kill()
+
+    builders.run(work())
