--- a/packages/placer/src/laburnumgate_placer/lookahead.py
+++ b/packages/placer/src/laburnumgate_placer/lookahead.py
@@ -32,13 +32,14 @@
 
     Attributes:
       until_ms: monotonic time until which it is used.
-      rank_key: stage of the rank, and whether the guarantee was due.
+      rank_key: stage of the rank, and whether the guarantee was due and the
+        unit overdue.
       expected: when and where the unit is expected to fit, if known.
       in_time: whether it is expected to start early enough to be on time.
     """
 
     until_ms: int
-    rank_key: tuple[ordering.Stage, bool]
+    rank_key: tuple[ordering.Stage, bool, bool]
     expected: reservation.Reservation | None
     in_time: bool
 
@@ -110,7 +111,8 @@
         Returns:
           Whether the unit is expected to start early enough to be on time.
         """
-        rank_key = (rank.stage, guarantee_due(self._tables, rank, unit, now_ms))
+        due = guarantee_due(self._tables, rank, unit, now_ms)
+        rank_key = (rank.stage, due, rank.overdue)
         outlook = self._outlook(pool, unit, key, rank_key, now_ms)
         if outlook is None:
             outlook = self._search(
@@ -129,7 +131,7 @@
         pool: pool_module.Pool,
         unit: progress.Unit,
         key: tuple,
-        rank_key: tuple[ordering.Stage, bool],
+        rank_key: tuple[ordering.Stage, bool, bool],
         now_ms: int,
     ) -> _Outlook | None:
         """Returns an earlier outlook that is still used, None if none is.
@@ -159,7 +161,7 @@
         unit: progress.Unit,
         endpoints: list[endpoint_table.EndpointState],
         protected: set[str],
-        rank_key: tuple[ordering.Stage, bool],
+        rank_key: tuple[ordering.Stage, bool, bool],
         now_ms: int,
     ) -> _Outlook:
         """Searches running work for capacity; stops runs where that pays."""
--- a/packages/placer/tests/test_load_cheapest_batch.py
+++ b/packages/placer/tests/test_load_cheapest_batch.py
@@ -220,3 +220,35 @@
     for _ in range(40):
         sim.tick()
     assert sim.started_ms_by_id["a" * 16] <= tables.bounds.reclaim_ms
+
+
+def test_younger_overdue_work_does_not_pass_a_large_overdue_unit():
+    """Guards against a gang that starves behind small overdue work.
+
+    Load pattern: small overdue units fit what is left of the part of the pool
+    for overdue work, a gang that has been overdue for longer does not.
+    """
+    sim = _simulation(2)
+    tables = sim.tables
+    small = builders.step(estimate_ms=4_000)
+    gang = builders.step(count=2, gpu=8, gang=True, estimate_ms=4_000)
+
+    def submit(name, step, queue, waited_ms):
+        entry = sim.submit(builders.job(name * 16, step, queue=queue))
+        entry.arrived_ms -= waited_ms
+        return entry
+
+    submit("d", small, _BATCH, 400_000)
+    submit("e", builders.step(count=14, estimate_ms=4_000), _NORMAL, 0)
+    sim.tick()
+    assert _free_gpu(tables) == 1
+    submit("c", gang, _BATCH, 300_000)
+    younger = submit("b", small, _BATCH, 200_000)
+    urgent = submit("a", small, _URGENT, 0)
+    sim.tick()
+    assert urgent.runs()
+    assert not younger.runs()
+    # The gang starts as soon as the accelerators are free.
+    for _ in range(50):
+        sim.tick()
+    assert sim.started_ms_by_id["c" * 16] <= 5_000
