--- a/packages/bench/src/laburnumgate_bench/load_patterns.py
+++ b/packages/bench/src/laburnumgate_bench/load_patterns.py
@@ -24,6 +24,7 @@
       resumes_share: share of the jobs that resume from checkpoints.
       stretch: objective as a multiple of the work.
       objective_ms: constant part of the objective.
+      one_rack_share: share of the gangs that run on one rack.
     """
 
     priority: int
@@ -36,6 +37,7 @@
     resumes_share: float
     stretch: float
     objective_ms: int
+    one_rack_share: float = 0.4
 
 
 KINDS = (
@@ -45,6 +47,16 @@
 )
 
 
+# Urgent gangs of whole endpoints, most on one rack, among batch tasks with one
+# accelerator each.
+RACK_GANG_KINDS = (
+    Kind(URGENT, 0.9, 5, 2_000, 3.7, (8,), 1.0, 0.0, 1.5, 300, 0.6),
+    Kind(URGENT, 1.2, 5, 2_000, 1.8, (1, 2, 4), 0.7, 0.0, 1.5, 300, 0.6),
+    Kind(NORMAL, 0.25, 13, 8_000, 3.7, (1, 2, 4, 8), 0.7, 0.45, 3.0, 1_000),
+    Kind(BATCH, 1.1, 39, 8_000, 2.8, (1,), 0.0, 0.2, 3.0, 3_000),
+)
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class Pattern:
     """A load pattern.
@@ -58,6 +70,10 @@
       cancel_share: share of the open jobs that is cancelled at 14 s.
       slow_share: share of the endpoints that turn slow at 8 s.
       lost_racks: racks that are lost at 8 s.
+      kinds: kinds of the jobs that arrive.
+      rack_size: endpoints of a rack.
+      guaranteed_gpu: accelerators guaranteed to each account.
+      stop_ms: time that a stop takes.
     """
 
     name: str
@@ -68,6 +84,10 @@
     cancel_share: float = 0.0
     slow_share: float = 0.0
     lost_racks: int = 0
+    kinds: tuple[Kind, ...] = KINDS
+    rack_size: int = 20
+    guaranteed_gpu: int = 8
+    stop_ms: int = 200
 
 
 PATTERNS = (
@@ -79,6 +99,14 @@
     Pattern("slow-endpoints", "endpoints turn slow", slow_share=0.16),
     Pattern("lost-racks", "racks are lost", lost_racks=2),
     Pattern("overload", "more work than the pool can do", load=2.5),
+    Pattern(
+        "rack-gangs",
+        "urgent gangs need whole endpoints of one rack among batch tasks",
+        kinds=RACK_GANG_KINDS,
+        rack_size=8,
+        guaranteed_gpu=64,
+        stop_ms=900,
+    ),
 )
 
 
@@ -104,7 +132,7 @@
 ) -> Iterator[Arrival]:
     """Draws the jobs of a replay in order of time."""
     found = []
-    for kind in KINDS:
+    for kind in pattern.kinds:
         rate = kind.per_s * pattern.load * endpoints / 100
         at_s = rng.exponential(1 / rate)
         while at_s < seconds:
@@ -128,7 +156,7 @@
         ),
         estimate_ms=int(work_ms * rng.lognormal(0, 0.4)),
         gang=gang,
-        same_rack=gang and bool(rng.random() < 0.4),
+        same_rack=gang and bool(rng.random() < kind.one_rack_share),
         checkpointing=bool(rng.random() < kind.resumes_share),
     )
     return Arrival(at_ms, kind, step, work_ms)
--- a/packages/bench/src/laburnumgate_bench/replay.py
+++ b/packages/bench/src/laburnumgate_bench/replay.py
@@ -18,6 +18,7 @@
 from laburnumgate_placer import lifecycle
 from laburnumgate_placer import limits
 from laburnumgate_placer import model
+from laburnumgate_placer import policy as policy_module
 from laburnumgate_placer import progress
 from laburnumgate_placer import reclaim
 from laburnumgate_placer import scheduling
@@ -32,8 +33,6 @@
 REPORT_MS = 740
 SLOW_FACTOR = 5.0
 ACCOUNTS = 24
-GUARANTEED_GPU = 8
-RACK_SIZE = 20
 SPEEDS = (0.55, 1.2, 1.2, 1.2)
 
 
@@ -43,6 +42,7 @@
 
     Attributes:
       pattern: name of the pattern.
+      policy: policy settings that were on.
       on_time: share of the jobs on time, by priority, of those whose time was
         over by the end of the replay.
       late: share of these jobs that ended late, but were still of some use.
@@ -50,15 +50,18 @@
       lost_core_s: core-seconds that this threw away.
       pass_mean_ms: mean duration of a placement pass.
       pass_max_ms: the longest one.
+      free_gpu: mean share of the accelerators that is free.
     """
 
     pattern: str
+    policy: tuple[str, ...]
     on_time: dict[int, float]
     late: dict[int, float]
     stopped_runs: int
     lost_core_s: float
     pass_mean_ms: float
     pass_max_ms: float
+    free_gpu: float
 
 
 @dataclasses.dataclass(slots=True)
@@ -74,10 +77,15 @@
     """One replay of a pattern."""
 
     def __init__(
-        self, pattern: load_patterns.Pattern, endpoints: int, seed: int
+        self,
+        pattern: load_patterns.Pattern,
+        endpoints: int,
+        seed: int,
+        policy: policy_module.Policy | None = None,
     ):
         """Prepares endpoints, accounts and queues."""
         self._pattern = pattern
+        self._policy = policy or policy_module.Policy()
         self._rng = np.random.default_rng(seed)
         self._monotonic = clock.ManualClock(1_000_000)
         self._wall = clock.ManualClock(1_000_000)
@@ -91,6 +99,7 @@
         self._work: list[_Work] = []
         self._stops: list[tuple[int, progress.Member]] = []
         self._passes_ms: list[float] = []
+        self._free_shares: list[float] = []
         self._lost_core_s = 0.0
         self._stopped_runs = 0
         for number in range(endpoints):
@@ -114,6 +123,7 @@
             if now_ms - reported_ms >= REPORT_MS:
                 reported_ms = now_ms
                 self._report(now_ms)
+                self._free_shares.append(self._free_share())
             self._finish_stops(now_ms)
             self._finish_work(now_ms)
             self._place(now_ms)
@@ -133,10 +143,10 @@
                 stretch=kind.stretch,
                 objective_ms=kind.objective_ms,
             )
-            for kind in load_patterns.KINDS
+            for kind in self._pattern.kinds
         ]
         accounts = [
-            model.Account(f"a{n}", frozenset(), GUARANTEED_GPU)
+            model.Account(f"a{n}", frozenset(), self._pattern.guaranteed_gpu)
             for n in range(ACCOUNTS)
         ]
         config = config_table.ConfigTable()
@@ -156,18 +166,20 @@
             self._wall,
             config,
             job_table.JobTable(),
-            limits.Bounds(),
+            limits.Bounds(stop_ms=self._pattern.stop_ms),
+            self._policy,
         )
 
     def _add_endpoint(self, number: int) -> None:
         endpoint_id = f"e{number:04}"
+        rack = number // self._pattern.rack_size
         info = model.Endpoint(
             endpoint_id=endpoint_id,
             born_ms=1,
             service="pool",
             address="",
-            zone=f"z{number // RACK_SIZE % 5}",
-            rack=f"r{number // RACK_SIZE}",
+            zone=f"z{rack % 5}",
+            rack=f"r{rack}",
             labels=frozenset(),
             capacity=model.Resources(32_000, 64_000, 8),
         )
@@ -236,6 +248,12 @@
             member.base_percent = member.percent = int(done)
         self._work.append(_Work(run, run.started_ms, run.started_ms + left_ms))
 
+    def _free_share(self) -> float:
+        """Returns the share of the accelerators that is free."""
+        states = self._tables.endpoints.by_id.values()
+        total = sum(state.info.capacity.gpu for state in states)
+        return sum(state.free().gpu for state in states) / total
+
     def _report(self, now_ms: int) -> None:
         for work in self._work:
             if now_ms <= work.started_ms:
@@ -291,7 +309,7 @@
         )
 
     def _measures(self, start_ms: int) -> Measures:
-        counts = {kind.priority: [0, 0, 0] for kind in load_patterns.KINDS}
+        counts = {kind.priority: [0, 0, 0] for kind in self._pattern.kinds}
         end_ms = self._monotonic.now_ms()
         for job_id, arrival in self._arrivals_by_job.items():
             kind = arrival.kind
@@ -311,39 +329,80 @@
                 count[2] += 1
         return Measures(
             self._pattern.name,
+            _names(self._policy),
             {p: round(c[1] / max(1, c[0]), 3) for p, c in counts.items()},
             {p: round(c[2] / max(1, c[0]), 3) for p, c in counts.items()},
             self._stopped_runs,
             round(self._lost_core_s),
             round(float(np.mean(self._passes_ms)), 2),
             round(float(np.max(self._passes_ms)), 1),
+            round(float(np.mean(self._free_shares or [1.0])), 3),
         )
 
 
+def _names(policy: policy_module.Policy) -> tuple[str, ...]:
+    """Returns the names of the settings that are on."""
+    settings = dataclasses.asdict(policy)
+    return tuple(name for name, value in settings.items() if value)
+
+
+def _policies(names: tuple[str, ...]) -> list[policy_module.Policy]:
+    """Returns the policies that are compared on the same load."""
+    default = policy_module.Policy()
+    known = dataclasses.asdict(default)
+    for name in names:
+        if name not in known:
+            raise click.BadParameter(f"there is no setting {name!r}")
+    if not names:
+        return [default]
+    return [default, policy_module.Policy(**dict.fromkeys(names, True))]
+
+
 @click.command()
 @click.option("--pattern", default="all", help="Name of a pattern, or all.")
 @click.option("--seed", default=1)
 @click.option("--endpoints", default=270)
 @click.option("--seconds", default=30.0)
+@click.option(
+    "--policy",
+    "settings",
+    multiple=True,
+    help="Policy setting that is switched on; may be repeated. Each pattern is"
+    " replayed without and with the settings, on the same load.",
+)
 @click.option("--json", "as_json", is_flag=True, help="Print JSON lines.")
 def main(
-    pattern: str, seed: int, endpoints: int, seconds: float, as_json: bool
+    pattern: str,
+    seed: int,
+    endpoints: int,
+    seconds: float,
+    settings: tuple[str, ...],
+    as_json: bool,
 ) -> None:
     """Replays load patterns against the placer's decisions."""
     known = {each.name: each for each in load_patterns.PATTERNS}
     names = list(known) if pattern == "all" else [pattern]
+    policies = _policies(settings)
     for name in names:
         if name not in known:
             raise click.BadParameter(f"there is no pattern {name!r}")
-        found = Replay(known[name], endpoints, seed).run(seconds)
-        if as_json:
-            click.echo(json.dumps(dataclasses.asdict(found)))
-            continue
-        click.echo(
-            f"{found.pattern:15} on time {found.on_time} late {found.late}"
-            f" stopped {found.stopped_runs} lost {found.lost_core_s} core-s"
-            f" pass {found.pass_mean_ms} ms, most {found.pass_max_ms} ms"
-        )
+        for policy in policies:
+            found = Replay(known[name], endpoints, seed, policy).run(seconds)
+            click.echo(_line(found, as_json, len(policies) > 1))
+
+
+def _line(found: Measures, as_json: bool, compared: bool) -> str:
+    if as_json:
+        return json.dumps(dataclasses.asdict(found))
+    policy = ""
+    if compared:
+        policy = f" policy {'+'.join(found.policy) or 'default'}:"
+    return (
+        f"{found.pattern:15}{policy} on time {found.on_time} late {found.late}"
+        f" stopped {found.stopped_runs} lost {found.lost_core_s} core-s"
+        f" free {found.free_gpu}"
+        f" pass {found.pass_mean_ms} ms, most {found.pass_max_ms} ms"
+    )
 
 
 if __name__ == "__main__":
--- a/packages/placer/src/laburnumgate_placer/durations.py
+++ b/packages/placer/src/laburnumgate_placer/durations.py
@@ -21,8 +21,8 @@
 class DurationTable:
     """Expected durations of steps, from their progress or queue history."""
 
-    def __init__(self):
-        self.speeds = speeds.SpeedTable()
+    def __init__(self, *, gangs_share_pace: bool = False):
+        self.speeds = speeds.SpeedTable(gangs_share_pace=gangs_share_pace)
         self._log_ratio_by_queue: dict[str, float] = {}
 
     def expected_ms(self, job: model.Job, number: int) -> float:
@@ -62,6 +62,7 @@
             self._declared_ms(unit.entry.job, key.step),
             member.percent - member.base_percent,
             member.percent_at_ms - member.base_ms,
+            gang=unit.size > 1,
         )
 
     def record_completed(self, run: progress.Run) -> None:
--- a/packages/placer/src/laburnumgate_placer/lookahead.py
+++ b/packages/placer/src/laburnumgate_placer/lookahead.py
@@ -95,6 +95,8 @@
         protected: set[str],
         key: tuple,
         now_ms: int,
+        *,
+        may_stop: bool = True,
     ) -> bool:
         """Preempts runs or reserves endpoints for a unit that does not fit.
 
@@ -106,6 +108,7 @@
           protected: ids of jobs that are covered by guarantees.
           key: identifies the step and the kind of endpoints.
           now_ms: monotonic time.
+          may_stop: whether runs may be stopped for it.
 
         Returns:
           Whether the unit is expected to start early enough to be on time.
@@ -114,7 +117,14 @@
         outlook = self._outlook(pool, unit, key, rank_key, now_ms)
         if outlook is None:
             outlook = self._search(
-                pool, rank, unit, endpoints, protected, rank_key, now_ms
+                pool,
+                rank,
+                unit,
+                endpoints,
+                protected,
+                rank_key,
+                now_ms,
+                may_stop=may_stop,
             )
             if unit.key in self._reclaimed_by_unit:
                 key = (*key, unit.key.index)
@@ -161,6 +171,8 @@
         protected: set[str],
         rank_key: tuple[ordering.Stage, bool],
         now_ms: int,
+        *,
+        may_stop: bool,
     ) -> _Outlook:
         """Searches running work for capacity; stops runs where that pays."""
         pool.lookaheads += 1
@@ -178,9 +190,11 @@
                 now_ms,
             )
         in_time = expected is not None and expected.start_ms <= rank.due_ms
-        scope = self._preemption_scope(
-            pool, rank, unit, protected, in_time, now_ms
-        )
+        scope = None
+        if may_stop:
+            scope = self._preemption_scope(
+                pool, rank, unit, protected, in_time, now_ms
+            )
         if scope is not None and rank.work is not None:
             scope = self._bounded_by_loss(scope, rank, unit, expected, now_ms)
         if self._reclaim(pool, rank, unit, endpoints, scope, now_ms):
--- a/packages/placer/src/laburnumgate_placer/metrics.py
+++ b/packages/placer/src/laburnumgate_placer/metrics.py
@@ -70,6 +70,10 @@
     "laburnumgate_account_held_total",
     "How often an account was held back by its limit.",
 )
+HEADROOM_ENDPOINTS = _gauge(
+    "laburnumgate_headroom_endpoints",
+    "Endpoints that patient work leaves free for urgent gangs, by service.",
+)
 ACCEPT_SECONDS = DurationHistogram(
     "laburnumgate_accept_seconds", "From a submission to its answer."
 )
--- a/packages/placer/src/laburnumgate_placer/placement.py
+++ b/packages/placer/src/laburnumgate_placer/placement.py
@@ -47,11 +47,26 @@
       spread: whether a same-rack gang may run on several racks, where it is
         slower.
       preference: which of several possible endpoints it prefers.
+      spare_speed: endpoints known to be at least this fast are left to
+        urgent work if `PACKED`; 0 for none.
     """
 
     min_speed: float = 0.0
     spread: bool = False
     preference: Preference = Preference.SLOWEST
+    spare_speed: float = 0.0
+
+    def spares(self, speed_table: speeds.SpeedTable, endpoint_id: str) -> bool:
+        """Whether an endpoint is left to urgent work if possible.
+
+        Urgent gangs are late on slower endpoints. Endpoints of unknown speed
+        are not spared: patient work there shows how fast they are.
+        """
+        return (
+            self.spare_speed > 0
+            and speed_table.is_known(endpoint_id)
+            and speed_table.speed(endpoint_id) >= self.spare_speed
+        )
 
     def is_met_by(self, speed: float) -> bool:
         """Whether work at this estimated speed is expected to end in time."""
@@ -101,7 +116,7 @@
     )
     if chosen is not None:
         return chosen
-    if not requirement.spread and _fits_in_empty_rack(unit, endpoints):
+    if not requirement.spread and fits_in_empty_rack(unit, endpoints):
         return None
     return _fill(unit.size, ordered, slots_by_id)
 
@@ -125,7 +140,7 @@
         slots_by_rack[state.info.rack] += slots
     if max(slots_by_rack.values()) >= unit.size:
         return True
-    return requirement.spread or not _fits_in_empty_rack(unit, endpoints)
+    return requirement.spread or not fits_in_empty_rack(unit, endpoints)
 
 
 def choose_some(
@@ -300,6 +315,7 @@
         not fast_enough,
         0 if fast_enough else -bucket,
         bool(state.failing_jobs or state.suspects),
+        requirement.spares(speed_table, endpoint_id),
         whole,
         idle.count_by_rack[info.rack],
         # Whole endpoints are taken from one rack after the other.
@@ -387,6 +403,14 @@
         bucket = _speed_bucket(slowest)
         left = sum(slots_by_id[s.info.endpoint_id] for s in states)
         whole = len(idle.endpoint_ids.intersection(chosen))
+        if requirement.spare_speed:
+            # Whole endpoints that urgent gangs are late on need no sparing.
+            whole = sum(
+                1
+                for endpoint_id in set(chosen)
+                if endpoint_id in idle.endpoint_ids
+                and requirement.spares(speed_table, endpoint_id)
+            )
         sort_key = (
             rack != unit.step.data_rack,
             not fast_enough,
@@ -401,7 +425,7 @@
     return best[1] if best is not None else None
 
 
-def _fits_in_empty_rack(
+def fits_in_empty_rack(
     unit: progress.Unit, endpoints: list[endpoint_table.EndpointState]
 ) -> bool:
     """Whether the unit would fit in at least one rack if it were empty."""
--- a/packages/placer/src/laburnumgate_placer/pool.py
+++ b/packages/placer/src/laburnumgate_placer/pool.py
@@ -26,6 +26,10 @@
       holders_by_id: units for which runs were stopped, by the ids of the
         endpoints that are held for them.
       reservations_by_unit: reservations of higher-ranked units.
+      headroom_ids: ids of the endpoints that patient units leave free for
+        urgent gangs.
+      urgent_speed: lowest endpoint speed at which most of them are on time; 0
+        if none is expected.
     """
 
     endpoints: list[endpoint_table.EndpointState]
@@ -38,6 +42,8 @@
     reservations_by_unit: dict[model.UnitKey, reservation.Reservation] = (
         dataclasses.field(default_factory=dict)
     )
+    headroom_ids: frozenset[str] = frozenset()
+    urgent_speed: float = 0.0
 
     def allocate(self, resources: model.Resources, chosen: list[str]) -> None:
         """Deducts a task's capacity from each of the chosen endpoints."""
@@ -108,6 +114,13 @@
                 found.append(state)
         return found
 
+    def outside_headroom(
+        self, endpoints: list[endpoint_table.EndpointState]
+    ) -> list[endpoint_table.EndpointState]:
+        """Returns those of the endpoints that are not kept for urgent gangs."""
+        headroom_ids = self.headroom_ids
+        return [s for s in endpoints if s.info.endpoint_id not in headroom_ids]
+
     def cores(self) -> float:
         """Returns the total cores, with accelerators converted to cores."""
         return sum(
--- a/packages/placer/src/laburnumgate_placer/scheduling.py
+++ b/packages/placer/src/laburnumgate_placer/scheduling.py
@@ -13,6 +13,7 @@
 from laburnumgate_placer import pool as pool_module
 from laburnumgate_placer import progress
 from laburnumgate_placer import tables as tables_module
+from laburnumgate_placer import urgent_room
 from laburnumgate_placer.accounts import holds
 
 _LOGGER = logging.getLogger(__name__)
@@ -33,6 +34,7 @@
         self._tables = tables
         self._look_ahead = lookahead.LookAhead(tables)
         self._holds = holds.AccountHolds(tables)
+        self._room = urgent_room.UrgentRoom(tables)
         self._reported_steps: set[tuple[str, int, int]] = set()
 
     def run(self) -> None:
@@ -45,6 +47,7 @@
         waiting = ordering.waiting_steps(tables, protected, now_ms)
         if not waiting:
             self._reported_steps.clear()
+        self._room.observe(waiting, now_ms)
         # What is held for units that their accounts' limits hold back is
         # released before anything is placed.
         self._look_ahead.forget(self._holds.startable(waiting), now_ms)
@@ -68,6 +71,7 @@
             except Exception as error:  # Must not keep other jobs waiting.
                 self._set_aside(step, error, now_ms)
         self._holds.end_pass(now_ms)
+        self._room.end_pass(now_ms)
 
     def _set_aside(
         self, waiting: ordering.WaitingStep, error: Exception, now_ms: int
@@ -146,20 +150,34 @@
             if unit.avoided_endpoints == first.avoided_endpoints
             and not unit.suspected
         ]
-        chosen = placement.choose_some(
-            first,
-            len(equal),
-            endpoints,
-            pool.free_by_id,
-            self._tables.durations.speeds,
-            rank.requirement(),
-            pool.endpoints,
-        )
-        for unit, endpoint_id in zip(equal, chosen, strict=False):
-            self._assign(pool, unit, [endpoint_id], {}, now_ms)
-        placed = {id(unit) for unit in equal[: len(chosen)]}
+        choices = [endpoints]
+        if self._leaves_headroom(pool, rank):
+            choices = [pool.outside_headroom(endpoints)]
+            if not self._room.holds_back(rank, first, now_ms):
+                choices.append(endpoints)
+        count = 0
+        for choice in choices:
+            chosen = placement.choose_some(
+                first,
+                len(equal) - count,
+                choice,
+                pool.free_by_id,
+                self._tables.durations.speeds,
+                _requirement_in(pool, rank),
+                pool.endpoints,
+            )
+            for unit, endpoint_id in zip(equal[count:], chosen, strict=False):
+                self._assign(pool, unit, [endpoint_id], {}, now_ms)
+            count += len(chosen)
+        placed = {id(unit) for unit in equal[:count]}
         return [unit for unit in units if id(unit) not in placed]
 
+    def _leaves_headroom(
+        self, pool: pool_module.Pool, rank: ordering.Rank
+    ) -> bool:
+        """Whether a unit prefers endpoints not reserved for urgent gangs."""
+        return rank.priority > 0 and bool(pool.headroom_ids)
+
     def _pool(self, service: str, now_ms: int) -> pool_module.Pool:
         tables = self._tables
         usable = tables.endpoints.usable(
@@ -168,6 +186,8 @@
         free = {s.info.endpoint_id: s.free() for s in usable}
         pool = pool_module.Pool(usable, free)
         self._look_ahead.hold_all(pool)
+        pool.headroom_ids = self._room.reserved_ids(service, pool, now_ms)
+        pool.urgent_speed = self._room.urgent_speed(service)
         return pool
 
     def _place(
@@ -198,10 +218,16 @@
         guarantee_due = lookahead.guarantee_due(
             self._tables, rank, unit, now_ms
         )
+        if self._leaves_headroom(pool, rank):
+            outcome = self._place_outside_headroom(
+                pool, rank, unit, endpoints, protected, tickets, fit_key, now_ms
+            )
+            if outcome is not None:
+                return outcome
         if rank.stage == ordering.Stage.ON_TIME and not guarantee_due:
             fast = self._fast_endpoints(endpoints, rank)
             if len(fast) < len(endpoints):
-                requirement = rank.requirement()
+                requirement = _requirement_in(pool, rank)
                 fast_key = ("fast", *_step_key(unit))
                 if self._start(
                     pool, requirement, unit, fast, tickets, fast_key, now_ms
@@ -234,6 +260,56 @@
         )
         return False
 
+    def _place_outside_headroom(
+        self,
+        pool: pool_module.Pool,
+        rank: ordering.Rank,
+        unit: progress.Unit,
+        endpoints: list[endpoint_table.EndpointState],
+        protected: set[str],
+        tickets: dict[str, str],
+        fit_key: tuple,
+        now_ms: int,
+    ) -> bool | None:
+        """Places a patient unit outside of what urgent gangs need.
+
+        No run is stopped for a unit that is held back.
+
+        Returns:
+          Whether it was assigned, or None if it may use any endpoint.
+        """
+        outside = pool.outside_headroom(endpoints)
+        if len(outside) == len(endpoints):
+            return None
+        if rank.stage == ordering.Stage.ON_TIME:
+            outside = self._fast_endpoints(outside, rank)
+        if (
+            unit.step.same_rack
+            and unit.size > 1
+            and not placement.fits_in_empty_rack(unit, outside)
+        ):
+            # It would be spread over several racks, or never fit.
+            return None
+        requirement = _requirement_in(pool, rank)
+        key = ("outside", rank.min_speed, *fit_key)
+        if self._start(pool, requirement, unit, outside, tickets, key, now_ms):
+            return True
+        if not self._room.holds_back(rank, unit, now_ms):
+            return None
+        if unit.size > 1 and not self._look_ahead.reclaim_or_reserve(
+            pool,
+            rank,
+            unit,
+            outside,
+            protected,
+            ("outside", *_step_key(unit)),
+            now_ms,
+            may_stop=False,
+        ):
+            return None
+        self._log_not_placed(pool, rank, unit)
+        return False
+
     def _endpoints_for(
         self,
         pool: pool_module.Pool,
@@ -262,7 +338,7 @@
 
         The same-rack constraint is dropped as described at `SPREAD_AFTER_MS`.
         """
-        requirement = rank.requirement()
+        requirement = _requirement_in(pool, rank)
         if not unit.step.same_rack or not pool.is_half_idle():
             return requirement
         waited_ms = now_ms - unit.ready_ms
@@ -369,6 +445,16 @@
         self._look_ahead.assigned(pool, run, now_ms)
 
 
+def _requirement_in(
+    pool: pool_module.Pool, rank: ordering.Rank
+) -> placement.Requirement:
+    """Returns the requirement of a unit in the pool of this pass."""
+    requirement = rank.requirement()
+    if rank.priority == 0 or not pool.urgent_speed:
+        return requirement
+    return dataclasses.replace(requirement, spare_speed=pool.urgent_speed)
+
+
 def _fit_key(unit: progress.Unit) -> tuple:
     """Returns a key shared by units that need the same placement.
 
--- a/packages/placer/src/laburnumgate_placer/speeds.py
+++ b/packages/placer/src/laburnumgate_placer/speeds.py
@@ -32,6 +32,9 @@
 # are off by half, would set that factor, so from this number of known endpoints
 # on, speeds are normalised to a median of 1.
 MIN_ENDPOINTS_TO_NORMALISE = 8
+# If the rates on all endpoints of a gang differ by less than this factor, its
+# tasks are taken to wait for each other.
+SHARED_PACE_RATIO = 1.1
 MIN_LOG_SPEED = math.log(0.05)
 MAX_LOG_SPEED = math.log(4.0)
 
@@ -43,15 +46,24 @@
     Attributes:
       declared: logarithm of the declared duration in ms.
       work: logarithm of the estimated work in ms at speed 1.
+      gang: whether its tasks may progress at the pace of the slowest one.
       rates_by_endpoint: logarithms of the rates per ms, by endpoint and task.
     """
 
     declared: float
     work: float
+    gang: bool = False
     rates_by_endpoint: dict[str, dict[int, float]] = dataclasses.field(
         default_factory=dict
     )
 
+    def shares_pace(self) -> bool:
+        """Whether tasks of a gang progress at the pace of the slowest one."""
+        if not self.gang or len(self.rates_by_endpoint) < 2:
+            return False
+        rates = [self.rate(each)[0] for each in self.rates_by_endpoint]
+        return max(rates) - min(rates) < math.log(SHARED_PACE_RATIO)
+
     def rate(self, endpoint_id: str) -> tuple[float, int]:
         """Returns the mean rate on an endpoint and its weight."""
         rates = self.rates_by_endpoint[endpoint_id]
@@ -60,9 +72,17 @@
 
 
 class SpeedTable:
-    """Estimated speeds of endpoints, relative to a median endpoint."""
+    """Estimated speeds of endpoints, relative to a median endpoint.
 
-    def __init__(self):
+    Args:
+      gangs_share_pace: whether a gang whose tasks all progress alike tells
+        nothing about the endpoints that are faster than its slowest one.
+        Otherwise a slow endpoint that only runs gangs counts as fast as the
+        others.
+    """
+
+    def __init__(self, *, gangs_share_pace: bool = False):
+        self._gangs_share_pace = gangs_share_pace
         self._log_speed_by_endpoint: dict[str, float] = {}
         self._speed_by_endpoint: dict[str, float] = {}
         self._steps_by_key: collections.OrderedDict[tuple, _StepRates] = (
@@ -79,6 +99,8 @@
         declared_ms: float,
         percent: float,
         worked_ms: float,
+        *,
+        gang: bool = False,
     ) -> None:
         """Records the latest rate of a task.
 
@@ -89,13 +111,16 @@
           declared_ms: expected duration before any observation.
           percent: percentage of the work completed in `worked_ms`.
           worked_ms: duration of the observation.
+          gang: whether the tasks of the step run as a gang.
         """
         if percent < MIN_PERCENT or percent >= 100 or worked_ms <= 0:
             return
         step = self._steps_by_key.get(key)
         if step is None:
             declared = math.log(max(1.0, declared_ms))
-            step = _StepRates(declared, declared)
+            step = _StepRates(
+                declared, declared, gang and self._gangs_share_pace
+            )
             self._steps_by_key[key] = step
             if len(self._steps_by_key) > MAX_STEPS:
                 self._steps_by_key.popitem(last=False)
@@ -113,6 +138,10 @@
         """Returns an endpoint's speed, or 1.0 if it is unknown."""
         return self._speed_by_endpoint.get(endpoint_id, 1.0)
 
+    def is_known(self, endpoint_id: str) -> bool:
+        """Whether the speed of an endpoint has been estimated."""
+        return endpoint_id in self._speed_by_endpoint
+
     def work_ms(self, key: tuple) -> float | None:
         """Returns the estimated duration of a step at speed 1, if observed."""
         step = self._steps_by_key.get(key)
@@ -168,6 +197,9 @@
             step.work -= shift
 
     def _solve_work(self, step: _StepRates) -> None:
+        if step.shares_pace():
+            self._solve_shared_work(step)
+            return
         total = WORK_PRIOR_WEIGHT * step.declared
         weight = WORK_PRIOR_WEIGHT
         for endpoint_id in step.rates_by_endpoint:
@@ -177,6 +209,16 @@
             weight += count
         step.work = total / weight
 
+    def _solve_shared_work(self, step: _StepRates) -> None:
+        """Estimates the work of a gang from its slowest endpoint."""
+        slowest = min(
+            self._log_speed_by_endpoint.get(endpoint_id, 0.0)
+            for endpoint_id in step.rates_by_endpoint
+        )
+        rate = max(step.rate(each)[0] for each in step.rates_by_endpoint)
+        total = WORK_PRIOR_WEIGHT * step.declared + slowest - rate
+        step.work = total / (WORK_PRIOR_WEIGHT + 1)
+
     def _solve_speed(self, endpoint_id: str) -> None:
         total = 0.0
         weight = SPEED_PRIOR_WEIGHT
@@ -184,6 +226,8 @@
             step = self._steps_by_key.get(key)
             if step is None or endpoint_id not in step.rates_by_endpoint:
                 continue
+            if step.shares_pace():
+                continue
             rate, count = step.rate(endpoint_id)
             total += count * (rate + step.work)
             weight += count
--- a/packages/placer/src/laburnumgate_placer/tables.py
+++ b/packages/placer/src/laburnumgate_placer/tables.py
@@ -48,7 +48,10 @@
         self.bounds = bounds
         self.policy = policy or policy_module.Policy()
         self.endpoints = endpoint_table.EndpointTable(bounds.max_list_age_ms)
-        self.durations = durations.DurationTable()
+        self.durations = durations.DurationTable(
+            # Endpoints that are left to urgent gangs run little else.
+            gangs_share_pace=self.policy.urgent_headroom
+        )
         self.advice = advice.AdviceTable()
         self.crashes = crashes.CrashTable()
         self.usage = usage.UsageLedger()
