--- a/packages/placer/src/laburnumgate_placer/overload/headroom.py
+++ b/packages/placer/src/laburnumgate_placer/overload/headroom.py
@@ -30,7 +30,7 @@
 REPLACE_ENDPOINTS = 2.0
 # Maximum time, from when it could have started, for which a patient unit is
 # kept off reserved endpoints.
-MAX_HOLD_MS = 8_000
+MAX_HOLD_MS = 15_000
 # Share of its expected work that a patient unit keeps as slack. Declared
 # durations are off by half.
 MIN_SLACK_SHARE = 0.5
--- a/packages/placer/src/laburnumgate_placer/placement.py
+++ b/packages/placer/src/laburnumgate_placer/placement.py
@@ -49,12 +49,15 @@
       preference: which of several possible endpoints it prefers.
       spare_speed: endpoints known to be at least this fast are left to
         urgent work if `PACKED`; 0 for none.
+      keep_racks: whether, of endpoints that are equal otherwise, those in
+        racks with the fewest whole endpoints are preferred.
     """
 
     min_speed: float = 0.0
     spread: bool = False
     preference: Preference = Preference.SLOWEST
     spare_speed: float = 0.0
+    keep_racks: bool = False
 
     def spares(self, speed_table: speeds.SpeedTable, endpoint_id: str) -> bool:
         """Whether an endpoint is left to urgent work if possible.
@@ -257,8 +260,9 @@
     endpoints: list[endpoint_table.EndpointState],
     free_by_id: dict[str, model.Resources],
 ) -> _Idle:
-    """Finds the endpoints that a packed unit should leave whole."""
-    if requirement.preference != Preference.PACKED:
+    """Finds the endpoints that a unit should leave whole if possible."""
+    packed = requirement.preference == Preference.PACKED
+    if not (packed or requirement.keep_racks):
         return _Idle()
     endpoint_ids = set()
     count_by_rack: collections.Counter[str] = collections.Counter()
@@ -289,7 +293,9 @@
         )
         return allowed
     allowed.sort(
-        key=lambda s: _sort_key(unit, s, slots_by_id, speed_table, requirement)
+        key=lambda s: _sort_key(
+            unit, s, slots_by_id, speed_table, requirement, idle
+        )
     )
     return allowed
 
@@ -332,6 +338,7 @@
     slots_by_id: dict[str, int],
     speed_table: speeds.SpeedTable,
     requirement: Requirement,
+    idle: _Idle,
 ) -> tuple:
     endpoint_id = state.info.endpoint_id
     data_rack = unit.step.data_rack
@@ -359,6 +366,7 @@
         bucket if fast_enough and not fastest else -bucket,
         bool(state.failing_jobs or state.suspects),
         slots_by_id[endpoint_id],
+        idle.count_by_rack[state.info.rack],
         endpoint_id,
     )
 
--- a/packages/placer/src/laburnumgate_placer/scheduling.py
+++ b/packages/placer/src/laburnumgate_placer/scheduling.py
@@ -450,8 +450,11 @@
 ) -> placement.Requirement:
     """Returns the requirement of a unit in the pool of this pass."""
     requirement = rank.requirement()
-    if rank.priority == 0 or not pool.urgent_speed:
+    if not pool.urgent_speed:
         return requirement
+    if rank.priority == 0:
+        # Gangs that need no rack of their own leave whole racks to others.
+        return dataclasses.replace(requirement, keep_racks=True)
     return dataclasses.replace(requirement, spare_speed=pool.urgent_speed)
 
 
