--- a/packages/bench/tests/test_replay.py
+++ b/packages/bench/tests/test_replay.py
@@ -1,10 +1,12 @@
 """Tests of the replay of load patterns against the placer's decisions."""
 
 import dataclasses
+import json
 
 from click import testing
 from laburnumgate_bench import load_patterns
 from laburnumgate_bench import replay
+from laburnumgate_placer import policy
 import pytest
 
 
@@ -47,3 +49,27 @@
     assert result.output.startswith("steady")
     result = testing.CliRunner().invoke(replay.main, ["--pattern", "no"])
     assert result.exit_code == 2
+
+
+def test_a_policy_setting_is_compared_on_the_same_load():
+    """Guards against figures of a setting that was not on, or another load."""
+    arguments = ["--pattern", "steady", "--endpoints", "20", "--seconds", "2"]
+    arguments += ["--policy", "urgent_headroom", "--json"]
+    result = testing.CliRunner().invoke(replay.main, arguments)
+    assert result.exit_code == 0
+    lines = [json.loads(line) for line in result.output.splitlines()]
+    assert [line["policy"] for line in lines] == [[], ["urgent_headroom"]]
+    arguments = ["--pattern", "steady", "--policy", "no"]
+    result = testing.CliRunner().invoke(replay.main, arguments)
+    assert result.exit_code == 2
+
+
+def test_headroom_saves_stops_and_keeps_urgent_work_on_time():
+    """Guards against headroom that costs more work than the stops it saves."""
+    pattern = next(p for p in load_patterns.PATTERNS if p.name == "rack-gangs")
+    on = policy.Policy(urgent_headroom=True, urgent_on_fastest=True)
+    without = replay.Replay(pattern, 96, 2).run(45)
+    with_headroom = replay.Replay(pattern, 96, 2, on).run(45)
+    assert with_headroom.stopped_runs < 0.5 * without.stopped_runs
+    for priority, share in without.on_time.items():
+        assert with_headroom.on_time[priority] >= share
--- a/packages/placer/src/laburnumgate_placer/overload/headroom.py
+++ b/packages/placer/src/laburnumgate_placer/overload/headroom.py
@@ -138,7 +138,8 @@
             if not whole:
                 continue
             counts[arrival.shape] += arrival.count
-            concurrent = arrival.count * arrival.run_ms / window_ms
+            run_ms = min(arrival.run_ms, WINDOW_MS)
+            concurrent = arrival.count * run_ms / window_ms
             mean += concurrent * whole
             variance += concurrent * whole * whole
             largest = max(largest, whole)
--- a/packages/placer/src/laburnumgate_placer/scheduling.py
+++ b/packages/placer/src/laburnumgate_placer/scheduling.py
@@ -186,8 +186,7 @@
         free = {s.info.endpoint_id: s.free() for s in usable}
         pool = pool_module.Pool(usable, free)
         self._look_ahead.hold_all(pool)
-        pool.headroom_ids = self._room.reserved_ids(service, pool, now_ms)
-        pool.urgent_speed = self._room.urgent_speed(service)
+        self._room.reserve(service, pool, now_ms)
         return pool
 
     def _place(
--- a/packages/placer/src/laburnumgate_placer/urgent_room.py
+++ b/packages/placer/src/laburnumgate_placer/urgent_room.py
@@ -21,6 +21,8 @@
 UPDATE_MS = 200
 # Minimum interval between two events `HEADROOM_CHANGED` of one service.
 LOG_INTERVAL_MS = 1_000
+# Pause after an unexpected error, so that it is not logged in every pass.
+ERROR_PAUSE_MS = 5_000
 
 
 class _Reserved:
@@ -30,8 +32,8 @@
         self.history = headroom.History(now_ms)
         self.need = headroom.Need()
         self.endpoint_ids: frozenset[str] = frozenset()
-        self.updated_ms: int | None = None
-        self.logged_ms: int | None = None
+        self.update_due_ms = now_ms
+        self.log_due_ms = now_ms
         self.logged_count = 0
 
 
@@ -45,50 +47,46 @@
         self._counted: collections.OrderedDict[tuple[str, int, int], int] = (
             collections.OrderedDict()
         )
+        self._paused_until_ms = 0
 
     def observe(self, waiting: list[ordering.WaitingStep], now_ms: int) -> None:
         """Records the urgent units among the waiting ones, each step once."""
         if not self._tables.policy.urgent_headroom:
             return
-        counted = self._counted
-        while counted:
-            key, until_ms = next(iter(counted.items()))
-            if until_ms > now_ms:
-                break
-            del counted[key]
-        for step in waiting:
-            if step.rank.priority != 0:
-                continue
-            unit = step.units[0]
-            key = (unit.key.job_id, unit.key.occurrence, unit.key.step)
-            if key in counted:
-                # Still waiting, or waiting again: it is not forgotten yet.
-                counted[key] = now_ms + headroom.WINDOW_MS
-                counted.move_to_end(key)
-                continue
-            counted[key] = now_ms + headroom.WINDOW_MS
-            self._record(step, now_ms)
+        try:
+            self._observe(waiting, now_ms)
+        except Exception as error:  # The pass continues without it.
+            self._fail(error, now_ms)
 
-    def reserved_ids(
+    def reserve(
         self, service: str, pool: pool_module.Pool, now_ms: int
-    ) -> frozenset[str]:
-        """Returns the endpoints that patient units leave free."""
+    ) -> None:
+        """Tells a pool which endpoints patient units leave free."""
         reserved = self._reserved_by_service.get(service)
-        if reserved is None:
-            return frozenset()
-        if (
-            reserved.updated_ms is None
-            or now_ms - reserved.updated_ms >= UPDATE_MS
-        ):
-            reserved.updated_ms = now_ms
-            self._update(reserved, pool, now_ms)
+        if reserved is None or now_ms < self._paused_until_ms:
+            return
+        if now_ms >= reserved.update_due_ms:
+            reserved.update_due_ms = now_ms + UPDATE_MS
+            try:
+                self._update(reserved, pool, now_ms)
+            except Exception as error:  # The pass continues without it.
+                self._fail(error, now_ms)
+                return
             self._report(service, reserved, now_ms)
-        return reserved.endpoint_ids
+        pool.headroom_ids = reserved.endpoint_ids
+        pool.urgent_speed = reserved.need.speed
 
-    def urgent_speed(self, service: str) -> float:
-        """Returns the endpoint speed that most of the urgent work needs."""
-        reserved = self._reserved_by_service.get(service)
-        return reserved.need.speed if reserved is not None else 0.0
+    def end_pass(self, now_ms: int) -> None:
+        """Ends reservations of services for which nothing waits any more."""
+        for service, reserved in self._reserved_by_service.items():
+            if not reserved.endpoint_ids and not reserved.logged_count:
+                continue
+            if now_ms < reserved.update_due_ms + LOG_INTERVAL_MS:
+                continue
+            if not reserved.history.prune(now_ms):
+                reserved.endpoint_ids = frozenset()
+                reserved.need = headroom.Need()
+                self._report(service, reserved, now_ms)
 
     def holds_back(
         self, rank: ordering.Rank, unit: progress.Unit, now_ms: int
@@ -105,21 +103,40 @@
             slack_ms = math.inf
         return headroom.holds_back(slack_ms, work_ms, now_ms - unit.ready_ms)
 
-    def end_pass(self, now_ms: int) -> None:
-        """Ends reservations of services for which nothing waits any more."""
-        for service, reserved in self._reserved_by_service.items():
-            updated_ms = reserved.updated_ms
-            if not reserved.endpoint_ids and not reserved.logged_count:
-                continue
-            if updated_ms is None or now_ms - updated_ms < LOG_INTERVAL_MS:
+    def _fail(self, error: Exception, now_ms: int) -> None:
+        """Reserves nothing for a while after an unexpected error."""
+        self._paused_until_ms = now_ms + ERROR_PAUSE_MS
+        events.emit(
+            _LOGGER,
+            events.Event.TASK_FAILED,
+            task="UrgentRoom",
+            reason=repr(error),
+        )
+
+    def _observe(
+        self, waiting: list[ordering.WaitingStep], now_ms: int
+    ) -> None:
+        counted = self._counted
+        while counted:
+            key, until_ms = next(iter(counted.items()))
+            if until_ms > now_ms:
+                break
+            del counted[key]
+        for step in waiting:
+            if step.rank.priority != 0:
                 continue
-            if not reserved.history.prune(now_ms):
-                reserved.endpoint_ids = frozenset()
-                reserved.need = headroom.Need()
-                self._report(service, reserved, now_ms)
+            unit = step.units[0]
+            key = (unit.key.job_id, unit.key.occurrence, unit.key.step)
+            if key not in counted:
+                self._record(step, now_ms)
+            # A step that still waits, or waits again, is not forgotten.
+            counted[key] = now_ms + headroom.WINDOW_MS
+            counted.move_to_end(key)
 
     def _record(self, step: ordering.WaitingStep, now_ms: int) -> None:
         unit = step.units[0]
+        if unit.step.long_running:
+            return
         job = unit.entry.job
         service = self._tables.queue_of(job).service
         reserved = self._reserved_by_service.get(service)
@@ -191,14 +208,9 @@
     def _report(self, service: str, reserved: _Reserved, now_ms: int) -> None:
         """Reports a changed number of reserved endpoints."""
         count = len(reserved.endpoint_ids)
-        if count == reserved.logged_count:
-            return
-        if (
-            reserved.logged_ms is not None
-            and now_ms - reserved.logged_ms < LOG_INTERVAL_MS
-        ):
+        if count == reserved.logged_count or now_ms < reserved.log_due_ms:
             return
-        reserved.logged_ms = now_ms
+        reserved.log_due_ms = now_ms + LOG_INTERVAL_MS
         reserved.logged_count = count
         metrics.HEADROOM_ENDPOINTS.set({"service": service}, count)
         events.emit(
