--- a/packages/placer/src/laburnumgate_placer/leader.py
+++ b/packages/placer/src/laburnumgate_placer/leader.py
@@ -173,6 +173,7 @@
             await self._placement_loop()
         finally:
             metrics.LEADING.set({}, 0)
+            self._scheduler.end_term()
             for task in self._tasks:
                 task.cancel()
 
--- a/packages/placer/src/laburnumgate_placer/overload/headroom.py
+++ b/packages/placer/src/laburnumgate_placer/overload/headroom.py
@@ -134,16 +134,17 @@
         largest = rack_part = 0
         speeds = []
         for arrival in self._arrivals:
-            whole = arrival.shape.endpoints(endpoint_gpu)
+            shape = arrival.shape
+            whole = shape.endpoints(endpoint_gpu)
             if not whole:
                 continue
-            counts[arrival.shape] += arrival.count
+            counts[shape] += arrival.count
             run_ms = min(arrival.run_ms, WINDOW_MS)
             concurrent = arrival.count * run_ms / window_ms
             mean += concurrent * whole
             variance += concurrent * whole * whole
             largest = max(largest, whole)
-            if arrival.shape.one_rack and whole <= rack_size:
+            if shape.one_rack and whole <= rack_size:
                 rack_part = max(rack_part, whole)
             speeds.append(arrival.speed)
         if not counts:
@@ -159,22 +160,20 @@
         )
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
+# Not frozen, which would triple the time to create hundreds of them.
+@dataclasses.dataclass(slots=True)
 class Candidate:
-    """An endpoint that may be reserved.
+    """An endpoint that is fast enough to be reserved.
 
     Attributes:
       endpoint_id: its id.
       rack: its rack.
       free_share: share of its accelerators that patient work does not use.
-      fast: whether urgent work is known to be on time there. Patient work
-        shows how fast an endpoint is.
     """
 
     endpoint_id: str
     rack: str
     free_share: float
-    fast: bool
 
 
 def choose(
@@ -184,35 +183,38 @@
 
     Endpoints are reserved rack by rack, so that gangs on one rack fit: racks
     that could hold the largest of these gangs first, of these the ones that are
-    nearly whole, and
-    only endpoints that are known to be fast enough.
+    nearly whole.
 
     Args:
       need: the expected need.
-      candidates: the endpoints of the pool.
+      candidates: the endpoints that are known to be fast enough. Patient work
+        shows how fast an endpoint is.
       reserved: ids of the endpoints that are reserved already.
     """
     if not need.endpoints:
         return frozenset()
     by_rack: dict[str, list[Candidate]] = {}
     for candidate in candidates:
-        if candidate.fast:
-            by_rack.setdefault(candidate.rack, []).append(candidate)
+        by_rack.setdefault(candidate.rack, []).append(candidate)
     ranked = []
     for rack, members in by_rack.items():
-        members.sort(key=lambda c: (-c.free_share, c.endpoint_id))
-        part = members[: need.rack_part or len(members)]
-        free = sum(c.free_share for c in part)
-        if any(c.endpoint_id in reserved for c in members):
-            free += REPLACE_ENDPOINTS
-        ranked.append((len(part) < need.rack_part, -free, rack))
+        size = need.rack_part or len(members)
+        shares = sorted([c.free_share for c in members], reverse=True)
+        free = sum(shares[:size])
+        for candidate in members:
+            if candidate.endpoint_id in reserved:
+                free += REPLACE_ENDPOINTS
+                break
+        ranked.append((len(members) < size, -free, rack))
     ranked.sort()
     chosen: list[str] = []
     for _, _, rack in ranked:
         missing = need.endpoints - len(chosen)
         if missing <= 0:
             break
-        chosen.extend(c.endpoint_id for c in by_rack[rack][:missing])
+        members = by_rack[rack]
+        members.sort(key=lambda c: (-c.free_share, c.endpoint_id))
+        chosen.extend(c.endpoint_id for c in members[:missing])
     return frozenset(chosen)
 
 
--- a/packages/placer/src/laburnumgate_placer/scheduling.py
+++ b/packages/placer/src/laburnumgate_placer/scheduling.py
@@ -73,6 +73,10 @@
         self._holds.end_pass(now_ms)
         self._room.end_pass(now_ms)
 
+    def end_term(self) -> None:
+        """Resets what the metrics of this host say of the term."""
+        self._room.clear_metrics()
+
     def _set_aside(
         self, waiting: ordering.WaitingStep, error: Exception, now_ms: int
     ) -> None:
--- a/packages/placer/src/laburnumgate_placer/speeds.py
+++ b/packages/placer/src/laburnumgate_placer/speeds.py
@@ -142,6 +142,14 @@
         """Whether the speed of an endpoint has been estimated."""
         return endpoint_id in self._speed_by_endpoint
 
+    def known_from(self, speed: float) -> set[str]:
+        """Returns the endpoints that are known to be at least this fast."""
+        return {
+            endpoint_id
+            for endpoint_id, known in self._speed_by_endpoint.items()
+            if known >= speed
+        }
+
     def work_ms(self, key: tuple) -> float | None:
         """Returns the estimated duration of a step at speed 1, if observed."""
         step = self._steps_by_key.get(key)
--- a/packages/placer/src/laburnumgate_placer/urgent_room.py
+++ b/packages/placer/src/laburnumgate_placer/urgent_room.py
@@ -103,6 +103,11 @@
             slack_ms = math.inf
         return headroom.holds_back(slack_ms, work_ms, now_ms - unit.ready_ms)
 
+    def clear_metrics(self) -> None:
+        """Sets the gauge to 0, as another host may lead from now on."""
+        for service in self._reserved_by_service:
+            metrics.HEADROOM_ENDPOINTS.set({"service": service}, 0)
+
     def _fail(self, error: Exception, now_ms: int) -> None:
         """Reserves nothing for a while after an unexpected error."""
         self._paused_until_ms = now_ms + ERROR_PAUSE_MS
@@ -157,27 +162,25 @@
     def _update(
         self, reserved: _Reserved, pool: pool_module.Pool, now_ms: int
     ) -> None:
-        speed_table = self._tables.durations.speeds
-        endpoint_gpu = 0
-        size_by_rack: collections.Counter[str] = collections.Counter()
-        for state in pool.endpoints:
-            endpoint_gpu = max(endpoint_gpu, state.info.capacity.gpu)
-            size_by_rack[state.info.rack] += 1
+        infos = [state.info for state in pool.endpoints]
+        endpoint_gpu = max([info.capacity.gpu for info in infos], default=0)
+        size_by_rack = collections.Counter([info.rack for info in infos])
         need = reserved.history.need(
             now_ms,
             endpoint_gpu,
-            len(pool.endpoints),
+            len(infos),
             max(size_by_rack.values(), default=0),
         )
         reserved.need = need
         if not need.endpoints:
             reserved.endpoint_ids = frozenset()
             return
+        fast = self._tables.durations.speeds.known_from(need.speed)
         candidates = []
         for state in pool.endpoints:
-            endpoint_id = state.info.endpoint_id
-            gpu = state.info.capacity.gpu
-            if gpu < endpoint_gpu:
+            info = state.info
+            endpoint_id = info.endpoint_id
+            if endpoint_id not in fast or info.capacity.gpu < endpoint_gpu:
                 continue
             free_gpu = pool.free_by_id[endpoint_id].gpu
             if endpoint_id in reserved.endpoint_ids:
@@ -185,11 +188,7 @@
                 free_gpu += self._urgent_gpu(state.members.values())
             candidates.append(
                 headroom.Candidate(
-                    endpoint_id,
-                    state.info.rack,
-                    free_gpu / gpu,
-                    speed_table.is_known(endpoint_id)
-                    and speed_table.speed(endpoint_id) >= need.speed,
+                    endpoint_id, info.rack, free_gpu / endpoint_gpu
                 )
             )
         reserved.endpoint_ids = headroom.choose(
--- a/packages/placer/tests/test_overload_headroom.py
+++ b/packages/placer/tests/test_overload_headroom.py
@@ -8,6 +8,7 @@
 from laburnumgate_placer import events
 from laburnumgate_placer import lifecycle
 from laburnumgate_placer import limits
+from laburnumgate_placer import metrics
 from laburnumgate_placer import model
 from laburnumgate_placer import ordering
 from laburnumgate_placer import policy
@@ -78,9 +79,9 @@
     assert history.need(0, 8, 100, 8).rack_part == 0
 
 
-def _candidates(free_by_rack, size=8, fast=lambda rack, n: True):
+def _candidates(free_by_rack, size=8):
     return [
-        headroom.Candidate(f"{rack}-{n}", rack, free, fast(rack, n))
+        headroom.Candidate(f"{rack}-{n}", rack, free)
         for rack, free in free_by_rack.items()
         for n in range(size)
     ]
@@ -95,12 +96,10 @@
     assert racks == ["b"] * 8 + ["d"] * 4
 
 
-def test_slow_endpoints_are_not_reserved():
-    """Guards against room on endpoints that make urgent gangs late."""
+def test_racks_that_are_too_small_come_last():
+    """Guards against reserved racks that no gang on one rack fits in."""
     need = headroom.Need(8, 6)
-    candidates = _candidates(
-        {"a": 1.0, "b": 0.3}, fast=lambda rack, n: rack == "b" or n < 4
-    )
+    candidates = _candidates({"a": 1.0}, size=4) + _candidates({"b": 0.3})
     chosen = headroom.choose(need, candidates, frozenset())
     assert {each.split("-")[0] for each in chosen} == {"b"}
 
@@ -266,6 +265,25 @@
     return tables, scheduler
 
 
+def test_only_endpoints_that_are_known_to_be_fast_are_reserved():
+    """Guards against room on endpoints that make urgent gangs late."""
+    tables = _tables()
+    slow = [f"e{n:03}" for n in range(16)]
+    tables.durations.speeds.restore(dict.fromkeys(slow, math.log(0.4)))
+    for endpoint_id in ("e016", "e017", "e024", "e025"):
+        tables.durations.speeds.discard(endpoint_id)
+    scheduler = scheduling.Scheduler(tables)
+    gang = builders.step(6, 8, gang=True, same_rack=True)
+    _open(tables, 1, URGENT, gang)
+    scheduler.run()
+    pool = pool_module.Pool([], {})
+    now_ms = tables.monotonic.now_ms()
+    scheduler._room.reserve("pool", pool, now_ms)
+    assert len(pool.headroom_ids) == 6
+    unknown = {"e016", "e017", "e024", "e025"}
+    assert pool.headroom_ids.isdisjoint({*slow, *unknown})
+
+
 def _racks_in_use(tables):
     return {
         state.info.rack
@@ -397,6 +415,16 @@
     assert found[0].shapes == ["1 of 8 x 8, one rack"]
 
 
+def test_the_gauge_shows_the_reservation_of_the_term():
+    """Guards against a host that shows a reservation after its term."""
+    _, scheduler = _with_gang_seen()
+    scheduler.run()
+    labels = {"service": "pool"}
+    assert metrics.HEADROOM_ENDPOINTS.get(labels) == 8
+    scheduler.end_term()
+    assert metrics.HEADROOM_ENDPOINTS.get(labels) == 0
+
+
 def test_an_error_in_the_reservation_does_not_end_the_pass(caplog, monkeypatch):
     """Guards against a fault that keeps all work waiting."""
     tables, scheduler = _with_gang_seen()
