--- a/packages/placer/src/laburnumgate_placer/metrics.py
+++ b/packages/placer/src/laburnumgate_placer/metrics.py
@@ -79,6 +79,10 @@
     "laburnumgate_rejected_jobs_total",
     "Jobs that were turned away at submission, by reason.",
 )
+HEADROOM_ENDPOINTS = _gauge(
+    "laburnumgate_headroom_endpoints",
+    "Endpoints that patient work leaves free for urgent gangs, by service.",
+)
 ACCEPT_SECONDS = DurationHistogram(
     "laburnumgate_accept_seconds", "From a submission to its answer."
 )
--- a/packages/placer/src/laburnumgate_placer/ordering.py
+++ b/packages/placer/src/laburnumgate_placer/ordering.py
@@ -177,6 +177,25 @@
     """
     if not _counts_waves(tables):
         return None
+    if entry.waves_failed:
+        return None
+    try:
+        return _count_waves(tables, entry)
+    except Exception as error:  # The job is ranked as if it ran at once.
+        entry.waves_failed = True
+        events.emit(
+            _LOGGER,
+            events.Event.TASK_FAILED,
+            task="ordering.objective_ms",
+            job=entry.job.job_id,
+            reason=repr(error),
+        )
+        return None
+
+
+def _count_waves(
+    tables: tables_module.Tables, entry: progress.JobEntry
+) -> tuple[int, ...] | None:
     job = entry.job
     limit = tables.config.limit(job.account)
     if not tables.policy.delay_cost_order and limit == limits.NO_LIMIT:
--- a/packages/placer/src/laburnumgate_placer/progress.py
+++ b/packages/placer/src/laburnumgate_placer/progress.py
@@ -207,6 +207,7 @@
         for.
       waves: in how many waves each step has to run, None for one; and the
         state of the pool and the limit that this was computed for.
+      waves_failed: whether the waves could not be computed.
       _units_by_step: units of the steps that were asked for.
     """
 
@@ -222,6 +223,7 @@
     next_occurrence: int = 0
     declared_core_s: float | None = None
     waves: tuple[object, tuple[int, ...] | None] = (None, None)
+    waves_failed: bool = False
     _units_by_step: dict[tuple[int, int], list[Unit]] = dataclasses.field(
         default_factory=dict
     )
--- a/packages/placer/src/laburnumgate_placer/scheduling.py
+++ b/packages/placer/src/laburnumgate_placer/scheduling.py
@@ -14,6 +14,7 @@
 from laburnumgate_placer import pool as pool_module
 from laburnumgate_placer import progress
 from laburnumgate_placer import tables as tables_module
+from laburnumgate_placer import urgent_room
 from laburnumgate_placer.accounts import holds
 from laburnumgate_placer.overload import overdue
 from laburnumgate_placer.overload import preemption
@@ -36,6 +37,7 @@
         self._tables = tables
         self._look_ahead = lookahead.LookAhead(tables)
         self._holds = holds.AccountHolds(tables)
+        self._room = urgent_room.UrgentRoom(tables)
         self._reported_steps: set[tuple[str, int, int]] = set()
 
     def run(self) -> None:
@@ -50,6 +52,7 @@
             waiting = self._limit_overdue(waiting)
         if not waiting:
             self._reported_steps.clear()
+        self._room.observe(waiting, now_ms)
         # What is held for units that their accounts' limits hold back is
         # released before anything is placed.
         held_for = self._holds.begin_pass(
@@ -79,6 +82,11 @@
             except Exception as error:  # Must not keep other jobs waiting.
                 self._set_aside(step, error, now_ms)
         self._holds.end_pass(now_ms)
+        self._room.end_pass(now_ms)
+
+    def end_term(self) -> None:
+        """Resets what the metrics of this host say of the term."""
+        self._room.clear_metrics()
 
     def _limit_overdue(
         self, waiting: list[ordering.WaitingStep]
@@ -259,20 +267,34 @@
             if unit.avoided_endpoints == first.avoided_endpoints
             and not unit.suspected
         ]
-        chosen = placement.choose_some(
-            first,
-            len(equal),
-            endpoints,
-            pool.free_by_id,
-            self._tables.durations.speeds,
-            rank.requirement(),
-            pool.endpoints,
-        )
-        for unit, endpoint_id in zip(equal, chosen, strict=False):
-            self._assign(pool, unit, [endpoint_id], {}, now_ms)
-        placed = {id(unit) for unit in equal[: len(chosen)]}
+        choices = [endpoints]
+        if self._leaves_headroom(pool, rank):
+            choices = [pool.outside_headroom(endpoints)]
+            if not self._room.holds_back(rank, first, now_ms):
+                choices.append(endpoints)
+        count = 0
+        for choice in choices:
+            chosen = placement.choose_some(
+                first,
+                len(equal) - count,
+                choice,
+                pool.free_by_id,
+                self._tables.durations.speeds,
+                _requirement_in(pool, rank),
+                pool.endpoints,
+            )
+            for unit, endpoint_id in zip(equal[count:], chosen, strict=False):
+                self._assign(pool, unit, [endpoint_id], {}, now_ms)
+            count += len(chosen)
+        placed = {id(unit) for unit in equal[:count]}
         return [unit for unit in units if id(unit) not in placed]
 
+    def _leaves_headroom(
+        self, pool: pool_module.Pool, rank: ordering.Rank
+    ) -> bool:
+        """Whether a unit prefers endpoints not reserved for urgent gangs."""
+        return rank.priority > 0 and bool(pool.headroom_ids)
+
     def _pool(self, service: str, now_ms: int) -> pool_module.Pool:
         tables = self._tables
         usable = tables.endpoints.usable(
@@ -281,6 +303,7 @@
         free = {s.info.endpoint_id: s.free() for s in usable}
         pool = pool_module.Pool(usable, free)
         self._look_ahead.hold_all(pool)
+        self._room.reserve(service, pool, now_ms)
         return pool
 
     def _place(
@@ -311,10 +334,16 @@
         guarantee_due = lookahead.guarantee_due(
             self._tables, rank, unit, now_ms
         )
+        if self._leaves_headroom(pool, rank):
+            outcome = self._place_outside_headroom(
+                pool, rank, unit, endpoints, protected, tickets, fit_key, now_ms
+            )
+            if outcome is not None:
+                return outcome
         if rank.stage == ordering.Stage.ON_TIME and not guarantee_due:
             fast = self._fast_endpoints(endpoints, rank)
             if len(fast) < len(endpoints):
-                requirement = rank.requirement()
+                requirement = _requirement_in(pool, rank)
                 fast_key = ("fast", *_step_key(unit))
                 if self._start(
                     pool, requirement, unit, fast, tickets, fast_key, now_ms
@@ -356,6 +385,8 @@
         protected: set[str],
         key: tuple,
         now_ms: int,
+        *,
+        may_stop: bool = True,
     ) -> bool:
         """Stops runs or reserves endpoints for a unit, if its limit permits.
 
@@ -364,13 +395,70 @@
         if not self._holds.may_look_ahead(unit, rank.guaranteed):
             return True
         in_time = self._look_ahead.reclaim_or_reserve(
-            pool, rank, unit, endpoints, protected, key, now_ms
+            pool,
+            rank,
+            unit,
+            endpoints,
+            protected,
+            key,
+            now_ms,
+            may_stop=may_stop,
         )
         reclaims = self._look_ahead.reclaims_for((unit,))
         if reclaims or unit.key in pool.reservations_by_unit:
             self._holds.expect(unit, reclaims, rank.guaranteed, now_ms)
         return in_time
 
+    def _place_outside_headroom(
+        self,
+        pool: pool_module.Pool,
+        rank: ordering.Rank,
+        unit: progress.Unit,
+        endpoints: list[endpoint_table.EndpointState],
+        protected: set[str],
+        tickets: dict[str, str],
+        fit_key: tuple,
+        now_ms: int,
+    ) -> bool | None:
+        """Places a patient unit outside of what urgent gangs need.
+
+        No run is stopped for a unit that is held back.
+
+        Returns:
+          Whether it was assigned, or None if it may use any endpoint.
+        """
+        outside = pool.outside_headroom(endpoints)
+        if len(outside) == len(endpoints):
+            return None
+        if rank.stage == ordering.Stage.ON_TIME:
+            outside = self._fast_endpoints(outside, rank)
+        if (
+            unit.step.same_rack
+            and unit.size > 1
+            and not placement.fits_in_empty_rack(unit, outside)
+        ):
+            # It would be spread over several racks, or never fit.
+            return None
+        requirement = _requirement_in(pool, rank)
+        key = ("outside", rank.min_speed, *fit_key)
+        if self._start(pool, requirement, unit, outside, tickets, key, now_ms):
+            return True
+        if not self._room.holds_back(rank, unit, now_ms):
+            return None
+        if unit.size > 1 and not self._look_ahead_for(
+            pool,
+            rank,
+            unit,
+            outside,
+            protected,
+            ("outside", *_step_key(unit)),
+            now_ms,
+            may_stop=False,
+        ):
+            return None
+        self._log_not_placed(pool, rank, unit)
+        return False
+
     def _endpoints_for(
         self,
         pool: pool_module.Pool,
@@ -399,7 +487,7 @@
 
         The same-rack constraint is dropped as described at `SPREAD_AFTER_MS`.
         """
-        requirement = rank.requirement()
+        requirement = _requirement_in(pool, rank)
         if not unit.step.same_rack or not pool.is_half_idle():
             return requirement
         waited_ms = now_ms - unit.ready_ms
@@ -529,6 +617,19 @@
             unit.run.overdue = True
 
 
+def _requirement_in(
+    pool: pool_module.Pool, rank: ordering.Rank
+) -> placement.Requirement:
+    """Returns the requirement of a unit in the pool of this pass."""
+    requirement = rank.requirement()
+    if not pool.urgent_speed:
+        return requirement
+    if rank.priority == 0:
+        # Gangs that need no rack of their own leave whole racks to others.
+        return dataclasses.replace(requirement, keep_racks=True)
+    return dataclasses.replace(requirement, spare_speed=pool.urgent_speed)
+
+
 def _fit_key(unit: progress.Unit) -> tuple:
     """Returns a key shared by units that need the same placement.
 
