Move runs off endpoints that hang or are far too slow

With straggler_moves, a run whose progress stands still while its endpoint reports, and a resumable run that a free endpoint would end clearly earlier, is stopped and placed elsewhere. Only time that reports cover counts, on the endpoint's clock. Moves are recorded, so that a later leader avoids the same endpoints, and use up no attempt. Without the setting nothing changes.

--- a/packages/placer/src/laburnumgate_placer/durations.py
+++ b/packages/placer/src/laburnumgate_placer/durations.py
@@ -51,6 +51,15 @@
             default=0.0,
         )
 
+    def shows_progress(self, job: model.Job, number: int) -> bool:
+        """Whether tasks of the step, or of its queue, are known to report any.
+
+        The end of a task is not a sign of it: some report 0% until then.
+        """
+        if self.speeds.work_ms((job.job_id, 0, number)) is not None:
+            return True
+        return job.queue.name in self._log_ratio_by_queue
+
     def observe(self, member: progress.Member) -> None:
         """Records the latest reported percentage of a member."""
         unit = member.run.unit
--- a/packages/placer/src/laburnumgate_placer/endpoint_table.py
+++ b/packages/placer/src/laburnumgate_placer/endpoint_table.py
@@ -41,6 +41,7 @@
       last_answer_ms: monotonic time of its last answer.
       reported_ms: monotonic time of the last report of this incarnation, 0 for
         none.
+      report_clock_ms: reading of its clock in that report.
       handled_end: highest number of the reported ends that were handled.
       acked_end: highest number of the ends that may be acknowledged.
       members: members that may be present, by task and run.
@@ -52,7 +53,7 @@
         never.
       suspects: members whose units are suspected of crashing endpoints, by task
         and run.
-      failing_jobs: jobs that failed there since the last success.
+      failing_jobs: jobs that failed or stalled there since the last success.
       avoid_until_ms: monotonic time until which it gets no new tasks.
       avoid_pause_ms: duration of the last avoidance.
       used: resources that runs may be using.
@@ -69,6 +70,7 @@
     prior_leases_expire_ms: int = 0
     last_answer_ms: int = 0
     reported_ms: int = 0
+    report_clock_ms: int = 0
     handled_end: int = 0
     acked_end: int = 0
     members: dict[tuple[model.TaskKey, int], progress.Member] = (
@@ -186,6 +188,13 @@
             return
         self.avoid(now_ms, "runs of several jobs failed")
 
+    def record_stall(self, job_id: str, now_ms: int) -> None:
+        """Records a stalled run, which counts like a failed one."""
+        self.failing_jobs.add(job_id)
+        if len(self.failing_jobs) < SUSPECT_FAILURES:
+            return
+        self.avoid(now_ms, "runs of several jobs failed or stalled")
+
     def avoid(self, now_ms: int, reason: str) -> None:
         """Avoids the endpoint for a period that doubles each time."""
         if now_ms < self.avoid_until_ms:
--- a/packages/placer/src/laburnumgate_placer/events.py
+++ b/packages/placer/src/laburnumgate_placer/events.py
@@ -48,6 +48,7 @@
     MEMBER_LOST = (1311, "task was lost with its endpoint", logging.WARNING)
     ACCOUNT_HELD = (1312, "account is held back by its limit")
     ACCOUNT_RELEASED = (1313, "account is no longer held back")
+    RUN_MOVED = (1315, "run is moved off an endpoint")
     ENDPOINT_FOUND = (1400, "endpoint joined the live list")
     ENDPOINT_CHANGED = (1401, "endpoint changed its state")
     ENDPOINT_LOST = (1402, "endpoint does not answer", logging.WARNING)
--- a/packages/placer/src/laburnumgate_placer/lifecycle.py
+++ b/packages/placer/src/laburnumgate_placer/lifecycle.py
@@ -361,7 +361,14 @@
     unit.ready_ms = tables.monotonic.now_ms()
     if entry.state.final:
         return
-    if run.result == model.EndKind.FAILED and not unit.step.long_running:
+    # The task of a run that is moved may fail because it, or another member of
+    # its gang, is stopped.
+    moved = unit.moved_run == run.number
+    if (
+        run.result == model.EndKind.FAILED
+        and not unit.step.long_running
+        and not moved
+    ):
         unit.failures += 1
         unit.backoff_until_ms = unit.ready_ms + RETRY_PAUSE_MS
         attempts = tables.queue_of(entry.job).attempts
--- a/packages/placer/src/laburnumgate_placer/metrics.py
+++ b/packages/placer/src/laburnumgate_placer/metrics.py
@@ -53,6 +53,10 @@
     "laburnumgate_lost_tasks_total",
     "Tasks that were lost with their endpoint, by what is known of it.",
 )
+MOVED_RUNS = _counter(
+    "laburnumgate_moved_runs_total",
+    "Runs that were moved off an endpoint, by reason.",
+)
 LEADING = _gauge("laburnumgate_leading", "1 while this host leads.")
 OPEN_JOBS = _gauge("laburnumgate_open_jobs", "Jobs that the leader places.")
 CONFIG_VERSION = _gauge(
--- a/packages/placer/src/laburnumgate_placer/progress.py
+++ b/packages/placer/src/laburnumgate_placer/progress.py
@@ -45,6 +45,10 @@
         start.
       percent: progress, 0 to 100.
       percent_at_ms: monotonic time of `percent`.
+      still_ms: how long reports have shown no progress, while all members of
+        the run were known to be running.
+      stalled: whether the endpoint was found to stall it since it last
+        progressed.
       base_percent: progress at `base_ms`.
       base_ms: monotonic time from which the rate of progress is measured; 0 if
         not started.
@@ -65,6 +69,8 @@
     terminated: bool = False
     percent: int = 0
     percent_at_ms: int = 0
+    still_ms: int = 0
+    stalled: bool = False
     base_percent: int = 0
     base_ms: int = 0
     load: float = 0.0
@@ -118,8 +124,11 @@
       backoff_until_ms: monotonic time before which it is not placed.
       preempted: runs that were stopped for other work.
       spent_core_s: core-seconds that were thrown away for its current run.
-      avoided_endpoints: ids of endpoints on which runs of it failed.
+      avoided_endpoints: ids of endpoints on which runs of it failed, or from
+        which they were moved.
       losses: endpoints that were lost while a task of it may have run there.
+      moves: runs that were stopped because they were stalled or too slow.
+      moved_run: number of the latest of these runs, 0 for none.
     """
 
     key: model.UnitKey
@@ -136,6 +145,8 @@
     spent_core_s: float = 0.0
     avoided_endpoints: set[str] = dataclasses.field(default_factory=set)
     losses: list[model.EndpointLoss] = dataclasses.field(default_factory=list)
+    moves: int = 0
+    moved_run: int = 0
 
     @property
     def suspected(self) -> bool:
@@ -145,6 +156,13 @@
             for loss in self.losses
         )
 
+    def record_move(self, run_number: int, endpoint_ids: set[str]) -> None:
+        """Records that a run is moved off endpoints; a run counts once."""
+        self.avoided_endpoints.update(endpoint_ids)
+        if self.moved_run != run_number:
+            self.moves += 1
+            self.moved_run = run_number
+
     def add_loss(self, loss: model.EndpointLoss) -> None:
         """Adds a loss; a known one is replaced."""
         for known in list(self.losses):
@@ -325,22 +343,24 @@
                 members,
             ]
         )
-    return orjson.dumps(
-        {
-            "state": entry.state.value,
-            "reason": entry.reason,
-            "done": sorted(entry.done_steps),
-            "units": rows,
-            # Apart from the units, whose rows earlier releases read as well.
-            "losses": _loss_rows(entry),
-            "machines": {
-                member.endpoint_id: member.machine
-                for run in entry.runs()
-                for member in run.members
-                if not member.terminated and member.machine
-            },
-        }
-    )
+    content = {
+        "state": entry.state.value,
+        "reason": entry.reason,
+        "done": sorted(entry.done_steps),
+        "units": rows,
+        # Apart from the units, whose rows earlier releases read as well.
+        "losses": _loss_rows(entry),
+        "machines": {
+            member.endpoint_id: member.machine
+            for run in entry.runs()
+            for member in run.members
+            if not member.terminated and member.machine
+        },
+    }
+    moves = _move_rows(entry)
+    if moves:
+        content["moves"] = moves
+    return orjson.dumps(content)
 
 
 def _loss_rows(entry: JobEntry) -> list[list]:
@@ -357,6 +377,21 @@
     ]
 
 
+def _move_rows(entry: JobEntry) -> list[list]:
+    return [
+        [
+            unit.key.occurrence,
+            unit.key.step,
+            unit.key.index,
+            unit.moves,
+            unit.moved_run,
+            sorted(unit.avoided_endpoints),
+        ]
+        for unit in entry.units_by_key.values()
+        if unit.state != UnitState.DONE and unit.moves
+    ]
+
+
 def restore(entry: JobEntry, value: bytes, unix_ms: int, now_ms: int) -> None:
     """Restores the progress that an earlier leader recorded.
 
@@ -418,3 +453,11 @@
     for occurrence, step, index, *values in content.get("losses", ()):
         key = model.UnitKey(entry.job.job_id, occurrence, step, index)
         entry.units_by_key[key].add_loss(model.EndpointLoss(*values))
+    for occurrence, step, index, moves, moved_run, avoided in content.get(
+        "moves", ()
+    ):
+        key = model.UnitKey(entry.job.job_id, occurrence, step, index)
+        unit = entry.units_by_key[key]
+        unit.moves = moves
+        unit.moved_run = moved_run
+        unit.avoided_endpoints.update(avoided)
--- a/packages/placer/src/laburnumgate_placer/reports.py
+++ b/packages/placer/src/laburnumgate_placer/reports.py
@@ -8,12 +8,10 @@
 from laburnumgate_placer import model
 from laburnumgate_placer import progress
 from laburnumgate_placer import tables as tables_module
+from laburnumgate_placer.overload import stragglers
 
 _LOGGER = logging.getLogger(__name__)
 
-# Percentage of a task whose work is complete.
-COMPLETE_PERCENT = 100
-
 
 def apply(
     tables: tables_module.Tables,
@@ -33,6 +31,8 @@
       Unknown runs, which belong to no job and have to be stopped.
     """
     now_ms = tables.monotonic.now_ms()
+    observed_ms = _observed_ms(state, report, now_ms)
+    state.report_clock_ms = report.clock_ms
     state.set_clock(report.clock_ms, now_ms)
     state.contacted = True
     state.reported_ms = now_ms
@@ -45,7 +45,7 @@
     for key, member in list(state.members.items()):
         row = rows.pop(key, None)
         if row is not None:
-            _update_member(tables, member, row, now_ms)
+            _update_member(tables, member, row, now_ms, observed_ms)
             continue
         if (
             member.report_valid_from_ms
@@ -55,12 +55,35 @@
     return _find_unknown_runs(tables, state, rows)
 
 
+def _observed_ms(
+    state: endpoint_table.EndpointState, report: model.Report, now_ms: int
+) -> int | None:
+    """Returns the time since the last report, None after an outage."""
+    if not state.reported_ms or state.unreachable_ms >= state.reported_ms:
+        return None
+    return stragglers.observed_ms(
+        report.clock_ms - state.report_clock_ms, now_ms - state.reported_ms
+    )
+
+
 def _update_member(
     tables: tables_module.Tables,
     member: progress.Member,
     row: model.ReportedRun,
     now_ms: int,
+    observed_ms: int | None,
 ) -> None:
+    if row.percent > member.percent:
+        member.still_ms = 0
+        member.stalled = False
+    elif (
+        observed_ms is None
+        or not member.present
+        or not _is_whole(tables, member.run)
+    ):
+        member.still_ms = 0
+    else:
+        member.still_ms += observed_ms
     member.present = True
     member.confirmed = True
     if not member.base_ms:
@@ -68,7 +91,10 @@
         member.base_percent = row.percent
     # Repeated reports of a complete task are no observations, as the time at
     # which it was completed is unknown.
-    if row.percent < COMPLETE_PERCENT or member.percent < COMPLETE_PERCENT:
+    if (
+        row.percent < stragglers.COMPLETE_PERCENT
+        or member.percent < stragglers.COMPLETE_PERCENT
+    ):
         member.percent = row.percent
         member.percent_at_ms = now_ms
         tables.durations.observe(member)
@@ -77,6 +103,23 @@
         member.run.unit.checkpoint = row.checkpoint
 
 
+def _is_whole(tables: tables_module.Tables, run: progress.Run) -> bool:
+    """Whether all members of a run are known to be running.
+
+    The members of a gang wait for each other at the start, and may do so while
+    one of them is cut off.
+    """
+    if run.phase != progress.Phase.RUNNING:
+        return False
+    if len(run.members) == 1:
+        return True
+    for member in run.members:
+        state = tables.endpoints.by_id.get(member.endpoint_id)
+        if not member.present or state is None or not state.answering:
+            return False
+    return True
+
+
 def _find_unknown_runs(
     tables: tables_module.Tables,
     state: endpoint_table.EndpointState,
--- a/packages/placer/src/laburnumgate_placer/scheduling.py
+++ b/packages/placer/src/laburnumgate_placer/scheduling.py
@@ -12,6 +12,7 @@
 from laburnumgate_placer import placement
 from laburnumgate_placer import pool as pool_module
 from laburnumgate_placer import progress
+from laburnumgate_placer import straggler_moves
 from laburnumgate_placer import tables as tables_module
 from laburnumgate_placer.accounts import holds
 
@@ -33,6 +34,8 @@
         self._tables = tables
         self._look_ahead = lookahead.LookAhead(tables)
         self._holds = holds.AccountHolds(tables)
+        self._moves = straggler_moves.StragglerMoves(tables)
+        self._moves_paused_until_ms = 0
         self._reported_steps: set[tuple[str, int, int]] = set()
 
     def run(self) -> None:
@@ -68,6 +71,34 @@
             except Exception as error:  # Must not keep other jobs waiting.
                 self._set_aside(step, error, now_ms)
         self._holds.end_pass(now_ms)
+        if tables.policy.straggler_moves:
+            self._move_stragglers(pools, protected, now_ms)
+
+    def _move_stragglers(
+        self,
+        pools: dict[str, pool_module.Pool],
+        protected: set[str],
+        now_ms: int,
+    ) -> None:
+        """Moves stalled and slow runs to capacity that this pass left free."""
+        if now_ms < self._moves_paused_until_ms:
+            return
+
+        def pool_of(service: str) -> pool_module.Pool:
+            if service not in pools:
+                pools[service] = self._pool(service, now_ms)
+            return pools[service]
+
+        try:
+            self._moves.run(pool_of, protected, now_ms)
+        except Exception as error:  # Must not end the leader's term.
+            self._moves_paused_until_ms = now_ms + ERROR_PAUSE_MS
+            events.emit(
+                _LOGGER,
+                events.Event.TASK_FAILED,
+                task="StragglerMoves.run",
+                reason=repr(error),
+            )
 
     def _set_aside(
         self, waiting: ordering.WaitingStep, error: Exception, now_ms: int
--- a/packages/placer/tests/fakeworkers.py
+++ b/packages/placer/tests/fakeworkers.py
@@ -1,6 +1,7 @@
 """In-memory endpoints that implement fencing, runs and acknowledgements."""
 
 import asyncio
+from collections.abc import Callable
 import dataclasses
 
 from laburnumgate_placer import model
@@ -16,6 +17,8 @@
       refuse_connections: whether connections to it are refused.
       drop_answers: whether calls are executed but not answered.
       report_s: latency of a report.
+      clock: returns the reading of its clock in reports; it stands still by
+        default.
     """
 
     endpoint_id: str
@@ -26,6 +29,7 @@
     refuse_connections: bool = False
     unhealthy: bool = False
     report_s: float = 0.0
+    clock: Callable[[], int] = lambda: 1_000
     running: dict = dataclasses.field(default_factory=dict)
     ended: list = dataclasses.field(default_factory=list)
     stopped: dict = dataclasses.field(default_factory=dict)
@@ -127,7 +131,7 @@
             await asyncio.sleep(timeout_ms / 1000)
             return ports.Unknown("cut")
         report = model.Report(
-            1_000,
+            worker.clock(),
             worker.born_ms,
             tuple(
                 model.ReportedRun(
--- a/packages/placer/tests/test_leader.py
+++ b/packages/placer/tests/test_leader.py
@@ -40,6 +40,7 @@
         self.advisor = None
         self.machines = None
         self.queue = builders.QUEUE
+        self.policy = None
         self.machines_by_id = {}
 
     def apply_operator_entry(self, table, entry):
@@ -77,6 +78,7 @@
             _BOUNDS,
             claim_delay_ms=0,
             first_start=first_start,
+            policy=self.policy,
         )
         self.tasks[name] = asyncio.create_task(host.run())
         return host
