--- a/packages/placer/tests/test_overload_stragglers.py
+++ b/packages/placer/tests/test_overload_stragglers.py
@@ -56,6 +56,7 @@
                 self.tables, "large", capacity=model.Resources(cpu=10_000_000)
             )
         self.silent = set()
+        self.may_fail = False
         self.percent_by_member = {}
         self.ends = 0
         self.checkpoint = ""
@@ -93,6 +94,9 @@
                 if age_ms >= _REPORT_MS and not silent:
                     self.report(state)
             self.scheduler.run()
+            # An error would look like a run that is not moved.
+            paused = self.scheduler._moves_paused_until_ms
+            assert self.may_fail or not paused
 
     def _work(self, state) -> None:
         rate = self.rate_by_endpoint[state.info.endpoint_id]
@@ -306,6 +310,50 @@
     assert not _moved(unit)
 
 
+def test_time_before_and_after_an_outage_is_not_added():
+    """Guards against moves of tasks that an outage held up."""
+    pool = _Pool("e1", "e2")
+    unit = pool.submit(builders.step(estimate_ms=10_000))
+    pool.rate_by_endpoint["e1"] = 0.01
+    pool.play(1_500)
+    pool.rate_by_endpoint["e1"] = 0.0
+    pool.play(1_300)
+    member = unit.run.members[0]
+    assert 0 < member.still_ms < stragglers.MIN_STALL_MS
+    state = pool.state("e1")
+    pool.silent.add("e1")
+    pool.play(1_200)
+    state.mark_unreachable(pool.tables.monotonic.now_ms(), "cut")
+    pool.play(2_000)
+    pool.silent.clear()
+    state.answering = True
+    pool.play(50)
+    assert member.still_ms == 0
+    pool.rate_by_endpoint["e1"] = 0.01
+    pool.play(2_000)
+    assert not _moved(unit)
+
+
+@pytest.mark.parametrize("answering", [True, False])
+def test_a_stalled_run_whose_endpoint_stops_reporting_stays(answering):
+    """Guards against a stop that an endpoint which is cut off cannot end."""
+    pool = _Pool("e1", "e2")
+    unit = pool.submit(builders.step(gpu=8, estimate_ms=10_000))
+    full = pool.submit(builders.step(gpu=8, estimate_ms=60_000))
+    pool.rate_by_endpoint.update(e1=0.0, e2=0.002)
+    pool.play(4_000)
+    assert unit.run.members[0].still_ms >= stragglers.MIN_STALL_MS
+    pool.silent.add("e1")
+    if answering:
+        pool.play(1_250)
+    else:
+        now_ms = pool.tables.monotonic.now_ms()
+        pool.state("e1").mark_unreachable(now_ms, "cut")
+    pool.end(full.run, model.EndKind.DONE)
+    pool.play(1_100)
+    assert not _moved(unit)
+
+
 def test_reports_that_a_slow_leader_reads_late_are_no_sign_of_a_stall():
     """Guards against moves after a pause of the leader or the network.
 
@@ -390,6 +438,20 @@
     assert not stragglers.is_about_to_complete([member, slow])
 
 
+def test_a_hung_run_with_little_left_is_moved_after_some_seconds():
+    """Guards against a stop of a run that only writes its results."""
+    pool = _Pool("e1", "e2")
+    unit = pool.submit(builders.step(estimate_ms=2_000))
+    pool.rate_by_endpoint["e1"] = 0.05
+    pool.play(1_950)
+    pool.rate_by_endpoint["e1"] = 0.0
+    pool.play(4_800)
+    assert unit.run.percent() == 97
+    assert not _moved(unit)
+    pool.play(2_000)
+    assert _moved(unit)
+
+
 @pytest.mark.parametrize("percent", [99, 100])
 def test_a_complete_task_whose_end_is_not_listed_yet_is_not_stalled(percent):
     """Guards against a second run of work that is done."""
@@ -484,6 +546,18 @@
     assert not _moved(unit)
 
 
+def test_a_slow_run_of_an_advised_queue_stays():
+    """Guards against a stop of work that an advisor must first place again."""
+    queue = builders.replace(builders.QUEUE, advised=True)
+    pool = _slow_pool("e1", "e2")
+    pool.checkpoint = "c"
+    step = builders.step(estimate_ms=10_000, checkpointing=True)
+    unit = _start_on(pool, "e1", step)
+    pool.tables.config.publish(2, builders.config(queue))
+    pool.play(6_000)
+    assert not _moved(unit)
+
+
 def test_a_slow_gang_moves_only_if_all_of_it_fits_elsewhere():
     """Guards against stopping a gang for which there is room only in part."""
     pool = _slow_pool("e1", "e2", "e3")
@@ -547,6 +621,21 @@
     assert unit.failures == 0
 
 
+def test_a_unit_is_not_moved_back_to_an_endpoint_that_it_was_moved_off():
+    """Guards against work that is moved between two hung endpoints."""
+    pool = _Pool("e1", "e2")
+    pool.rate_by_endpoint = dict.fromkeys(pool.rate_by_endpoint, 0.0)
+    unit = pool.submit(builders.step(estimate_ms=10_000))
+    pool.play(3_500)
+    pool.end(unit.run)
+    pool.play(50)
+    pool.start(unit.run)
+    assert _ids(unit.run) == ["e2"]
+    pool.play(6_000)
+    assert not _moved(unit)
+    assert unit.moves == 1
+
+
 def test_moves_lose_a_hundredth_of_the_pools_work_at_most():
     """Guards against a fault of many endpoints that throws away much work."""
     pool = _Pool(*(f"e{n}" for n in range(10)), large=False)
@@ -628,6 +717,24 @@
     assert state.avoid_until_ms
 
 
+def test_a_run_that_stays_stalled_counts_once():
+    """Guards against an endpoint that is avoided for ever longer.
+
+    Its stalled runs have no other room, and are found again in each check.
+    """
+    pool = _Pool("e1", "e2")
+    units = [
+        pool.submit(builders.step(gpu=4, estimate_ms=10_000)) for _ in range(2)
+    ]
+    assert [_ids(unit.run) for unit in units] == [["e1"], ["e1"]]
+    pool.submit(builders.step(gpu=8, estimate_ms=90_000))
+    pool.rate_by_endpoint.update(e1=0.0, e2=0.001)
+    pool.play(20_000)
+    state = pool.state("e1")
+    assert len(state.failing_jobs) == 2
+    assert state.avoid_pause_ms == 4_000
+
+
 def test_two_stalled_tasks_of_one_job_do_not_make_an_endpoint_suspect():
     """Guards against blame for an endpoint whose only fault is one job."""
     pool = _Pool("e1", "e2")
@@ -663,6 +770,7 @@
     pool = _Pool("e1", "e2")
     unit = pool.submit(builders.step(estimate_ms=10_000))
     pool.rate_by_endpoint["e1"] = 0.0
+    pool.may_fail = True
 
     def fail(*args):
         raise ZeroDivisionError
