--- a/packages/placer/src/laburnumgate_placer/durations.py
+++ b/packages/placer/src/laburnumgate_placer/durations.py
@@ -30,7 +30,12 @@
         observed_ms = self.speeds.work_ms((job.job_id, 0, number))
         if observed_ms is not None:
             return observed_ms
-        return self._declared_ms(job, number)
+        return self.declared_ms(job, number)
+
+    def declared_ms(self, job: model.Job, number: int) -> float:
+        """Returns the declared duration, corrected by the queue's history."""
+        ratio = math.exp(self._log_ratio_by_queue.get(job.queue.name, 0.0))
+        return max(1.0, job.steps[number].estimate_ms * ratio)
 
     def critical_path_ms(self, job: model.Job) -> float:
         """Returns the expected duration of the job's critical path."""
@@ -68,7 +73,7 @@
             (key.job_id, key.occurrence, key.step),
             member.endpoint_id,
             member.task.index,
-            self._declared_ms(unit.entry.job, key.step),
+            self.declared_ms(unit.entry.job, key.step),
             member.percent - member.base_percent,
             member.percent_at_ms - member.base_ms,
         )
@@ -86,10 +91,6 @@
         old = self._log_ratio_by_queue.get(queue, 0.0)
         self._log_ratio_by_queue[queue] = old + EWMA_WEIGHT * (ratio - old)
 
-    def _declared_ms(self, job: model.Job, number: int) -> float:
-        ratio = math.exp(self._log_ratio_by_queue.get(job.queue.name, 0.0))
-        return max(1.0, job.steps[number].estimate_ms * ratio)
-
     def _member_remaining_ms(
         self, member: progress.Member, now_ms: int
     ) -> float:
--- a/packages/placer/src/laburnumgate_placer/overload/stragglers.py
+++ b/packages/placer/src/laburnumgate_placer/overload/stragglers.py
@@ -173,6 +173,21 @@
     return saving > GAIN_FACTOR * (restore_ms + stop_ms + lost_ms)
 
 
+def helps(slack_ms: float, late_slack_ms: float, saving: float) -> bool:
+    """Whether a move for speed is of use to the caller of the job.
+
+    Work that ends on time on a slow endpoint leaves the fast ones to others,
+    and so does work that ends too late wherever it runs.
+
+    Args:
+      slack_ms: delay with which the job still meets its objective if the run
+        stays; negative if it does not.
+      late_slack_ms: the same for the deadline after which it is worth nothing.
+      saving: how much earlier the run ends if it is moved.
+    """
+    return slack_ms < 0 and late_slack_ms + saving >= 0
+
+
 def culprits(members: list[Progress], acquitted: list[bool]) -> list[int]:
     """Returns the positions of the members that hold up a stalled run.
 
--- a/packages/placer/src/laburnumgate_placer/straggler_moves.py
+++ b/packages/placer/src/laburnumgate_placer/straggler_moves.py
@@ -310,12 +310,29 @@
         saving = self._saving(candidate, min(map(speed_table.speed, chosen)))
         if not self._pays(candidate, saving, now_ms):
             return False
+        work = ordering.running_work(self._tables, run, {}, now_ms)
+        slack_ms = work.slack_ms - self._overstated_ms(run.unit)
+        if not stragglers.helps(slack_ms, work.late_slack_ms, saving):
+            return False
         if not self._permitted(pool, candidate, now_ms):
             return False
         self._plan(run, chosen, now_ms)
         self._move(run, endpoint_ids, slowest, "slow", saving)
         return True
 
+    def _overstated_ms(self, unit: progress.Unit) -> float:
+        """Returns by how much the objective of a job may be overstated.
+
+        If a step runs on slow endpoints only, its work seems larger than it is,
+        and the objective follows from the work.
+        """
+        durations = self._tables.durations
+        job = unit.entry.job
+        expected_ms = durations.expected_ms(job, unit.key.step)
+        declared_ms = durations.declared_ms(job, unit.key.step)
+        stretch = self._tables.queue_of(job).stretch
+        return stretch * max(0.0, expected_ms - declared_ms)
+
     def _choose(
         self,
         pool: pool_module.Pool,
--- a/packages/placer/tests/test_overload_stragglers.py
+++ b/packages/placer/tests/test_overload_stragglers.py
@@ -530,20 +530,42 @@
 
 
 def test_a_slow_run_stays_if_the_usual_placement_would_choose_a_slow_endpoint():
-    """Guards against moves to endpoints that are just fast enough.
+    """Guards against moves that save much less than the fastest endpoint would.
 
-    The saving is that on the endpoint which placement would choose, not that on
-    the fastest one.
+    Placement prefers endpoints with the data of the step to faster ones.
     """
-    pool = _slow_pool("e1", "e2", "e3")
+    pool = _slow_pool("e1", "e2")
     pool.checkpoint = "c"
-    pool.tables.durations.speeds.restore({"e2": math.log(0.25)})
-    queue = builders.replace(builders.QUEUE, stretch=50.0)
+    pool.tables.durations.speeds.restore({"e2": math.log(0.22), "e3": 0.0})
+    pool.rate_by_endpoint.update(e2=0.0022, e3=0.01)
+    builders.add_endpoint(pool.tables, "e3", rack="r2")
+    step = builders.step(estimate_ms=10_000, checkpointing=True, data_rack="r1")
+    unit = _start_on(pool, "e1", step)
+    pool.play(6_000)
+    assert not _moved(unit)
+    # Without the data it is as well off elsewhere.
+    pool.state("e2").listed = False
+    pool.play(1_500)
+    assert _moved(unit)
+
+
+def test_a_slow_run_that_ends_on_time_leaves_fast_endpoints_to_others():
+    """Guards against moves that take fast endpoints from urgent work.
+
+    In trials without any fault, 10 to 23 patient runs were moved in 30 s although
+    all of them were on time.
+    """
+    queue = builders.replace(builders.QUEUE, stretch=6.0)
+    pool = _slow_pool("e1", "e2")
     pool.tables.config.publish(2, builders.config(queue))
+    pool.checkpoint = "c"
     step = builders.step(estimate_ms=10_000, checkpointing=True)
     unit = _start_on(pool, "e1", step, queue=queue)
-    pool.play(5_000)
+    pool.play(10_000)
     assert not _moved(unit)
+    assert stragglers.helps(-1.0, 5_000.0, 1_000.0)
+    assert not stragglers.helps(1.0, 5_000.0, 1_000.0)
+    assert not stragglers.helps(-9_000.0, -2_000.0, 1_000.0)
 
 
 def test_a_slow_run_of_an_advised_queue_stays():
