--- a/packages/placer/src/laburnumgate_placer/durations.py
+++ b/packages/placer/src/laburnumgate_placer/durations.py
@@ -30,7 +30,12 @@
         observed_ms = self.speeds.work_ms((job.job_id, 0, number))
         if observed_ms is not None:
             return observed_ms
-        return self._declared_ms(job, number)
+        return self.declared_ms(job, number)
+
+    def declared_ms(self, job: model.Job, number: int) -> float:
+        """Returns the declared duration, corrected by the queue's history."""
+        ratio = self.ratio(job.queue.name)
+        return max(1.0, job.steps[number].estimate_ms * ratio)
 
     def critical_path_ms(
         self, job: model.Job, waves: tuple[int, ...] | None = None
@@ -61,6 +66,15 @@
             default=0.0,
         )
 
+    def shows_progress(self, job: model.Job, number: int) -> bool:
+        """Whether tasks of the step, or of its queue, are known to report any.
+
+        The end of a task is not a sign of it: some report 0% until then.
+        """
+        if self.speeds.work_ms((job.job_id, 0, number)) is not None:
+            return True
+        return job.queue.name in self._log_ratio_by_queue
+
     def observe(self, member: progress.Member) -> None:
         """Records the latest reported percentage of a member."""
         unit = member.run.unit
@@ -69,7 +83,7 @@
             (key.job_id, key.occurrence, key.step),
             member.endpoint_id,
             member.task.index,
-            self._declared_ms(unit.entry.job, key.step),
+            self.declared_ms(unit.entry.job, key.step),
             member.percent - member.base_percent,
             member.percent_at_ms - member.base_ms,
             gang=unit.size > 1,
@@ -92,10 +106,6 @@
         """Returns the ratio of observed and declared durations of a queue."""
         return math.exp(self._log_ratio_by_queue.get(queue_name, 0.0))
 
-    def _declared_ms(self, job: model.Job, number: int) -> float:
-        ratio = self.ratio(job.queue.name)
-        return max(1.0, job.steps[number].estimate_ms * ratio)
-
     def _member_remaining_ms(
         self, member: progress.Member, now_ms: int
     ) -> float:
