--- a/packages/placer/src/laburnumgate_placer/lifecycle.py
+++ b/packages/placer/src/laburnumgate_placer/lifecycle.py
@@ -115,9 +115,18 @@
     """
     for member in run.members:
         state = state_for(member)
-        if state.ended or state.info.born_ms != member.born_ms:
+        if state.ended:
             lose_recorded(tables, state, member)
             continue
+        if state.info.born_ms != member.born_ms:
+            if state.contacted:
+                lose_recorded(tables, state, member)
+                continue
+            # A start order of the earlier leader may still reach the listed
+            # incarnation. The first report shows whether it did, and the call
+            # for it fences such orders.
+            _record_lost(tables, state, member)
+            member.born_ms = state.info.born_ms
         member.report_valid_from_ms = 1
         state.charge(member)
         tables.usage.add(member)
@@ -264,13 +273,22 @@
     member: progress.Member,
 ) -> None:
     """Gives up a recorded member whose endpoint has a new incarnation."""
+    _record_lost(tables, state, member)
+    mark_terminated(tables, member)
+
+
+def _record_lost(
+    tables: tables_module.Tables,
+    state: endpoint_table.EndpointState,
+    member: progress.Member,
+) -> None:
+    """Records that the incarnation of a recorded member has ended."""
     now_ms = tables.monotonic.now_ms()
     machine = member.machine or state.info.machine
     tables.crashes.record_restored(member, machine, now_ms)
     _log_lost(tables, state, member, "ended")
     if member.run.result is None:
         member.run.result = model.EndKind.LAPSED
-    mark_terminated(tables, member)
 
 
 def give_up_crashing(tables: tables_module.Tables) -> None:
--- a/packages/placer/tests/test_accounts_failures.py
+++ b/packages/placer/tests/test_accounts_failures.py
@@ -403,3 +403,31 @@
     lifecycle.end_incarnation(tables, state, "test")
     assert _used_gpu(tables) == 0
     assert tables.endpoints.by_id["e0"].used == model.Resources()
+
+
+def test_order_of_an_earlier_leader_may_reach_the_next_incarnation():
+    """Guards against a late order that runs beside the next run of its task.
+
+    The earlier leader's order is on its way while the endpoint restarts under
+    its id. Only the first report of the new incarnation fences it.
+    """
+    before = _tables(_account(1), endpoints=1)
+    entry = _open(before, "a1", builders.step())
+    scheduling.Scheduler(before).run()
+    after = _tables(_account(1), endpoints=0)
+    builders.add_endpoint(after, "e1")
+    state = builders.add_endpoint(after, "e0", born_ms=2)
+    state.contacted = False
+    restored = _restored(entry, after)
+    (run,) = restored.runs()
+    lifecycle.adopt(after, run, _live_list(after).state_for)
+    scheduler = scheduling.Scheduler(after)
+    scheduler.run()
+    assert _used_gpu(after) == 1
+    assert not after.assigned_runs
+    after.monotonic.advance(10)
+    now_ms = after.monotonic.now_ms()
+    reports.apply(after, state, builders.report(state), now_ms)
+    assert _used_gpu(after) == 0
+    scheduler.run()
+    assert len(after.assigned_runs) == 1
