--- a/packages/placer/src/laburnumgate_placer/overload/overdue.py
+++ b/packages/placer/src/laburnumgate_placer/overload/overdue.py
@@ -3,9 +3,9 @@
 Load pattern: for minutes, callers submit several times the work that the pool
 can do. What was accepted and is too late becomes overdue, and precedes all work
 without a guarantee. If it took the whole pool, urgent work would wait for work
-whose result is worth nothing to its caller any more: in a simulation of five
-minutes with eight times the usual batch work, 66% of the urgent work was on
-time without a limit, and 89% with this one.
+whose result is worth nothing to its caller any more: in a simulation with a
+backlog that is overdue and gave way before, less than a tenth of the urgent
+work starts in time without a limit, and more than nine tenths with this one.
 
 Overdue work therefore precedes other work on a part of the pool only, the
 oldest first. At least one unit does, however large it is, and none passes an
