--- a/packages/placer/src/laburnumgate_placer/reclaim.py
+++ b/packages/placer/src/laburnumgate_placer/reclaim.py
@@ -1,5 +1,6 @@
 """Selects runs to stop so that a more urgent unit can start."""
 
+from collections.abc import Callable
 import dataclasses
 
 from laburnumgate_placer import endpoint_table
@@ -7,6 +8,7 @@
 from laburnumgate_placer import ordering
 from laburnumgate_placer import placement
 from laburnumgate_placer import progress
+from laburnumgate_placer import speeds
 from laburnumgate_placer import tables as tables_module
 from laburnumgate_placer.overload import preemption
 
@@ -111,6 +113,26 @@
             return self.total_loss(victims)
         return sum(self.core_s(run) for run in victims)
 
+    def orders(
+        self, free_by_id: dict[str, model.Resources]
+    ) -> list[Callable[[progress.Run], float]]:
+        """Returns the keys by which runs are tried, the cheapest first.
+
+        The stops are limited by the core-seconds that they throw away as well.
+        The runs whose callers lose least may have run for long, so that only
+        others are within that limit.
+        """
+
+        def by_cost(run: progress.Run) -> float:
+            return self.total([run]) / _freed(run, free_by_id)
+
+        def by_core_s(run: progress.Run) -> float:
+            return self.core_s(run) / _freed(run, free_by_id)
+
+        if self._scope.max_loss is None:
+            return [by_cost]
+        return [by_cost, by_core_s]
+
 
 def plan(
     tables: tables_module.Tables,
@@ -221,14 +243,39 @@
                 runs[id(run)] = run
     for run in stopping.values():
         _add_free(free_by_id, run)
-    candidates = sorted(
-        runs.values(),
-        key=lambda r: _cost_per_accelerator(costs, r, free_by_id),
-    )
-    count = _necessary_count(unit, group, free_by_id, candidates, requirement)
-    if count is None:
-        return None
-    victims = candidates[:count]
+    for key in costs.orders(free_by_id):
+        candidates = sorted(runs.values(), key=key)
+        count = _necessary_count(
+            unit, group, free_by_id, candidates, requirement
+        )
+        if count is None:
+            return None
+        found = _plan_stops(
+            unit,
+            group,
+            dict(free_by_id),
+            candidates[:count],
+            scope,
+            costs,
+            requirement,
+            speed_table,
+        )
+        if found is not None:
+            return found
+    return None
+
+
+def _plan_stops(
+    unit: progress.Unit,
+    group: list[endpoint_table.EndpointState],
+    free_by_id: dict[str, model.Resources],
+    victims: list[progress.Run],
+    scope: Scope,
+    costs: _Costs,
+    requirement: placement.Requirement,
+    speed_table: speeds.SpeedTable,
+) -> Plan | None:
+    """Plans to stop those of the victims that are necessary, if it pays."""
     for run in victims:
         _add_free(free_by_id, run)
     chosen = placement.choose(unit, group, free_by_id, speed_table, requirement)
@@ -351,15 +398,11 @@
             free_by_id[member.endpoint_id] = free.plus(resources, sign)
 
 
-def _cost_per_accelerator(
-    costs: _Costs,
-    run: progress.Run,
-    free_by_id: dict[str, model.Resources],
-) -> float:
-    """Returns the cost per accelerator that a stop frees in the group."""
+def _freed(run: progress.Run, free_by_id: dict[str, model.Resources]) -> int:
+    """Returns the accelerators that a stop frees in the group."""
     freed = sum(
         max(1, run.unit.step.room.gpu)
         for member in run.members
         if member.endpoint_id in free_by_id and not member.terminated
     )
-    return costs.total([run]) / max(1, freed)
+    return max(1, freed)
--- a/packages/placer/tests/test_overload_delay_cost.py
+++ b/packages/placer/tests/test_overload_delay_cost.py
@@ -309,3 +309,29 @@
             if any(run.unit.preempted for run in entry.runs())
         }
     assert stopped == {False: {"normal"}, True: {"batch"}}
+
+
+def test_runs_within_the_limit_of_lost_work_give_way():
+    """Guards against an urgent unit that is late beside runs that just started.
+
+    Load pattern: the runs whose callers lose least have run for long, so that
+    their stops would throw away more work than the urgent unit needs.
+    """
+    tables = _tables(endpoints=1)
+    scheduler = scheduling.Scheduler(tables)
+    step = builders.step(count=4, estimate_ms=20_000)
+    batch = _open(tables, "b", _BATCH, step)
+    _started(tables, scheduler, batch)
+    _advance(tables, 9_000)
+    normal = _open(tables, "c", _NORMAL, step)
+    normal.arrived_ms -= 40_000
+    _started(tables, scheduler, normal)
+    _advance(tables, 300)
+    _open(tables, "a", _URGENT, builders.step(gpu=4, estimate_ms=2_000))
+    scheduler.run()
+    stopped = {
+        entry.job.queue.name
+        for entry in (batch, normal)
+        if any(run.unit.preempted for run in entry.runs())
+    }
+    assert stopped == {"normal"}
