--- a/packages/placer/tests/test_overload_headroom.py
+++ b/packages/placer/tests/test_overload_headroom.py
@@ -453,7 +453,8 @@
         now_ms = tables.monotonic.now_ms() + number * urgent_room.UPDATE_MS
         room.reserve("pool", pool, now_ms)
         took_ms.append(1_000 * (time.perf_counter() - began))
-    assert pool.headroom_ids
+    reserved = len(pool.headroom_ids)  # The repr of the pool is very long.
+    assert reserved
     assert min(took_ms) < 5
 
 
