--- a/packages/placer/src/laburnumgate_placer/accounts/holds.py
+++ b/packages/placer/src/laburnumgate_placer/accounts/holds.py
@@ -97,7 +97,7 @@
                 units = self._permitted(step)
             except Exception:  # Logged when the step is placed.
                 continue
-            if len(units) < len(step.units):
+            if len(units) < len(step.units) and self._claims:
                 permitted = {unit.key for unit in units}
                 units = [
                     unit
@@ -121,6 +121,19 @@
                 self._keep_for_overdue(waiting.units[0])
         return admitted
 
+    def held_back(
+        self, waiting: ordering.WaitingStep, admitted: list[progress.Unit]
+    ) -> list[progress.Unit]:
+        """Returns the units that were not admitted and wait for no stops."""
+        if not self._claims:
+            return list(waiting.units[len(admitted) :])
+        startable = {unit.key for unit in admitted}
+        return [
+            unit
+            for unit in waiting.units
+            if unit.key not in startable and not self.waits_for_stops(unit)
+        ]
+
     def has_claim(self, units: tuple[progress.Unit, ...]) -> bool:
         """Whether runs were stopped for one of the units."""
         if not self._claims:
--- a/packages/placer/src/laburnumgate_placer/lookahead.py
+++ b/packages/placer/src/laburnumgate_placer/lookahead.py
@@ -89,6 +89,40 @@
             if self._reclaimed_by_unit.pop(unit.key, None):
                 pool.release(unit.key)
 
+    def may_displace(
+        self,
+        pool: pool_module.Pool,
+        rank: ordering.Rank,
+        unit: progress.Unit,
+        claimed: model.Resources,
+        now_ms: int,
+    ) -> bool:
+        """Whether a search for runs of the unit's own account is due now."""
+        due = guarantee_due(self._tables, rank, unit, now_ms)
+        known = self._not_displaced_by_unit.get(unit.key)
+        if known is not None and now_ms < known[0]:
+            state = self._displacement_state(rank, unit, claimed, due)
+            if known[1] == state:
+                return False
+        return due or pool.displacements < passes.MAX_DISPLACEMENTS
+
+    def _displacement_state(
+        self,
+        rank: ordering.Rank,
+        unit: progress.Unit,
+        claimed: model.Resources,
+        due: bool,
+    ) -> tuple:
+        """Returns what a search for runs of the account depends on."""
+        account = unit.entry.job.account
+        return (
+            self._tables.usage.changes(account),
+            self._tables.config.limit(account),
+            claimed,
+            rank.stage,
+            due,
+        )
+
     def displace(
         self,
         pool: pool_module.Pool,
@@ -111,19 +145,13 @@
           now_ms: monotonic time.
 
         Returns:
-          What was stopped, or None if nothing may be stopped, or is known not
-          to help.
+          What was stopped, or None if nothing may be stopped.
         """
         tables = self._tables
         due = guarantee_due(tables, rank, unit, now_ms)
         account = unit.entry.job.account
         limit = tables.config.limit(account)
-        state = (tables.usage.changes(account), limit, claimed, rank.stage, due)
-        known = self._not_displaced_by_unit.get(unit.key)
-        if known is not None and known[1] == state and now_ms < known[0]:
-            return None
-        if pool.displacements >= passes.MAX_DISPLACEMENTS and not due:
-            return None
+        state = self._displacement_state(rank, unit, claimed, due)
         pool.displacements += 1
         lacks = displacement.lacking(
             limit,
--- a/packages/placer/src/laburnumgate_placer/overload/passes.py
+++ b/packages/placer/src/laburnumgate_placer/overload/passes.py
@@ -12,7 +12,7 @@
 # Maximum number of searches of a pass for work that units of accounts at their
 # limits may stop. They are counted apart from the searches above, so that an
 # account at its limit delays no search for other accounts.
-MAX_DISPLACEMENTS = 2
+MAX_DISPLACEMENTS = 1
 # How long such a search is not repeated while the usage of the account and its
 # limit stay the same. Runs may be stopped only some time after their start.
 DISPLACEMENT_VALID_MS = 300
--- a/packages/placer/src/laburnumgate_placer/scheduling.py
+++ b/packages/placer/src/laburnumgate_placer/scheduling.py
@@ -120,19 +120,18 @@
         for the unit that they were stopped for, which starts once their end is
         certain.
         """
-        startable = {unit.key for unit in admitted}
-        held = [
-            unit
-            for unit in waiting.units
-            if unit.key not in startable
-            and not self._holds.waits_for_stops(unit)
-        ]
+        held = self._holds.held_back(waiting, admitted)
         self._look_ahead.give_up(pool, held)
         rank = waiting.rank
         if not rank.guaranteed and rank.stage != ordering.Stage.ON_TIME:
             return
         try:
             for unit in held:
+                claimed = self._holds.claimed((unit,), rank.guaranteed)
+                if not self._look_ahead.may_displace(
+                    pool, rank, unit, claimed, now_ms
+                ):
+                    return
                 endpoints = self._endpoints_for(
                     pool, rank, unit, protected, now_ms
                 )
@@ -144,7 +143,7 @@
                     unit,
                     endpoints,
                     protected,
-                    self._holds.claimed((unit,), rank.guaranteed),
+                    claimed,
                     now_ms,
                 )
                 if plan is None:
