--- a/packages/placer/tests/test_crashes.py
+++ b/packages/placer/tests/test_crashes.py
@@ -371,6 +371,18 @@
     assert failed == {unit.key.job_id for unit in crashing}
 
 
+def test_a_crowded_pool_fails_no_job_beside_a_crashing_task():
+    """Guards against a job that fails since it has no other place to run.
+
+    The pool is so full that a task is placed beside the crashing one four
+    times. An example that the property above drew on other code.
+    """
+    sizes = [3, 2, 3, 3, 3, 3, 3, 3]
+    entries, crashing, _ = _play(sizes, {0}, [])
+    failed = {e.job.job_id for e in entries if e.state == model.JobState.FAILED}
+    assert failed == {unit.key.job_id for unit in crashing}
+
+
 def test_a_lost_endpoint_without_tasks_counts_as_common_cause():
     """Guards against a task that is blamed for the loss of a rack."""
     tables = _tables()
