--- a/packages/placer/src/laburnumgate_placer/intake.py
+++ b/packages/placer/src/laburnumgate_placer/intake.py
@@ -351,9 +351,9 @@
         if isinstance(verdict, MayHaveRun):
             return self._in_doubt(job.job_id, "resubmit", refusal.reason)
         retry_after_ms = refusal.retry_after_ms
-        # A job that its account's limit excludes does not compete with others
-        # for the time of its return.
-        if refusal.cause != admission.Cause.ACCOUNT_LIMIT:
+        # A job that its account's limit or the size of the endpoints excludes
+        # does not compete with others for the time of its return.
+        if refusal.cause == admission.Cause.BACKLOG:
             now_ms = self._wall.now_ms()
             self._returns = self._returns.next(now_ms, retry_after_ms)
             retry_after_ms = self._returns.latest_ms - now_ms
--- a/packages/placer/tests/test_intake_rejections.py
+++ b/packages/placer/tests/test_intake_rejections.py
@@ -141,6 +141,22 @@
     assert _rejected()["account_limit"] == before + 2
 
 
+def test_a_job_without_an_endpoint_delays_no_other_return():
+    """Guards against 30 s for each caller after one impossible job.
+
+    Callers that are turned away for the backlog return one after the other.
+    """
+    host = _Host()
+    steps = [[1e9, 40_000]]
+    host.report.ranked["services"]["pool"]["steps"] = steps
+    before, impossible, after = builders.run(
+        host.submit(_job(), _job("b", gpu=9), _job("c"))
+    )
+    assert impossible.retry_after_ms == admission.MAX_RETRY_MS
+    assert before.retry_after_ms < admission.MAX_RETRY_MS
+    assert after.retry_after_ms < admission.MAX_RETRY_MS
+
+
 @pytest.mark.parametrize("job", [_job(), _job(gpu=5)])
 def test_a_job_that_may_be_stored_is_not_answered_as_not_run(job):
     """Guards against "not run" for a job whose first attempt may run.
