--- a/packages/placer/tests/builders.py
+++ b/packages/placer/tests/builders.py
@@ -15,6 +15,31 @@
     "reviews", "h.example", "/reviews/", "pool", attempts=3, stretch=2.0
 )
 ACCOUNT = model.Account("mina", frozenset({"key-1"}), guaranteed_gpu=16)
+# Three queues as users have them, the most urgent one first.
+URGENT = dataclasses.replace(
+    QUEUE,
+    name="urgent",
+    prefix="/u/",
+    priority=0,
+    stretch=1.5,
+    objective_ms=300,
+)
+NORMAL = dataclasses.replace(
+    QUEUE,
+    name="normal",
+    prefix="/n/",
+    priority=1,
+    stretch=3.0,
+    objective_ms=1_000,
+)
+BATCH = dataclasses.replace(
+    QUEUE,
+    name="batch",
+    prefix="/b/",
+    priority=2,
+    stretch=3.0,
+    objective_ms=3_000,
+)
 
 
 def config(*queues, accounts=(ACCOUNT,), version=1) -> model.Configuration:
--- a/packages/placer/tests/test_accounts_shares.py
+++ b/packages/placer/tests/test_accounts_shares.py
@@ -26,25 +26,9 @@
 _EQUAL = policy.Policy(equal_account_shares=True)
 _COST = policy.Policy(delay_cost_order=True)
 _COST_EQUAL = policy.Policy(delay_cost_order=True, equal_account_shares=True)
-_URGENT = builders.replace(
-    builders.QUEUE, name="urgent", prefix="/u/", stretch=1.5, objective_ms=300
-)
-_NORMAL = builders.replace(
-    builders.QUEUE,
-    name="normal",
-    prefix="/n/",
-    priority=1,
-    stretch=3.0,
-    objective_ms=1_000,
-)
-_BATCH = builders.replace(
-    builders.QUEUE,
-    name="batch",
-    prefix="/b/",
-    priority=2,
-    stretch=3.0,
-    objective_ms=3_000,
-)
+_URGENT = builders.URGENT
+_NORMAL = builders.NORMAL
+_BATCH = builders.BATCH
 _QUEUES = (_URGENT, _NORMAL, _BATCH)
 
 
--- a/packages/placer/tests/test_load_eight_times_batch.py
+++ b/packages/placer/tests/test_load_eight_times_batch.py
@@ -14,30 +14,9 @@
 import pytest
 
 _ON = policy.Policy(delay_cost_order=True)
-_URGENT = builders.replace(
-    builders.QUEUE,
-    name="urgent",
-    prefix="/u/",
-    priority=0,
-    stretch=1.5,
-    objective_ms=300,
-)
-_NORMAL = builders.replace(
-    builders.QUEUE,
-    name="normal",
-    prefix="/n/",
-    priority=1,
-    stretch=3.0,
-    objective_ms=1_000,
-)
-_BATCH = builders.replace(
-    builders.QUEUE,
-    name="batch",
-    prefix="/b/",
-    priority=2,
-    stretch=3.0,
-    objective_ms=3_000,
-)
+_URGENT = builders.URGENT
+_NORMAL = builders.NORMAL
+_BATCH = builders.BATCH
 _ENDPOINTS = 6
 _POOL_GPU = 8 * _ENDPOINTS
 _BATCH_MS = 4_000
--- a/packages/placer/tests/test_overload_delay_cost.py
+++ b/packages/placer/tests/test_overload_delay_cost.py
@@ -13,30 +13,9 @@
 import pytest
 
 _ON = policy.Policy(delay_cost_order=True)
-_URGENT = builders.replace(
-    builders.QUEUE,
-    name="urgent",
-    prefix="/u/",
-    priority=0,
-    stretch=1.5,
-    objective_ms=300,
-)
-_NORMAL = builders.replace(
-    builders.QUEUE,
-    name="normal",
-    prefix="/n/",
-    priority=1,
-    stretch=3.0,
-    objective_ms=1_000,
-)
-_BATCH = builders.replace(
-    builders.QUEUE,
-    name="batch",
-    prefix="/b/",
-    priority=2,
-    stretch=3.0,
-    objective_ms=3_000,
-)
+_URGENT = builders.URGENT
+_NORMAL = builders.NORMAL
+_BATCH = builders.BATCH
 
 
 def _tables(setting=_ON, endpoints=0, accounts=()):
