--- a/packages/placer/src/laburnumgate_placer/scheduling.py
+++ b/packages/placer/src/laburnumgate_placer/scheduling.py
@@ -2,7 +2,6 @@
 
 import dataclasses
 import logging
-import math
 
 from laburnumgate_placer import advice
 from laburnumgate_placer import endpoint_table
@@ -10,6 +9,7 @@
 from laburnumgate_placer import lifecycle
 from laburnumgate_placer import lookahead
 from laburnumgate_placer import ordering
+from laburnumgate_placer import overdue_units
 from laburnumgate_placer import placement
 from laburnumgate_placer import pool as pool_module
 from laburnumgate_placer import progress
@@ -17,8 +17,6 @@
 from laburnumgate_placer import tables as tables_module
 from laburnumgate_placer import urgent_room
 from laburnumgate_placer.accounts import holds
-from laburnumgate_placer.overload import overdue
-from laburnumgate_placer.overload import preemption
 
 _LOGGER = logging.getLogger(__name__)
 
@@ -52,7 +50,7 @@
         protected = ordering.guaranteed_jobs(tables)
         waiting = ordering.waiting_steps(tables, protected, now_ms)
         if any(step.rank.overdue for step in waiting):
-            waiting = self._limit_overdue(waiting)
+            waiting = overdue_units.limit(tables, waiting)
         if not waiting:
             self._reported_steps.clear()
         self._room.observe(waiting, now_ms)
@@ -81,7 +79,7 @@
             try:
                 self._place_step(pool, step, protected, now_ms)
                 if step.rank.overdue:
-                    _mark_overdue(step.units)
+                    overdue_units.mark(step.units)
             except Exception as error:  # Must not keep other jobs waiting.
                 self._set_aside(step, error, now_ms)
         self._holds.end_pass(now_ms)
@@ -93,67 +91,6 @@
         """Resets what the metrics of this host say of the term."""
         self._room.clear_metrics()
 
-    def _limit_overdue(
-        self, waiting: list[ordering.WaitingStep]
-    ) -> list[ordering.WaitingStep]:
-        """Defers overdue units beyond the capacity that they may take.
-
-        Returns the steps with the deferred ones last, as they are worth nothing
-        to their callers any more. A step of which only some units are deferred
-        is returned as two.
-        """
-        deferred: list[ordering.WaitingStep] = []
-        total_by_service: dict[str, float] = {}
-        used_by_service: dict[str, float] = {}
-        runs: set[int] = set()
-        for state in self._tables.endpoints.by_id.values():
-            if state.ended or not state.listed:
-                continue
-            service = state.info.service
-            cores = preemption.cores(state.info.capacity)
-            total_by_service[service] = (
-                total_by_service.get(service, 0.0) + cores
-            )
-            for member in state.members.values():
-                if member.run.overdue and id(member.run) not in runs:
-                    runs.add(id(member.run))
-                    unit = member.run.unit
-                    used_by_service[service] = used_by_service.get(
-                        service, 0.0
-                    ) + unit.size * preemption.cores(unit.step.room)
-        found = []
-        for step in waiting:
-            if step.rank.guaranteed or not step.rank.overdue:
-                found.append(step)
-                continue
-            unit = step.units[0]
-            service = self._tables.queue_of(unit.entry.job).service
-            cores = unit.size * preemption.cores(unit.step.room)
-            used = used_by_service.get(service, 0.0)
-            count = overdue.count_preceding(
-                len(step.units),
-                cores,
-                used,
-                total_by_service.get(service, 0.0),
-            )
-            used_by_service[service] = used + count * cores
-            if count < len(step.units):
-                # Smaller units must not pass one that is too large for what is
-                # left, or it would never start.
-                used_by_service[service] = math.inf
-            if count:
-                found.append(
-                    dataclasses.replace(step, units=step.units[:count])
-                )
-            if count < len(step.units):
-                rank = dataclasses.replace(step.rank, deferred=True)
-                deferred.append(
-                    dataclasses.replace(
-                        step, rank=rank, units=step.units[count:]
-                    )
-                )
-        return found + deferred
-
     def _move_stragglers(
         self,
         pools: dict[str, pool_module.Pool],
@@ -640,13 +577,6 @@
     )
 
 
-def _mark_overdue(units: tuple[progress.Unit, ...]) -> None:
-    """Marks the runs that were assigned before work that is worth more."""
-    for unit in units:
-        if unit.run is not None:
-            unit.run.overdue = True
-
-
 def _requirement_in(
     pool: pool_module.Pool, rank: ordering.Rank
 ) -> placement.Requirement:
