--- a/deploy/tests/soak.py
+++ b/deploy/tests/soak.py
@@ -1,6 +1,7 @@
 """Runs real host processes against stand-ins while injecting faults."""
 
 import asyncio
+import dataclasses
 import os
 import pathlib
 import random
@@ -13,6 +14,7 @@
 import aiohttp
 from aiohttp import web
 import click
+from laburnumgate_placer import policy as policy_module
 import orjson
 import standin_capacity
 import standin_crashes
@@ -152,8 +154,11 @@
 class HostProcess:
     """A host process, controlled through its own process id."""
 
-    def __init__(self, folder: pathlib.Path, name: str, values: dict):
+    def __init__(
+        self, folder: pathlib.Path, name: str, values: dict, policy: str
+    ):
         self.name = name
+        self._env = {**os.environ, "LABURNUMGATE_POLICY": policy}
         self.values = values
         self.caller_address = f"{values['ip']}:8521"
         self._path = folder / f"{name}.toml"
@@ -168,7 +173,7 @@
             self._process = await asyncio.create_subprocess_exec(
                 sys.executable,
                 str(_ROOT / "platform" / "laburnumgated.py"),
-                env={**os.environ, "LABURNUMGATE_BOOT": str(self._path)},
+                env={**self._env, "LABURNUMGATE_BOOT": str(self._path)},
                 stdout=log,
                 stderr=log,
             )
@@ -204,6 +209,7 @@
         crashing_share: float,
         shrinks: bool,
         limits: bool,
+        policies: bool,
     ):
         self.rng = random.Random(seed)
         # Separate, so that `seed` draws the same load and other faults whatever
@@ -216,6 +222,13 @@
         self.account_rng = random.Random(f"{seed} accounts")
         self.limits = limits
         self.folder = pathlib.Path(tempfile.mkdtemp(prefix="soak-"))
+        self._policy = self.folder / "policy.toml"
+        self._policy.write_text(
+            "".join(
+                f"{field.name} = {str(policies).lower()}\n"
+                for field in dataclasses.fields(policy_module.Policy)
+            )
+        )
         self.store = standin_store.Store(self.rng)
         self.fleet = standin_worker.Fleet(self.rng, self.crash_rng)
         if limits:
@@ -304,7 +317,9 @@
                 "cores": 1 + number % 2,
                 "ip": _loopback_address(number),
             }
-            host = HostProcess(self.folder, f"h{number}", values)
+            host = HostProcess(
+                self.folder, f"h{number}", values, str(self._policy)
+            )
             self.hosts.append(host)
             await host.start(first=True)
 
@@ -586,12 +601,13 @@
     crashing_share: float = CRASHING_SHARE,
     shrinks: bool = True,
     limits: bool = False,
+    policies: bool = False,
 ) -> list[str]:
     """Runs one seed and returns the violations.
 
     The hosts' logs are kept if there is a violation.
     """
-    soak = Soak(seed, hosts, workers, crashing_share, shrinks, limits)
+    soak = Soak(seed, hosts, workers, crashing_share, shrinks, limits, policies)
     violations = asyncio.run(soak.run(seconds))
     if violations:
         violations.append(f"logs in {soak.folder}; faults: {soak.faults}")
@@ -623,15 +639,35 @@
     default=True,
     help="Whether the accounts have limits.",
 )
+@click.option(
+    "--policies/--no-policies",
+    default=True,
+    help="Whether all optional parts of the policy are switched on.",
+)
 def main(
-    seed, seeds, seconds, hosts, workers, crashing_share, shrinks, limits
+    seed,
+    seeds,
+    seconds,
+    hosts,
+    workers,
+    crashing_share,
+    shrinks,
+    limits,
+    policies,
 ) -> None:
     """Runs seeds sequentially and reports the result of each."""
     seed = seed or random.SystemRandom().randrange(1, 10**6)
     failed = 0
     for number in range(seed, seed + seeds):
         violations = run_seed(
-            number, seconds, hosts, workers, crashing_share, shrinks, limits
+            number,
+            seconds,
+            hosts,
+            workers,
+            crashing_share,
+            shrinks,
+            limits,
+            policies,
         )
         failed += bool(violations)
         click.echo(f"seed {number}: {'broken' if violations else 'kept'}")
--- a/deploy/tests/test_soak.py
+++ b/deploy/tests/test_soak.py
@@ -56,6 +56,19 @@
     )
 
 
+def test_guarantees_hold_with_all_optional_parts_of_the_policy():
+    """Guards against violated guarantees by moves, headroom and refusals."""
+    assert not soak.run_seed(
+        22400,
+        _SECONDS,
+        hosts=3,
+        crashing_share=0.0,
+        shrinks=False,
+        limits=True,
+        policies=True,
+    )
+
+
 @pytest.mark.parametrize(
     ("seed", "seconds", "hosts", "workers", "crashing_share"),
     [
