Count only the waves that a limit makes necessary unless work is ordered by cost of delay

The test of the pool's waves uses the setting now, and another checks that a limit which is not reached counts no waves.

--- a/packages/placer/src/laburnumgate_placer/ordering.py
+++ b/packages/placer/src/laburnumgate_placer/ordering.py
@@ -174,6 +174,8 @@
     """Returns in how many waves each step has to run, None if all in one.
 
     Waves count for accounts with a limit, and in the order by cost of delay.
+    Without that order, only the limit counts, so that one that is never reached
+    changes nothing.
     """
     if not _counts_waves(tables):
         return None
@@ -198,14 +200,17 @@
 ) -> tuple[int, ...] | None:
     job = entry.job
     limit = tables.config.limit(job.account)
-    if not tables.policy.delay_cost_order and limit == limits.NO_LIMIT:
+    by_cost = tables.policy.delay_cost_order
+    if not by_cost and limit == limits.NO_LIMIT:
         return None
     computed_for = (tables.capacity.changes, limit)
     if entry.waves[0] != computed_for:
         service = tables.queue_of(job).service
         waves = tuple(
             limits.waves(
-                step, limit, tables.capacity.slots(service, step.charged)
+                step,
+                limit,
+                tables.capacity.slots(service, step.charged) if by_cost else 0,
             )
             for step in job.steps
         )
--- a/packages/placer/tests/test_accounts_shares.py
+++ b/packages/placer/tests/test_accounts_shares.py
@@ -745,7 +745,7 @@
 def test_waves_follow_the_pool_and_the_limit():
     """Guards against objectives for a pool or a limit of the past."""
     account = _account("mina", limit=model.Resources(gpu=16))
-    tables = _tables(account, endpoints=2)
+    tables = _tables(account, setting=_COST, endpoints=2)
     entry = _submit(tables, "a" * 16, "mina", count=8)
     assert _allowed(tables, entry) == 3 * 2 * 4_000 + 1_000
     builders.add_endpoint(tables, "e8")
@@ -760,6 +760,14 @@
     assert _allowed(tables, entry) == 3 * 4 * 4_000 + 1_000
 
 
+def test_limit_that_is_not_reached_counts_no_waves():
+    """Guards against a limit that changes decisions without ever binding."""
+    account = _account("mina", limit=model.Resources(gpu=16))
+    tables = _tables(account, endpoints=2)
+    entry = _submit(tables, "a" * 16, "mina", count=8)
+    assert _allowed(tables, entry) == 3 * 4_000 + 1_000
+
+
 def test_pool_without_endpoints_counts_no_waves():
     """Guards against objectives that never end before endpoints are known."""
     tables = _tables(_account("mina"), setting=_COST, endpoints=0)
