--- a/packages/placer/src/laburnumgate_placer/straggler_moves.py
+++ b/packages/placer/src/laburnumgate_placer/straggler_moves.py
@@ -28,7 +28,7 @@
 INTERVAL_MS = 250
 # Maximum number of searches for other endpoints in a check. Each sorts all
 # endpoints. With 3, the last of 26 runs that stalled at once was moved 2.4 s
-# after the first (trial with 170 endpoints).
+# after the first.
 MAX_SEARCHES = 6
 # Maximum number of runs of each kind whose progress is looked at in a check.
 # This takes about 15 us for each.
