--- a/deploy/tests/standin_store.py
+++ b/deploy/tests/standin_store.py
@@ -8,6 +8,8 @@
 from aiohttp import web
 import orjson
 
+_CHUNK_BYTES = 4_096
+
 
 class Store:
     """Serves single-partition topics over HTTP.
@@ -21,6 +23,9 @@
       late: fraction of the appends that are applied 1 s late, and processed
         once more after 30 s, when they are answered.
       delay_s: additional latency of each request.
+      bytes_per_s: rate at which answers are sent, 0 for no limit.
+      stall_after_bytes: bytes of an answer after which nothing follows, None
+        to send all of them.
     """
 
     def __init__(self, rng):
@@ -31,6 +36,8 @@
         self.refuse = 0.0
         self.late = 0.0
         self.delay_s = 0.0
+        self.bytes_per_s = 0
+        self.stall_after_bytes: int | None = None
         self._epochs: dict[tuple, int] = {}
         self._last_numbers: dict[tuple, int] = {}
         self._append_responses: dict[tuple, dict] = {}
@@ -47,8 +54,32 @@
         for topic, records in self.topics.items():
             self.first[topic] = len(records)
 
-    async def handle(self, request: web.BaseRequest) -> web.Response:
+    async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
         """Handles one request."""
+        response = await self._respond(request)
+        if not self.bytes_per_s and self.stall_after_bytes is None:
+            return response
+        return await self._send_slowly(request, response)
+
+    async def _send_slowly(
+        self, request: web.BaseRequest, response: web.Response
+    ) -> web.StreamResponse:
+        slow = web.StreamResponse(status=response.status)
+        slow.content_length = len(response.body)
+        await slow.prepare(request)
+        end = len(response.body)
+        if self.stall_after_bytes is not None:
+            end = min(end, self.stall_after_bytes)
+        step = _CHUNK_BYTES if self.bytes_per_s else end
+        for start in range(0, end, max(1, step)):
+            await slow.write(response.body[start : min(end, start + step)])
+            if self.bytes_per_s:
+                await asyncio.sleep(step / self.bytes_per_s)
+        if end < len(response.body):
+            await asyncio.sleep(30)
+        return slow
+
+    async def _respond(self, request: web.BaseRequest) -> web.Response:
         await asyncio.sleep(0.002 + self.delay_s)
         if self.rng.random() < self.refuse:
             return web.Response(status=503)
--- /dev/null
+++ b/deploy/tests/test_transfers.py
@@ -0,0 +1,65 @@
+"""Tests of answers that take long to arrive."""
+
+import asyncio
+import contextlib
+import random
+
+import aiohttp
+from aiohttp import web
+import builders
+from laburnumgate_placer import ports
+import standin_store
+import store
+
+_TOPIC = "keyed.op"
+_TIMEOUT_MS = 200
+
+
+@contextlib.asynccontextmanager
+async def _client(service: standin_store.Store):
+    loop = asyncio.get_running_loop()
+    server = web.Server(service.handle)
+    listener = await loop.create_server(server, "127.0.0.1", 0)
+    port = listener.sockets[0].getsockname()[1]
+    async with aiohttp.ClientSession() as session:
+        yield store.StoreLog(session, f"http://127.0.0.1:{port}")
+    listener.close()
+    # No time limit would apply with 0.
+    await server.shutdown(0.1)
+
+
+def _store(value: bytes) -> standin_store.Store:
+    service = standin_store.Store(random.Random(1))
+    service.put(_TOPIC, "config", value)
+    return service
+
+
+def test_a_timeout_tells_how_much_of_the_answer_arrived():
+    """Guards against taking a slow transfer for a log that is silent."""
+
+    async def work():
+        service = _store(b"x" * 100_000)
+        service.stall_after_bytes = 40_000
+        async with _client(service) as log:
+            answer = await log.read(
+                _TOPIC, 0, wait_ms=0, timeout_ms=_TIMEOUT_MS
+            )
+        assert isinstance(answer, ports.Unknown)
+        assert "40000 of 1000" in answer.reason, answer.reason
+
+    builders.run(work())
+
+
+def test_a_silent_log_is_told_from_a_slow_transfer():
+    """Guards against a log that is silent being taken for a slow one."""
+
+    async def work():
+        service = _store(b"x")
+        service.delay_s = 5.0
+        async with _client(service) as log:
+            answer = await log.read(
+                _TOPIC, 0, wait_ms=0, timeout_ms=_TIMEOUT_MS
+            )
+        assert answer == ports.Unknown(f"no answer within {_TIMEOUT_MS} ms")
+
+    builders.run(work())
--- a/packages/placer/src/laburnumgate_placer/host.py
+++ b/packages/placer/src/laburnumgate_placer/host.py
@@ -219,6 +219,10 @@
         claim = self.leadership.current
         config = self.config.current
         metrics.CONFIG_VERSION.set({}, config.version if config else 0)
+        for each in (self.config_feed, self.jobs_feed, self.leadership.feed):
+            if each.fresh_ms:
+                age_s = each.age_ms() / 1000
+                metrics.FEED_AGE.set({"topic": each.topic}, age_s)
         dump = {
             "ready": self.ready(),
             "config_version": config.version if config else None,
--- a/packages/placer/src/laburnumgate_placer/metrics.py
+++ b/packages/placer/src/laburnumgate_placer/metrics.py
@@ -46,6 +46,15 @@
 LOG_CALLS = _counter(
     "laburnumgate_log_calls_total", "Calls to the log by call and outcome."
 )
+LOG_BYTES = _counter(
+    "laburnumgate_log_received_bytes_total",
+    "Bytes of the log's answers, by topic and whether the answer arrived"
+    " completely.",
+)
+FEED_AGE = _gauge(
+    "laburnumgate_feed_age_seconds",
+    "Time since all records of a topic were known to be applied.",
+)
 RUN_ENDS = _counter(
     "laburnumgate_run_ends_total", "Ends of tasks by how they ended."
 )
