Add a failing test of following a configuration over a slow link

A record of 250 KB over a link of 100 KB/s is never read to its end: each read is given up in the middle of the answer, and the next one begins with its first byte.

--- a/deploy/tests/test_transfers.py
+++ b/deploy/tests/test_transfers.py
@@ -7,6 +7,8 @@
 import aiohttp
 from aiohttp import web
 import builders
+from laburnumgate_core import clock
+from laburnumgate_placer import feed
 from laburnumgate_placer import ports
 import standin_store
 import store
@@ -63,3 +65,33 @@
         assert answer == ports.Unknown(f"no answer within {_TIMEOUT_MS} ms")
 
     builders.run(work())
+
+
+def test_a_configuration_is_followed_over_a_slow_link():
+    """Guards against hosts that never read a configuration to its end.
+
+    The transfer takes longer than a read waits for its first byte. Hosts gave
+    it up each time and began again with its first byte.
+    """
+
+    async def work():
+        service = _store(b"1")
+        seen = []
+        async with _client(service) as log:
+            follower = feed.Feed(
+                log,
+                clock.MonotonicClock(),
+                _TOPIC,
+                seen.append,
+                wait_ms=100,
+            )
+            task = asyncio.create_task(follower.run())
+            await follower.loaded.wait()
+            service.bytes_per_s = 100_000
+            service.put(_TOPIC, "config", b"x" * 250_000)
+            followed = await follower.wait_for_offset(2, 10_000)
+            task.cancel()
+        assert followed
+        assert [len(entry.value) for entry in seen] == [1, 250_000]
+
+    builders.run(work())
