Limit the time without progress of a call instead of its whole duration

A call to the log was limited as a whole. A read that was cut off in the middle of its answer began again with the first byte, so that such a host never finished it, while its link was full all the time.

The limit now starts anew whenever bytes arrive. A log that is silent, also in the middle of an answer, is given up as before.

--- a/deploy/tests/test_transfers.py
+++ b/deploy/tests/test_transfers.py
@@ -47,7 +47,7 @@
                 _TOPIC, 0, wait_ms=0, timeout_ms=_TIMEOUT_MS
             )
         assert isinstance(answer, ports.Unknown)
-        assert "40000 of 1000" in answer.reason, answer.reason
+        assert "after 40000 of 1000" in answer.reason
 
     builders.run(work())
 
--- a/packages/placer/src/laburnumgate_placer/call_timeout.py
+++ b/packages/placer/src/laburnumgate_placer/call_timeout.py
@@ -14,27 +14,51 @@
 CATCH_UP_MS = 60
 
 
+class Limit:
+    """Time limit of a call that is under way."""
+
+    def __init__(self, timeout: asyncio.Timeout, timeout_ms: float):
+        self._loop = asyncio.get_running_loop()
+        self._timeout = timeout
+        self._timeout_s = timeout_ms / 1000
+        self._due = self._loop.time() + self._timeout_s
+        self._timer = self._loop.call_at(self._due, self._expire)
+
+    def restart(self) -> None:
+        """Starts the period anew, after the other side made progress."""
+        self._due = self._loop.time() + self._timeout_s
+        if self._timeout.when() is not None:
+            # The timer has fired late, and the answer arrived after all.
+            self._timeout.reschedule(None)
+            self._timer = self._loop.call_at(self._due, self._expire)
+
+    def cancel(self) -> None:
+        """Removes the limit."""
+        self._timer.cancel()
+
+    def _expire(self) -> None:
+        now = self._loop.time()
+        if now < self._due:
+            self._timer = self._loop.call_at(self._due, self._expire)
+            return
+        late = now - self._due > LATE_TIMER_MS / 1000
+        self._timeout.reschedule(now + (CATCH_UP_MS / 1000 if late else 0))
+
+
 @contextlib.asynccontextmanager
-async def limit(timeout_ms: float) -> AsyncIterator[None]:
-    """Cancels the enclosed call after a timeout.
+async def limit(timeout_ms: float) -> AsyncIterator[Limit]:
+    """Cancels the enclosed call after a period without progress.
 
     Args:
-      timeout_ms: time that the other side has to answer.
+      timeout_ms: time that the other side has to answer, and to continue its
+        answer each time that `Limit.restart` was called.
 
     Raises:
-      TimeoutError: There was no answer in time.
+      TimeoutError: There was no answer, or no progress, in time.
     """
-    loop = asyncio.get_running_loop()
-    due = loop.time() + timeout_ms / 1000
     async with asyncio.timeout(None) as timeout:
-
-        def expire() -> None:
-            now = loop.time()
-            late = now - due > LATE_TIMER_MS / 1000
-            timeout.reschedule(now + (CATCH_UP_MS / 1000 if late else 0))
-
-        timer = loop.call_at(due, expire)
+        current = Limit(timeout, timeout_ms)
         try:
-            yield
+            yield current
         finally:
-            timer.cancel()
+            current.cancel()
--- a/packages/placer/tests/test_call_timeout.py
+++ b/packages/placer/tests/test_call_timeout.py
@@ -46,6 +46,48 @@
     builders.run(work())
 
 
+def test_progress_extends_the_limit_of_a_call():
+    """Guards against giving up an answer that is still arriving."""
+
+    async def work():
+        async with call_timeout.limit(100) as limit:
+            for _ in range(6):
+                await asyncio.sleep(0.05)
+                limit.restart()
+
+    builders.run(work())
+
+
+def test_a_call_that_stops_after_progress_times_out():
+    """Guards against calls that hang in the middle of an answer."""
+
+    async def work():
+        with pytest.raises(TimeoutError):
+            async with call_timeout.limit(50) as limit:
+                await asyncio.sleep(0.03)
+                limit.restart()
+                await asyncio.sleep(5)
+
+    builders.run(work())
+
+
+def test_progress_after_a_stall_extends_the_limit():
+    """Guards against giving up a call whose timer fired late."""
+
+    async def work():
+        async with call_timeout.limit(50) as limit:
+            time.sleep(0.2)
+            # Lets the late timer fire.
+            await asyncio.sleep(0)
+            await asyncio.sleep(0)
+            limit.restart()
+            await asyncio.sleep(0.03)
+            limit.restart()
+            await asyncio.sleep(0.04)
+
+    builders.run(work())
+
+
 def test_an_enclosing_cancellation_is_passed_on():
     """Guards against a task that cannot be cancelled during a call."""
 
