Continue an interrupted load of a topic with the page that was lost

A host that starts, or whose history expired, loads the newest record of each key page by page.

The load under way is kept and continues after the last key that arrived. The end offset stays that of the first page, so that later records are read anyway.

test_feed.py::test_loading_goes_on_with_the_page_that_was_lost failed before.

--- a/packages/placer/src/laburnumgate_placer/feed.py
+++ b/packages/placer/src/laburnumgate_placer/feed.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections.abc import Callable
+import dataclasses
 import logging
 
 from laburnumgate_core import clock
@@ -17,6 +18,23 @@
 RETRY_MS = 100
 
 
+@dataclasses.dataclass(slots=True)
+class _Load:
+    """A load of the latest record of each key that is under way.
+
+    Attributes:
+      sent_ms: monotonic time at which the first page was requested.
+      missing: keys that were known before and are on no page so far.
+      after: last key of the latest page.
+      end_offset: end of the topic at the first page, None before it.
+    """
+
+    sent_ms: int
+    missing: set[str]
+    after: str = ""
+    end_offset: int | None = None
+
+
 class Feed:
     """Follows one topic: the latest record of each key, then all new ones.
 
@@ -65,6 +83,8 @@
         self.min_interval_ms = min_interval_ms
         self.down = False
         self._known_keys: set[str] = set()
+        self._load_due = True
+        self._load: _Load | None = None
         self._advanced = asyncio.Condition()
         # Set to end the pause between two reads early.
         self._hurry = asyncio.Event()
@@ -73,10 +93,11 @@
     async def run(self) -> None:
         """Follows the topic until cancelled."""
         while True:
-            if not self.loaded.is_set():
-                if not await self._load():
+            if self._load_due:
+                if not await self._load_newest():
                     await asyncio.sleep(RETRY_MS / 1000)
                     continue
+                self._load_due = False
                 self.loaded.set()
             if not await self._read():
                 await asyncio.sleep(RETRY_MS / 1000)
@@ -131,47 +152,56 @@
         """Returns the time since all records were known to be applied."""
         return self._monotonic.now_ms() - self.fresh_ms
 
-    async def _load(self) -> bool:
-        sent_ms = self._monotonic.now_ms()
+    async def _load_newest(self) -> bool:
         if not self._keyed:
-            answer = await self._log.read(
-                self.topic, 0, wait_ms=0, timeout_ms=ANSWER_MARGIN_MS
+            return await self._load_retained()
+        if self._load is None:
+            self._load = _Load(
+                self._monotonic.now_ms(), missing=set(self._known_keys)
             )
-            match answer:
-                case ports.Batch(entries, end_offset):
-                    self._apply_all(entries)
-                    await self._advance(end_offset)
-                    return True
-                case ports.Expired(first_offset):
-                    await self._advance(first_offset)
-                    return True
-            return self._mark_down(answer)
-        after = ""
-        end_offset: int | None = None
-        missing = set(self._known_keys)
+        load = self._load
         while True:
             page = await self._log.newest(
-                self.topic, after, timeout_ms=2 * ANSWER_MARGIN_MS
+                self.topic, load.after, timeout_ms=2 * ANSWER_MARGIN_MS
             )
             if isinstance(page, ports.Unknown):
+                # The next attempt continues with the same page.
                 return self._mark_down(page)
-            if end_offset is None:
-                end_offset = page.end_offset
+            if load.end_offset is None:
+                load.end_offset = page.end_offset
             self._apply_all(page.entries)
-            missing.difference_update(entry.key for entry in page.entries)
+            load.missing.difference_update(entry.key for entry in page.entries)
             if not page.more or not page.entries:
                 break
-            after = page.entries[-1].key
+            load.after = page.entries[-1].key
         # Keys that were removed, but whose tombstones have expired unread.
         self._apply_all(
-            tuple(ports.Entry(end_offset, key, None) for key in missing)
+            tuple(
+                ports.Entry(load.end_offset, key, None) for key in load.missing
+            )
         )
+        self._load = None
         # The pages are not a consistent snapshot, so records written since the
         # first page are read again from its end offset.
-        await self._advance(end_offset)
-        self.fresh_ms = sent_ms
+        await self._advance(load.end_offset)
+        self.fresh_ms = load.sent_ms
         return True
 
+    async def _load_retained(self) -> bool:
+        """Reads the records that a topic without keys still holds."""
+        answer = await self._log.read(
+            self.topic, 0, wait_ms=0, timeout_ms=ANSWER_MARGIN_MS
+        )
+        match answer:
+            case ports.Batch(entries, end_offset):
+                self._apply_all(entries)
+                await self._advance(end_offset)
+                return True
+            case ports.Expired(first_offset):
+                await self._advance(first_offset)
+                return True
+        return self._mark_down(answer)
+
     async def _read(self) -> bool:
         sent_ms = self._monotonic.now_ms()
         wait_ms = 0 if self._hurry.is_set() else self._wait_ms
@@ -202,6 +232,7 @@
                     wanted=self.next_offset,
                     first=first_offset,
                 )
+                self._load_due = True
                 self.loaded.clear()
                 return True
         return self._mark_down(answer)
--- a/packages/placer/tests/fakelog.py
+++ b/packages/placer/tests/fakelog.py
@@ -13,9 +13,14 @@
       refuse: number of next appends that are rejected without effect.
       silent: whether calls are neither executed nor answered.
       append_s: latency of each append.
+      read_s: time that the answer to a read takes to arrive.
       reads: number of reads so far.
       silent_appends: topics whose appends are neither executed nor answered.
       silent_reads: topics whose reads are not answered.
+      batch_size: maximum number of records in the answer to a read.
+      page_size: maximum number of records in a page of the newest ones.
+      lose_pages: keys after which the next page is lost once.
+      pages: the keys after which pages were requested.
     """
 
     def __init__(self):
@@ -24,9 +29,14 @@
         self.refuse = 0
         self.silent = False
         self.append_s = 0.0
+        self.read_s = 0.0
         self.silent_appends: set[str] = set()
         self.silent_reads: set[str] = set()
         self.reads = 0
+        self.batch_size = 1_000
+        self.page_size = 1_000
+        self.lose_pages: set[str] = set()
+        self.pages: list[str] = []
         self.appends: list[tuple[str, ports.Sequence | None]] = []
         self.first_by_topic: dict[str, int] = {}
         self._epochs: dict[tuple[str, str], int] = {}
@@ -97,20 +107,29 @@
                 pass
         if self.silent:
             return ports.Unknown("silent")
-        return ports.Batch(self._entries(topic, from_offset), self.end(topic))
+        await asyncio.sleep(self.read_s)
+        entries = self._entries(topic, from_offset)[: self.batch_size]
+        return ports.Batch(entries, self.end(topic))
 
     async def newest(self, topic, after, *, timeout_ms):
         if self.silent:
             await asyncio.sleep(timeout_ms / 1000)
             return ports.Unknown("silent")
+        self.pages.append(after)
         await asyncio.sleep(0)
+        if after in self.lose_pages:
+            self.lose_pages.remove(after)
+            return ports.Unknown("the answer was lost")
         newest = {e.key: e for e in self._entries(topic, 0)}
         entries = [
             newest[key]
             for key in sorted(newest)
             if key > after and newest[key].value is not None
         ]
-        return ports.Page(tuple(entries), False, self.end(topic))
+        more = len(entries) > self.page_size
+        return ports.Page(
+            tuple(entries[: self.page_size]), more, self.end(topic)
+        )
 
     def _entries(self, topic, from_offset):
         entries = []
--- a/packages/placer/tests/test_feed.py
+++ b/packages/placer/tests/test_feed.py
@@ -83,3 +83,50 @@
         task.cancel()
 
     builders.run(work())
+
+
+def test_loading_goes_on_with_the_page_that_was_lost():
+    """Guards against a load that never ends over a link that breaks often."""
+
+    async def work():
+        log = fakelog.FakeLog()
+        log.page_size = 2
+        log.lose_pages = {"k1", "k3"}
+        for number in range(6):
+            log.put(_TOPIC, records.encode_keyed(f"k{number}", b"1"))
+        seen = []
+        follower = _follower(log, lambda entry: seen.append(entry.key), 20, 0)
+        task = asyncio.create_task(follower.run())
+        await follower.loaded.wait()
+        assert log.pages == ["", "k1", "k1", "k3", "k3"]
+        assert seen == [f"k{number}" for number in range(6)]
+        task.cancel()
+
+    builders.run(work())
+
+
+def test_a_load_that_was_interrupted_misses_no_later_record():
+    """Guards against records that are written between two pages."""
+
+    async def work():
+        log = fakelog.FakeLog()
+        log.page_size = 2
+        log.lose_pages = {"k1"}
+        for number in range(4):
+            log.put(_TOPIC, records.encode_keyed(f"k{number}", b"1"))
+        value_by_key = {}
+        follower = _follower(
+            log,
+            lambda entry: value_by_key.update({entry.key: entry.value}),
+            20,
+            0,
+        )
+        task = asyncio.create_task(follower.run())
+        while len(log.pages) < 2:
+            await asyncio.sleep(0.005)
+        log.put(_TOPIC, records.encode_keyed("k0", b"2"))
+        assert await follower.wait_for_offset(5, 1_000)
+        assert value_by_key == {"k0": b"2", "k1": b"1", "k2": b"1", "k3": b"1"}
+        task.cancel()
+
+    builders.run(work())
