Confirm at once after a long read that no record is missing

Records are known to be current as of the start of the read that brought them. After a transfer of 2 s the next read waited another 0.5 s for a change before it confirmed them, and the host rejected its callers meanwhile because its configuration could be out of date. That read no longer waits.

test_feed.py::test_a_read_that_took_long_is_confirmed_at_once failed before (age 1151 ms instead of less than 300 ms).

--- a/packages/placer/src/laburnumgate_placer/feed.py
+++ b/packages/placer/src/laburnumgate_placer/feed.py
@@ -204,7 +204,11 @@
 
     async def _read(self) -> bool:
         sent_ms = self._monotonic.now_ms()
-        wait_ms = 0 if self._hurry.is_set() else self._wait_ms
+        wait_ms = self._wait_ms
+        if self._hurry.is_set() or self.age_ms() > 2 * self._wait_ms:
+            # After a long transfer or an outage it has to be confirmed soon
+            # that no record is missing.
+            wait_ms = 0
         self._hurry.clear()
         answer = await self._log.read(
             self.topic,
--- a/packages/placer/tests/test_feed.py
+++ b/packages/placer/tests/test_feed.py
@@ -130,3 +130,26 @@
         task.cancel()
 
     builders.run(work())
+
+
+def test_a_read_that_took_long_is_confirmed_at_once():
+    """Guards against a host that rejects callers while it waits for records.
+
+    After a long transfer the records are known to be current as of its start.
+    """
+
+    async def work():
+        log = fakelog.FakeLog()
+        follower = _follower(log, lambda entry: None, 300, 0)
+        task = asyncio.create_task(follower.run())
+        await follower.loaded.wait()
+        await asyncio.sleep(0.05)
+        log.read_s = 1.0
+        log.put(_TOPIC, records.encode_keyed("first", b"1"))
+        assert await follower.wait_for_offset(1, 2_000)
+        log.read_s = 0.0
+        await asyncio.sleep(0.1)
+        assert follower.age_ms() < 300
+        task.cancel()
+
+    builders.run(work())
