Skip configurations that are superseded before they are read

Over a link of 5 Mbit/s a configuration of 1 MB takes 2 s. When several were written in that time, a host read each of them and fell further behind with each. With more than one record unread it now asks for the newest record of each key. The jobs topic is still read record by record, as it holds many keys.

test_feed.py::test_superseded_records_are_not_read is new.

--- a/packages/placer/src/laburnumgate_placer/feed.py
+++ b/packages/placer/src/laburnumgate_placer/feed.py
@@ -58,6 +58,7 @@
         wait_ms: int,
         keyed: bool = True,
         min_interval_ms: int = 0,
+        newest_only: bool = False,
     ):
         """Prepares a feed.
 
@@ -70,6 +71,9 @@
           keyed: whether the topic retains the latest record of each key.
           min_interval_ms: minimum time between reads, which limits their
             rate.
+          newest_only: whether records that are superseded before they are
+            read may be skipped. Saves transfers if the topic has few keys and
+            large records.
         """
         self.topic = topic
         self.next_offset = 0
@@ -83,6 +87,8 @@
         self.min_interval_ms = min_interval_ms
         self.down = False
         self._known_keys: set[str] = set()
+        self._newest_only = newest_only
+        # Set while records are skipped or none was read yet.
         self._load_due = True
         self._load: _Load | None = None
         self._advanced = asyncio.Condition()
@@ -227,6 +233,8 @@
                 if self.next_offset >= end_offset:
                     self.fresh_ms = sent_ms
                 await self._advance(self.next_offset)
+                unread = end_offset - self.next_offset
+                self._load_due = self._newest_only and unread > 1
                 return True
             case ports.Expired(first_offset):
                 events.emit(
--- a/packages/placer/src/laburnumgate_placer/host.py
+++ b/packages/placer/src/laburnumgate_placer/host.py
@@ -80,6 +80,7 @@
             services.operator_topic,
             lambda entry: services.apply_operator_entry(self.config, entry),
             wait_ms=CONFIG_WAIT_MS,
+            newest_only=True,
         )
         self.jobs_feed = feed.Feed(
             log,
--- a/packages/placer/tests/test_feed.py
+++ b/packages/placer/tests/test_feed.py
@@ -132,6 +132,35 @@
     builders.run(work())
 
 
+def test_superseded_records_are_not_read():
+    """Guards against a slow link that reads each of many configurations."""
+
+    async def work():
+        log = fakelog.FakeLog()
+        log.put(_TOPIC, records.encode_keyed("config", b"0"))
+        values = []
+        follower = feed.Feed(
+            log,
+            clock.MonotonicClock(),
+            _TOPIC,
+            lambda entry: values.append(entry.value),
+            wait_ms=200,
+            newest_only=True,
+        )
+        task = asyncio.create_task(follower.run())
+        await follower.loaded.wait()
+        await asyncio.sleep(0.02)
+        log.batch_size = 1
+        for number in range(1, 10):
+            log.put(_TOPIC, records.encode_keyed("config", b"%d" % number))
+        assert await follower.wait_for_offset(10, 1_000)
+        assert values == [b"0", b"1", b"9"]
+        assert follower.loaded.is_set()
+        task.cancel()
+
+    builders.run(work())
+
+
 def test_a_read_that_took_long_is_confirmed_at_once():
     """Guards against a host that rejects callers while it waits for records.
 
