--- a/deploy/tests/standin_store.py
+++ b/deploy/tests/standin_store.py
@@ -24,6 +24,7 @@
         once more after 30 s, when they are answered.
       delay_s: additional latency of each request.
       bytes_per_s: rate at which answers are sent, 0 for no limit.
+      upload_bytes_per_s: rate at which appends are received, 0 for no limit.
       stall_after_bytes: bytes of an answer after which nothing follows, None
         to send all of them.
     """
@@ -37,6 +38,7 @@
         self.late = 0.0
         self.delay_s = 0.0
         self.bytes_per_s = 0
+        self.upload_bytes_per_s = 0
         self.stall_after_bytes: int | None = None
         self._epochs: dict[tuple, int] = {}
         self._last_numbers: dict[tuple, int] = {}
@@ -87,7 +89,7 @@
         match request.path:
             case "/-/log-append":
                 try:
-                    body = await request.read()
+                    body = await self._receive(request)
                 except ConnectionResetError:
                     return web.Response(status=400)
                 return await self._append(query, body)
@@ -97,6 +99,12 @@
                 return self._newest(query)
         return web.Response(status=404)
 
+    async def _receive(self, request: web.BaseRequest) -> bytes:
+        body = await request.read()
+        if self.upload_bytes_per_s:
+            await asyncio.sleep(len(body) / self.upload_bytes_per_s)
+        return body
+
     async def _append(self, query, body) -> web.Response:
         if body and self.rng.random() < self.late:
             task = asyncio.create_task(self._append_late(query, body))
--- a/deploy/tests/test_transfers.py
+++ b/deploy/tests/test_transfers.py
@@ -95,3 +95,33 @@
         assert [len(entry.value) for entry in seen] == [1, 250_000]
 
     builders.run(work())
+
+
+def test_a_large_append_is_stored_over_a_slow_link():
+    """Guards against an upload that is given up and repeated for ever."""
+
+    async def work():
+        service = standin_store.Store(random.Random(1))
+        service.upload_bytes_per_s = 200_000
+        async with _client(service) as log:
+            outcome = await log.append(
+                "jobs", [b"x" * 50_000] * 4, timeout_ms=_TIMEOUT_MS
+            )
+        assert outcome == ports.Appended(0, 4)
+
+    builders.run(work())
+
+
+def test_a_log_that_takes_no_append_is_given_up():
+    """Guards against an append that waits for a silent log."""
+
+    async def work():
+        service = standin_store.Store(random.Random(1))
+        service.delay_s = 5.0
+        async with _client(service) as log:
+            outcome = await log.append(
+                "jobs", [b"x" * 1_000], timeout_ms=_TIMEOUT_MS
+            )
+        assert outcome == ports.Unknown("no answer within 216 ms")
+
+    builders.run(work())
