Do not take an empty page for the end of a load

A page without records that announces more was taken for the last one. All keys that were not on the pages so far were then removed, and the feed counted as current: a configuration or an evacuation was gone until it was written again. Such a page now counts as lost, and the load continues with it.

test_feed.py::test_an_empty_page_does_not_end_a_load failed before (both keys were removed). No run shows that a log sends such pages.

--- a/packages/placer/src/laburnumgate_placer/feed.py
+++ b/packages/placer/src/laburnumgate_placer/feed.py
@@ -177,8 +177,10 @@
                 load.end_offset = page.end_offset
             self._apply_all(page.entries)
             load.missing.difference_update(entry.key for entry in page.entries)
-            if not page.more or not page.entries:
+            if not page.more:
                 break
+            if not page.entries:
+                return self._mark_down(ports.Unknown("a page has no records"))
             load.after = page.entries[-1].key
         # Keys that were removed, but whose tombstones have expired unread.
         self._apply_all(
--- a/packages/placer/tests/fakelog.py
+++ b/packages/placer/tests/fakelog.py
@@ -20,6 +20,8 @@
       batch_size: maximum number of records in the answer to a read.
       page_size: maximum number of records in a page of the newest ones.
       lose_pages: keys after which the next page is lost once.
+      lose_all_pages: whether each page is lost.
+      empty_pages: keys after which the next page is empty once.
       pages: the keys after which pages were requested.
     """
 
@@ -36,6 +38,8 @@
         self.batch_size = 1_000
         self.page_size = 1_000
         self.lose_pages: set[str] = set()
+        self.lose_all_pages = False
+        self.empty_pages: set[str] = set()
         self.pages: list[str] = []
         self.appends: list[tuple[str, ports.Sequence | None]] = []
         self.first_by_topic: dict[str, int] = {}
@@ -107,6 +111,9 @@
                 pass
         if self.silent:
             return ports.Unknown("silent")
+        first = self.first_by_topic.get(topic, 0)
+        if from_offset < first:
+            return ports.Expired(first)
         await asyncio.sleep(self.read_s)
         entries = self._entries(topic, from_offset)[: self.batch_size]
         return ports.Batch(entries, self.end(topic))
@@ -117,9 +124,12 @@
             return ports.Unknown("silent")
         self.pages.append(after)
         await asyncio.sleep(0)
-        if after in self.lose_pages:
-            self.lose_pages.remove(after)
+        if after in self.lose_pages or self.lose_all_pages:
+            self.lose_pages.discard(after)
             return ports.Unknown("the answer was lost")
+        if after in self.empty_pages:
+            self.empty_pages.remove(after)
+            return ports.Page((), True, self.end(topic))
         newest = {e.key: e for e in self._entries(topic, 0)}
         entries = [
             newest[key]
--- a/packages/placer/tests/test_feed.py
+++ b/packages/placer/tests/test_feed.py
@@ -182,3 +182,30 @@
         task.cancel()
 
     builders.run(work())
+
+
+def test_an_empty_page_does_not_end_a_load():
+    """Guards against dropping each key that was not on the pages so far."""
+
+    async def work():
+        log = fakelog.FakeLog()
+        log.page_size = 1
+        for key in ("config", "evacuate"):
+            log.put(_TOPIC, records.encode_keyed(key, b"1"))
+        value_by_key = {}
+        follower = _follower(
+            log,
+            lambda entry: value_by_key.update({entry.key: entry.value}),
+            20,
+            0,
+        )
+        task = asyncio.create_task(follower.run())
+        await follower.loaded.wait()
+        log.empty_pages = {""}
+        log.put(_TOPIC, records.encode_keyed("config", b"2"))
+        log.first_by_topic[_TOPIC] = 3
+        assert await follower.wait_for_offset(3, 1_000)
+        assert value_by_key == {"config": b"2", "evacuate": b"1"}
+        task.cancel()
+
+    builders.run(work())
