Ignore records that are older than what is known of their key

After a load the topic is read from the end offset of its first page, while later pages hold newer records. An evacuated zone was put back for as long as it took to read the records in between, up to seconds over a slow link, and work could start there. The offset of the latest record of each key is kept and earlier ones are ignored.

test_feed.py::test_a_later_record_is_not_replaced_by_an_earlier_one failed before (4, 2, 3, 4 instead of 4).

--- a/packages/placer/src/laburnumgate_placer/feed.py
+++ b/packages/placer/src/laburnumgate_placer/feed.py
@@ -86,7 +86,8 @@
         self._keyed = keyed
         self.min_interval_ms = min_interval_ms
         self.down = False
-        self._known_keys: set[str] = set()
+        # Offset of the latest record of each key.
+        self._offset_by_key: dict[str, int] = {}
         self._newest_only = newest_only
         # Set while records are skipped or none was read yet.
         self._load_due = True
@@ -163,7 +164,7 @@
             return await self._load_retained()
         if self._load is None:
             self._load = _Load(
-                self._monotonic.now_ms(), missing=set(self._known_keys)
+                self._monotonic.now_ms(), missing=set(self._offset_by_key)
             )
         load = self._load
         while True:
@@ -253,10 +254,15 @@
 
     def _apply_all(self, entries: tuple[ports.Entry, ...]) -> None:
         for entry in entries:
-            if entry.value is None:
-                self._known_keys.discard(entry.key)
-            elif self._keyed:
-                self._known_keys.add(entry.key)
+            if self._keyed:
+                # Pages may hold records that are newer than the offset from
+                # which the topic is read afterwards.
+                if entry.offset <= self._offset_by_key.get(entry.key, -1):
+                    continue
+                if entry.value is None:
+                    self._offset_by_key.pop(entry.key, None)
+                else:
+                    self._offset_by_key[entry.key] = entry.offset
             try:
                 self._apply(entry)
             except Exception as error:  # A bad record must not stop the feed.
--- a/packages/placer/tests/test_feed.py
+++ b/packages/placer/tests/test_feed.py
@@ -209,3 +209,35 @@
         task.cancel()
 
     builders.run(work())
+
+
+def test_a_later_record_is_not_replaced_by_an_earlier_one():
+    """Guards against undoing a change while a topic is read after a load.
+
+    A page may hold records that are newer than the offset from which the topic
+    is read afterwards.
+    """
+
+    async def work():
+        log = fakelog.FakeLog()
+        log.page_size = 1
+        log.lose_pages = {"a"}
+        log.put(_TOPIC, records.encode_keyed("a", b"1"))
+        log.put(_TOPIC, records.encode_keyed("z", b"1"))
+        values = []
+
+        def apply(entry):
+            if entry.key == "z":
+                values.append(entry.value)
+
+        follower = _follower(log, apply, 20, 0)
+        task = asyncio.create_task(follower.run())
+        while len(log.pages) < 2:
+            await asyncio.sleep(0.005)
+        for number in (b"2", b"3", b"4"):
+            log.put(_TOPIC, records.encode_keyed("z", number))
+        assert await follower.wait_for_offset(5, 1_000)
+        assert values == [b"4"]
+        task.cancel()
+
+    builders.run(work())
