Read a topic on while its newest records cannot be loaded

A log may serve one of the two calls and not the other. A feed that was due to skip superseded records asked for the newest ones for ever and followed nothing meanwhile. After a failed load it now reads on and tries again when it is still behind.

test_feed.py::test_a_topic_is_read_on_while_its_newest_records_cannot_be_loaded failed before.

--- a/packages/placer/src/laburnumgate_placer/feed.py
+++ b/packages/placer/src/laburnumgate_placer/feed.py
@@ -101,11 +101,14 @@
         """Follows the topic until cancelled."""
         while True:
             if self._load_due:
-                if not await self._load_newest():
+                if await self._load_newest():
+                    self._load_due = False
+                    self.loaded.set()
+                else:
+                    # Reading may work although loading does not.
+                    self._load_due = not self.loaded.is_set()
                     await asyncio.sleep(RETRY_MS / 1000)
                     continue
-                self._load_due = False
-                self.loaded.set()
             if not await self._read():
                 await asyncio.sleep(RETRY_MS / 1000)
             elif self.min_interval_ms:
--- a/packages/placer/tests/test_feed.py
+++ b/packages/placer/tests/test_feed.py
@@ -241,3 +241,32 @@
         task.cancel()
 
     builders.run(work())
+
+
+def test_a_topic_is_read_on_while_its_newest_records_cannot_be_loaded():
+    """Guards against a feed that stops when one of two calls fails."""
+
+    async def work():
+        log = fakelog.FakeLog()
+        log.put(_TOPIC, records.encode_keyed("config", b"0"))
+        values = []
+        follower = feed.Feed(
+            log,
+            clock.MonotonicClock(),
+            _TOPIC,
+            lambda entry: values.append(entry.value),
+            wait_ms=200,
+            newest_only=True,
+        )
+        task = asyncio.create_task(follower.run())
+        await follower.loaded.wait()
+        await asyncio.sleep(0.02)
+        log.batch_size = 1
+        log.lose_all_pages = True
+        for number in range(1, 4):
+            log.put(_TOPIC, records.encode_keyed("config", b"%d" % number))
+        assert await follower.wait_for_offset(4, 3_000)
+        assert values == [b"0", b"1", b"2", b"3"]
+        task.cancel()
+
+    builders.run(work())
