Pause after a read that returned none of the records it asked for

A log that answers at once, without a record although there is one, was asked again at once: 15,000 reads in half a second against a fake. It counts as a log that does not answer now, with the pause and the event of that case.

test_feed.py::test_a_read_without_the_records_it_asked_for_is_not_repeated_at_once failed before.

--- a/packages/placer/src/laburnumgate_placer/feed.py
+++ b/packages/placer/src/laburnumgate_placer/feed.py
@@ -230,8 +230,9 @@
         )
         match answer:
             case ports.Batch(entries, end_offset):
-                self._mark_up()
                 self._apply_all(entries)
+                if entries or self.next_offset >= end_offset:
+                    self._mark_up()
                 if entries:
                     self.next_offset = max(
                         self.next_offset, entries[-1].offset + 1
@@ -240,6 +241,10 @@
                     self.fresh_ms = sent_ms
                 await self._advance(self.next_offset)
                 unread = end_offset - self.next_offset
+                if unread and not entries:
+                    return self._mark_down(
+                        ports.Unknown("a read returned none of its records")
+                    )
                 self._load_due = self._newest_only and unread > 1
                 return True
             case ports.Expired(first_offset):
--- a/packages/placer/tests/test_feed.py
+++ b/packages/placer/tests/test_feed.py
@@ -270,3 +270,21 @@
         task.cancel()
 
     builders.run(work())
+
+
+def test_a_read_without_the_records_it_asked_for_is_not_repeated_at_once():
+    """Guards against a busy loop when the log answers without any record."""
+
+    async def work():
+        log = fakelog.FakeLog()
+        follower = _follower(log, lambda entry: None, 20, 0)
+        task = asyncio.create_task(follower.run())
+        await follower.loaded.wait()
+        log.batch_size = 0
+        log.put(_TOPIC, records.encode_keyed("first", b"1"))
+        before = log.reads
+        await asyncio.sleep(0.5)
+        assert log.reads - before < 10
+        task.cancel()
+
+    builders.run(work())
