Keep the configuration in use while its topic is loaded again

When the records that a host wanted to read next had expired, it rejected all callers until it had loaded the topic again, however recent its configuration was: 2 s and more over a slow link. The age of the configuration already limits how long it may be used. For jobs nothing changes: a host that has missed records of jobs is not ready and says so.

test_feed.py::test_expired_history_leaves_what_is_known_in_use failed before.

--- a/packages/placer/src/laburnumgate_placer/feed.py
+++ b/packages/placer/src/laburnumgate_placer/feed.py
@@ -43,7 +43,9 @@
       next_offset: offset of the next record to read.
       fresh_ms: latest monotonic time at which all records are known to be
         applied; 0 if not loaded yet.
-      loaded: set once the latest record of each key was read.
+      loaded: set once the latest record of each key was read for the first
+        time.
+      complete: whether no record is known to have expired unread.
       down: whether the last call was not answered.
       min_interval_ms: minimum time between reads, which limits their rate.
     """
@@ -79,6 +81,7 @@
         self.next_offset = 0
         self.fresh_ms = 0
         self.loaded = asyncio.Event()
+        self.complete = False
         self._log = log
         self._monotonic = monotonic
         self._apply = apply
@@ -103,6 +106,7 @@
             if self._load_due:
                 if await self._load_newest():
                     self._load_due = False
+                    self.complete = True
                     self.loaded.set()
                 else:
                     # Reading may work although loading does not.
@@ -256,7 +260,7 @@
                     first=first_offset,
                 )
                 self._load_due = True
-                self.loaded.clear()
+                self.complete = False
                 return True
         return self._mark_down(answer)
 
--- a/packages/placer/src/laburnumgate_placer/intake.py
+++ b/packages/placer/src/laburnumgate_placer/intake.py
@@ -142,7 +142,7 @@
         """Whether this host should receive new callers (readiness)."""
         return (
             self._config.current is not None
-            and self._jobs_feed.loaded.is_set()
+            and self._jobs_feed.complete
             and self._config_feed.loaded.is_set()
             and self._config_feed.age_ms() <= READY_AGE_MS
         )
@@ -181,7 +181,7 @@
         """
         if job.job_id in self._jobs.jobs_by_id:
             return self._repeated(job)
-        if not self._jobs_feed.loaded.is_set():
+        if not self._jobs_feed.complete:
             return self.not_run(job.job_id, "this host reads the jobs first")
         if self._submissions.stalled():
             return self._refuse(job.job_id, "the log does not answer")
@@ -273,8 +273,8 @@
         return job
 
     def _unknown(self) -> NotRun | NoSuchJob:
-        fresh = self._jobs_feed.loaded.is_set()
-        if fresh and self._jobs_feed.age_ms() < self._bounds.visible_ms / 2:
+        complete = self._jobs_feed.complete
+        if complete and self._jobs_feed.age_ms() < self._bounds.visible_ms / 2:
             return NoSuchJob()
         return NotRun("this host's view of the jobs is out of date")
 
--- a/packages/placer/tests/test_feed.py
+++ b/packages/placer/tests/test_feed.py
@@ -288,3 +288,23 @@
         task.cancel()
 
     builders.run(work())
+
+
+def test_expired_history_leaves_what_is_known_in_use():
+    """Guards against rejecting all callers while a topic is loaded again."""
+
+    async def work():
+        log = fakelog.FakeLog()
+        log.put(_TOPIC, records.encode_keyed("config", b"1"))
+        follower = _follower(log, lambda entry: None, 20, 0)
+        task = asyncio.create_task(follower.run())
+        await follower.loaded.wait()
+        log.put(_TOPIC, records.encode_keyed("config", b"2"))
+        log.lose_all_pages = True
+        log.first_by_topic[_TOPIC] = 2
+        await asyncio.sleep(0.3)
+        assert follower.loaded.is_set()
+        assert not follower.complete
+        task.cancel()
+
+    builders.run(work())
