Read all retained records of a topic without keys

A host that started read the oldest records of the leader's topic, as many as one answer holds, and continued at its end, so that it skipped the newest ones: with more than 1 MB of history it took an earlier leader for the current one. It continues after the records that it got.

test_feed.py::test_all_retained_records_of_a_topic_without_keys_are_read failed before.

--- a/packages/placer/src/laburnumgate_placer/feed.py
+++ b/packages/placer/src/laburnumgate_placer/feed.py
@@ -211,7 +211,10 @@
         match answer:
             case ports.Batch(entries, end_offset):
                 self._apply_all(entries)
-                await self._advance(end_offset)
+                # The answer may hold only the oldest of the records.
+                await self._advance(
+                    entries[-1].offset + 1 if entries else end_offset
+                )
                 return True
             case ports.Expired(first_offset):
                 await self._advance(first_offset)
--- a/packages/placer/tests/test_feed.py
+++ b/packages/placer/tests/test_feed.py
@@ -308,3 +308,28 @@
         task.cancel()
 
     builders.run(work())
+
+
+def test_all_retained_records_of_a_topic_without_keys_are_read():
+    """Guards against skipping the newest records of a long history."""
+
+    async def work():
+        log = fakelog.FakeLog()
+        log.batch_size = 3
+        for number in range(7):
+            log.put("plain", b"%d" % number)
+        seen = []
+        follower = feed.Feed(
+            log,
+            clock.MonotonicClock(),
+            "plain",
+            lambda entry: seen.append(entry.value),
+            wait_ms=20,
+            keyed=False,
+        )
+        task = asyncio.create_task(follower.run())
+        assert await follower.wait_for_offset(7, 1_000)
+        assert seen == [b"%d" % number for number in range(7)]
+        task.cancel()
+
+    builders.run(work())
