Wait longer with each attempt of a new leader to fence the log

A new leader fences its predecessor with an append that was given up after 800 ms, at every attempt. The limit now doubles with each attempt, up to 6.4 s.

test_leader.py::test_a_new_leader_recovers_while_the_log_is_busy (appends of 1 s) failed before.

--- a/packages/placer/src/laburnumgate_placer/feed.py
+++ b/packages/placer/src/laburnumgate_placer/feed.py
@@ -200,7 +200,7 @@
         # The pages are not a consistent snapshot, so records written since the
         # first page are read again from its end offset.
         await self._advance(load.end_offset)
-        self.fresh_ms = load.sent_ms
+        self.fresh_ms = max(self.fresh_ms, load.sent_ms)
         return True
 
     async def _load_retained(self) -> bool:
--- a/packages/placer/src/laburnumgate_placer/leader.py
+++ b/packages/placer/src/laburnumgate_placer/leader.py
@@ -48,7 +48,10 @@
 # calls.
 LIST_WAIT_MS = 1_000
 LIST_MIN_INTERVAL_MS = 150
-FENCE_TIMEOUT_MS = 800
+# The timeout of a fencing append doubles with each attempt, as appends of other
+# hosts may be queued before it.
+FIRST_FENCE_TIMEOUT_MS = 800
+LAST_FENCE_TIMEOUT_MS = 6_400
 # Maximum wait for the first report of each endpoint before the first placement
 # pass. A healthy endpoint answers within about 10 ms, a lost one never does.
 FIRST_REPORTS_TIMEOUT_MS = 150
@@ -227,11 +230,13 @@
 
     async def _fence(self, topic: str) -> int:
         sequence = ports.Sequence(recorder.PRODUCER, self._claim.token, 0)
+        timeout_ms = FIRST_FENCE_TIMEOUT_MS
         while True:
             self._check_leadership()
             outcome = await self._log.append(
-                topic, [], timeout_ms=FENCE_TIMEOUT_MS, sequence=sequence
+                topic, [], timeout_ms=timeout_ms, sequence=sequence
             )
+            timeout_ms = min(2 * timeout_ms, LAST_FENCE_TIMEOUT_MS)
             match outcome:
                 case ports.Appended(_, end_offset):
                     return end_offset
--- a/packages/placer/tests/fakelog.py
+++ b/packages/placer/tests/fakelog.py
@@ -13,6 +13,8 @@
       refuse: number of next appends that are rejected without effect.
       silent: whether calls are neither executed nor answered.
       append_s: latency of each append.
+      append_s_by_topic: additional latency of the appends to a topic; one that
+        exceeds its timeout is stored and not answered.
       read_s: time that the answer to a read takes to arrive.
       reads: number of reads so far.
       silent_appends: topics whose appends are neither executed nor answered.
@@ -31,6 +33,7 @@
         self.refuse = 0
         self.silent = False
         self.append_s = 0.0
+        self.append_s_by_topic: dict[str, float] = {}
         self.read_s = 0.0
         self.silent_appends: set[str] = set()
         self.silent_reads: set[str] = set()
@@ -67,6 +70,10 @@
             self.refuse -= 1
             return ports.NotAppended("refused")
         outcome = self._append(topic, records, sequence, at_offset)
+        latency_s = self.append_s_by_topic.get(topic, 0.0)
+        await asyncio.sleep(min(latency_s, timeout_ms / 1000))
+        if latency_s * 1000 > timeout_ms:
+            return ports.Unknown("the answer came too late")
         if self.lose_answers and isinstance(outcome, ports.Appended):
             self.lose_answers -= 1
             return ports.Unknown("the answer was lost")
--- a/packages/placer/tests/test_leader.py
+++ b/packages/placer/tests/test_leader.py
@@ -1028,3 +1028,16 @@
         await _wait_until(lambda: len(system.starts()) == 2)
 
     builders.run(work())
+
+
+def test_a_new_leader_recovers_while_the_log_is_busy():
+    """Guards against a term that never begins while appends queue up."""
+
+    async def work():
+        system = _System("e1")
+        system.log.append_s_by_topic[topics.JOBS] = 1.0
+        host = system.add_host("h1", first_start=True)
+        async with asyncio.timeout(8):
+            await _wait_until(lambda: host.leader and host.leader.recovered)
+
+    builders.run(work())
