Give up an answer that only trickles

With a limit that starts anew with every byte, a connection that carries one byte a second would hold a read for ever, and the watch of an endpoint with it. A call that has expired is not extended any more.

--- a/deploy/tests/standin_store.py
+++ b/deploy/tests/standin_store.py
@@ -72,7 +72,9 @@
         end = len(response.body)
         if self.stall_after_bytes is not None:
             end = min(end, self.stall_after_bytes)
-        step = _CHUNK_BYTES if self.bytes_per_s else end
+        step = end
+        if self.bytes_per_s:
+            step = min(_CHUNK_BYTES, max(1, self.bytes_per_s // 20))
         for start in range(0, end, max(1, step)):
             await slow.write(response.body[start : min(end, start + step)])
             if self.bytes_per_s:
--- a/deploy/tests/test_transfers.py
+++ b/deploy/tests/test_transfers.py
@@ -125,3 +125,18 @@
         assert outcome == ports.Unknown("no answer within 216 ms")
 
     builders.run(work())
+
+
+def test_an_answer_that_trickles_is_given_up():
+    """Guards against a connection that carries next to nothing for ever."""
+
+    async def work():
+        service = _store(b"x" * 200)
+        service.bytes_per_s = 40
+        async with _client(service) as log:
+            answer = await log.read(
+                _TOPIC, 0, wait_ms=0, timeout_ms=_TIMEOUT_MS
+            )
+        assert isinstance(answer, ports.Unknown)
+
+    builders.run(work())
--- a/packages/placer/src/laburnumgate_placer/call_timeout.py
+++ b/packages/placer/src/laburnumgate_placer/call_timeout.py
@@ -26,6 +26,8 @@
 
     def restart(self) -> None:
         """Starts the period anew, after the other side made progress."""
+        if self._timeout.expired():
+            return
         self._due = self._loop.time() + self._timeout_s
         if self._timeout.when() is not None:
             # The timer has fired late, and the answer arrived after all.
