--- a/packages/placer/tests/test_advice.py
+++ b/packages/placer/tests/test_advice.py
@@ -1,8 +1,12 @@
 """Tests of requesting, caching and using tickets."""
 
+import asyncio
+
 import builders
 from laburnumgate_placer import advice
+from laburnumgate_placer import advice_client
 from laburnumgate_placer import lifecycle
+from laburnumgate_placer import ports
 from laburnumgate_placer import scheduling
 
 _STEP = advice.StepKey("a" * 16, 0, 0)
@@ -47,3 +51,34 @@
     table = advice.AdviceTable()
     table.request(_STEP, [f"e{n}" for n in range(100)], 0)
     assert len(table.requests[_STEP]) == advice.MAX_ENDPOINTS_PER_REQUEST
+
+
+def test_a_request_that_takes_long_is_answered_in_the_end():
+    """Guards against a step that is asked about for ever.
+
+    The service takes time for each endpoint that a request names.
+    """
+
+    class SlowAdvisor:
+        def __init__(self):
+            self.timeouts_ms = []
+
+        async def ask(self, *step, timeout_ms):
+            self.timeouts_ms.append(timeout_ms)
+            if timeout_ms < 10_000:
+                return ports.Unknown("no answer in time")
+            return ports.Advice({"e1": "ticket"}, 60_000)
+
+    async def work():
+        tables = builders.tables()
+        step = _STEP
+        advisor = SlowAdvisor()
+        task = asyncio.create_task(advice_client.run(advisor, tables))
+        for _ in range(4):
+            tables.advice.requests[step] = ("e1",)
+            while step in tables.advice.requests:
+                await asyncio.sleep(0.01)
+        task.cancel()
+        assert advisor.timeouts_ms == [3_000, 6_000, 12_000, 3_000]
+
+    builders.run(work())
