Limit the time without progress of a host's call to the log

Over a link that carries a page too slowly, a host would never get past it: a read was limited to `timing.log_timeout_ms` (2 s) as a whole, plus the time that it waits for new records, and the next one began again with the first byte. Such a host stays `joining`, or follows nothing more, while its link is full.

The limit applies until the answer begins, and then to each pause in it. A log that is silent is given up after the same time as before; one that stops in the middle of an answer after 2 s, where a read that waits for records took up to 12 s.

--- a/packages/host/src/laburnumgate_host/platform.py
+++ b/packages/host/src/laburnumgate_host/platform.py
@@ -1,6 +1,8 @@
 """HTTP client of the platform's log and live list."""
 
+import asyncio
 import dataclasses
+import json
 from typing import Any
 
 import aiohttp
@@ -131,21 +133,50 @@
     async def _call(
         self, method: str, url: str, timeout_ms: int, **arguments
     ) -> Any | Unavailable:
-        timeout = aiohttp.ClientTimeout(total=timeout_ms / 1000)
+        """Calls a service and returns its decoded answer.
+
+        The time until the answer begins is limited to `timeout_ms`, and each
+        pause in the answer to the client's timeout. The whole duration has no
+        limit, since a large answer takes long to arrive over a slow link.
+        """
+        received = 0
+        begun = False
         try:
-            async with self._session.request(
-                method,
-                url,
-                timeout=timeout,
-                headers=self._headers,
-                **arguments,
-            ) as response:
+            async with (
+                asyncio.timeout(timeout_ms / 1000) as limit,
+                self._session.request(
+                    method,
+                    url,
+                    timeout=aiohttp.ClientTimeout(total=None),
+                    headers=self._headers,
+                    **arguments,
+                ) as response,
+            ):
                 if response.status >= 300:
                     return Unavailable(f"status {response.status}")
-                return await response.json()
-        except (aiohttp.ClientError, TimeoutError, ValueError) as error:
+                begun = True
+                self._extend(limit)
+                chunks = []
+                async for chunk in response.content.iter_any():
+                    self._extend(limit)
+                    received += len(chunk)
+                    chunks.append(chunk)
+                return json.loads(b"".join(chunks))
+        except TimeoutError:
+            if not begun:
+                return Unavailable(f"no answer within {timeout_ms} ms")
+            return Unavailable(
+                f"the answer stopped for {self._timeout_ms} ms"
+                f" after {received} bytes"
+            )
+        except (aiohttp.ClientError, ValueError) as error:
             return Unavailable(f"{type(error).__name__}: {error}")
 
+    def _extend(self, limit: asyncio.Timeout) -> None:
+        """Restarts the limit after bytes have arrived."""
+        now_s = asyncio.get_running_loop().time()
+        limit.reschedule(now_s + self._timeout_ms / 1000)
+
 
 def _parse_endpoint(item: dict[str, Any]) -> model.Endpoint:
     return model.Endpoint(
--- a/packages/host/src/laburnumgate_host/settings.py
+++ b/packages/host/src/laburnumgate_host/settings.py
@@ -77,7 +77,8 @@
         "How long a read of the log waits for new records."
     )
     log_timeout_ms: PositiveMs = _field(
-        "Time after which an append or the response to a read counts as lost."
+        "Time without progress after which an append or a read of the log "
+        "counts as lost."
     )
     endpoint_timeout_ms: PositiveMs = _field(
         "Time after which a call to an endpoint counts as lost."
