Give a host's append the time of its upload

An append was limited to `timing.log_timeout_ms` (2 s) however large it was. A batch takes up to 256 KB, which needs 1.05 Mbit/s, or the same share of a link that other transfers fill.

An append now has the time that its bytes take at 0.5 Mbit/s in addition, up to 4.2 s. A silent log is given up after 2 s plus this time, so a small append takes a few ms longer than before. The wait of a provisional record has its own limit and does not change.

test_platform.py::test_a_large_append_is_stored_over_a_slow_link failed before, and test_a_log_that_takes_no_append_is_given_up for the time in its reason only.

--- a/packages/host/src/laburnumgate_host/platform.py
+++ b/packages/host/src/laburnumgate_host/platform.py
@@ -12,6 +12,10 @@
 MAX_ENTRIES_PER_PAGE = 500
 # The largest integer that every JSON parser represents exactly.
 MAX_OFFSET = 2**53 - 1
+# An append is given the time of its upload at this rate, 0.5 Mbit/s, beside
+# the time that the log may take to answer. The client cannot see the progress
+# of an upload.
+MIN_UPLOAD_BYTES_PER_MS = 62
 
 
 @dataclasses.dataclass(frozen=True)
@@ -74,7 +78,7 @@
         answer = await self._call(
             "POST",
             f"{self._log_url}/streams/{stream}/records",
-            self._timeout_ms,
+            self._timeout_ms + len(data) // MIN_UPLOAD_BYTES_PER_MS,
             json={"append_id": append_id, "data": data},
         )
         if isinstance(answer, Unavailable):
--- a/packages/host/tests/test_platform.py
+++ b/packages/host/tests/test_platform.py
@@ -111,3 +111,33 @@
         assert isinstance(page, platform.Unavailable)
 
     asyncio.run(script())
+
+
+def test_a_large_append_is_stored_over_a_slow_link():
+    """Guards against an upload that is given up and repeated for ever."""
+
+    async def script():
+        async def receive_slowly(request):
+            body = await request.read()
+            await asyncio.sleep(len(body) / 250_000)
+            return web.json_response({"offset": 7})
+
+        async with client_of(receive_slowly) as log:
+            assert await log.append("jobs", "a", "x" * 200_000) == 7
+
+    asyncio.run(script())
+
+
+def test_a_log_that_takes_no_append_is_given_up():
+    """Guards against an append that waits for a silent log."""
+
+    async def script():
+        async def stay_silent(request):
+            await asyncio.sleep(60)
+
+        async with client_of(stay_silent) as log:
+            async with asyncio.timeout(10):
+                answer = await log.append("jobs", "a", "x" * 6_200)
+        assert answer == platform.Unavailable("no answer within 400 ms")
+
+    asyncio.run(script())
