Take a peer's state as long as it arrives

A host that starts while the log is out, or whose records have expired there, takes the state of a peer. What had arrived was discarded and the next peer was asked for all of it, so with a larger state such a host stays `joining`.

The 30 s now hold for the first chunk and start anew with each further one; a chunk of 160 KB takes 0.26 s at 5 Mbit/s. A silent peer is given up after the same time as before.

An interrupted transfer still begins again with the next peer, except for a table that was complete and has been adopted: to continue it, the peer would have to keep the encoded state, and the request would have to name the missing chunks.

--- a/packages/host/src/laburnumgate_host/snapshots.py
+++ b/packages/host/src/laburnumgate_host/snapshots.py
@@ -25,6 +25,8 @@
 # Checks per snapshot interval. With 4, a snapshot is at most a quarter of the
 # interval late when its writer was replaced.
 CHECKS_PER_INTERVAL = 4
+# Time that a peer has for its first chunk, which includes encoding the state,
+# and for each further one.
 FETCH_TIMEOUT_MS = 30_000
 
 StateFetcher = Callable[[int, int], AsyncIterator[snapshot.Chunk]]
@@ -227,12 +229,15 @@
         """
         assembler = snapshot.Assembler()
         offsets = [table.offset for table in self._tables.values()]
+        loop = asyncio.get_running_loop()
+        timeout_s = FETCH_TIMEOUT_MS / 1000
         try:
-            async with asyncio.timeout(FETCH_TIMEOUT_MS / 1000):
+            async with asyncio.timeout(timeout_s) as limit:
                 async for chunk in fetch(*offsets):
                     body = assembler.add(chunk)
                     if body is not None:
                         self._adopt(body, "peer")
+                    limit.reschedule(loop.time() + timeout_s)
         except (*peers.CALL_ERRORS, TimeoutError):
             return False
         return True
--- a/packages/host/tests/test_snapshots.py
+++ b/packages/host/tests/test_snapshots.py
@@ -261,6 +261,63 @@
     asyncio.run(script())
 
 
+def large_state() -> jobs.JobsState:
+    """Returns a state of several chunks."""
+    log = FakeLog()
+    submit(log, 100)
+    table = jobs.JobTable()
+    for entry in log.entries_by_stream[records.JOBS_STREAM]:
+        table.apply_entry(entry)
+    return table.state()
+
+
+def test_a_state_is_taken_from_a_peer_over_a_slow_link(monkeypatch):
+    """Guards against giving up a state that is still arriving."""
+    monkeypatch.setattr(snapshots, "FETCH_TIMEOUT_MS", 300)
+
+    async def script():
+        log, time = FakeLog(), clock.ManualClock(1_000_000)
+        log.down = True
+        chunks = snapshot.encode(large_state())
+        assert len(chunks) >= 4
+
+        async def slow(config_offset, jobs_offset):
+            for chunk in chunks:
+                await asyncio.sleep(0.1)
+                yield chunk
+
+        host = Host(log, time, [slow])
+        assert await host.snapshots.recover(records.JOBS_STREAM, 0)
+        assert host.jobs.state() == large_state()
+
+    asyncio.run(script())
+
+
+def test_a_peer_that_stops_sending_its_state_is_given_up(monkeypatch):
+    """Guards against a host that waits for a hung peer for ever."""
+    monkeypatch.setattr(snapshots, "FETCH_TIMEOUT_MS", 100)
+
+    async def script():
+        log, time = FakeLog(), clock.ManualClock(1_000_000)
+        log.down = True
+        chunks = snapshot.encode(large_state())
+
+        async def hung(config_offset, jobs_offset):
+            yield chunks[0]
+            await asyncio.sleep(60)
+
+        async def complete(config_offset, jobs_offset):
+            for chunk in chunks:
+                yield chunk
+
+        host = Host(log, time, [hung, complete])
+        async with asyncio.timeout(10):
+            assert await host.snapshots.recover(records.JOBS_STREAM, 0)
+        assert host.jobs.state() == large_state()
+
+    asyncio.run(script())
+
+
 def test_a_state_that_does_not_reach_the_gap_is_no_recovery():
     """Otherwise the host would request expired entries in a busy loop."""
 
