--- a/packages/host/src/laburnumgate_host/snapshots.py
+++ b/packages/host/src/laburnumgate_host/snapshots.py
@@ -3,6 +3,7 @@
 import asyncio
 from collections.abc import AsyncIterator
 from collections.abc import Callable
+import dataclasses
 import logging
 import random
 
@@ -25,6 +26,8 @@
 # Checks per snapshot interval. With 4, a snapshot is at most a quarter of the
 # interval late when its writer was replaced.
 CHECKS_PER_INTERVAL = 4
+# Pause before a snapshot continues after the log refused one of its chunks.
+CONTINUE_AFTER_MS = 10_000
 # Time that a peer has for its first chunk, which includes encoding the state,
 # and for each further one.
 FETCH_TIMEOUT_MS = 30_000
@@ -32,6 +35,14 @@
 StateFetcher = Callable[[int, int], AsyncIterator[snapshot.Chunk]]
 
 
+@dataclasses.dataclass(frozen=True)
+class _Unfinished:
+    """Chunks of a snapshot begun at `begun_ms` that are not in the log yet."""
+
+    chunks: tuple[snapshot.Chunk, ...]
+    begun_ms: int
+
+
 class Snapshots:
     """Keeps a recent snapshot of each table in the log.
 
@@ -78,43 +89,48 @@
         self._on_state_adopted = on_state_adopted
         self._retries = retries
         self._serve_lock = asyncio.Lock()
+        self._write_lock = asyncio.Lock()
+        self._unfinished_by_stream: dict[str, _Unfinished] = {}
 
     async def run(self) -> None:
         """Writes snapshots when they are due, until cancelled."""
-        check_interval_ms = self._interval_ms // CHECKS_PER_INTERVAL
-        while True:
-            # Jitter, so that hosts started together do not check together.
-            await asyncio.sleep(
-                random.uniform(0.5, 1) * check_interval_ms / 1000
-            )
-            for stream, table in self._tables.items():
-                if table.offset and self._is_writer(stream):
-                    await self.write_if_due(stream)
+        async with asyncio.TaskGroup() as group:
+            for stream in self._tables:
+                group.create_task(self._write_loop(stream))
 
     async def write_if_due(self, stream: str) -> bool:
         """Writes a snapshot unless the log holds a recent one.
 
         It is written again even if the table has not changed, since the
-        previous snapshot expires.
+        previous snapshot expires. If the log refuses a chunk, the next call
+        continues with it; after the interval between snapshots, it begins anew
+        instead, as the log may no longer hold the first chunks.
 
         Returns:
           Whether a complete snapshot was written.
         """
         due_ms = self._clock.now_ms() - self._interval_ms
-        newest = await self._read_newest_body(stream, due_ms)
-        if newest is not None:
-            return False
-        chunks = await self._chunks(stream)
-        for chunk in chunks:
+        unfinished = self._unfinished_by_stream.pop(stream, None)
+        if unfinished is None or unfinished.begun_ms < due_ms:
+            newest = await self._read_newest_body(stream, due_ms)
+            if newest is not None:
+                return False
+            begun_ms = self._clock.now_ms()
+            unfinished = _Unfinished(await self._chunks(stream), begun_ms)
+        for position, chunk in enumerate(unfinished.chunks):
             if not await self._append(chunk):
+                self._unfinished_by_stream[stream] = _Unfinished(
+                    unfinished.chunks[position:], unfinished.begun_ms
+                )
                 return False
             await asyncio.sleep(CHUNK_INTERVAL_MS / 1000)
+        last = unfinished.chunks[-1]
         events.emit(
             _LOGGER,
             events.Event.SNAPSHOT_WRITTEN,
             stream=stream,
-            offset=chunks[0].offset,
-            chunks=len(chunks),
+            offset=last.offset,
+            chunks=last.count,
         )
         return True
 
@@ -163,6 +179,21 @@
                 for chunk in await self._chunks(stream):
                     yield chunk
 
+    async def _write_loop(self, stream: str) -> None:
+        check_interval_ms = self._interval_ms // CHECKS_PER_INTERVAL
+        while True:
+            pause_ms = check_interval_ms
+            if stream in self._unfinished_by_stream:
+                pause_ms = min(CONTINUE_AFTER_MS, check_interval_ms)
+            # Jitter, so that hosts started together do not check together.
+            await asyncio.sleep(random.uniform(0.5, 1) * pause_ms / 1000)
+            if not self._tables[stream].offset or not self._is_writer(stream):
+                self._unfinished_by_stream.pop(stream, None)
+                continue
+            # One at a time, since chunks share the log's rate with job records.
+            async with self._write_lock:
+                await self.write_if_due(stream)
+
     async def _chunks(self, stream: str) -> tuple[snapshot.Chunk, ...]:
         state = self._tables[stream].state()
         pieces = []
--- a/packages/host/tests/test_snapshots.py
+++ b/packages/host/tests/test_snapshots.py
@@ -25,12 +25,21 @@
 
 
 class FakeLog:
-    """In-memory streams whose entries can be expired."""
+    """In-memory streams whose entries can be expired.
+
+    Attributes:
+      down: whether all calls fail.
+      appends_left: number of appends that succeed, None for no limit.
+    """
 
     def __init__(self):
         self.entries_by_stream: dict[str, list[records.Entry]] = {}
         self.first_by_stream: dict[str, int] = {}
         self.down = False
+        self.appends_left: int | None = None
+
+    def append_ids(self, stream: str) -> list[str]:
+        return [e.append_id for e in self.entries_by_stream.get(stream, [])]
 
     def put(self, stream: str, append_id: str, data: str) -> int:
         entries = self.entries_by_stream.setdefault(stream, [])
@@ -42,8 +51,10 @@
         self.first_by_stream[stream] = len(entries) + 1
 
     async def append(self, stream: str, append_id: str, data: str):
-        if self.down:
+        if self.down or self.appends_left == 0:
             return platform.Unavailable("down")
+        if self.appends_left is not None:
+            self.appends_left -= 1
         return self.put(stream, append_id, data)
 
     async def head(self, stream: str):
@@ -117,6 +128,16 @@
         log.put(records.JOBS_STREAM, f"s{number}", data)
 
 
+def large_state() -> jobs.JobsState:
+    """Returns a state of several chunks."""
+    log = FakeLog()
+    submit(log, 100)
+    table = jobs.JobTable()
+    for entry in log.entries_by_stream[records.JOBS_STREAM]:
+        table.apply_entry(entry)
+    return table.state()
+
+
 @pytest.fixture(autouse=True)
 def short_delays(monkeypatch):
     monkeypatch.setattr(snapshot, "MAX_CHUNK_BYTES", 200)
@@ -171,6 +192,76 @@
     asyncio.run(script())
 
 
+async def interrupted_writer(log: FakeLog, time: clock.Clock) -> Host:
+    """Returns a host whose snapshot was interrupted after two chunks."""
+    host = Host(log, time)
+    assert host.jobs.adopt(large_state())
+    log.appends_left = 2
+    assert not await host.snapshots.write_if_due(records.JOBS_STREAM)
+    assert len(log.append_ids(records.SNAPSHOT_STREAM)) == 2
+    log.appends_left = None
+    return host
+
+
+def test_an_interrupted_snapshot_continues_with_the_chunk_that_was_refused():
+    """Guards against a large snapshot that never ends while the log is busy.
+
+    It also holds if the table has changed since.
+    """
+
+    async def script():
+        log, time = FakeLog(), clock.ManualClock(1_000_000)
+        host = await interrupted_writer(log, time)
+        offset = host.jobs.offset
+        record = records.Submitted("a/x", "a", SPEC, "z", "h", 1, 1, 0)
+        data = records.encode_jobs((record,))
+        host.jobs.apply_entry(records.Entry(offset + 1, "x", data))
+        assert await host.snapshots.write_if_due(records.JOBS_STREAM)
+        count = len(snapshot.encode(large_state()))
+        assert log.append_ids(records.SNAPSHOT_STREAM) == [
+            f"{records.JOBS_STREAM}-{offset}-{index}" for index in range(count)
+        ]
+        second = Host(log, time)
+        assert await second.snapshots.recover(records.JOBS_STREAM, offset)
+        assert second.jobs.state() == large_state()
+
+    asyncio.run(script())
+
+
+def test_an_interrupted_snapshot_continues_before_the_next_one_is_due(
+    monkeypatch,
+):
+    """Guards against a log without a snapshot after a short interruption."""
+    monkeypatch.setattr(snapshots, "CONTINUE_AFTER_MS", 10)
+
+    async def script():
+        log, time = FakeLog(), clock.ManualClock(1_000_000)
+        host = await interrupted_writer(log, time)
+        count = len(snapshot.encode(large_state()))
+        task = asyncio.create_task(host.snapshots.run())
+        await until(
+            lambda: len(log.append_ids(records.SNAPSHOT_STREAM)) == count
+        )
+        task.cancel()
+
+    monkeypatch.setattr(f"{__name__}.EVERY_MS", 3_600_000)
+    asyncio.run(script())
+
+
+def test_an_interrupted_snapshot_that_is_old_is_written_anew():
+    """The log must not expire the first chunks before the last is written."""
+
+    async def script():
+        log, time = FakeLog(), clock.ManualClock(1_000_000)
+        host = await interrupted_writer(log, time)
+        time.advance(EVERY_MS + 1)
+        assert await host.snapshots.write_if_due(records.JOBS_STREAM)
+        count = len(snapshot.encode(large_state()))
+        assert len(log.append_ids(records.SNAPSHOT_STREAM)) == 2 + count
+
+    asyncio.run(script())
+
+
 def test_a_host_behind_a_gap_stays_joining_and_applies_nothing():
     """A table that skipped entries would differ from all other hosts'."""
 
@@ -261,16 +352,6 @@
     asyncio.run(script())
 
 
-def large_state() -> jobs.JobsState:
-    """Returns a state of several chunks."""
-    log = FakeLog()
-    submit(log, 100)
-    table = jobs.JobTable()
-    for entry in log.entries_by_stream[records.JOBS_STREAM]:
-        table.apply_entry(entry)
-    return table.state()
-
-
 def test_a_state_is_taken_from_a_peer_over_a_slow_link(monkeypatch):
     """Guards against giving up a state that is still arriving."""
     monkeypatch.setattr(snapshots, "FETCH_TIMEOUT_MS", 300)
