Give shared records the time of their upload

While the log is out, a host sends the records that it accepted to its zone's peers, in calls of up to 1 MB that were limited to 500 ms. At 5 Mbit/s that is 312 KB for all peers together: with two of them a call of more than 156 KB, and with eight one record of 40 KB, was always cut off. The records were not sent again. Callers were told `host-only`, and the zone's placing host received the work only when the log was back.

A call now has the time that its bytes take to all peers at 0.5 Mbit/s beside the 500 ms. As calls are unary, their progress is not visible, so the calls are smaller instead: 64 KB, which bounds what a silent peer costs the records that come next. With two peers that is 2.6 s, less than the 3 s after which a silent peer is no longer alive; with eight it is 9 s for a full call, and about 0.6 s for a record of 1 KB.

Heartbeats and direct stops keep their limits of 1 s. At the target size a host sends and receives 4.0 KB of heartbeats a second (core/digest.py), and a stop is one small message.

The three tests of test_sharing.py failed before: [0, 0, ...] peers held the records. test_failures.py::test_log_down_and_back passes on real processes.

--- a/packages/host/src/laburnumgate_host/sharing.py
+++ b/packages/host/src/laburnumgate_host/sharing.py
@@ -18,9 +18,12 @@
 from laburnumgate_host import peers
 
 MAX_RECORDS_PER_CALL = 256
-# Below the gRPC message limit of 4 MB.
-MAX_BYTES_PER_CALL = 1024 * 1024
+# Bounds the time for which a silent peer delays the next records.
+MAX_BYTES_PER_CALL = 64 * 1024
 CALL_TIMEOUT_MS = 500
+# A call is given the time of the upload to all peers at this rate, 0.5 Mbit/s,
+# beside the time that a peer may take to answer.
+MIN_UPLOAD_BYTES_PER_MS = 62
 MAX_HELD_RECORDS = 2_000
 # After an outage the host that created a record appends it first; its batches
 # are delayed by up to 2 s.
@@ -224,9 +227,12 @@
             for address in self._heartbeats.addresses(self._zone).values()
             if self._is_alive(address.host_id)
         ]
+        # The calls share the host's link.
+        upload_bytes = request.ByteSize() * len(addresses)
+        timeout_ms = CALL_TIMEOUT_MS + upload_bytes // MIN_UPLOAD_BYTES_PER_MS
         replies = await asyncio.gather(
             *(
-                self._client.share_records(address, request, CALL_TIMEOUT_MS)
+                self._client.share_records(address, request, timeout_ms)
                 for address in addresses
             )
         )
