--- a/packages/host/src/laburnumgate_host/snapshots.py
+++ b/packages/host/src/laburnumgate_host/snapshots.py
@@ -21,6 +21,8 @@
 _LOGGER = logging.getLogger(__name__)
 # Chunks take up to 256 KB in the log, so this keeps a page below 4 MB.
 MAX_CHUNKS_PER_PAGE = 16
+PAGE_RETRY_MS = 1_000
+MAX_PAGE_RETRIES = 3
 # Pause between chunks; leaves most of the log's rate to job records.
 CHUNK_INTERVAL_MS = 100
 # Checks per snapshot interval. With 4, a snapshot is at most a quarter of the
@@ -233,9 +235,7 @@
         end = head + 1
         while end > 1:
             start = max(1, end - MAX_CHUNKS_PER_PAGE)
-            page = await self._client.read(
-                records.SNAPSHOT_STREAM, start, 0, limit=end - start
-            )
+            page = await self._read_page(start, end - start)
             if isinstance(page, platform.Unavailable):
                 return None
             for entry in reversed(page.entries):
@@ -252,6 +252,25 @@
             end = start
         return None
 
+    async def _read_page(
+        self, start: int, limit: int
+    ) -> platform.Page | platform.Unavailable:
+        """Reads chunks from offset `start`, again if the answer was lost."""
+        self._retries.note_call()
+        retries = 0
+        while True:
+            page = await self._client.read(
+                records.SNAPSHOT_STREAM, start, 0, limit=limit
+            )
+            if not isinstance(page, platform.Unavailable):
+                return page
+            if retries == MAX_PAGE_RETRIES:
+                return page
+            retries += 1
+            await asyncio.sleep(PAGE_RETRY_MS / 1000)
+            if not self._retries.take():
+                return page
+
     async def _adopt_from_peer(self, fetch: StateFetcher) -> bool:
         """Adopts one peer's state; returns whether the stream was complete.
 
--- a/packages/host/tests/test_snapshots.py
+++ b/packages/host/tests/test_snapshots.py
@@ -30,6 +30,8 @@
     Attributes:
       down: whether all calls fail.
       appends_left: number of appends that succeed, None for no limit.
+      lose_reads: number of failing reads by the offset at which they start.
+      reads: the offsets at which reads started.
     """
 
     def __init__(self):
@@ -37,6 +39,8 @@
         self.first_by_stream: dict[str, int] = {}
         self.down = False
         self.appends_left: int | None = None
+        self.lose_reads: dict[int, int] = {}
+        self.reads: list[int] = []
 
     def append_ids(self, stream: str) -> list[str]:
         return [e.append_id for e in self.entries_by_stream.get(stream, [])]
@@ -64,8 +68,12 @@
 
     async def read(self, stream: str, start: int, wait_ms: int, limit=500):
         await asyncio.sleep(0.002)
+        self.reads.append(start)
         if self.down:
             return platform.Unavailable("down")
+        if self.lose_reads.get(start):
+            self.lose_reads[start] -= 1
+            return platform.Unavailable("answer lost")
         entries = self.entries_by_stream.get(stream, [])
         first = self.first_by_stream.get(stream, 1)
         page = entries[max(start, first) - 1 :][:limit]
@@ -142,6 +150,7 @@
 def short_delays(monkeypatch):
     monkeypatch.setattr(snapshot, "MAX_CHUNK_BYTES", 200)
     monkeypatch.setattr(snapshots, "CHUNK_INTERVAL_MS", 1)
+    monkeypatch.setattr(snapshots, "PAGE_RETRY_MS", 1)
     monkeypatch.setattr(follower, "BACKOFF_MIN_MS", 10)
     monkeypatch.setattr(follower, "BACKOFF_MAX_MS", 20)
 
@@ -290,6 +299,54 @@
     asyncio.run(script())
 
 
+def put_snapshot(log: FakeLog, state: jobs.JobsState) -> None:
+    for chunk in snapshot.encode(state):
+        data = snapshot.encode_stored(chunk, 1)
+        log.put(records.SNAPSHOT_STREAM, "c", data)
+
+
+def test_reading_a_snapshot_goes_on_with_the_page_that_was_lost(monkeypatch):
+    """Guards against a large snapshot that is never read to its end."""
+    monkeypatch.setattr(snapshots, "MAX_CHUNKS_PER_PAGE", 1)
+
+    async def script():
+        log, time = FakeLog(), clock.ManualClock(1_000_000)
+        state = large_state()
+        put_snapshot(log, state)
+        count = len(log.append_ids(records.SNAPSHOT_STREAM))
+        assert count >= 4
+        log.lose_reads = {count - 1: 1}
+        host = Host(log, time)
+        assert await host.snapshots.recover(records.JOBS_STREAM, state.offset)
+        assert host.jobs.state() == state
+        assert log.reads == [count, count - 1, *range(count - 1, 0, -1)]
+
+    asyncio.run(script())
+
+
+def test_a_snapshot_whose_page_stays_lost_is_given_up_for_a_peer(monkeypatch):
+    """Guards against a host that waits for a log that has gone silent."""
+    monkeypatch.setattr(snapshots, "MAX_CHUNKS_PER_PAGE", 1)
+
+    async def script():
+        log, time = FakeLog(), clock.ManualClock(1_000_000)
+        state = large_state()
+        put_snapshot(log, state)
+        count = len(log.append_ids(records.SNAPSHOT_STREAM))
+        log.lose_reads = {count - 1: 1_000}
+
+        async def peer(config_offset, jobs_offset):
+            for chunk in snapshot.encode(state):
+                yield chunk
+
+        host = Host(log, time, [peer])
+        async with asyncio.timeout(10):
+            assert await host.snapshots.recover(records.JOBS_STREAM, 0)
+        assert host.jobs.state() == state
+
+    asyncio.run(script())
+
+
 @contextlib.asynccontextmanager
 async def served(host: Host):
     """Serves a host's state over gRPC and yields a function to fetch it."""
