Read smaller pages of the log after a failed read

A host reads the log in pages of up to 500 entries, and a page whose connection breaks is read again from its first entry. With entries of the largest size, 256 KB, that is 128 MB, 205 s at 5 Mbit/s. A connection that breaks more often, for example in a proxy with a time limit, never carries such a page, and the host applies none of its entries. Entries of 7 KB make 3.5 MB, 5.6 s.

After a failed read the page is halved, down to 16 entries, and grows by 32 with each page that arrives. After an outage a host with a backlog therefore reads up to 16 smaller pages before it reads 500 entries at once.

--- a/packages/host/src/laburnumgate_host/follower.py
+++ b/packages/host/src/laburnumgate_host/follower.py
@@ -16,6 +16,10 @@
 BACKOFF_MIN_MS = 200
 # Limits how late a host detects that the log answers again.
 BACKOFF_MAX_MS = 2_000
+# After a failed read, pages are halved down to the minimum, and then grow by
+# the step with each page that arrives.
+MIN_ENTRIES_PER_PAGE = 16
+ENTRIES_PER_PAGE_STEP = 32
 
 
 class Follower:
@@ -51,6 +55,7 @@
         self._on_read = on_read
         self._wait_ms = wait_ms
         self._recover = recover
+        self._page_limit = platform.MAX_ENTRIES_PER_PAGE
         self._backoff = limits.Backoff(
             BACKOFF_MIN_MS, BACKOFF_MAX_MS, random.Random()
         )
@@ -62,14 +67,24 @@
         while True:
             wait_ms = self._wait_ms if self.caught_up else 0
             start = self._next_offset()
-            page = await self._client.read(self._stream, start, wait_ms)
+            page = await self._client.read(
+                self._stream, start, wait_ms, self._page_limit
+            )
             self._on_read(not isinstance(page, platform.Unavailable))
             if isinstance(page, platform.Unavailable):
+                # A connection that breaks often may carry a smaller page.
+                self._page_limit = max(
+                    MIN_ENTRIES_PER_PAGE, self._page_limit // 2
+                )
                 # A host that starts during an outage uses a peer's state.
                 if not self.caught_up:
                     self.caught_up = await self._try_recover(0)
                 await self._back_off()
                 continue
+            self._page_limit = min(
+                platform.MAX_ENTRIES_PER_PAGE,
+                self._page_limit + ENTRIES_PER_PAGE_STEP,
+            )
             if page.first_offset > start:
                 await self._recover_from_gap(start, page.first_offset)
                 continue
--- a/packages/host/tests/test_snapshots.py
+++ b/packages/host/tests/test_snapshots.py
@@ -32,6 +32,8 @@
       appends_left: number of appends that succeed, None for no limit.
       lose_reads: number of failing reads by the offset at which they start.
       reads: the offsets at which reads started.
+      max_entries: number of entries above which an answer is lost, None for
+        no limit.
     """
 
     def __init__(self):
@@ -41,6 +43,7 @@
         self.appends_left: int | None = None
         self.lose_reads: dict[int, int] = {}
         self.reads: list[int] = []
+        self.max_entries: int | None = None
 
     def append_ids(self, stream: str) -> list[str]:
         return [e.append_id for e in self.entries_by_stream.get(stream, [])]
@@ -77,6 +80,8 @@
         entries = self.entries_by_stream.get(stream, [])
         first = self.first_by_stream.get(stream, 1)
         page = entries[max(start, first) - 1 :][:limit]
+        if self.max_entries is not None and len(page) > self.max_entries:
+            return platform.Unavailable("answer lost")
         return platform.Page(tuple(page), first, len(entries) + 1)
 
 
@@ -299,6 +304,21 @@
     asyncio.run(script())
 
 
+def test_a_stream_is_followed_over_a_link_that_breaks_during_large_pages():
+    """Guards against a page that is read from its start for ever."""
+
+    async def script():
+        log, time = FakeLog(), clock.ManualClock(1_000_000)
+        submit(log, 1_000)
+        log.max_entries = 100
+        host = Host(log, time)
+        async with following(host):
+            await until(lambda: host.follower.caught_up)
+        assert host.jobs.offset == 1_000
+
+    asyncio.run(script())
+
+
 def put_snapshot(log: FakeLog, state: jobs.JobsState) -> None:
     for chunk in snapshot.encode(state):
         data = snapshot.encode_stored(chunk, 1)
