--- a/packages/host/tests/test_snapshots.py
+++ b/packages/host/tests/test_snapshots.py
@@ -25,12 +25,28 @@
 
 
 class FakeLog:
-    """In-memory streams whose entries can be expired."""
+    """In-memory streams whose entries can be expired.
+
+    Attributes:
+      down: whether all calls fail.
+      appends_left: number of appends that succeed, None for no limit.
+      lose_reads: number of failing reads by the offset at which they start.
+      reads: the offsets at which reads started.
+      max_entries: number of entries above which an answer is lost, None for
+        no limit.
+    """
 
     def __init__(self):
         self.entries_by_stream: dict[str, list[records.Entry]] = {}
         self.first_by_stream: dict[str, int] = {}
         self.down = False
+        self.appends_left: int | None = None
+        self.lose_reads: dict[int, int] = {}
+        self.reads: list[int] = []
+        self.max_entries: int | None = None
+
+    def append_ids(self, stream: str) -> list[str]:
+        return [e.append_id for e in self.entries_by_stream.get(stream, [])]
 
     def put(self, stream: str, append_id: str, data: str) -> int:
         entries = self.entries_by_stream.setdefault(stream, [])
@@ -42,8 +58,10 @@
         self.first_by_stream[stream] = len(entries) + 1
 
     async def append(self, stream: str, append_id: str, data: str):
-        if self.down:
+        if self.down or self.appends_left == 0:
             return platform.Unavailable("down")
+        if self.appends_left is not None:
+            self.appends_left -= 1
         return self.put(stream, append_id, data)
 
     async def head(self, stream: str):
@@ -53,11 +71,17 @@
 
     async def read(self, stream: str, start: int, wait_ms: int, limit=500):
         await asyncio.sleep(0.002)
+        self.reads.append(start)
         if self.down:
             return platform.Unavailable("down")
+        if self.lose_reads.get(start):
+            self.lose_reads[start] -= 1
+            return platform.Unavailable("answer lost")
         entries = self.entries_by_stream.get(stream, [])
         first = self.first_by_stream.get(stream, 1)
         page = entries[max(start, first) - 1 :][:limit]
+        if self.max_entries is not None and len(page) > self.max_entries:
+            return platform.Unavailable("answer lost")
         return platform.Page(tuple(page), first, len(entries) + 1)
 
 
@@ -117,10 +141,21 @@
         log.put(records.JOBS_STREAM, f"s{number}", data)
 
 
+def large_state() -> jobs.JobsState:
+    """Returns a state of several chunks."""
+    log = FakeLog()
+    submit(log, 100)
+    table = jobs.JobTable()
+    for entry in log.entries_by_stream[records.JOBS_STREAM]:
+        table.apply_entry(entry)
+    return table.state()
+
+
 @pytest.fixture(autouse=True)
 def short_delays(monkeypatch):
     monkeypatch.setattr(snapshot, "MAX_CHUNK_BYTES", 200)
     monkeypatch.setattr(snapshots, "CHUNK_INTERVAL_MS", 1)
+    monkeypatch.setattr(snapshots, "PAGE_RETRY_MS", 1)
     monkeypatch.setattr(follower, "BACKOFF_MIN_MS", 10)
     monkeypatch.setattr(follower, "BACKOFF_MAX_MS", 20)
 
@@ -171,6 +206,76 @@
     asyncio.run(script())
 
 
+async def interrupted_writer(log: FakeLog, time: clock.Clock) -> Host:
+    """Returns a host whose snapshot was interrupted after two chunks."""
+    host = Host(log, time)
+    assert host.jobs.adopt(large_state())
+    log.appends_left = 2
+    assert not await host.snapshots.write_if_due(records.JOBS_STREAM)
+    assert len(log.append_ids(records.SNAPSHOT_STREAM)) == 2
+    log.appends_left = None
+    return host
+
+
+def test_an_interrupted_snapshot_continues_with_the_chunk_that_was_refused():
+    """Guards against a large snapshot that never ends while the log is busy.
+
+    It also holds if the table has changed since.
+    """
+
+    async def script():
+        log, time = FakeLog(), clock.ManualClock(1_000_000)
+        host = await interrupted_writer(log, time)
+        offset = host.jobs.offset
+        record = records.Submitted("a/x", "a", SPEC, "z", "h", 1, 1, 0)
+        data = records.encode_jobs((record,))
+        host.jobs.apply_entry(records.Entry(offset + 1, "x", data))
+        assert await host.snapshots.write_if_due(records.JOBS_STREAM)
+        count = len(snapshot.encode(large_state()))
+        assert log.append_ids(records.SNAPSHOT_STREAM) == [
+            f"{records.JOBS_STREAM}-{offset}-{index}" for index in range(count)
+        ]
+        second = Host(log, time)
+        assert await second.snapshots.recover(records.JOBS_STREAM, offset)
+        assert second.jobs.state() == large_state()
+
+    asyncio.run(script())
+
+
+def test_an_interrupted_snapshot_continues_before_the_next_one_is_due(
+    monkeypatch,
+):
+    """Guards against a log without a snapshot after a short interruption."""
+    monkeypatch.setattr(snapshots, "CONTINUE_AFTER_MS", 10)
+
+    async def script():
+        log, time = FakeLog(), clock.ManualClock(1_000_000)
+        host = await interrupted_writer(log, time)
+        count = len(snapshot.encode(large_state()))
+        task = asyncio.create_task(host.snapshots.run())
+        await until(
+            lambda: len(log.append_ids(records.SNAPSHOT_STREAM)) == count
+        )
+        task.cancel()
+
+    monkeypatch.setattr(f"{__name__}.EVERY_MS", 3_600_000)
+    asyncio.run(script())
+
+
+def test_an_interrupted_snapshot_that_is_old_is_written_anew():
+    """The log must not expire the first chunks before the last is written."""
+
+    async def script():
+        log, time = FakeLog(), clock.ManualClock(1_000_000)
+        host = await interrupted_writer(log, time)
+        time.advance(EVERY_MS + 1)
+        assert await host.snapshots.write_if_due(records.JOBS_STREAM)
+        count = len(snapshot.encode(large_state()))
+        assert len(log.append_ids(records.SNAPSHOT_STREAM)) == 2 + count
+
+    asyncio.run(script())
+
+
 def test_a_host_behind_a_gap_stays_joining_and_applies_nothing():
     """A table that skipped entries would differ from all other hosts'."""
 
@@ -199,6 +304,69 @@
     asyncio.run(script())
 
 
+def test_a_stream_is_followed_over_a_link_that_breaks_during_large_pages():
+    """Guards against a page that is read from its start for ever."""
+
+    async def script():
+        log, time = FakeLog(), clock.ManualClock(1_000_000)
+        submit(log, 1_000)
+        log.max_entries = 100
+        host = Host(log, time)
+        async with following(host):
+            await until(lambda: host.follower.caught_up)
+        assert host.jobs.offset == 1_000
+
+    asyncio.run(script())
+
+
+def put_snapshot(log: FakeLog, state: jobs.JobsState) -> None:
+    for chunk in snapshot.encode(state):
+        data = snapshot.encode_stored(chunk, 1)
+        log.put(records.SNAPSHOT_STREAM, "c", data)
+
+
+def test_reading_a_snapshot_goes_on_with_the_page_that_was_lost(monkeypatch):
+    """Guards against a large snapshot that is never read to its end."""
+    monkeypatch.setattr(snapshots, "MAX_CHUNKS_PER_PAGE", 1)
+
+    async def script():
+        log, time = FakeLog(), clock.ManualClock(1_000_000)
+        state = large_state()
+        put_snapshot(log, state)
+        count = len(log.append_ids(records.SNAPSHOT_STREAM))
+        assert count >= 4
+        log.lose_reads = {count - 1: 1}
+        host = Host(log, time)
+        assert await host.snapshots.recover(records.JOBS_STREAM, state.offset)
+        assert host.jobs.state() == state
+        assert log.reads == [count, count - 1, *range(count - 1, 0, -1)]
+
+    asyncio.run(script())
+
+
+def test_a_snapshot_whose_page_stays_lost_is_given_up_for_a_peer(monkeypatch):
+    """Guards against a host that waits for a log that has gone silent."""
+    monkeypatch.setattr(snapshots, "MAX_CHUNKS_PER_PAGE", 1)
+
+    async def script():
+        log, time = FakeLog(), clock.ManualClock(1_000_000)
+        state = large_state()
+        put_snapshot(log, state)
+        count = len(log.append_ids(records.SNAPSHOT_STREAM))
+        log.lose_reads = {count - 1: 1_000}
+
+        async def peer(config_offset, jobs_offset):
+            for chunk in snapshot.encode(state):
+                yield chunk
+
+        host = Host(log, time, [peer])
+        async with asyncio.timeout(10):
+            assert await host.snapshots.recover(records.JOBS_STREAM, 0)
+        assert host.jobs.state() == state
+
+    asyncio.run(script())
+
+
 @contextlib.asynccontextmanager
 async def served(host: Host):
     """Serves a host's state over gRPC and yields a function to fetch it."""
@@ -261,6 +429,53 @@
     asyncio.run(script())
 
 
+def test_a_state_is_taken_from_a_peer_over_a_slow_link(monkeypatch):
+    """Guards against giving up a state that is still arriving."""
+    monkeypatch.setattr(snapshots, "FETCH_TIMEOUT_MS", 300)
+
+    async def script():
+        log, time = FakeLog(), clock.ManualClock(1_000_000)
+        log.down = True
+        chunks = snapshot.encode(large_state())
+        assert len(chunks) >= 4
+
+        async def slow(config_offset, jobs_offset):
+            for chunk in chunks:
+                await asyncio.sleep(0.1)
+                yield chunk
+
+        host = Host(log, time, [slow])
+        assert await host.snapshots.recover(records.JOBS_STREAM, 0)
+        assert host.jobs.state() == large_state()
+
+    asyncio.run(script())
+
+
+def test_a_peer_that_stops_sending_its_state_is_given_up(monkeypatch):
+    """Guards against a host that waits for a hung peer for ever."""
+    monkeypatch.setattr(snapshots, "FETCH_TIMEOUT_MS", 100)
+
+    async def script():
+        log, time = FakeLog(), clock.ManualClock(1_000_000)
+        log.down = True
+        chunks = snapshot.encode(large_state())
+
+        async def hung(config_offset, jobs_offset):
+            yield chunks[0]
+            await asyncio.sleep(60)
+
+        async def complete(config_offset, jobs_offset):
+            for chunk in chunks:
+                yield chunk
+
+        host = Host(log, time, [hung, complete])
+        async with asyncio.timeout(10):
+            assert await host.snapshots.recover(records.JOBS_STREAM, 0)
+        assert host.jobs.state() == large_state()
+
+    asyncio.run(script())
+
+
 def test_a_state_that_does_not_reach_the_gap_is_no_recovery():
     """Otherwise the host would request expired entries in a busy loop."""
 
