--- a/deploy/tests/test_decoding_fuzz.py
+++ b/deploy/tests/test_decoding_fuzz.py
@@ -72,6 +72,104 @@
     assert found is None or isinstance(found, model.Endpoint)
 
 
+_LIST_ENTRY = {
+    "service": "pool",
+    "address": "10.1.2.3:8080",
+    "zone": "a",
+    "state": "ready",
+    "labels": ["k", "r1"],
+    "capacity": {"cpu": 1000, "mem_mb": 1000, "gpu": 1},
+    "born": 1_700_000_000_000,
+}
+# As deep as the parser accepts, and deeper than Python can print.
+_NESTED = "[" * 1_020 + "]" * 1_020
+
+
+def _list_entry(key="e1", **fields):
+    return ports.Entry(1, key, orjson.dumps(_LIST_ENTRY | fields))
+
+
+@pytest.mark.parametrize(
+    "address", ["10.1.2.3:1", "10.1.2.3:65535", "127.0.0.1:80", "[fd00::1]:80"]
+)
+def test_an_endpoint_is_listed_with_its_address(address):
+    """Guards against a check of addresses that refuses usable ones."""
+    found = decoding.decode_endpoint(_list_entry(address=address))
+    assert found.address == address
+
+
+@pytest.mark.parametrize(
+    "address",
+    [
+        *("10.1.2.3:0", "10.1.2.3:65536", "10.1.2.3:99999999999999999999"),
+        *("10.1.2.3:-1", "10.1.2.3:+80", "10.1.2.3:8_0", "10.1.2.3: 80"),
+        *("10.1.2.3:²", "10.1.2.3:٣", "10.1.2.3:80\n", "10.1.2.3:"),
+        *("10.1.2.300:80", "10.1.2:80", "010.1.2.3:80", "10.1.2.3\n:80"),
+        *("10.1.2.3:80:80", "10.1.2.3/x:80", "a@10.1.2.3:80", "#:80"),
+        *("a..b:80", "x" * 300 + ":80", "[fd00::1:80", "fd00::1:80", ":80"),
+        *("[fd00::1%0]:80", "10.1.2.3:" + "9" * 5_000),
+    ],
+)
+def test_an_address_that_cannot_be_called_names_no_endpoint(address):
+    """Guards against calls, over and over, to an address that is none."""
+    assert decoding.decode_endpoint(_list_entry(address=address)) is None
+
+
+@pytest.mark.parametrize("key", ["", "e1\nX-Other: 1", "e\r1", "e\0", "e\x7f"])
+def test_an_id_that_no_header_can_hold_names_no_endpoint(key):
+    """Guards against calls that cannot be sent, as a header names the id."""
+    assert decoding.decode_endpoint(_list_entry(key)) is None
+
+
+@pytest.mark.parametrize(
+    "fields",
+    [
+        {"capacity": {"cpu": -1, "mem_mb": 1, "gpu": 1}},
+        {"capacity": {"cpu": 1, "mem_mb": 1, "gpu": -(2**52)}},
+        {"capacity": {"cpu": 1e300}},
+        {"capacity": {"cpu": 2**63}},
+        {"capacity": [1, 2, 3]},
+        {"labels": "rack"},
+        {"labels": {"k": 1, "r1": 2}},
+        {"labels": ["k", 1]},
+        {"born": 1.5},
+        {"born": -1},
+        {"born": True},
+        {"state": ["ready"]},
+        {"state": {"ready": 1}},
+    ],
+)
+def test_a_field_out_of_range_names_no_endpoint(fields):
+    """Guards against placement on what an entry cannot mean."""
+    assert decoding.decode_endpoint(_list_entry(**fields)) is None
+
+
+@pytest.mark.parametrize("name", sorted(_LIST_ENTRY))
+@pytest.mark.parametrize(
+    "value", [_NESTED, "[" * 100_000, "1e400", "NaN", "1" * 400, '"\\ud800"']
+)
+def test_a_value_that_cannot_be_printed_names_no_endpoint(name, value):
+    """Guards against an entry whose decoding ends in another error."""
+    fields = {k: orjson.dumps(v).decode() for k, v in _LIST_ENTRY.items()}
+    fields[name] = value
+    text = ",".join(f'"{key}":{field}' for key, field in fields.items())
+    entry = ports.Entry(1, "e1", f"{{{text}}}".encode())
+    assert decoding.decode_endpoint(entry) is None
+
+
+@pytest.mark.parametrize("name", ["task_spec", "requirements", "count"])
+def test_a_job_nested_too_deeply_to_print_is_a_body_error(name):
+    """Guards against a request that ends as an unexpected error."""
+    fields = {"task_spec": '""', "requirements": '""', "count": "1"}
+    fields[name] = _NESTED
+    body = (
+        f'{{"task_spec":{fields["task_spec"]},"steps":[{{"count":'
+        f'{fields["count"]},"requirements":{fields["requirements"]}}}]}}'
+    )
+    with pytest.raises(decoding.BodyError):
+        decoding.decode_job("a" * 16, builders.QUEUE, "mina", body.encode())
+
+
 @given(_REPORT | _JSON)
 @example(
     {"clock_ms": 1, "ended": [["1", "00000000000000a1.0.0.0", 1, "done", ""]]}
