Count list entries that cannot be decoded as absent, and log them

Operators would see work sent to an endpoint whose entry had been replaced by one that cannot be read; an unusable entry left no line in the log.

Cause: when decoding raised anything but the expected errors, the feed skipped the entry (event 1102) before the live list had dropped the earlier one. An entry that decoded to nothing was dropped silently.

Evidence: test_an_entry_replaced_by_an_odd_one_names_no_endpoint[deep, large] and test_an_odd_entry_hides_no_other_entry[odd] failed before (4 cases). That the feed goes on after an odd entry held before as well; the test now keeps it.

The live list treats any error of the decoder as an entry without an endpoint and goes on to unlist the earlier one.

--- a/packages/placer/src/laburnumgate_placer/live_list.py
+++ b/packages/placer/src/laburnumgate_placer/live_list.py
@@ -95,10 +95,12 @@
         return state
 
     def apply(self, entry: ports.Entry) -> None:
-        """Applies an entry of the live list."""
-        endpoint = None
-        if entry.value is not None:
-            endpoint = self._decode(entry)
+        """Applies an entry of the live list.
+
+        An entry that cannot be decoded counts as absent, so that it also
+        replaces an earlier one under its key.
+        """
+        endpoint = self._decode_or_log(entry)
         state = self._tables.endpoints.by_id.get(entry.key)
         if endpoint is None:
             self._listed_by_id.pop(entry.key, None)
@@ -109,6 +111,25 @@
         self._listed_by_id[entry.key] = endpoint
         self._apply_listed(endpoint)
 
+    def _decode_or_log(self, entry: ports.Entry) -> model.Endpoint | None:
+        if entry.value is None:
+            return None
+        reason = "it names no usable endpoint"
+        try:
+            endpoint = self._decode(entry)
+        except Exception as error:  # Any writer may put entries there.
+            endpoint = None
+            reason = repr(error)
+        if endpoint is None:
+            events.emit(
+                _LOGGER,
+                events.Event.RECORD_SKIPPED,
+                offset=entry.offset,
+                key=entry.key,
+                reason=reason,
+            )
+        return endpoint
+
     def _apply_listed(self, endpoint: model.Endpoint) -> None:
         by_id = self._tables.endpoints.by_id
         state = by_id.get(endpoint.endpoint_id)
--- a/packages/placer/tests/test_live_list.py
+++ b/packages/placer/tests/test_live_list.py
@@ -1,11 +1,93 @@
 """Tests of tracking the live list of endpoints."""
 
+import asyncio
+import logging
+
 import builders
+import fakelog
+from laburnumgate_core import clock
+from laburnumgate_placer import events
+from laburnumgate_placer import feed
 from laburnumgate_placer import limits
 from laburnumgate_placer import live_list
 from laburnumgate_placer import ports
+from laburnumgate_placer import records
 import pytest
 
+_TOPIC = "keyed.list"
+
+
+def _decode(entry):
+    """Decodes as a platform does; raises for a value that names an error."""
+    match entry.value:
+        case b"deep":
+            raise RecursionError("nested too deeply")
+        case b"large":
+            raise OverflowError("a number is too large")
+        case b"odd":
+            return None
+    return builders.endpoint(entry.key)
+
+
+def _skipped(caplog):
+    number = events.Event.RECORD_SKIPPED.number
+    return [r for r in caplog.records if getattr(r, "event", 0) == number]
+
+
+def _live_list(tables):
+    return live_list.LiveList(
+        tables, _decode, lambda state: None, tables.monotonic.now_ms()
+    )
+
+
+@pytest.mark.parametrize("value", [b"deep", b"large", b"odd"])
+@pytest.mark.parametrize("loaded_before", [False, True])
+def test_an_odd_entry_hides_no_other_entry(value, loaded_before, caplog):
+    """Guards against one odd entry that ends the following of the list."""
+
+    async def work():
+        caplog.set_level(logging.WARNING)
+        tables = builders.tables()
+        log = fakelog.FakeLog()
+        follower = feed.Feed(
+            log,
+            clock.MonotonicClock(),
+            _TOPIC,
+            _live_list(tables).apply,
+            wait_ms=200,
+        )
+        task = asyncio.create_task(follower.run())
+        if loaded_before:
+            await follower.loaded.wait()
+        for key, content in (("e1", b"1"), ("e2", value), ("e3", b"1")):
+            log.put(_TOPIC, records.encode_keyed(key, content))
+        assert await follower.wait_for_offset(3, 2_000)
+        log.put(_TOPIC, records.encode_keyed("e4", b"1"))
+        assert await follower.wait_for_offset(4, 2_000)
+        assert set(tables.endpoints.by_id) == {"e1", "e3", "e4"}
+        assert [r.key for r in _skipped(caplog)] == ["e2"]
+        assert not task.done()
+        task.cancel()
+
+    builders.run(work())
+
+
+@pytest.mark.parametrize("value", [b"deep", b"large", b"odd"])
+def test_an_entry_replaced_by_an_odd_one_names_no_endpoint(value):
+    """Guards against orders by an entry that is no longer there."""
+    tables = builders.tables()
+    listed = _live_list(tables)
+    listed.apply(ports.Entry(1, "e1", b"1"))
+    tables.endpoints.by_id["e1"].contacted = True
+    now_ms = tables.monotonic.now_ms()
+    assert tables.endpoints.usable("pool", set(), now_ms)
+    listed.apply(ports.Entry(2, "e1", value))
+    assert not tables.endpoints.usable("pool", set(), now_ms)
+    listed.add_restarted()
+    assert not tables.endpoints.usable("pool", set(), now_ms)
+    listed.apply(ports.Entry(3, "e1", b"1"))
+    assert tables.endpoints.usable("pool", set(), now_ms)
+
 
 @pytest.mark.parametrize("max_lease_ms", [6_000, 10_000])
 def test_unknown_leases_are_over_after_a_renewal_and_a_lease(max_lease_ms):
