--- a/deploy/tests/test_decoding_fuzz.py
+++ b/deploy/tests/test_decoding_fuzz.py
@@ -187,6 +187,31 @@
     reports.apply(tables, state, report, tables.monotonic.now_ms())
 
 
+@pytest.mark.parametrize(
+    "load", ["nan", "inf", "-inf", "12", "1e400", 1e300, 2**63, -1, True, [1]]
+)
+def test_an_odd_load_is_no_load(load):
+    """Guards against a pace, or a lost report, by a figure that is none."""
+    row = ["00000000000000a1.0.0.0", 1, "", 40, load]
+    report = decoding.decode_report({"clock_ms": 1, "running": [row]})
+    assert [run.load for run in report.running] == [0.0]
+
+
+@pytest.mark.parametrize("load", [None, 0, 12, 12.5, 2_000_000])
+def test_a_load_is_read_as_a_number(load):
+    """Guards against a check of loads that refuses usable ones."""
+    row = ["00000000000000a1.0.0.0", 1, "", 40, load]
+    report = decoding.decode_report({"clock_ms": 1, "running": [row]})
+    assert [run.load for run in report.running] == [load or 0.0]
+
+
+@pytest.mark.parametrize("clock", [1e300, -1e300, 2**63, True, "1", None, [1]])
+def test_a_clock_out_of_range_is_refused(clock):
+    """Guards against deadlines that no order can carry."""
+    with pytest.raises((ValueError, TypeError)):
+        decoding.decode_report({"clock_ms": clock})
+
+
 @given(
     st.sampled_from(["config", "evacuate/a", "wave/1", "wave/x", "other"]),
     st.binary(max_size=60) | _JSON.map(orjson.dumps),
