Skip single records of the log that cannot be read

Operators would see a host that never finishes reading a topic (event 1100) because of one odd item, or an endpoint that is removed by a broken record.

Cause: one item whose value is no base64 made the whole page of the newest records unreadable, at each attempt.

Unreadable records stay in the batch with their offset and a reason. The feed logs and passes over them, so it neither stops nor reads them again, and a load continues after the last key that is readable.

--- a/packages/placer/src/laburnumgate_placer/feed.py
+++ b/packages/placer/src/laburnumgate_placer/feed.py
@@ -177,9 +177,10 @@
                 load.end_offset = page.end_offset
             self._apply_all(page.entries)
             load.missing.difference_update(entry.key for entry in page.entries)
-            if not page.more or not page.entries:
+            keys = [entry.key for entry in page.entries if entry.key]
+            if not page.more or not keys:
                 break
-            load.after = page.entries[-1].key
+            load.after = keys[-1]
         # Keys that were removed, but whose tombstones have expired unread.
         self._apply_all(
             tuple(
@@ -251,6 +252,9 @@
 
     def _apply_all(self, entries: tuple[ports.Entry, ...]) -> None:
         for entry in entries:
+            if entry.error:
+                self._log_skipped(entry, entry.error)
+                continue
             if entry.value is None:
                 self._known_keys.discard(entry.key)
             elif self._keyed:
@@ -258,14 +262,17 @@
             try:
                 self._apply(entry)
             except Exception as error:  # A bad record must not stop the feed.
-                events.emit(
-                    _LOGGER,
-                    events.Event.RECORD_SKIPPED,
-                    topic=self.topic,
-                    offset=entry.offset,
-                    key=entry.key,
-                    reason=str(error),
-                )
+                self._log_skipped(entry, str(error))
+
+    def _log_skipped(self, entry: ports.Entry, reason: str) -> None:
+        events.emit(
+            _LOGGER,
+            events.Event.RECORD_SKIPPED,
+            topic=self.topic,
+            offset=entry.offset,
+            key=entry.key,
+            reason=reason,
+        )
 
     async def _advance(self, offset: int) -> None:
         async with self._advanced:
--- a/packages/placer/src/laburnumgate_placer/ports.py
+++ b/packages/placer/src/laburnumgate_placer/ports.py
@@ -74,13 +74,16 @@
 
     Attributes:
       offset: offset in the partition.
-      key: record key, empty in a topic without keys.
+      key: record key, empty in a topic without keys, or if it is unreadable.
       value: record value, None for a tombstone.
+      error: why the record cannot be read, empty if it can. Such an entry only
+        takes up an offset; it says nothing about its key.
     """
 
     offset: int
     key: str
     value: bytes | None
+    error: str = ""
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/packages/placer/tests/test_feed.py
+++ b/packages/placer/tests/test_feed.py
@@ -6,7 +6,9 @@
 import fakelog
 from laburnumgate_core import clock
 from laburnumgate_placer import feed
+from laburnumgate_placer import ports
 from laburnumgate_placer import records
+import pytest
 
 _TOPIC = "keyed.test"
 
@@ -182,3 +184,69 @@
         task.cancel()
 
     builders.run(work())
+
+
+class _OddLog:
+    """Answers with pages by the key before them, and with one batch."""
+
+    def __init__(self, pages, batch=()):
+        self._pages = pages
+        self._batch = batch
+
+    async def newest(self, topic, after, *, timeout_ms):
+        await asyncio.sleep(0)
+        more = after != list(self._pages)[-1]
+        return ports.Page(tuple(self._pages[after]), more, 3)
+
+    async def read(self, topic, from_offset, *, wait_ms, timeout_ms):
+        await asyncio.sleep(0.01)
+        entries = tuple(e for e in self._batch if e.offset >= from_offset)
+        return ports.Batch(entries, 6)
+
+
+@pytest.mark.parametrize("odd", [3, 4, 5])
+def test_a_record_that_cannot_be_read_is_passed_over(odd):
+    """Guards against a feed that reads the same record over and over."""
+
+    async def work():
+        page = [ports.Entry(0, "k0", b"1")]
+        batch = [ports.Entry(n, f"k{n}", b"1") for n in (3, 4, 5)]
+        batch[odd - 3] = ports.Entry(odd, "k0", None, error="cut off")
+        seen = []
+        follower = _follower(
+            _OddLog({"": page}, batch),
+            lambda entry: seen.append(entry.key),
+            50,
+            0,
+        )
+        task = asyncio.create_task(follower.run())
+        assert await follower.wait_for_offset(6, 2_000)
+        assert seen == ["k0"] + [f"k{n}" for n in (3, 4, 5) if n != odd]
+        assert follower.age_ms() < 1_000
+        assert not task.done()
+        task.cancel()
+
+    builders.run(work())
+
+
+def test_a_load_goes_on_after_an_item_without_a_key():
+    """Guards against a load that begins with the first page again."""
+
+    async def work():
+        odd = ports.Entry(3, "", None, error="no key")
+        pages = {
+            "": [ports.Entry(0, "k0", b"1"), odd],
+            "k0": [odd, ports.Entry(1, "k1", b"1")],
+            "k1": [odd],
+        }
+        seen = []
+        follower = _follower(
+            _OddLog(pages), lambda entry: seen.append(entry.key), 50, 0
+        )
+        task = asyncio.create_task(follower.run())
+        async with asyncio.timeout(2):
+            await follower.loaded.wait()
+        assert seen == ["k0", "k1"]
+        task.cancel()
+
+    builders.run(work())
