--- a/deploy/tests/test_decoding_fuzz.py
+++ b/deploy/tests/test_decoding_fuzz.py
@@ -12,6 +12,7 @@
 from laburnumgate_placer import progress
 from laburnumgate_placer import records
 from laburnumgate_placer import reports
+from laburnumgate_placer import upkeep
 import orjson
 import pytest
 import store
@@ -226,6 +227,80 @@
         assert table.current == builders.config()
 
 
+_WAVE = {"machines": ["m1", "m2"], "duration_s": 30, "max_count": 1}
+
+
+@pytest.mark.parametrize(
+    "fields",
+    [
+        *({"machines": "m1"}, {"machines": {"m1": 1}}, {"machines": None}),
+        *({"machines": ["m1", 2]}, {"machines": [["m1"]]}, {"machines": [{}]}),
+        *({"duration_s": "nan"}, {"duration_s": 1e300}, {"duration_s": -1}),
+        *({"max_count": "1"}, {"max_count": 1e300}, {"max_count": True}),
+        {"duration_s": 10**17},
+    ],
+)
+def test_an_odd_wave_leaves_the_other_waves_to_be_planned(fields):
+    """Guards against one wave that ends each term of the leader."""
+    tables = builders.tables()
+    wave = ports.Entry(2, "wave/1", orjson.dumps(_WAVE))
+    decoding.apply_operator_entry(tables.config, wave)
+    odd = ports.Entry(3, "wave/2", orjson.dumps(_WAVE | fields))
+    with pytest.raises((ValueError, TypeError)):
+        decoding.apply_operator_entry(tables.config, odd)
+    waves = tables.config.waves_by_number
+    assert list(waves) == [1]
+    assert upkeep.UpkeepTable(tables).plan(waves)
+
+
+@pytest.mark.parametrize(
+    "number",
+    ["", "x", "-1", "+1", "1_0", " 1", "١", "²", "9" * 30, "9" * 5_000],
+)
+@pytest.mark.parametrize("value", [orjson.dumps(_WAVE), None])
+def test_a_wave_without_a_number_is_no_wave(number, value):
+    """Guards against another wave that is meant, or a call that cannot be."""
+    table = config_table.ConfigTable()
+    entry = ports.Entry(2, "wave/10", orjson.dumps(_WAVE))
+    decoding.apply_operator_entry(table, entry)
+    before = dict(table.waves_by_number)
+    with pytest.raises(ValueError):
+        decoding.apply_operator_entry(
+            table, ports.Entry(3, f"wave/{number}", value)
+        )
+    assert table.waves_by_number == before
+
+
+def _configuration(**route):
+    queue = {"name": "q", "hostname": "h", "path_prefix": "/p/"} | route
+    content = {
+        "version": 2,
+        "routes": [queue],
+        "tenants": [{"name": "mina", "api_keys": ["key-1"]}],
+    }
+    return ports.Entry(2, "config", orjson.dumps(content))
+
+
+@pytest.mark.parametrize(
+    "route",
+    [
+        *({"name": 5}, {"hostname": 5}, {"path_prefix": 5}, {"service": []}),
+        *({"priority": 1e300}, {"attempts": 1e300}, {"stretch": "nan"}),
+        *({"stretch": []}, {"target_latency_ms": 1e300}, {"priority": "1"}),
+    ],
+)
+def test_an_odd_configuration_leaves_the_last_one_in_force(route):
+    """Guards against requests that end as errors by a value of a queue."""
+    table = config_table.ConfigTable()
+    table.publish(1, builders.config())
+    with pytest.raises((ValueError, TypeError)):
+        decoding.apply_operator_entry(table, _configuration(**route))
+    assert table.current == builders.config()
+    decoding.apply_operator_entry(table, _configuration())
+    assert table.current.version == 2
+    assert table.admit("h", "/p/1", "key-1")
+
+
 @given(
     st.sampled_from(["s/a", "c/a", "e/a", "x/a", "a", ""]),
     st.none() | st.binary(max_size=60) | _JSON.map(orjson.dumps),
