Ask for the upkeep of a machine that is not listed instead of dropping it

Operators would see a wave published as completed although a machine had no upkeep, if its row in the list of machines was unreadable at that moment.

Cause: a machine that is missing from the list counted as gone, and so as done.

The order is repeated instead. It has no effect a second time, and the platform answers that there is no such machine if it is gone.

--- a/packages/placer/src/laburnumgate_placer/maintainer.py
+++ b/packages/placer/src/laburnumgate_placer/maintainer.py
@@ -109,7 +109,11 @@
                 self._confirmed.add((wave, machine))
 
     async def _check_ordered(self) -> None:
-        """Marks machines that are back as done and repeats lost orders."""
+        """Marks machines that are back as done and repeats lost orders.
+
+        A machine may be missing because its row is unreadable. The order is
+        repeated, which has no effect a second time and tells whether it exists.
+        """
         ordered = self._waves.ordered_machines()
         if not ordered:
             return
@@ -119,7 +123,7 @@
         up_by_machine = {row.machine: row.up for row in rows}
         for wave, machine in ordered:
             up = up_by_machine.get(machine)
-            if up is None or up and (wave, machine) in self._confirmed:
+            if up and (wave, machine) in self._confirmed:
                 self._waves.mark_done(wave, machine)
-            elif up:
+            elif up or up is None:
                 await self._order_upkeep(wave, machine)
