Soak the hosts beside odd entries of the list and of the operator

The soak can write entries that name no endpoint and no wave: addresses that cannot be called, numbers out of range, deep nesting, unreadable bytes and an id that no header can hold. One seed in test_soak runs with them.

The soak has no machine API, so that it does not show the terms that odd waves ended.

--- a/deploy/tests/soak.py
+++ b/deploy/tests/soak.py
@@ -198,6 +198,37 @@
             await self._process.wait()
 
 
+# An entry of the live list, and what makes it unusable.
+_USABLE_FIELDS = {
+    "service": "pool",
+    "address": "127.0.0.1:1",
+    "zone": "z0",
+    "state": "ready",
+    "capacity": {"cpu": 64_000, "mem_mb": 64_000, "gpu": 64},
+    "labels": ["k", "r0"],
+    "born": 1,
+}
+_ODD_FIELDS = (
+    {"address": "127.0.0.1:99999"},
+    {"address": "127.0.0.1:0"},
+    {"address": "127.0.0.1:²"},
+    {"address": "a..b:80"},
+    {"capacity": {"cpu": 1e300, "mem_mb": 1, "gpu": 1}},
+    {"capacity": {"cpu": -1, "mem_mb": 1, "gpu": 1}},
+    {"labels": "rack"},
+    {"state": ["ready"]},
+    {"service": 5},
+)
+_ODD_VALUES = (
+    b"[" * 1_020 + b"]" * 1_020,
+    b'{"state":"ready","address":' + b"[" * 1_000 + b"]" * 1_000 + b"}",
+    b"[" * 100_000,
+    b'{"state":"ready","born":1e400}',
+    b"\xff\x00",
+    b'{"machines":[["m1"],1],"duration_s":30}',
+)
+
+
 class Soak:
     """A soak run whose workload and faults are drawn from a seed."""
 
@@ -210,7 +241,9 @@
         shrinks: bool,
         limits: bool,
         policies: bool,
+        odd_entries: bool = False,
     ):
+        self.odd_entries = odd_entries
         self.rng = random.Random(seed)
         # Separate, so that `seed` draws the same load and other faults whatever
         # these settings are.
@@ -296,6 +329,8 @@
             ],
         }
         self.store.put("keyed.op", "config", orjson.dumps(config))
+        if self.odd_entries:
+            self._put_odd_entries()
         for number in range(self.worker_count):
             worker = standin_worker.Worker(
                 self.fleet, f"w{number}", 8, self.rng.uniform(0.98, 1.02)
@@ -329,6 +364,18 @@
         listener = await loop.create_server(server, "127.0.0.1", 0)
         return listener.sockets[0].getsockname()[1]
 
+    def _put_odd_entries(self) -> None:
+        """Writes entries that name no endpoint and no wave of upkeep."""
+        for number, fields in enumerate(_ODD_FIELDS):
+            value = orjson.dumps(_USABLE_FIELDS | fields)
+            self.store.put("keyed.servers", f"odd-{number}", value)
+        for number, value in enumerate(_ODD_VALUES):
+            self.store.put("keyed.servers", f"unreadable-{number}", value)
+            self.store.put("keyed.op", f"wave/{number}", value)
+        usable = orjson.dumps(_USABLE_FIELDS)
+        self.store.put("keyed.servers", "odd\r\nX-Other: 1", usable)
+        self.store.put("keyed.op", "wave/x", b"{}")
+
     async def _publish_workers_loop(self) -> None:
         """Publishes the workers' entries to the live list periodically.
 
@@ -602,12 +649,22 @@
     shrinks: bool = True,
     limits: bool = False,
     policies: bool = False,
+    odd_entries: bool = False,
 ) -> list[str]:
     """Runs one seed and returns the violations.
 
     The hosts' logs are kept if there is a violation.
     """
-    soak = Soak(seed, hosts, workers, crashing_share, shrinks, limits, policies)
+    soak = Soak(
+        seed,
+        hosts,
+        workers,
+        crashing_share,
+        shrinks,
+        limits,
+        policies,
+        odd_entries,
+    )
     violations = asyncio.run(soak.run(seconds))
     if violations:
         violations.append(f"logs in {soak.folder}; faults: {soak.faults}")
--- a/deploy/tests/test_soak.py
+++ b/deploy/tests/test_soak.py
@@ -23,6 +23,20 @@
     assert not violations
 
 
+def test_guarantees_hold_beside_odd_entries():
+    """Guards against entries of another writer that stop the hosts."""
+    violations = soak.run_seed(
+        1,
+        _SECONDS,
+        hosts=3,
+        workers=4,
+        crashing_share=0.0,
+        shrinks=False,
+        odd_entries=True,
+    )
+    assert not violations
+
+
 def test_late_order_reaches_a_new_life_under_the_same_id():
     """Guards against an order that reaches a later incarnation.
 
