--- a/packages/placer/src/laburnumgate_placer/feed.py
+++ b/packages/placer/src/laburnumgate_placer/feed.py
@@ -187,9 +187,10 @@
             load.missing.difference_update(entry.key for entry in page.entries)
             if not page.more:
                 break
-            if not page.entries:
-                return self._mark_down(ports.Unknown("a page has no records"))
-            load.after = page.entries[-1].key
+            keys = [entry.key for entry in page.entries if entry.key]
+            if not keys:
+                return self._mark_down(ports.Unknown("a page has no keys"))
+            load.after = keys[-1]
         # Keys that were removed, but whose tombstones have expired unread.
         self._apply_all(
             tuple(
@@ -269,6 +270,9 @@
 
     def _apply_all(self, entries: tuple[ports.Entry, ...]) -> None:
         for entry in entries:
+            if entry.error:
+                self._log_skipped(entry, entry.error)
+                continue
             if self._keyed:
                 # Pages may hold records that are newer than the offset from
                 # which the topic is read afterwards.
@@ -281,14 +285,17 @@
             try:
                 self._apply(entry)
             except Exception as error:  # A bad record must not stop the feed.
-                events.emit(
-                    _LOGGER,
-                    events.Event.RECORD_SKIPPED,
-                    topic=self.topic,
-                    offset=entry.offset,
-                    key=entry.key,
-                    reason=str(error),
-                )
+                self._log_skipped(entry, str(error))
+
+    def _log_skipped(self, entry: ports.Entry, reason: str) -> None:
+        events.emit(
+            _LOGGER,
+            events.Event.RECORD_SKIPPED,
+            topic=self.topic,
+            offset=entry.offset,
+            key=entry.key,
+            reason=reason,
+        )
 
     async def _advance(self, offset: int) -> None:
         async with self._advanced:
