--- a/deploy/tests/test_callers.py
+++ b/deploy/tests/test_callers.py
@@ -1,6 +1,7 @@
 """Tests the callers' HTTP API: responses, statuses and graceful shutdown."""
 
 import asyncio
+import contextlib
 import types
 
 import aiohttp
@@ -15,6 +16,7 @@
 
 _ID = "5c0e7a21d94b36f8"
 _JOB = {"task_spec": "text", "steps": [{"count": 2, "cpu": 500}]}
+_BODY = orjson.dumps(_JOB)
 
 
 class _Intake:
@@ -58,10 +60,10 @@
     )
 
 
-def _post_head(body):
+def _post_head(body, headers=""):
     return (
         f"POST /reviews/{_ID} HTTP/1.1\r\nHost: h.example\r\n"
-        f"X-Laburnumgate-Credential: key-1\r\n"
+        f"X-Laburnumgate-Credential: key-1\r\n{headers}"
         f"Content-Length: {len(body)}\r\n\r\n"
     ).encode()
 
@@ -76,7 +78,8 @@
         return await scenario(caller_api, server, port)
     finally:
         listener.close()
-        await server.shutdown(0)
+        # A timeout of 0 would wait for requests without a limit.
+        await server.shutdown(0.1)
 
 
 def _call(host, method, path, body=None, key="key-1", hostname="h.example"):
@@ -210,6 +213,73 @@
     assert answer.endswith(b"{}")
 
 
+@pytest.mark.parametrize("sent", [len(_BODY), 5], ids=["stuck", "half sent"])
+def test_a_request_that_never_ends_does_not_prevent_the_exit(sent):
+    """Guards against a host that is killed because one request never ends.
+
+    The caller of that request gets a response, as does the one of a request
+    that ends in time.
+    """
+    host = _host(intake.Accepted())
+    stuck = asyncio.Event()
+
+    async def submit(job, wait_ms):
+        if wait_ms == 1:
+            await stuck.wait()
+        await asyncio.sleep(0.2)
+        return intake.Accepted()
+
+    host.intake.submit = submit
+    stuck_head = _post_head(_BODY, "X-Laburnumgate-Deadline-Ms: 1\r\n")
+
+    async def scenario(caller_api, server, port):
+        reader, writer = await asyncio.open_connection("127.0.0.1", port)
+        writer.write(stuck_head + _BODY[:sent])
+        in_time, in_time_writer = await asyncio.open_connection(
+            "127.0.0.1", port
+        )
+        in_time_writer.write(_post_head(_BODY) + _BODY)
+        await asyncio.sleep(0.05)
+        host.stopping = True
+        async with asyncio.timeout(2):
+            await caller_api.close_connections(server, 0.5)
+            return await in_time.read(), await reader.read()
+
+    in_time, stuck_answer = builders.run(_run_with_server(host, scenario))
+    assert in_time.startswith(b"HTTP/1.1 200")
+    assert in_time.endswith(b"{}")
+    assert stuck_answer.startswith(b"HTTP/1.1 504")
+    assert stuck_answer.endswith(b"}")
+
+
+def test_a_request_that_ignores_its_cancellation_does_not_prevent_the_exit():
+    """Guards against a wait without a limit for a cancelled request."""
+    host = _host(intake.Accepted())
+    released = asyncio.Event()
+
+    async def submit(job, wait_ms):
+        while not released.is_set():
+            with contextlib.suppress(asyncio.CancelledError):
+                await released.wait()
+        return intake.Accepted()
+
+    host.intake.submit = submit
+
+    async def scenario(caller_api, server, port):
+        reader, writer = await asyncio.open_connection("127.0.0.1", port)
+        writer.write(_post_head(_BODY) + _BODY)
+        await asyncio.sleep(0.05)
+        host.stopping = True
+        try:
+            async with asyncio.timeout(2):
+                await caller_api.close_connections(server, 0.2)
+                return await reader.read()
+        finally:
+            released.set()
+
+    assert builders.run(_run_with_server(host, scenario)) == b""
+
+
 def test_an_unexpected_error_leaves_the_outcome_of_a_request_open():
     """Guards against a refusal for a job that was stored before the error."""
     host = _host(intake.Accepted())
