End a run whose closing record came second while the log is out

In some runs of test_sigterm_of_the_placing_host_while_the_log_is_out a request stayed pending until the log came back, which in that test happens after it: the test polls for up to 200 s. A trace of such a run (scenario stopped after 45 s) shows a clean exit of the stopped host and, on the next host, run 1 of one request in the phase "closing" with its part absent, and 174 unsent records.

The stopped host undoes a launch and shares the record that puts the job back in the queue. If that record arrives after the next host has last compared the run with the job, which it does once a second, and before it closes the same run, its own record has no effect. The run was then closed again each second until the log decided, and a job with a run is not started. Each attempt also queued the record, and the records held for the job, once more.

A closing record that has no effect means that the job has left this run: through the log or through a provisional record of another host. The run ends in both cases now.

test_runs.py::test_end_recorded_first_by_the_host_that_left_does_not_block_the_job failed before: the job was still queued 30 s later. The tests of packages/core and packages/host pass (219).

--- a/packages/core/src/laburnumgate_core/gang.py
+++ b/packages/core/src/laburnumgate_core/gang.py
@@ -41,7 +41,6 @@
 STOP_RETRY_INTERVAL_MS = 2_500
 # After this time, parts are stopped without a checkpoint.
 CHECKPOINT_TIMEOUT_MS = 2_500
-CLOSE_BACKOFF_MS = 1_000
 # The append may wait a long time for the log; a duplicate has no effect.
 CLOSE_RESEND_INTERVAL_MS = 30_000
 # Endpoints that have not reported are read at this interval. The timeout is
@@ -448,7 +447,7 @@
             self.phase is Phase.CLOSING
             and result.record == self._closing_record
         ):
-            return self._on_closing_appended(result, now_ms)
+            return self._on_closing_appended(result)
         return []
 
     def _reconcile_recording(
@@ -1075,18 +1074,15 @@
         return [*self._release_leases(), actions.Append(self._closing_record)]
 
     def _on_closing_appended(
-        self, result: actions.Appended, now_ms: int
+        self, result: actions.Appended
     ) -> list[actions.Action]:
         if result.durable and result.applied:
             return [*self._end_run(), *self._acknowledge()]
-        if result.durable or result.applied:
-            # The record is provisional, or the log accepted another one
-            # first. The endpoints keep the results until the log has an end
-            # of the run.
-            self.unacknowledged = True
-            return self._end_run()
-        self._timer_ms = now_ms + CLOSE_BACKOFF_MS
-        return []
+        # The record is provisional, or another one came first, which may be
+        # provisional itself. The endpoints keep the results until the log has
+        # an end of the run.
+        self.unacknowledged = True
+        return self._end_run()
 
     def _is_closed_by(self, committed: jobs.Job | None) -> bool:
         """Whether the log has ended the run, by this record or another."""
--- a/packages/core/tests/test_runs.py
+++ b/packages/core/tests/test_runs.py
@@ -160,6 +160,32 @@
     assert zone_fake.resumed_runs(zone, "a/r") == {2}
 
 
+def test_end_recorded_first_by_the_host_that_left_does_not_block_the_job():
+    """Guards against a job that waits until the log is reachable again.
+
+    The record of the host that left arrives while this host closes the run.
+    """
+    zone = make_interrupted_zone(
+        ACTIONS_UNTIL_HELD, idempotent=True, payload="1000"
+    )
+    zone.log_down = True
+    zone.advance(zone_fake.TAKEOVER_MS)
+    host = zone.hosts[1]
+    host.activate()
+    while host.runs.runs_by_id["a/r"].phase is not gang.Phase.CLOSING:
+        zone.advance(1)
+    record = records.Requeued(
+        "a/r", 1, "the host is leaving", may_have_run=False, at_ms=zone.now_ms
+    )
+    assert host.jobs.add_provisional("peer-1", 0, record)
+    zone.advance(30_000)
+    assert isinstance(host.jobs.get("a/r").outcome, verdict.Ran)
+    zone.log_down = False
+    zone.advance(30_000)
+    assert isinstance(zone.job("a/r").outcome, verdict.Ran)
+    assert zone_fake.resumed_runs(zone, "a/r") == {2}
+
+
 def test_task_of_an_unknown_run_is_kept_until_the_log_decides():
     """Guards against stopping a run whose start record is not read yet."""
     zone = zone_fake.Zone()
