Keep tasks apart that were lost together twice, on crashed endpoints if need be

In a pool with a crashing task a job beside it failed with it. The known example: of six endpoints one is full and one nearly so, the others each crash once. A suspected task avoids endpoints that crashed under it before it avoids company, so that three tasks that were lost together twice had two endpoints left, while two others were empty. Two of them were together in all four crashes, and both were given up.

Tasks that were lost together twice now avoid each other first, and endpoints that crashed under them second. After one common crash the order is as before.

Its docstring said that the pool was full; it describes the example now. The tests of packages/placer pass (480).

--- a/packages/placer/src/laburnumgate_placer/placement.py
+++ b/packages/placer/src/laburnumgate_placer/placement.py
@@ -347,9 +347,14 @@
     bucket = _speed_bucket(speed)
     if unit.suspected:
         # A crash then tells which task causes it, and takes little with it.
+        shared = _most_shared_losses(unit, state)
         return (
+            # Tasks lost together twice are given up for each other's crashes
+            # if they stay together. An endpoint that crashed under the unit is
+            # better than that.
+            max(0, shared - 1),
             endpoint_id in unit.avoided_endpoints,
-            _most_shared_losses(unit, state),
+            shared,
             len(state.suspects),
             bool(data_rack) and state.info.rack != data_rack,
             not fast_enough,
--- a/packages/placer/tests/test_crashes.py
+++ b/packages/placer/tests/test_crashes.py
@@ -374,8 +374,9 @@
 def test_a_crowded_pool_fails_no_job_beside_a_crashing_task():
     """Guards against a job that fails since it has no other place to run.
 
-    The pool is so full that a task is placed beside the crashing one four
-    times. An example that the property above drew on other code.
+    All endpoints with room but those that crashed before hold a task that was
+    lost together with it. An example that the property above drew on other
+    code.
     """
     sizes = [3, 2, 3, 3, 3, 3, 3, 3]
     entries, crashing, _ = _play(sizes, {0}, [])
