Send provisional records again to peers that did not answer

During an outage of the log a host sends its records to the peers of its zone, once, with a timeout of 500 ms. If no peer answered in time the record was taken off the list all the same: the caller read "host-only", and a host that stopped then counted the record as safe although nobody else had it.

Seen once in 24 runs of test_sigterm_of_the_placing_host_while_the_log_is_out with a trace, at a load of 12 to 16 on 8 cores: a submission was answered with "host-only" although the peer was alive; its event loop was late by 1.7 s.

A batch is now sent again every 200 ms until a peer that is alive holds it. Peers that are silent for 3 s are no longer alive, which ends this, and a peer that answers that it has no room is not asked again. Callers wait up to 2 s and then read "host-only"; the host goes on sending, and a shutdown waits for it within its grace period.

test_sharing.py::test_a_record_is_sent_again_until_a_peer_holds_it failed before (0 holders instead of 1). The two others bound the new wait: for a caller, and for the host when the peer is gone.

--- a/packages/host/src/laburnumgate_host/sharing.py
+++ b/packages/host/src/laburnumgate_host/sharing.py
@@ -21,6 +21,10 @@
 # Below the gRPC message limit of 4 MB.
 MAX_BYTES_PER_CALL = 1024 * 1024
 CALL_TIMEOUT_MS = 500
+RESEND_INTERVAL_MS = 200
+# Limit of a caller's wait for the peers. Peers that are silent for longer are
+# soon declared dead.
+HOLDERS_WAIT_MS = 2_000
 MAX_HELD_RECORDS = 2_000
 # After an outage the host that created a record appends it first; its batches
 # are delayed by up to 2 s.
@@ -98,16 +102,21 @@
         """Waits until the job's newest record was shared.
 
         Returns:
-          The number of peers that hold it.
+          The number of peers that hold it, 0 after `HOLDERS_WAIT_MS`.
         """
         future = self._holders_by_job.get(job_id)
         if future is None:
             return 0
-        return await asyncio.shield(future)
+        try:
+            return await asyncio.wait_for(
+                asyncio.shield(future), HOLDERS_WAIT_MS / 1000
+            )
+        except TimeoutError:
+            return 0
 
     @property
     def unshared_count(self) -> int:
-        """Number of records not yet sent to peers."""
+        """Number of records that a peer that is alive may still receive."""
         return len(self._outbox)
 
     async def run(self) -> None:
@@ -118,6 +127,9 @@
             while self._outbox:
                 batch = self._next_batch()
                 count = await self._send(batch)
+                while count is None:
+                    await asyncio.sleep(RESEND_INTERVAL_MS / 1000)
+                    count = await self._send(batch)
                 for created in batch:
                     if not created.holders.done():
                         created.holders.set_result(count)
@@ -215,7 +227,13 @@
             batch.append(created)
         return batch
 
-    async def _send(self, batch: list[_OutgoingRecord]) -> int:
+    async def _send(self, batch: list[_OutgoingRecord]) -> int | None:
+        """Sends records to the peers that are alive.
+
+        Returns:
+          The number of peers that hold them, None if none does and some did
+          not answer.
+        """
         request = peer_pb2.ShareRecordsRequest(
             host_id=self._host_id, records=[c.message for c in batch]
         )
@@ -233,6 +251,8 @@
         confirmed = [
             r for r in replies if r is not None and r.held == len(batch)
         ]
+        if not confirmed and None in replies:
+            return None
         return len(confirmed)
 
     def _hold(
