Restart a host of the soak only once at a time

Two faults could restart the same host while it was still shutting down. Both waited for the same process and then started one each; the soak knew only the later one and left the other behind.

A signal during a restart now only goes to the process, which the restart under way starts again. The end of a soak waits for it.

test_a_host_restarted_twice_at_once_runs_once (two processes instead of one) and test_a_restart_under_way_does_not_outlive_the_end (one left instead of none) failed before.

--- a/deploy/tests/soak.py
+++ b/deploy/tests/soak.py
@@ -164,6 +164,9 @@
         self._path = folder / f"{name}.toml"
         self._log = folder / f"{name}.log"
         self._process: asyncio.subprocess.Process | None = None
+        # Held while the process is being started again.
+        self._restarting = asyncio.Lock()
+        self._ended = False
 
     async def start(self, first: bool = False) -> None:
         """Writes the settings file and starts the process."""
@@ -184,18 +187,30 @@
             self._process.send_signal(number)
 
     async def restart(self, number: signal.Signals) -> None:
-        """Terminates the process with a signal and starts it again."""
+        """Terminates the process with a signal and starts it again.
+
+        During another restart it only sends the signal.
+        """
         self.send(number)
-        await self._process.wait()
-        await asyncio.sleep(0.1)
-        await self.start()
+        if self._restarting.locked() or self._ended:
+            return
+        async with self._restarting:
+            await self._process.wait()
+            await asyncio.sleep(0.1)
+            await self.start()
 
     async def end(self) -> None:
-        """Kills the process, also if it is stopped by SIGSTOP."""
+        """Kills the process for good, also if it is stopped by SIGSTOP."""
+        self._ended = True
+        self._kill()
+        async with self._restarting:
+            self._kill()
+            if self._process:
+                await self._process.wait()
+
+    def _kill(self) -> None:
         self.send(signal.SIGCONT)
         self.send(signal.SIGKILL)
-        if self._process:
-            await self._process.wait()
 
 
 # An entry of the live list, and what makes it unusable.
--- a/deploy/tests/test_soak_checks.py
+++ b/deploy/tests/test_soak_checks.py
@@ -1,9 +1,12 @@
 """Tests that the soak's checks report the violations that they look for."""
 
+import asyncio
 import random
+import signal
 import time
 
 import pytest
+import soak
 import standin_capacity
 import standin_crashes
 import standin_worker
@@ -214,3 +217,68 @@
         )
         worker.end(run, "stopped")
     assert not fleet.violations
+
+
+@pytest.fixture
+def idle_host(tmp_path, monkeypatch):
+    """A host whose process does nothing, and all processes that it started."""
+    daemon = tmp_path / "platform" / "laburnumgated.py"
+    daemon.parent.mkdir()
+    daemon.write_text("import time\ntime.sleep(60)\n")
+    monkeypatch.setattr(soak, "_ROOT", tmp_path)
+    started = []
+    create = asyncio.create_subprocess_exec
+
+    async def create_recorded(*args, **kwargs):
+        process = await create(*args, **kwargs)
+        started.append(process)
+        return process
+
+    monkeypatch.setattr(asyncio, "create_subprocess_exec", create_recorded)
+    values = {"name": "h0", "zone": "z0", "store": 1, "cores": 1, "ip": "::1"}
+    return soak.HostProcess(tmp_path, "h0", values, ""), started
+
+
+def _running(processes):
+    return sum(process.returncode is None for process in processes)
+
+
+async def _end_all(processes):
+    """Kills the processes; returns how many were still running."""
+    running = _running(processes)
+    for process in processes:
+        if process.returncode is None:
+            process.kill()
+            await process.wait()
+    return running
+
+
+def test_a_host_restarted_twice_at_once_runs_once(idle_host):
+    """Guards against a host process that outlives its soak."""
+
+    async def restart_twice():
+        host, started = idle_host
+        await host.start()
+        await asyncio.gather(
+            host.restart(signal.SIGTERM), host.restart(signal.SIGKILL)
+        )
+        running = _running(started)
+        await host.end()
+        return running, await _end_all(started)
+
+    assert asyncio.run(restart_twice()) == (1, 0)
+
+
+def test_a_restart_under_way_does_not_outlive_the_end(idle_host):
+    """Guards against a host that a restart starts after its soak has ended."""
+
+    async def end_during_restart():
+        host, started = idle_host
+        await host.start()
+        restart = asyncio.create_task(host.restart(signal.SIGKILL))
+        await started[0].wait()
+        await host.end()
+        await restart
+        return await _end_all(started)
+
+    assert asyncio.run(end_during_restart()) == 0
