Send no start to an endpoint whose restart is being handled

Two runs of one task were seen at once after an endpoint restarted under its id. When a report shows the restart, the start orders to the earlier incarnation are stopped in the new one, and then all its runs count as lost. The orders to stop were listed first and sent one after the other. A start that was sent meanwhile was not on the list, was carried out by the new incarnation, and its run was given up and placed elsewhere while it went on.

From that report on the endpoint gets no starts until its new incarnation is taken up.

--- a/packages/placer/src/laburnumgate_placer/endpoint_table.py
+++ b/packages/placer/src/laburnumgate_placer/endpoint_table.py
@@ -48,6 +48,8 @@
       unknown_runs: resources of reported runs that belong to no known job.
       unconfirmed_starts: monotonic time of the newest unanswered start, by task
         and run; a copy may still be in flight, even after the run has ended.
+      restarted: whether a report came from a later incarnation, in which the
+        orders to this one are being voided.
       ended: whether the incarnation has ended, so that nothing runs there.
       unreachable_ms: monotonic time at which it last became unreachable, 0 for
         never.
@@ -84,6 +86,7 @@
     unconfirmed_starts: dict[tuple[model.TaskKey, int], int] = (
         dataclasses.field(default_factory=dict)
     )
+    restarted: bool = False
     ended: bool = False
     unreachable_ms: int = 0
     suspects: set[tuple[model.TaskKey, int]] = dataclasses.field(
@@ -268,6 +271,8 @@
                 continue
             if state.ended or info.zone in zones_out or state.unknown_runs:
                 continue
+            if state.restarted:
+                continue
             if now_ms < state.avoid_until_ms:
                 continue
             if info.machine and info.machine in self.emptying_machines:
--- a/packages/placer/src/laburnumgate_placer/launcher.py
+++ b/packages/placer/src/laburnumgate_placer/launcher.py
@@ -265,6 +265,9 @@
             return "the live list is too old"
         if not state.listed:
             return "an assigned endpoint is not listed any more"
+        if state.restarted:
+            # Only the orders before the restart was seen are voided.
+            return "an assigned endpoint has restarted"
         if state.overcommitted():
             return "the capacity of an assigned endpoint has shrunk"
         if state.unknown_runs:
--- a/packages/placer/src/laburnumgate_placer/watcher.py
+++ b/packages/placer/src/laburnumgate_placer/watcher.py
@@ -274,6 +274,7 @@
         """
         state = self._state
         tables = self._tables
+        state.restarted = True
         for task, run in state.pending_orders(tables.monotonic.now_ms()):
             answer = await self._endpoints.stop(
                 state.info,
--- a/packages/placer/tests/test_leader.py
+++ b/packages/placer/tests/test_leader.py
@@ -303,6 +303,42 @@
     builders.run(work())
 
 
+def test_no_order_is_sent_while_the_orders_before_a_restart_are_voided():
+    """Guards against a run that goes on in a new life beside its next run.
+
+    It was started after the restart was seen, and given up with the orders to
+    the earlier incarnation.
+    """
+
+    async def work():
+        system, host = await _start_system("e1")
+        worker = system.worker("e1")
+        await _submit(host, builders.job("a" * 16))
+        await _wait_until(lambda: worker.running)
+        await asyncio.sleep(0.05)
+        stop = system.workers.stop
+        voiding = asyncio.Event()
+
+        async def stop_slowly(*args, **kwargs):
+            voiding.set()
+            await asyncio.sleep(0.3)
+            return await stop(*args, **kwargs)
+
+        system.workers.stop = stop_slowly
+        worker.restart()
+        worker.changed.set()
+        await voiding.wait()
+        await _submit(host, builders.job("b" * 16))
+        await asyncio.sleep(0.2)
+        assert _starts_of(system, "b" * 16) == 0
+        system.list_worker("e1")
+        await _wait_until(lambda: _starts_of(system, "b" * 16) == 1)
+        await asyncio.sleep(0.2)
+        assert _starts_of(system, "b" * 16) == 1
+
+    builders.run(work())
+
+
 def test_nothing_starts_before_its_record_is_stored():
     """Guards against a run that the next leader does not know of."""
 
