Void start orders in flight when their endpoint restarts

A task started above the capacity of its endpoint after its job had been cancelled and its endpoint had restarted. Start orders were kept for the next incarnation only once their answer was overdue, after 400 ms, or as long as the run was a member of the endpoint. A run that was stopped while its order was waited for, and no longer listed, left no trace: the restart that followed voided nothing, and the late order was carried out by the new incarnation.

An order now counts as unanswered from the moment at which it is sent.

test_a_start_in_flight_is_voided_in_the_next_life_though_its_run_ended failed before.

--- a/packages/placer/src/laburnumgate_placer/endpoint_table.py
+++ b/packages/placer/src/laburnumgate_placer/endpoint_table.py
@@ -46,8 +46,8 @@
       acked_end: highest number of the ends that may be acknowledged.
       members: members that may be present, by task and run.
       unknown_runs: resources of reported runs that belong to no known job.
-      unconfirmed_starts: monotonic time of the newest unanswered start, by task
-        and run; a copy may still be in flight, even after the run has ended.
+      unconfirmed_starts: monotonic time of the newest start without an answer,
+        by task and run; a copy may be in flight, even after the run has ended.
       restarted: whether a report came from a later incarnation, in which the
         orders to this one are being voided.
       ended: whether the incarnation has ended, so that nothing runs there.
@@ -128,9 +128,27 @@
 
     def add_unconfirmed_start(
         self, member: progress.Member, now_ms: int
+    ) -> int | None:
+        """Records that a start order was sent and is not answered.
+
+        Returns:
+          The time of an earlier order of the run that was not answered, which
+          `confirm_start` needs, or None.
+        """
+        key = (member.task, member.run.number)
+        earlier_ms = self.unconfirmed_starts.get(key)
+        self.unconfirmed_starts[key] = now_ms
+        return earlier_ms
+
+    def confirm_start(
+        self, member: progress.Member, earlier_ms: int | None
     ) -> None:
-        """Records that a start order was sent and not answered."""
-        self.unconfirmed_starts[(member.task, member.run.number)] = now_ms
+        """Records that the newest start order of a member was answered."""
+        key = (member.task, member.run.number)
+        if earlier_ms is None:
+            self.unconfirmed_starts.pop(key, None)
+        else:
+            self.unconfirmed_starts[key] = earlier_ms
 
     def pending_orders(self, now_ms: int) -> set[tuple[model.TaskKey, int]]:
         """Returns the runs that an order in flight could still start."""
--- a/packages/placer/src/laburnumgate_placer/launcher.py
+++ b/packages/placer/src/laburnumgate_placer/launcher.py
@@ -172,11 +172,15 @@
                 first = not member.start_sent
                 member.start_sent = True
                 sent_ms = tables.monotonic.now_ms()
+                # A restart while the answer is waited for voids the order.
+                earlier_ms = state.add_unconfirmed_start(member, sent_ms)
                 answer = await self._endpoints.start(
                     state.info,
                     self._order(member, state, sent_ms),
                     timeout_ms=limits.ORDER_TIMEOUT_MS,
                 )
+            if not isinstance(answer, ports.Unknown):
+                state.confirm_start(member, earlier_ms)
             match answer:
                 case ports.Done(clock_ms):
                     self._gate.record_answer(sent_ms)
--- a/packages/placer/tests/test_leader.py
+++ b/packages/placer/tests/test_leader.py
@@ -339,6 +339,37 @@
     builders.run(work())
 
 
+def test_a_start_in_flight_is_voided_in_the_next_life_though_its_run_ended():
+    """Guards against a start that arrives after its job was cancelled.
+
+    The run ends while the order is still waited for, and the endpoint restarts
+    before the wait is over.
+    """
+
+    async def work():
+        system, host = await _start_system("e1")
+        worker = system.worker("e1")
+        states = host.leader.tables.endpoints.by_id
+        await _wait_until(lambda: states["e1"].contacted)
+        orders = []
+
+        async def start_without_answer(endpoint, order, *, timeout_ms):
+            orders.append(order)
+            await asyncio.sleep(60)
+
+        system.workers.start = start_without_answer
+        job = builders.job("a" * 16)
+        await _submit(host, job)
+        await _wait_until(lambda: orders)
+        host.leader.job_changed(records.Cancelled(job.job_id))
+        await _wait_until(lambda: not states["e1"].members)
+        worker.restart()
+        system.list_worker("e1")
+        await _wait_until(lambda: worker.stopped.get(orders[0].task) == 1)
+
+    builders.run(work())
+
+
 def test_nothing_starts_before_its_record_is_stored():
     """Guards against a run that the next leader does not know of."""
 
