Store large flushes of the leader in several appends

What callers would see: no job starts any more, and no end is acknowledged, from the moment at which the changes of one flush exceed the size that the log accepts in one call (2 MB). The next leader makes the same flush. Over a slow link, calls of 1 MB take seconds.

Cause: a flush was a single item of the writer, and MAX_BATCH_BYTES does not bound the first item of a batch. The refused call was repeated for ever.

Fix: Writer.append_all splits the records into batches of at most 250 KB, in order, and sends a batch only after the previous one is stored. The flush ends after the last one, so that runs start and ends are acknowledged only when all are stored. The order of progress and states is unchanged: progress is dropped by a flush after the one that stored the terminal state. The records of an expired job are still removed by one append.

--- a/packages/placer/src/laburnumgate_placer/recorder.py
+++ b/packages/placer/src/laburnumgate_placer/recorder.py
@@ -24,6 +24,8 @@
 # record until its outcome is known.
 RECORD_TIMEOUT_MS = 600_000
 PUBLISH_TIMEOUT_MS = 1_000
+# Number of expired jobs whose records are removed in one append.
+DROP_BATCH_JOBS = 1_000
 
 
 class Recorder:
@@ -58,7 +60,7 @@
         self._recorded_by_id[job_id] = state
 
     async def flush(self) -> list[progress.Run] | None:
-        """Records all changes.
+        """Records all changes, in several appends if they are large.
 
         Returns:
           The runs that may start now, or None if another leader has taken
@@ -117,11 +119,14 @@
 
     async def drop(self, job_ids: list[str]) -> None:
         """Removes expired jobs from the jobs topic."""
-        dropped = []
-        for job_id in job_ids:
-            dropped.extend(records.encode_drop(job_id))
-            self._recorded_by_id.pop(job_id, None)
-        await self._append(topics.JOBS, dropped)
+        for start in range(0, len(job_ids), DROP_BATCH_JOBS):
+            # The records of a job are removed by the same append: it would run
+            # again without its state, and its state would never be removed.
+            dropped = []
+            for job_id in job_ids[start : start + DROP_BATCH_JOBS]:
+                dropped.extend(records.encode_drop(job_id))
+                self._recorded_by_id.pop(job_id, None)
+            await self._append(topics.JOBS, dropped)
 
     def _encode(
         self, job_ids: set[str]
@@ -161,6 +166,6 @@
     ) -> ports.AppendOutcome:
         if not encoded:
             return ports.Appended(0, 0)
-        return await self._writers_by_topic[topic].append(
+        return await self._writers_by_topic[topic].append_all(
             encoded, RECORD_TIMEOUT_MS
         )
--- a/packages/placer/src/laburnumgate_placer/writer.py
+++ b/packages/placer/src/laburnumgate_placer/writer.py
@@ -20,9 +20,11 @@
 # A batch in flight for longer than this is unlikely to be answered soon; new
 # records are rejected until it is.
 STALLED_MS = 600
-# Maximum batch size, far below the log's limit on the size of a call.
+# Maximum number of appends in a batch.
 MAX_BATCH = 200
-MAX_BATCH_BYTES = 1_000_000
+# Maximum size of a batch in bytes, so that a call over a slow link takes less
+# than a second.
+MAX_BATCH_BYTES = 250_000
 
 
 @dataclasses.dataclass(eq=False, slots=True)
@@ -85,6 +87,30 @@
                 self._waiting.remove(item)
             return ports.NotAppended("the log did not take records in time")
 
+    async def append_all(
+        self, records: list[bytes], timeout_ms: int
+    ) -> ports.AppendOutcome:
+        """Appends the records in order, in batches of `MAX_BATCH_BYTES` bytes.
+
+        Each batch is stored atomically, and before the next one is sent.
+
+        Args:
+          records: at least one record.
+          timeout_ms: timeout of each batch.
+
+        Returns:
+          `Appended` if all records are stored; otherwise the outcome of the
+          first batch that may not be stored. Records after it are not sent.
+        """
+        first_offset = None
+        for batch in _split(records):
+            outcome = await self.append(batch, timeout_ms)
+            if not isinstance(outcome, ports.Appended):
+                return outcome
+            if first_offset is None:
+                first_offset = outcome.offset
+        return ports.Appended(first_offset, outcome.end_offset)
+
     def stalled(self) -> bool:
         """Whether the batch in flight is overdue (see `STALLED_MS`)."""
         since_ms = self._sending_since_ms
@@ -171,3 +197,16 @@
             if not item.done.done():
                 item.done.set_result(outcome)
         return left
+
+
+def _split(records: list[bytes]) -> list[list[bytes]]:
+    """Splits records into batches; only a single record may be larger."""
+    batches = []
+    size = 0
+    for record in records:
+        size += len(record)
+        if not batches or size > MAX_BATCH_BYTES:
+            batches.append([])
+            size = len(record)
+        batches[-1].append(record)
+    return batches
--- a/packages/placer/tests/fakelog.py
+++ b/packages/placer/tests/fakelog.py
@@ -1,6 +1,7 @@
 """In-memory log service with fault injection."""
 
 import asyncio
+import math
 
 from laburnumgate_placer import ports
 
@@ -21,6 +22,9 @@
       page_size: maximum number of records in a page of the newest ones.
       lose_pages: keys after which the next page is lost once.
       pages: the keys after which pages were requested.
+      max_record_bytes: appends of larger records are rejected.
+      max_call_bytes: appends of more bytes are rejected.
+      sizes: topic and number of bytes of each append so far.
     """
 
     def __init__(self):
@@ -37,12 +41,19 @@
         self.page_size = 1_000
         self.lose_pages: set[str] = set()
         self.pages: list[str] = []
+        self.max_record_bytes = math.inf
+        self.max_call_bytes = math.inf
+        self.sizes: list[tuple[str, int]] = []
         self.appends: list[tuple[str, ports.Sequence | None]] = []
         self.first_by_topic: dict[str, int] = {}
         self._epochs: dict[tuple[str, str], int] = {}
         self._answers: dict[tuple, ports.Appended] = {}
         self._record_added = asyncio.Event()
 
+    def answers(self) -> list[ports.Appended]:
+        """Returns the outcomes of the appends with a sequence number."""
+        return list(self._answers.values())
+
     def end(self, topic: str) -> int:
         return len(self.records_by_topic.get(topic, []))
 
@@ -55,6 +66,7 @@
         self, topic, records, *, timeout_ms, sequence=None, at_offset=None
     ):
         self.appends.append((topic, sequence))
+        self.sizes.append((topic, sum(map(len, records))))
         if self.silent or (topic in self.silent_appends and records):
             await asyncio.sleep(timeout_ms / 1000)
             return ports.Unknown("silent")
@@ -62,12 +74,21 @@
         if self.refuse:
             self.refuse -= 1
             return ports.NotAppended("refused")
+        if self._too_large(records):
+            return ports.NotAppended("too large")
         outcome = self._append(topic, records, sequence, at_offset)
         if self.lose_answers and isinstance(outcome, ports.Appended):
             self.lose_answers -= 1
             return ports.Unknown("the answer was lost")
         return outcome
 
+    def _too_large(self, records):
+        sizes = [len(record) for record in records]
+        return (
+            max(sizes, default=0) > self.max_record_bytes
+            or sum(sizes) > self.max_call_bytes
+        )
+
     def _append(self, topic, records, sequence, at_offset):
         end = self.end(topic)
         if at_offset is not None and at_offset != end:
--- /dev/null
+++ b/packages/placer/tests/test_recorder.py
@@ -0,0 +1,99 @@
+"""Tests of the records of a leader: their sizes, and what waits for them."""
+
+import asyncio
+
+import builders
+import fakelog
+from laburnumgate_placer import lifecycle
+from laburnumgate_placer import recorder as recorder_module
+from laburnumgate_placer import topics
+
+# Limits of the platform's log.
+_MAX_CALL_BYTES = 2_097_152
+_ENDPOINT = "5c0e7a21d94b36f8-5c0e7a21d94b36f8"
+
+
+def _assign_jobs(tables, jobs, tasks) -> None:
+    """Assigns all tasks of new jobs to one endpoint."""
+    builders.add_endpoint(tables, _ENDPOINT)
+    for number in range(jobs):
+        job = builders.job(f"{number:016x}", builders.step(tasks))
+        entry = lifecycle.open_job(tables, job)
+        for unit in entry.units_by_key.values():
+            lifecycle.assign(tables, unit, [_ENDPOINT])
+
+
+async def _with_recorder(log, tables, work):
+    recorder = recorder_module.Recorder(log, tables, "keyed.status")
+    task = asyncio.create_task(recorder.run_writers())
+    try:
+        return await work(recorder)
+    finally:
+        task.cancel()
+
+
+def test_a_flush_larger_than_a_call_to_the_log_is_stored():
+    """Guards against a flush that is refused for its size without end."""
+    tables = builders.tables()
+    log = fakelog.FakeLog()
+    log.max_call_bytes = _MAX_CALL_BYTES
+    _assign_jobs(tables, jobs=300, tasks=150)
+    runs = builders.run(
+        _with_recorder(log, tables, lambda recorder: recorder.flush())
+    )
+    assert len(runs) == 300 * 150
+    assert sum(size for _, size in log.sizes) > _MAX_CALL_BYTES
+    assert len(log.records_by_topic[topics.PROGRESS]) == 300
+
+
+def test_a_flush_uploads_little_in_one_call():
+    """Guards against calls that time out over a slow link."""
+    tables = builders.tables()
+    log = fakelog.FakeLog()
+    _assign_jobs(tables, jobs=50, tasks=150)
+    builders.run(_with_recorder(log, tables, lambda recorder: recorder.flush()))
+    assert sum(size for _, size in log.sizes) > 300_000
+    assert all(size <= 250_000 for _, size in log.sizes)
+
+
+def test_nothing_starts_while_a_part_of_the_flush_is_not_stored():
+    """Guards against runs and acknowledgements ahead of their records."""
+    tables = builders.tables()
+    log = fakelog.FakeLog()
+    _assign_jobs(tables, jobs=50, tasks=150)
+    state = tables.endpoints.by_id[_ENDPOINT]
+    state.handled_end = 3
+
+    async def work(recorder):
+        flush = asyncio.create_task(recorder.flush())
+        while not log.records_by_topic.get(topics.PROGRESS):
+            await asyncio.sleep(0)
+        log.refuse = 1_000
+        await asyncio.sleep(0.15)
+        stored = len(log.records_by_topic[topics.PROGRESS])
+        assert 0 < stored < 50
+        assert not flush.done()
+        assert state.acked_end == 0
+        log.refuse = 0
+        runs = await flush
+        assert len(log.records_by_topic[topics.PROGRESS]) == 50
+        return runs
+
+    runs = builders.run(_with_recorder(log, tables, work))
+    assert len(runs) == 50 * 150
+    assert state.acked_end == 3
+
+
+def test_the_records_of_an_expired_job_are_dropped_together():
+    """Guards against a job that runs again because only its state is gone."""
+    tables = builders.tables()
+    log = fakelog.FakeLog()
+    job_ids = [f"{number:016x}" for number in range(10_000)]
+
+    async def work(recorder):
+        await recorder.drop(job_ids)
+
+    builders.run(_with_recorder(log, tables, work))
+    assert all(size <= 250_000 for _, size in log.sizes)
+    assert all(answer.end_offset % 3 == 0 for answer in log.answers())
+    assert len(log.records_by_topic[topics.JOBS]) == 30_000
