Record the progress of a large job in parts

What callers would see: after one large job is submitted, no job starts any more and no end is acknowledged. The next leader restores the job and does the same.

Cause: the progress of a job was one record, which grows with the number of its tasks. A job may have 20,000 tasks; the log accepts records of 262,144 bytes. It refused the record of a job with some 3,500 running tasks, and the same flush was repeated without end.

Fix: the tasks of a job are numbered through all steps and occurrences, and each 200 of them are a part of its progress with a key of its own: `ID` for part 0, which also holds the state, and `ID/N`. What belongs to a unit always goes to the part of its first task; members of a gang and losses of endpoints go to the part of their task, so that a gang is bounded as well.

A leader may be replaced between the records of a flush, before anything of it has started or was acknowledged.

Only parts that have changed are written. Jobs of up to 200 tasks keep the record that they had. A record of an earlier release, with all units under `ID`, is read for the units of which no part is stored. When a job ends, all its parts are dropped, also those that an earlier leader left over.

Tests that passed the encoded bytes on now pass the parts on. The fuzz test of malformed records also covers other parts than the first.

--- a/deploy/tests/test_decoding_fuzz.py
+++ b/deploy/tests/test_decoding_fuzz.py
@@ -115,12 +115,12 @@
         return
 
 
-@given(_JSON.map(orjson.dumps))
-def test_a_malformed_progress_record_raises_what_is_documented(value):
+@given(st.integers(0, 2), _JSON.map(orjson.dumps))
+def test_a_malformed_progress_record_raises_what_is_documented(part, value):
     """Guards against a recovery that ends at one record."""
     entry = progress.JobEntry(builders.job(), 0)
     try:
-        progress.restore(entry, value, 0, 0)
+        progress.restore(entry, {part: value}, 0, 0)
     except (ValueError, KeyError, TypeError):
         return
 
--- a/packages/placer/src/laburnumgate_placer/leader.py
+++ b/packages/placer/src/laburnumgate_placer/leader.py
@@ -199,18 +199,25 @@
         )
         return age_ms < self.tables.bounds.lease_ms
 
-    async def _recover_log(self) -> dict[str, bytes]:
-        """Fences earlier leaders and reads the progress that they recorded."""
+    async def _recover_log(self) -> dict[str, dict[int, bytes]]:
+        """Fences earlier leaders and reads the progress that they recorded.
+
+        Returns:
+          The value of each part, by the id of its job or the key of a record
+          that is not of a job.
+        """
         ends = {}
         for topic in (topics.JOBS, topics.PROGRESS):
             ends[topic] = await self._fence(topic)
-        progress_by_id: dict[str, bytes] = {}
+        progress_by_id: dict[str, dict[int, bytes]] = {}
 
         def keep(entry: ports.Entry) -> None:
+            job_id, part = records.decode_progress_key(entry.key)
+            value_by_part = progress_by_id.setdefault(job_id, {})
             if entry.value:
-                progress_by_id[entry.key] = entry.value
+                value_by_part[part] = entry.value
             else:
-                progress_by_id.pop(entry.key, None)
+                value_by_part.pop(part, None)
 
         reader = feed.Feed(
             self._log, self.tables.monotonic, topics.PROGRESS, keep, wait_ms=0
@@ -244,7 +251,9 @@
         if self._leadership.own_claim != self._claim:
             raise LeadershipLostError("another host leads")
 
-    async def _restore(self, progress_by_id: dict[str, bytes]) -> None:
+    async def _restore(
+        self, progress_by_id: dict[str, dict[int, bytes]]
+    ) -> None:
         """Restores all jobs, with a pause after each few of them.
 
         Heartbeats have to be sent in the meantime.
@@ -261,24 +270,27 @@
                 return
             for job_id in missing[:RESTORE_CHUNK]:
                 restored.add(job_id)
-                self._restore_job(job_id, progress_by_id.get(job_id))
+                self._restore_job(job_id, progress_by_id.get(job_id, {}))
             if len(missing) > RESTORE_CHUNK:
                 await asyncio.sleep(0)
                 self._check_leadership()
 
-    def _restore_job(self, job_id: str, value: bytes | None) -> None:
+    def _restore_job(
+        self, job_id: str, value_by_part: dict[int, bytes]
+    ) -> None:
         tables = self.tables
         job = tables.jobs.jobs_by_id[job_id]
         recorded = tables.jobs.recorded(job_id)
         if recorded is not None:
             self._recorder.set_recorded_state(job_id, recorded.state)
-        if recorded is not None and recorded.state.final and not value:
+        if recorded is not None and recorded.state.final and not value_by_part:
             return
+        self._recorder.set_recorded_progress(job_id, value_by_part)
         now_ms = tables.monotonic.now_ms()
         entry = progress.JobEntry(job, now_ms)
         waited_ms = max(0, tables.wall.now_ms() - job.accepted_ms)
         entry.arrived_ms = now_ms - waited_ms
-        self._restore_entry(entry, value, now_ms)
+        self._restore_entry(entry, value_by_part, now_ms)
         tables.crashes.restore(entry.units_by_key.values())
         if recorded is not None and recorded.state.final:
             entry.state = recorded.state
@@ -294,12 +306,15 @@
             lifecycle.set_state(tables, entry, model.JobState.COMPLETED)
 
     def _restore_entry(
-        self, entry: progress.JobEntry, value: bytes | None, now_ms: int
+        self,
+        entry: progress.JobEntry,
+        value_by_part: dict[int, bytes],
+        now_ms: int,
     ) -> None:
         unix_ms = self.tables.wall.now_ms()
-        if value is not None:
+        if value_by_part:
             try:
-                progress.restore(entry, value, unix_ms, now_ms)
+                progress.restore(entry, value_by_part, unix_ms, now_ms)
             except (ValueError, KeyError, TypeError) as error:
                 events.emit(
                     _LOGGER,
@@ -514,9 +529,9 @@
     return True
 
 
-def _pop_record(key: str, progress_by_id: dict[str, bytes]) -> dict:
+def _pop_record(key: str, progress_by_id: dict[str, dict[int, bytes]]) -> dict:
     """Removes a record that is not of a job and returns its content."""
-    value = progress_by_id.pop(key, None)
+    value = progress_by_id.pop(key, {}).get(0)
     if value is None:
         return {}
     try:
--- a/packages/placer/src/laburnumgate_placer/progress.py
+++ b/packages/placer/src/laburnumgate_placer/progress.py
@@ -1,12 +1,20 @@
 """Progress of open jobs: units, their runs, and their serialization."""
 
+import collections
 import dataclasses
 import enum
+import itertools
 
 import orjson
 
 from laburnumgate_placer import model
 
+# Number of tasks whose progress is one record. A task takes up to 1 KB, with
+# the endpoints that were lost under it; the log accepts records of 256 KB.
+TASKS_PER_PART = 200
+# Maximum number of avoided endpoints that are recorded of a unit.
+MAX_RECORDED_AVOIDED = 16
+
 
 class UnitState(enum.IntEnum):
     """State of a unit; the number is stored in progress records."""
@@ -266,7 +274,7 @@
                     (occurrence, n) not in self.done_steps for n in step.after
                 ):
                     continue
-                self._open(step_key, step, now_ms)
+                self.open_step(step_key, now_ms)
                 opened = True
         return opened
 
@@ -313,9 +321,9 @@
             model.UnitKey(task.job_id, task.occurrence, task.step, index)
         )
 
-    def _open(
-        self, step_key: tuple[int, int], step: model.Step, now_ms: int
-    ) -> None:
+    def open_step(self, step_key: tuple[int, int], now_ms: int) -> None:
+        """Opens a step and adds those of its units that are missing."""
+        step = self.job.steps[step_key[1]]
         self.open_steps.add(step_key)
         indexes = [model.GANG_INDEX] if step.gang else range(step.count)
         for index in indexes:
@@ -326,161 +334,293 @@
                 self.units_by_key[key] = Unit(key, step, self, ready_ms=now_ms)
 
 
-def encode(entry: JobEntry) -> bytes:
-    """Serializes the progress of a job for recovery by a later leader."""
-    rows = []
+def encode(entry: JobEntry) -> dict[int, bytes]:
+    """Serializes the progress of a job for recovery by a later leader.
+
+    The parts have to be stored in descending order: a part omits the units of
+    done steps, which are listed in the part of the last unit of the step.
+
+    Returns:
+      The value of each part that is not empty; part 0 never is. A value has at
+      most about 200 KB.
+    """
+    parts = _Parts(entry.job)
+    contents: dict[int, dict] = collections.defaultdict(_empty_content)
+    contents[0] = {
+        "state": entry.state.value,
+        "reason": entry.reason,
+        **_empty_content(),
+    }
+    for step_key in sorted(entry.done_steps):
+        contents[parts.of_step(*step_key)]["done"].append(step_key)
     for unit in entry.units_by_key.values():
         step_key = (unit.key.occurrence, unit.key.step)
-        if step_key in entry.done_steps and unit.run is None:
+        if unit.run is None and step_key in entry.done_steps:
             continue
-        if unit.state == UnitState.WAITING and not unit.last_run:
-            continue
-        members = []
-        if unit.run is not None:
-            members = [
-                [m.endpoint_id, m.born_ms, m.task.index]
-                for m in unit.run.members
-                if not m.terminated
-            ]
-        rows.append(
-            [
-                *step_key,
-                unit.key.index,
-                int(unit.state),
-                unit.last_run,
-                unit.failures,
-                unit.checkpoint,
-                members,
-            ]
-        )
-    content = {
-        "state": entry.state.value,
-        "reason": entry.reason,
-        "done": sorted(entry.done_steps),
-        "units": rows,
+        _encode_unit(unit, parts, contents)
+    return {part: orjson.dumps(content) for part, content in contents.items()}
+
+
+def _empty_content() -> dict:
+    return {
+        "done": [],
+        "units": [],
         # Apart from the units, whose rows earlier releases read as well.
-        "losses": _loss_rows(entry),
-        "failed_runs": [
-            [
-                unit.key.occurrence,
-                unit.key.step,
-                unit.key.index,
-                sorted(unit.failed_runs),
-            ]
-            for unit in entry.units_by_key.values()
-            if unit.failed_runs and unit.state != UnitState.DONE
-        ],
-        "machines": {
-            member.endpoint_id: member.machine
-            for run in entry.runs()
-            for member in run.members
-            if not member.terminated and member.machine
-        },
+        "losses": [],
+        "failed_runs": [],
+        "machines": {},
     }
-    moves = _move_rows(entry)
-    if moves:
-        content["moves"] = moves
-    return orjson.dumps(content)
 
 
-def _loss_rows(entry: JobEntry) -> list[list]:
-    return [
-        [
-            unit.key.occurrence,
-            unit.key.step,
-            unit.key.index,
-            *dataclasses.astuple(loss),
-        ]
-        for unit in entry.units_by_key.values()
-        if unit.state != UnitState.DONE
-        for loss in unit.losses
-    ]
+def _encode_unit(
+    unit: Unit, parts: "_Parts", contents: dict[int, dict]
+) -> None:
+    row_key = (unit.key.occurrence, unit.key.step, unit.key.index)
+    home = parts.of_task(*row_key)
+    if unit.run is not None:
+        _encode_run(unit.run, parts, contents)
+    elif unit.state != UnitState.WAITING or unit.last_run:
+        contents[home]["units"].append(_unit_row(unit, []))
+    if unit.state == UnitState.DONE:
+        return
+    for loss in unit.losses:
+        part = parts.of_task(*row_key[:2], loss.task_index)
+        contents[part]["losses"].append([*row_key, *dataclasses.astuple(loss)])
+    if unit.failed_runs:
+        contents[home]["failed_runs"].append(
+            [*row_key, sorted(unit.failed_runs)]
+        )
+    if unit.moves:
+        avoided = sorted(unit.avoided_endpoints)[:MAX_RECORDED_AVOIDED]
+        contents[home].setdefault("moves", []).append(
+            [*row_key, unit.moves, unit.moved_run, avoided]
+        )
 
 
-def _move_rows(entry: JobEntry) -> list[list]:
+def _encode_run(run: Run, parts: "_Parts", contents: dict[int, dict]) -> None:
+    key = run.unit.key
+    home = parts.of_task(key.occurrence, key.step, key.index)
+    members_by_part: dict[int, list] = {home: []}
+    for member in run.members:
+        if member.terminated:
+            continue
+        task = member.task
+        part = parts.of_task(task.occurrence, task.step, task.index)
+        members_by_part.setdefault(part, []).append(
+            [member.endpoint_id, member.born_ms, task.index]
+        )
+        if member.machine:
+            contents[part]["machines"][member.endpoint_id] = member.machine
+    for part, members in members_by_part.items():
+        contents[part]["units"].append(_unit_row(run.unit, members))
+
+
+def _unit_row(unit: Unit, members: list) -> list:
     return [
-        [
-            unit.key.occurrence,
-            unit.key.step,
-            unit.key.index,
-            unit.moves,
-            unit.moved_run,
-            sorted(unit.avoided_endpoints),
-        ]
-        for unit in entry.units_by_key.values()
-        if unit.state != UnitState.DONE and unit.moves
+        unit.key.occurrence,
+        unit.key.step,
+        unit.key.index,
+        int(unit.state),
+        unit.last_run,
+        unit.failures,
+        unit.checkpoint,
+        members,
     ]
 
 
-def restore(entry: JobEntry, value: bytes, unix_ms: int, now_ms: int) -> None:
+class _Parts:
+    """Divides the tasks of a job into the parts of its progress.
+
+    The tasks are numbered through all steps and occurrences, and a part
+    consists of `TASKS_PER_PART` consecutive ones. The members and losses of a
+    gang belong to the parts of their tasks, all else of a unit to the part of
+    its first task.
+    """
+
+    def __init__(self, job: model.Job):
+        self._steps = job.steps
+        counts = [step.count for step in job.steps]
+        self._first_by_step = [0, *itertools.accumulate(counts)]
+
+    def of_task(self, occurrence: int, step: int, index: int) -> int:
+        """Returns the part of a task, or of a gang."""
+        number = occurrence * self._first_by_step[-1]
+        number += self._first_by_step[step] + max(index, 0)
+        return number // TASKS_PER_PART
+
+    def of_step(self, occurrence: int, step: int) -> int:
+        """Returns the part of the last unit of a step."""
+        spec = self._steps[step]
+        last = model.GANG_INDEX if spec.gang else spec.count - 1
+        return self.of_task(occurrence, step, last)
+
+    def check(self, occurrence: int, step: int) -> None:
+        """Raises ValueError if there is no such step."""
+        if occurrence < 0 or not 0 <= step < len(self._steps):
+            raise ValueError(f"the job has no step {occurrence}.{step}")
+
+
+def restore(
+    entry: JobEntry,
+    value_by_part: dict[int, bytes],
+    unix_ms: int,
+    now_ms: int,
+) -> None:
     """Restores the progress that an earlier leader recorded.
 
+    Parts may be missing or older than others if the earlier leader was replaced
+    while it stored them. Nothing that only some of them show had been started.
+
+    Args:
+      entry: a job without progress.
+      value_by_part: values returned by `encode`; or the single value, as part
+        0, that earlier releases recorded for jobs of any size.
+      unix_ms: Unix time.
+      now_ms: monotonic time.
+
     Raises:
-      ValueError, KeyError, TypeError: The record is malformed.
+      ValueError, KeyError, TypeError: A part is malformed.
     """
-    content = orjson.loads(value)
-    entry.state = model.JobState(content["state"])
-    entry.reason = content["reason"]
-    for occurrence, step in content["done"]:
-        entry.done_steps.add((occurrence, step))
+    parts = _Parts(entry.job)
+    contents = {
+        part: orjson.loads(value)
+        for part, value in sorted(value_by_part.items())
+    }
+    if 0 in contents:
+        entry.state = model.JobState(contents[0]["state"])
+        entry.reason = contents[0]["reason"]
+    for content in contents.values():
+        for occurrence, step in content["done"]:
+            parts.check(occurrence, step)
+            entry.done_steps.add((occurrence, step))
+    for part, content in contents.items():
+        for row in content["units"]:
+            parts.check(*row[:2])
+            if _in_force(contents, part, parts.of_task(*row[:3])):
+                _restore_unit(entry, row, now_ms)
+    for part, content in contents.items():
+        machine_by_endpoint = dict(content.get("machines", {}))
+        for row in content["units"]:
+            # Other parts list the members of a gang that belong to them.
+            if part or _in_force(contents, part, parts.of_task(*row[:3])):
+                _restore_members(entry, row, machine_by_endpoint, now_ms)
+    for unit in entry.units_by_key.values():
+        # Its members were recorded by a later run, which was not started.
+        if unit.state == UnitState.ACTIVE and unit.run is None:
+            unit.state = UnitState.WAITING
     entry.open_due_steps(unix_ms, now_ms)
-    machine_by_endpoint = content.get("machines", {})
-    for row in content["units"]:
-        occurrence, step, index, state, last_run, failures, saved, members = row
-        key = model.UnitKey(entry.job.job_id, occurrence, step, index)
-        unit = entry.units_by_key.get(key)
-        if unit is None:
-            spec = entry.job.steps[step]
-            unit = Unit(key, spec, entry, ready_ms=now_ms)
-            entry.units_by_key[key] = unit
-            if (occurrence, step) not in entry.done_steps:
-                entry.open_steps.add((occurrence, step))
-        unit.state = UnitState(state)
-        unit.last_run = last_run
-        unit.failures = failures
-        unit.checkpoint = saved
-        if not members:
-            continue
+    for part, content in contents.items():
+        _restore_history(entry, parts, contents, part, content)
+
+
+def _in_force(contents: dict[int, dict], part: int, home: int) -> bool:
+    """Whether `part` is decisive for what belongs to the part `home`.
+
+    A record of an earlier release, as part 0, contains the units of all parts.
+    The parts that were recorded since then replace them.
+    """
+    return part == home or (part == 0 and home not in contents)
+
+
+def _restore_unit(entry: JobEntry, row: list, now_ms: int) -> None:
+    occurrence, step, index, state, last_run, failures, saved, _ = row
+    step_key = (occurrence, step)
+    spec = entry.job.steps[step]
+    done = step_key in entry.done_steps
+    if not done and any(
+        (occurrence, n) not in entry.done_steps for n in spec.after
+    ):
+        # The end of the steps before it was not stored, so it has not started.
+        return
+    key = model.UnitKey(entry.job.job_id, occurrence, step, index)
+    if done:
+        entry.units_by_key.setdefault(
+            key, Unit(key, spec, entry, ready_ms=now_ms)
+        )
+    elif key not in entry.units_by_key:
+        entry.open_step(step_key, now_ms)
+    unit = entry.units_by_key[key]
+    unit.state = UnitState.DONE if done else UnitState(state)
+    unit.last_run = last_run
+    unit.failures = failures
+    unit.checkpoint = saved
+
+
+def _restore_members(
+    entry: JobEntry,
+    row: list,
+    machine_by_endpoint: dict[str, str],
+    now_ms: int,
+) -> None:
+    """Restores the members of a run that a row of any part lists."""
+    occurrence, step, index, _, last_run, _, _, members = row
+    unit = entry.units_by_key.get(
+        model.UnitKey(entry.job.job_id, occurrence, step, index)
+    )
+    # All members of a run were gone before a later run was recorded.
+    if unit is None or not members or last_run != unit.last_run:
+        return
+    run = unit.run
+    if run is None:
         run = Run(unit, last_run, [], phase=Phase.RUNNING, assigned_ms=now_ms)
         run.started_ms = now_ms
         run.restored = True
-        for endpoint_id, born_ms, task_index in members:
-            task = model.TaskKey(entry.job.job_id, occurrence, step, task_index)
-            run.members.append(
-                Member(
-                    task,
-                    endpoint_id,
-                    born_ms,
-                    run,
-                    start_sent=True,
-                    machine=machine_by_endpoint.get(endpoint_id, ""),
-                )
-            )
         unit.run = run
-        if unit.state == UnitState.WAITING:
-            unit.state = UnitState.ACTIVE
-    # A record omits units that never ran, and does not list a step as done if
-    # it was written before the last unit of the step ended.
-    for step_key in list(entry.open_steps):
-        step = entry.job.steps[step_key[1]]
-        indexes = [model.GANG_INDEX] if step.gang else range(step.count)
-        for index in indexes:
-            key = model.UnitKey(entry.job.job_id, *step_key, index)
-            if key not in entry.units_by_key:
-                entry.units_by_key[key] = Unit(
-                    key, step, entry, ready_ms=now_ms
-                )
-    for occurrence, step, index, numbers in content.get("failed_runs", ()):
+    known = {member.task.index for member in run.members}
+    for endpoint_id, born_ms, task_index in members:
+        if task_index in known:
+            continue
+        task = model.TaskKey(entry.job.job_id, occurrence, step, task_index)
+        run.members.append(
+            Member(
+                task,
+                endpoint_id,
+                born_ms,
+                run,
+                start_sent=True,
+                machine=machine_by_endpoint.get(endpoint_id, ""),
+            )
+        )
+    if unit.state == UnitState.WAITING:
+        unit.state = UnitState.ACTIVE
+
+
+def _restore_history(
+    entry: JobEntry,
+    parts: _Parts,
+    contents: dict[int, dict],
+    part: int,
+    content: dict,
+) -> None:
+    """Restores the failed runs, losses and moves of units that are open."""
+
+    def open_unit(
+        occurrence: int, step: int, index: int, task_index: int
+    ) -> Unit | None:
+        parts.check(occurrence, step)
+        home = parts.of_task(occurrence, step, task_index)
+        if not _in_force(contents, part, home):
+            return None
         key = model.UnitKey(entry.job.job_id, occurrence, step, index)
-        entry.units_by_key[key].failed_runs.update(numbers)
+        unit = entry.units_by_key.get(key)
+        if unit is None or unit.state == UnitState.DONE:
+            return None
+        return unit
+
+    for occurrence, step, index, numbers in content.get("failed_runs", ()):
+        unit = open_unit(occurrence, step, index, index)
+        if unit is not None:
+            unit.failed_runs.update(numbers)
     for occurrence, step, index, *values in content.get("losses", ()):
-        key = model.UnitKey(entry.job.job_id, occurrence, step, index)
-        entry.units_by_key[key].add_loss(model.EndpointLoss(*values))
+        loss = model.EndpointLoss(*values)
+        unit = open_unit(occurrence, step, index, loss.task_index)
+        if unit is not None:
+            unit.add_loss(loss)
     for occurrence, step, index, moves, moved_run, avoided in content.get(
         "moves", ()
     ):
-        key = model.UnitKey(entry.job.job_id, occurrence, step, index)
-        unit = entry.units_by_key[key]
-        unit.moves = moves
-        unit.moved_run = moved_run
-        unit.avoided_endpoints.update(avoided)
+        unit = open_unit(occurrence, step, index, index)
+        if unit is not None:
+            unit.moves = moves
+            unit.moved_run = moved_run
+            unit.avoided_endpoints.update(avoided)
--- a/packages/placer/src/laburnumgate_placer/recorder.py
+++ b/packages/placer/src/laburnumgate_placer/recorder.py
@@ -1,6 +1,7 @@
 """Write-ahead recording of the leader's decisions."""
 
 import asyncio
+import hashlib
 import logging
 
 import orjson
@@ -48,6 +49,8 @@
             for topic in (topics.JOBS, topics.PROGRESS)
         }
         self._recorded_by_id: dict[str, model.JobState] = {}
+        # Digests of the stored parts of each job's progress.
+        self._digests_by_id: dict[str, dict[int, bytes]] = {}
 
     async def run_writers(self) -> None:
         """Runs the writers of both topics until cancelled."""
@@ -59,6 +62,12 @@
         """Sets the state that is known to be recorded for a job."""
         self._recorded_by_id[job_id] = state
 
+    def set_recorded_progress(
+        self, job_id: str, value_by_part: dict[int, bytes]
+    ) -> None:
+        """Sets the parts that are known to be recorded of a job's progress."""
+        self._digests_by_id[job_id] = _digests(value_by_part)
+
     async def flush(self) -> list[progress.Run] | None:
         """Records all changes, in several appends if they are large.
 
@@ -74,7 +83,7 @@
             for endpoint_id, state in tables.endpoints.by_id.items()
             if state.handled_end > state.acked_end
         }
-        detail, states, dropped = self._encode(job_ids)
+        detail, states, dropped, digests_by_id = self._encode(job_ids)
         with metrics.RECORD_SECONDS.time():
             outcomes = await asyncio.gather(
                 self._append(topics.PROGRESS, detail),
@@ -86,12 +95,14 @@
             state = tables.endpoints.by_id.get(endpoint_id)
             if state is not None and number <= state.handled_end:
                 state.acked_end = number
+        self._digests_by_id.update(digests_by_id)
         for change in states:
             self.set_recorded_state(change.job_id, change.state)
             if change.state.final:
                 # The next flush drops its progress record.
                 tables.mark_dirty(change.job_id)
         for job_id in dropped:
+            self._digests_by_id.pop(job_id, None)
             lifecycle.close_job(tables, job_id)
         return runs
 
@@ -130,25 +141,42 @@
 
     def _encode(
         self, job_ids: set[str]
-    ) -> tuple[list[bytes], list[records.StateChanged], list[str]]:
+    ) -> tuple[
+        list[bytes],
+        list[records.StateChanged],
+        list[str],
+        dict[str, dict[int, bytes]],
+    ]:
         """Returns progress records, changed states, and ids of closed jobs.
 
+        Only parts that have changed are recorded. The digests of all parts of
+        these jobs are returned as well.
+
         The progress of an ended job is dropped only after its terminal state
         is stored; a leader that finds neither would start the job again.
         """
         detail = []
         states = []
         dropped = []
+        digests_by_id = {}
         for job_id in job_ids:
             entry = self._tables.entries_by_id.get(job_id)
             if entry is None:
                 continue
             stored = self._recorded_by_id.get(job_id) == entry.state
+            known = self._digests_by_id.get(job_id, {})
             if entry.state.final and stored and not entry.runs():
-                detail.append(records.encode_keyed(job_id, b""))
+                for part in {0, *known}:
+                    detail.append(records.encode_progress(job_id, part, b""))
                 dropped.append(job_id)
                 continue
-            detail.append(records.encode_keyed(job_id, progress.encode(entry)))
+            value_by_part = progress.encode(entry)
+            digests_by_id[job_id] = _digests(value_by_part)
+            for part in sorted({*known, *value_by_part}, reverse=True):
+                if known.get(part) == digests_by_id[job_id].get(part):
+                    continue
+                value = value_by_part.get(part, b"")
+                detail.append(records.encode_progress(job_id, part, value))
             if stored or entry.state == model.JobState.QUEUED:
                 continue
             states.append(
@@ -159,7 +187,7 @@
                     entry.reason,
                 )
             )
-        return detail, states, dropped
+        return detail, states, dropped, digests_by_id
 
     async def _append(
         self, topic: str, encoded: list[bytes]
@@ -169,3 +197,10 @@
         return await self._writers_by_topic[topic].append_all(
             encoded, RECORD_TIMEOUT_MS
         )
+
+
+def _digests(value_by_part: dict[int, bytes]) -> dict[int, bytes]:
+    return {
+        part: hashlib.blake2b(value, digest_size=16).digest()
+        for part, value in value_by_part.items()
+    }
--- a/packages/placer/src/laburnumgate_placer/records.py
+++ b/packages/placer/src/laburnumgate_placer/records.py
@@ -1,7 +1,8 @@
 """Encoding and decoding of records in the jobs and progress topics.
 
 Keys of the jobs topic are `s/ID` (submission), `c/ID` (cancellation) and
-`e/ID` (state, written by the leader). Keys of the progress topic are job ids.
+`e/ID` (state, written by the leader). Keys of the progress topic are `ID`
+(part 0 of the progress of a job) and `ID/N` (its part N).
 """
 
 import dataclasses
@@ -81,6 +82,26 @@
             raise RecordError("Dropped cannot be encoded; use encode_drop()")
 
 
+def encode_progress(job_id: str, part: int, value: bytes) -> bytes:
+    """Encodes a part of a job's progress; an empty value is a tombstone."""
+    key = f"{job_id}/{part}" if part else job_id
+    return encode_keyed(key, value)
+
+
+def decode_progress_key(key: str) -> tuple[str, int]:
+    """Returns the id and the part of a key of the progress topic.
+
+    Raises:
+      RecordError: The key is malformed.
+    """
+    job_id, _, part = key.partition("/")
+    if not part:
+        return job_id, 0
+    if not part.isdecimal():
+        raise RecordError(f"key {key!r} names no part")
+    return job_id, int(part)
+
+
 def encode_drop(job_id: str) -> list[bytes]:
     """Returns the tombstones that remove a job from the jobs topic."""
     return [encode_keyed(f"{kind}/{job_id}", b"") for kind in "sce"]
--- a/packages/placer/tests/test_crashes.py
+++ b/packages/placer/tests/test_crashes.py
@@ -274,10 +274,10 @@
     tables = _tables()
     entry, unit = _job(tables, 1)
     _place(tables, unit, "e0")
-    value = progress.encode(entry).replace(b',"losses":[]', b"")
+    value = progress.encode(entry)[0].replace(b',"losses":[]', b"")
     assert b"losses" not in value
     restored = progress.JobEntry(entry.job, 0)
-    progress.restore(restored, value, 0, 0)
+    progress.restore(restored, {0: value}, 0, 0)
     (other,) = restored.units_by_key.values()
     assert other.run is not None
     assert not other.suspected
--- a/packages/placer/tests/test_leader.py
+++ b/packages/placer/tests/test_leader.py
@@ -161,6 +161,72 @@
     builders.run(work())
 
 
+def _progress_keys(system):
+    newest = {
+        entry.key: entry.value
+        for entry in system.log._entries(topics.PROGRESS, 0)
+    }
+    return {key for key, value in newest.items() if value is not None}
+
+
+def test_a_new_leader_adopts_a_job_that_is_recorded_in_parts(monkeypatch):
+    """Guards against large jobs that a new leader starts anew."""
+    monkeypatch.setattr(progress, "TASKS_PER_PART", 3)
+
+    async def work():
+        system, host = await _start_system("e1")
+        step = builders.step(count=20, gpu=0)
+        job = builders.job("a" * 16, step, builders.step(after=(0,)))
+        await _submit(host, job)
+        await _wait_until(lambda: len(system.starts()) == 20)
+        for task, run in list(system.worker("e1").running):
+            if task.index % 2:
+                system.worker("e1").end(task, run, model.EndKind.DONE)
+        await _wait_until(lambda: not system.worker("e1").ended)
+        system.kill("h1")
+        second = system.add_host("h2")
+        await _wait_until(lambda: second.leader and second.leader.recovered)
+        await asyncio.sleep(0.2)
+        assert len(system.starts()) == 20
+        assert len(system.worker("e1").running) == 10
+        system.worker("e1").end_all()
+        await _wait_until(lambda: len(system.starts()) == 21)
+        system.worker("e1").end_all()
+        await _wait_until(
+            lambda: second.jobs.state("a" * 16) == model.JobState.COMPLETED
+        )
+        await _wait_until(lambda: not second.leader.tables.entries_by_id)
+        assert _progress_keys(system) <= {topics.SPEEDS_KEY}
+
+    builders.run(work())
+
+
+def test_left_over_parts_of_an_ended_job_are_dropped():
+    """Guards against parts that stay because a leader was replaced."""
+
+    async def work():
+        system, host = await _start_system("e1")
+        await _submit(host, builders.job("a" * 16))
+        await _wait_until(lambda: len(system.starts()) == 1)
+        system.worker("e1").end_all()
+        await _wait_until(
+            lambda: host.jobs.state("a" * 16) == model.JobState.COMPLETED
+        )
+        await _wait_until(lambda: not host.leader.tables.entries_by_id)
+        system.kill("h1")
+        value = b'{"done":[],"units":[]}'
+        system.log.put(
+            topics.PROGRESS, records.encode_progress("a" * 16, 7, value)
+        )
+        second = system.add_host("h2")
+        await _wait_until(lambda: second.leader and second.leader.recovered)
+        await _wait_until(lambda: _progress_keys(system) <= {topics.SPEEDS_KEY})
+        assert second.jobs.state("a" * 16) == model.JobState.COMPLETED
+        assert len(system.starts()) == 1
+
+    builders.run(work())
+
+
 def test_a_run_on_an_endpoint_out_of_reach_waits_for_its_lease():
     """Guards against concurrent runs of one task during a network partition."""
 
--- a/packages/placer/tests/test_overload_stragglers.py
+++ b/packages/placer/tests/test_overload_stragglers.py
@@ -176,7 +176,7 @@
     pool.play(20_000)
     assert unit.run.phase == progress.Phase.RUNNING
     assert not pool.state("e1").failing_jobs
-    assert b"moves" not in progress.encode(unit.entry)
+    assert b"moves" not in progress.encode(unit.entry)[0]
 
 
 def test_tasks_that_report_no_progress_are_not_stalled():
@@ -905,7 +905,7 @@
     restored.record_move(1, {"e1"})
     assert restored.moves == 1
     # Earlier releases read the rows of units by their eight columns.
-    assert len(orjson.loads(value)["units"][0]) == 8
+    assert len(orjson.loads(value[0])["units"][0]) == 8
 
 
 def test_a_check_of_a_large_pool_takes_a_few_ms():
--- a/packages/placer/tests/test_recorder.py
+++ b/packages/placer/tests/test_recorder.py
@@ -5,10 +5,12 @@
 import builders
 import fakelog
 from laburnumgate_placer import lifecycle
+from laburnumgate_placer import progress
 from laburnumgate_placer import recorder as recorder_module
 from laburnumgate_placer import topics
 
 # Limits of the platform's log.
+_MAX_RECORD_BYTES = 262_144
 _MAX_CALL_BYTES = 2_097_152
 _ENDPOINT = "5c0e7a21d94b36f8-5c0e7a21d94b36f8"
 
@@ -97,3 +99,95 @@
     assert all(size <= 250_000 for _, size in log.sizes)
     assert all(answer.end_offset % 3 == 0 for answer in log.answers())
     assert len(log.records_by_topic[topics.JOBS]) == 30_000
+
+
+def _set_limits(log) -> None:
+    log.max_call_bytes = _MAX_CALL_BYTES
+    log.max_record_bytes = _MAX_RECORD_BYTES
+
+
+def test_a_job_with_thousands_of_running_tasks_is_stored():
+    """Guards against one large job whose record blocks all others."""
+    tables = builders.tables()
+    log = fakelog.FakeLog()
+    _set_limits(log)
+    _assign_jobs(tables, jobs=1, tasks=6_000)
+    runs = builders.run(
+        _with_recorder(log, tables, lambda recorder: recorder.flush())
+    )
+    assert len(runs) == 6_000
+
+
+def test_a_job_with_thousands_of_done_tasks_is_stored():
+    """Guards against a step that blocks the log before its last task ends."""
+    tables = builders.tables()
+    log = fakelog.FakeLog()
+    _set_limits(log)
+    _assign_jobs(tables, jobs=1, tasks=20_000)
+    (entry,) = tables.entries_by_id.values()
+    *done, _ = entry.units_by_key.values()
+    for unit in done:
+        unit.run = None
+        unit.state = progress.UnitState.DONE
+    runs = builders.run(
+        _with_recorder(log, tables, lambda recorder: recorder.flush())
+    )
+    assert runs is not None
+
+
+def test_a_large_gang_is_stored():
+    """Guards against a gang whose members exceed the size of a record."""
+    tables = builders.tables()
+    log = fakelog.FakeLog()
+    _set_limits(log)
+    builders.add_endpoint(tables, _ENDPOINT)
+    job = builders.job("a" * 16, builders.step(8_000, gang=True))
+    (unit,) = lifecycle.open_job(tables, job).units_by_key.values()
+    lifecycle.assign(tables, unit, [_ENDPOINT] * 8_000)
+    runs = builders.run(
+        _with_recorder(log, tables, lambda recorder: recorder.flush())
+    )
+    assert len(runs) == 1
+
+
+def test_a_change_of_one_task_stores_one_part():
+    """Guards against uploads that grow with the size of a job."""
+    tables = builders.tables()
+    log = fakelog.FakeLog()
+    _assign_jobs(tables, jobs=1, tasks=2_000)
+    (entry,) = tables.entries_by_id.values()
+
+    async def work(recorder):
+        await recorder.flush()
+        run = entry.runs()[1_000]
+        lifecycle.stop_run(tables, run, "test")
+        stored = log.end(topics.PROGRESS)
+        assert await recorder.flush() is not None
+        return log.records_by_topic[topics.PROGRESS][stored:]
+
+    (record,) = builders.run(_with_recorder(log, tables, work))
+    assert record[1:].startswith(entry.job.job_id.encode() + b"/5")
+
+
+def test_all_parts_of_an_ended_job_are_dropped():
+    """Guards against a topic that grows with each large job."""
+    tables = builders.tables()
+    log = fakelog.FakeLog()
+    _assign_jobs(tables, jobs=1, tasks=450)
+    (job_id,) = tables.entries_by_id
+
+    async def work(recorder):
+        await recorder.flush()
+        lifecycle.cancel_job(tables, job_id)
+        await recorder.flush()
+        assert log.end(topics.PROGRESS) == 6
+        await recorder.flush()
+        return log.records_by_topic[topics.PROGRESS][6:]
+
+    dropped = builders.run(_with_recorder(log, tables, work))
+    assert sorted(record[1:].decode() for record in dropped) == [
+        job_id,
+        f"{job_id}/1",
+        f"{job_id}/2",
+    ]
+    assert not tables.entries_by_id
