Reject a job whose record is larger than the log accepts

What callers saw: a body of 60 KB with 20,000 small steps encodes to a record of 540,338 bytes, more than the log accepts. All submissions that shared its batch, up to 200, were refused with it and repeated until their callers' time was over. Submissions after them waited, and the host turned them away with 503.

Cause: the size of a record was not checked, appends are all or nothing, and the writer did not tell a refusal of the content from a busy log.

Evidence: three tests failed before. test_a_job_too_large_to_be_stored_turns_no_other_away: a small job beside the large one got NotRun("the log did not take records in time"). test_a_record_that_the_log_refuses_for_good_spoils_no_other: both neighbours of the refused record were not appended. test_a_record_refused_for_good_after_a_lost_answer_is_given_up: the record was sent until its time was over.

Fix: intake compares the size of the record with `max_record_bytes` of the platform's settings before it looks at anything that may change, and returns the new verdict TooLarge, which callers see as 413 without a time to return. NotAppended says whether the refusal is permanent. The writer sends the items of a batch that is refused permanently one by one, and rejects only the one that is refused again. An earlier attempt without a response had the same content, so it was refused as well.

The client of the store does not set `permanent` yet; until then only the check of the size has an effect on a real log.

--- a/deploy/tests/test_callers.py
+++ b/deploy/tests/test_callers.py
@@ -104,6 +104,7 @@
         (intake.Accepted(), 200),
         (intake.NotRun("the log is away", 1_500), 503),
         (intake.MayHaveRun("no answer"), 504),
+        (intake.TooLarge("too many steps"), 413),
     ],
 )
 def test_submission_status_reports_its_outcome(verdict, status):
--- /dev/null
+++ b/deploy/tests/test_settings.py
@@ -0,0 +1,26 @@
+"""Tests of the settings file that the platform writes."""
+
+import pytest
+import settings
+
+_SETTINGS = """
+node_name = "edge-1"
+ip = "10.1.0.19"
+zone = "a"
+port_range = [7000, 7015]
+[listen_addrs]
+front = "10.1.0.19:8521"
+ready_addr = "10.1.0.19:8523"
+[platform]
+address = "10.200.1.7:8524"
+"""
+
+
+@pytest.mark.parametrize(
+    ("line", "size"), [("", 262_144), ("max_record_bytes = 65536", 65_536)]
+)
+def test_the_size_of_a_record_is_that_of_the_platform(tmp_path, line, size):
+    """Guards against jobs that a log with smaller records refuses."""
+    path = tmp_path / "node.toml"
+    path.write_text(_SETTINGS + line)
+    assert settings.load(path).bounds.max_record_bytes == size
--- a/packages/placer/src/laburnumgate_placer/intake.py
+++ b/packages/placer/src/laburnumgate_placer/intake.py
@@ -76,6 +76,13 @@
     reason: str
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class TooLarge:
+    """The job is larger than a record of the log, so it can never be stored."""
+
+    reason: str
+
+
 @dataclasses.dataclass(frozen=True, slots=True)
 class NoSuchJob:
     """The account has no job with this id."""
@@ -88,7 +95,7 @@
     state: model.JobState
 
 
-SubmitVerdict = Accepted | NotRun | MayHaveRun
+SubmitVerdict = Accepted | NotRun | MayHaveRun | TooLarge
 CancelVerdict = Accepted | NotRun | MayHaveRun | NoSuchJob
 StateVerdict = Found | NotRun | NoSuchJob
 
@@ -181,6 +188,10 @@
         """
         if job.job_id in self._jobs.jobs_by_id:
             return self._repeated(job)
+        job = dataclasses.replace(job, accepted_ms=self._wall.now_ms())
+        record = records.encode(records.Submitted(job))
+        if len(record) > self._bounds.max_record_bytes:
+            return self._too_large(job, len(record))
         if not self._jobs_feed.loaded.is_set():
             return self.not_run(job.job_id, "this host reads the jobs first")
         if self._submissions.stalled():
@@ -202,8 +213,6 @@
             if job.job_id in self._jobs.jobs_by_id:
                 return self._repeated(job)
             return self._turn_away(job, refusal, report_age_ms)
-        job = dataclasses.replace(job, accepted_ms=self._wall.now_ms())
-        record = records.encode(records.Submitted(job))
         outcome = await self._submissions.append([record], _confirm_ms(wait_ms))
         return self._verdict(job, outcome)
 
@@ -390,6 +399,22 @@
         )
         return verdict
 
+    def _too_large(self, job: model.Job, size: int) -> TooLarge:
+        reason = (
+            f"the job takes {size} bytes to store, more than"
+            f" {self._bounds.max_record_bytes} bytes"
+        )
+        events.emit(
+            _LOGGER,
+            events.Event.REFUSED,
+            job=job.job_id,
+            account=job.account,
+            queue=job.queue.name,
+            steps=len(job.steps),
+            reason=reason,
+        )
+        return TooLarge(reason)
+
     def _in_doubt(self, job_id: str, call: str, reason: str) -> MayHaveRun:
         now_ms = self._wall.now_ms()
         for known, until_ms in list(self._doubt_until_ms_by_id.items()):
--- a/packages/placer/src/laburnumgate_placer/limits.py
+++ b/packages/placer/src/laburnumgate_placer/limits.py
@@ -1,4 +1,4 @@
-"""Time bounds from the platform settings, in ms."""
+"""Bounds from the platform settings; times are in ms."""
 
 import dataclasses
 
@@ -12,7 +12,7 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Bounds:
-    """Time bounds of one deployment.
+    """Bounds of one deployment.
 
     Attributes:
       max_lease_ms: maximum lease that an endpoint grants.
@@ -36,6 +36,7 @@
         force on every host.
       rate_window_ms: window in which the submissions of an account are
         compared with its weight.
+      max_record_bytes: maximum size of a record of the log.
     """
 
     max_lease_ms: int = 10_000
@@ -55,6 +56,7 @@
     contact_ms: int = 3_000
     config_apply_ms: int = 3_000
     rate_window_ms: int = 5_000
+    max_record_bytes: int = 262_144
 
     @property
     def lease_ms(self) -> int:
--- a/packages/placer/src/laburnumgate_placer/ports.py
+++ b/packages/placer/src/laburnumgate_placer/ports.py
@@ -17,9 +17,16 @@
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class NotAppended:
-    """The call stored nothing and will not take effect later."""
+    """The call stored nothing and will not take effect later.
+
+    Attributes:
+      reason: reason of the refusal.
+      permanent: whether the log will refuse the same records again, since it is
+        their content that it does not accept.
+    """
 
     reason: str
+    permanent: bool = False
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/packages/placer/src/laburnumgate_placer/writer.py
+++ b/packages/placer/src/laburnumgate_placer/writer.py
@@ -70,7 +70,8 @@
 
         Returns:
           `Appended`, `NotAppended` if the records were not stored and will not
-          be, `Fenced`, or `Unknown` if a call was in flight at the timeout.
+          be (`permanent` if the log does not accept their content), `Fenced`,
+          or `Unknown` if a call was in flight at the timeout.
         """
         loop = asyncio.get_running_loop()
         until_ms = self._monotonic.now_ms() + timeout_ms
@@ -165,6 +166,11 @@
                     break
                 case ports.Fenced():
                     break
+                case ports.NotAppended(permanent=True):
+                    # The log refuses the content, also of an earlier attempt
+                    # without a response.
+                    await self._give_up(batch, outcome)
+                    return
                 case ports.NotAppended() if not in_doubt:
                     # Nothing was stored: retries the records of callers that
                     # still have time and reports the outcome to the others.
@@ -183,6 +189,18 @@
             if not item.done.done():
                 item.done.set_result(outcome)
 
+    async def _give_up(
+        self, batch: list[_PendingAppend], outcome: ports.NotAppended
+    ) -> None:
+        """Rejects a refused item; sends those of a batch one by one."""
+        if len(batch) > 1:
+            for item in batch:
+                await self._send([item])
+            return
+        for item in batch:
+            if not item.done.done():
+                item.done.set_result(outcome)
+
     def _expire_items(
         self,
         batch: list[_PendingAppend],
--- a/packages/placer/tests/fakelog.py
+++ b/packages/placer/tests/fakelog.py
@@ -75,7 +75,7 @@
             self.refuse -= 1
             return ports.NotAppended("refused")
         if self._too_large(records):
-            return ports.NotAppended("too large")
+            return ports.NotAppended("too large", permanent=True)
         outcome = self._append(topic, records, sequence, at_offset)
         if self.lose_answers and isinstance(outcome, ports.Appended):
             self.lose_answers -= 1
--- a/packages/placer/tests/test_intake_rejections.py
+++ b/packages/placer/tests/test_intake_rejections.py
@@ -141,6 +141,35 @@
     assert _rejected()["account_limit"] == before + 2
 
 
+def test_a_job_too_large_to_be_stored_turns_no_other_away(caplog):
+    """Guards against a record that is refused with those of all callers."""
+    caplog.set_level(logging.INFO)
+    host = _Host()
+    host.report = None
+    host.log.max_record_bytes = 262_144
+    tiny = model.Step(1, model.Resources(0, 0, 0), estimate_ms=0)
+    large = builders.job("a" * 16, *[tiny] * 20_000, queue=_BATCH)
+
+    async def work():
+        follow = asyncio.create_task(host.jobs_feed.run())
+        send = asyncio.create_task(host.submissions.run())
+        await host.jobs_feed.loaded.wait()
+        verdicts = await asyncio.gather(
+            host.intake.submit(large, 3_000),
+            host.intake.submit(_job("b"), 600),
+        )
+        follow.cancel()
+        send.cancel()
+        return verdicts
+
+    first, second = builders.run(work())
+    assert second == intake.Accepted()
+    assert isinstance(first, intake.TooLarge)
+    assert "262144 bytes" in first.reason
+    assert [r.job for r in _rejections(caplog)] == ["a" * 16]
+    assert host.log.end(topics.JOBS) == 1
+
+
 def test_a_job_without_an_endpoint_delays_no_other_return():
     """Guards against 30 s for each caller after one impossible job.
 
--- a/packages/placer/tests/test_writer.py
+++ b/packages/placer/tests/test_writer.py
@@ -89,3 +89,42 @@
     outcome = builders.run(_with_writer(log, work, epoch=4))
     assert isinstance(outcome, ports.Fenced)
     assert log.records_by_topic["t"] == [b"one"]
+
+
+def test_a_record_that_the_log_refuses_for_good_spoils_no_other():
+    """Guards against a batch that is repeated because of one record."""
+    log = fakelog.FakeLog()
+    log.max_record_bytes = 10
+
+    async def work(own):
+        return await asyncio.gather(
+            *(
+                own.append([record], 2_000)
+                for record in (b"one", b"2" * 11, b"three")
+            )
+        )
+
+    first, second, third = builders.run(_with_writer(log, work))
+    assert first == ports.Appended(0, 1)
+    assert isinstance(second, ports.NotAppended)
+    assert second.permanent
+    assert third == ports.Appended(1, 2)
+    assert len(log.appends) == 4
+
+
+def test_a_record_refused_for_good_after_a_lost_answer_is_given_up():
+    """Guards against a record that is sent without end."""
+    log = fakelog.FakeLog()
+    log.max_record_bytes = 10
+
+    async def work(own):
+        log.silent = True
+        refused = asyncio.create_task(own.append([b"2" * 11], 10_000))
+        await asyncio.sleep(0.05)
+        log.silent = False
+        outcome = await refused
+        return outcome, await own.append([b"one"], 2_000)
+
+    refused, stored = builders.run(_with_writer(log, work))
+    assert isinstance(refused, ports.NotAppended)
+    assert stored == ports.Appended(0, 1)
