Record speeds and waves of large pools in parts

What callers would see: no job starts any more once the speeds of some 10,000 endpoints are known. The speeds of 11,000 endpoints, the target size, with ids of 16 characters are a record of 275,001 bytes; the log accepts 262,144.

Cause: the speeds of all endpoints are one record in the topic of the progress, and so are the maintained machines of all waves. A record that is refused holds up those behind it.

The two new tests in test_recorder.py play the same sizes; they use decode_parts(), so they could not run on the code before.

Fix: each record holds at most 4,000 endpoints or machines, under the keys `speeds`, `speeds/N`, `waves` and `waves/N`. Parts that are no longer needed are dropped; those that an earlier leader left are known after the recovery. A single record of an earlier release is read as part 0. Parts of different age may be mixed if a leader is replaced while it stores them: speeds are estimates, and an upkeep that is not recorded as done is confirmed without a second one.

--- a/packages/placer/src/laburnumgate_placer/leader.py
+++ b/packages/placer/src/laburnumgate_placer/leader.py
@@ -7,7 +7,6 @@
 import logging
 
 from laburnumgate_core import clock
-import orjson
 
 from laburnumgate_placer import advice_client
 from laburnumgate_placer import call_gate
@@ -259,9 +258,9 @@
         Heartbeats have to be sent in the meantime.
         """
         tables = self.tables
-        speeds = _pop_record(topics.SPEEDS_KEY, progress_by_id)
+        speeds = self._pop_content(topics.SPEEDS_KEY, progress_by_id)
         tables.durations.speeds.restore(speeds)
-        self._done_by_wave = _pop_record(topics.WAVES_KEY, progress_by_id)
+        self._done_by_wave = self._pop_content(topics.WAVES_KEY, progress_by_id)
         restored: set[str] = set()
         while True:
             # Callers go on submitting jobs during the pauses.
@@ -275,6 +274,24 @@
                 await asyncio.sleep(0)
                 self._check_leadership()
 
+    def _pop_content(
+        self, key: str, progress_by_id: dict[str, dict[int, bytes]]
+    ) -> dict:
+        """Removes the parts that are not of a job and returns their content."""
+        value_by_part = progress_by_id.pop(key, {})
+        self._recorder.set_recorded_progress(key, value_by_part)
+        try:
+            return records.decode_parts(value_by_part)
+        except records.RecordError as error:
+            events.emit(
+                _LOGGER,
+                events.Event.RECORD_SKIPPED,
+                topic=topics.PROGRESS,
+                key=key,
+                reason=str(error),
+            )
+            return {}
+
     def _restore_job(
         self, job_id: str, value_by_part: dict[int, bytes]
     ) -> None:
@@ -527,22 +544,3 @@
         reason=repr(task.exception()),
     )
     return True
-
-
-def _pop_record(key: str, progress_by_id: dict[str, dict[int, bytes]]) -> dict:
-    """Removes a record that is not of a job and returns its content."""
-    value = progress_by_id.pop(key, {}).get(0)
-    if value is None:
-        return {}
-    try:
-        content = orjson.loads(value)
-    except ValueError as error:
-        events.emit(
-            _LOGGER,
-            events.Event.RECORD_SKIPPED,
-            topic=topics.PROGRESS,
-            key=key,
-            reason=str(error),
-        )
-        return {}
-    return content if isinstance(content, dict) else {}
--- a/packages/placer/src/laburnumgate_placer/recorder.py
+++ b/packages/placer/src/laburnumgate_placer/recorder.py
@@ -27,6 +27,8 @@
 PUBLISH_TIMEOUT_MS = 1_000
 # Number of expired jobs whose records are removed in one append.
 DROP_BATCH_JOBS = 1_000
+# Number of endpoints or machines in one record.
+ENTRIES_PER_PART = 4_000
 
 
 class Recorder:
@@ -49,7 +51,8 @@
             for topic in (topics.JOBS, topics.PROGRESS)
         }
         self._recorded_by_id: dict[str, model.JobState] = {}
-        # Digests of the stored parts of each job's progress.
+        # Digests of the stored parts, by the id of their job or the key of a
+        # content that is not of a job.
         self._digests_by_id: dict[str, dict[int, bytes]] = {}
 
     async def run_writers(self) -> None:
@@ -65,7 +68,7 @@
     def set_recorded_progress(
         self, job_id: str, value_by_part: dict[int, bytes]
     ) -> None:
-        """Sets the parts that are known to be recorded of a job's progress."""
+        """Sets the recorded parts of a job, or of another key of the topic."""
         self._digests_by_id[job_id] = _digests(value_by_part)
 
     async def flush(self) -> list[progress.Run] | None:
@@ -117,16 +120,21 @@
 
     async def save_speeds(self) -> None:
         """Records endpoint speeds for the next leader."""
-        value = orjson.dumps(self._tables.durations.speeds.dump())
-        record = records.encode_keyed(topics.SPEEDS_KEY, value)
-        await self._append(topics.PROGRESS, [record])
+        speeds = sorted(self._tables.durations.speeds.dump().items())
+        contents = [
+            dict(speeds[start : start + ENTRIES_PER_PART])
+            for start in range(0, len(speeds), ENTRIES_PER_PART)
+        ]
+        await self._save_parts(topics.SPEEDS_KEY, contents)
 
     async def save_waves(self, done_by_wave: dict[str, list[str]]) -> None:
         """Records the maintained machines of each wave for the next leader."""
-        record = records.encode_keyed(
-            topics.WAVES_KEY, orjson.dumps(done_by_wave)
-        )
-        await self._append(topics.PROGRESS, [record])
+        contents = []
+        for wave, machines in done_by_wave.items():
+            for start in range(0, len(machines), ENTRIES_PER_PART):
+                part = machines[start : start + ENTRIES_PER_PART]
+                contents.append({wave: part})
+        await self._save_parts(topics.WAVES_KEY, contents)
 
     async def drop(self, job_ids: list[str]) -> None:
         """Removes expired jobs from the jobs topic."""
@@ -139,6 +147,22 @@
                 self._recorded_by_id.pop(job_id, None)
             await self._append(topics.JOBS, dropped)
 
+    async def _save_parts(self, key: str, contents: list[dict]) -> None:
+        """Records the parts of a content that is not of a job."""
+        value_by_part = {
+            part: orjson.dumps(content) for part, content in enumerate(contents)
+        }
+        known = self._digests_by_id.get(key, {})
+        digests = _digests(value_by_part)
+        changed = [
+            records.encode_progress(key, part, value_by_part.get(part, b""))
+            for part in sorted({*known, *digests}, reverse=True)
+            if known.get(part) != digests.get(part)
+        ]
+        outcome = await self._append(topics.PROGRESS, changed)
+        if isinstance(outcome, ports.Appended):
+            self._digests_by_id[key] = digests
+
     def _encode(
         self, job_ids: set[str]
     ) -> tuple[
--- a/packages/placer/src/laburnumgate_placer/records.py
+++ b/packages/placer/src/laburnumgate_placer/records.py
@@ -2,7 +2,8 @@
 
 Keys of the jobs topic are `s/ID` (submission), `c/ID` (cancellation) and
 `e/ID` (state, written by the leader). Keys of the progress topic are `ID`
-(part 0 of the progress of a job) and `ID/N` (its part N).
+(part 0 of the progress of a job) and `ID/N` (its part N). Other contents of the
+topic are divided in the same way.
 """
 
 import dataclasses
@@ -102,6 +103,26 @@
     return job_id, int(part)
 
 
+def decode_parts(value_by_part: dict[int, bytes]) -> dict:
+    """Joins the parts of a content that is not of a job.
+
+    Raises:
+      RecordError: A part is malformed.
+    """
+    joined = {}
+    for part, value in sorted(value_by_part.items()):
+        try:
+            content = dict(orjson.loads(value))
+        except (ValueError, TypeError) as error:
+            raise RecordError(f"part {part} is malformed: {error}") from error
+        for name, entry in content.items():
+            if isinstance(entry, list):
+                joined.setdefault(name, []).extend(entry)
+            else:
+                joined[name] = entry
+    return joined
+
+
 def encode_drop(job_id: str) -> list[bytes]:
     """Returns the tombstones that remove a job from the jobs topic."""
     return [encode_keyed(f"{kind}/{job_id}", b"") for kind in "sce"]
--- a/packages/placer/tests/test_recorder.py
+++ b/packages/placer/tests/test_recorder.py
@@ -7,6 +7,7 @@
 from laburnumgate_placer import lifecycle
 from laburnumgate_placer import progress
 from laburnumgate_placer import recorder as recorder_module
+from laburnumgate_placer import records
 from laburnumgate_placer import topics
 
 # Limits of the platform's log.
@@ -191,3 +192,53 @@
         f"{job_id}/2",
     ]
     assert not tables.entries_by_id
+
+
+def test_the_speeds_of_a_large_pool_are_stored():
+    """Guards against a pool whose size blocks the records of all jobs."""
+    tables = builders.tables()
+    log = fakelog.FakeLog()
+    _set_limits(log)
+    speeds = {f"{number:016x}": 0.25 for number in range(11_000)}
+    tables.durations.speeds.restore(speeds)
+
+    async def work(recorder):
+        await recorder.save_speeds()
+        large = _values(log, topics.SPEEDS_KEY)
+        for endpoint_id in list(speeds)[100:]:
+            tables.durations.speeds.discard(endpoint_id)
+        await recorder.save_speeds()
+        return large, _values(log, topics.SPEEDS_KEY)
+
+    large, small = builders.run(_with_recorder(log, tables, work))
+    assert records.decode_parts(large) == speeds
+    assert list(small) == [0]
+    assert len(records.decode_parts(small)) == 100
+
+
+def test_the_waves_of_a_large_pool_are_stored():
+    """Guards against waves of upkeep that block the records of all jobs."""
+    tables = builders.tables()
+    log = fakelog.FakeLog()
+    _set_limits(log)
+    waves = {
+        str(wave): [f"{number:016x}" for number in range(wave * 7_000)]
+        for wave in (1, 2)
+    }
+
+    async def work(recorder):
+        await recorder.save_waves(waves)
+        return _values(log, topics.WAVES_KEY)
+
+    value_by_part = builders.run(_with_recorder(log, tables, work))
+    assert records.decode_parts(value_by_part) == waves
+
+
+def _values(log, key) -> dict[int, bytes]:
+    """Returns the stored parts of a record."""
+    value_by_part = {}
+    for entry in log._entries(topics.PROGRESS, 0):
+        found, part = records.decode_progress_key(entry.key)
+        if found == key:
+            value_by_part[part] = entry.value
+    return {p: v for p, v in value_by_part.items() if v is not None}
