Skip malformed parts of speeds and waves

What operators would see: a new leader that cannot recover, because parts of `speeds` or `waves` hold different kinds of values for a name. Such parts come from no release; the recovery skipped any malformed record before they were divided.

Evidence: test_unreadable_parts_are_refused covers it, and the keys of parts.

--- a/packages/placer/src/laburnumgate_placer/records.py
+++ b/packages/placer/src/laburnumgate_placer/records.py
@@ -112,14 +112,13 @@
     joined = {}
     for part, value in sorted(value_by_part.items()):
         try:
-            content = dict(orjson.loads(value))
-        except (ValueError, TypeError) as error:
+            for name, entry in orjson.loads(value).items():
+                if isinstance(entry, list):
+                    joined.setdefault(name, []).extend(entry)
+                else:
+                    joined[name] = entry
+        except (ValueError, AttributeError) as error:
             raise RecordError(f"part {part} is malformed: {error}") from error
-        for name, entry in content.items():
-            if isinstance(entry, list):
-                joined.setdefault(name, []).extend(entry)
-            else:
-                joined[name] = entry
     return joined
 
 
--- a/packages/placer/tests/test_records.py
+++ b/packages/placer/tests/test_records.py
@@ -71,3 +71,19 @@
     """Guards against an unexpected exception for a malformed record."""
     with pytest.raises(records.RecordError):
         records.decode(key, value)
+
+
+@pytest.mark.parametrize(
+    "values", [[b"{"], [b"[1]"], [b"1"], [b'{"1":0.5}', b'{"1":["m"]}']]
+)
+def test_unreadable_parts_are_refused(values):
+    """Guards against a recovery that ends at a malformed part."""
+    with pytest.raises(records.RecordError):
+        records.decode_parts(dict(enumerate(values)))
+
+
+@pytest.mark.parametrize("key", ["a/x", "a/-1", "a/1/2", "a/1.5"])
+def test_a_key_without_a_number_of_a_part_is_refused(key):
+    """Guards against a part that is taken for another one."""
+    with pytest.raises(records.RecordError):
+        records.decode_progress_key(key)
