--- a/deploy/tests/test_store.py
+++ b/deploy/tests/test_store.py
@@ -97,3 +97,21 @@
     assert isinstance(store._append_outcome(answer), ports.Unknown)
     answer = (410, orjson.dumps({"first_offset": offset}))
     assert isinstance(store._read_outcome(_TOPIC, 0, answer), ports.Unknown)
+
+
+@pytest.mark.parametrize(
+    ("status", "permanent"), [(400, True), (413, True), (429, False)]
+)
+def test_a_refusal_of_the_content_of_an_append_is_permanent(status, permanent):
+    """Guards against a record that is sent again although it is too large."""
+    outcome = store._append_outcome((status, b"" if permanent else b"{}"))
+    assert isinstance(outcome, ports.NotAppended)
+    assert outcome.permanent == permanent
+
+
+def test_a_refusal_is_permanent_whatever_its_text_is():
+    """Guards against a refused append that counts as unanswered."""
+    outcome = store._append_outcome((413, b"too large"))
+    assert outcome == ports.NotAppended(
+        "the log refused with status 413", permanent=True
+    )
--- a/packages/placer/src/laburnumgate_placer/recorder.py
+++ b/packages/placer/src/laburnumgate_placer/recorder.py
@@ -1,6 +1,7 @@
 """Write-ahead recording of the leader's decisions."""
 
 import asyncio
+import hashlib
 import logging
 
 import orjson
@@ -24,6 +25,10 @@
 # record until its outcome is known.
 RECORD_TIMEOUT_MS = 600_000
 PUBLISH_TIMEOUT_MS = 1_000
+# Number of expired jobs whose records are removed in one append.
+DROP_BATCH_JOBS = 1_000
+# Number of endpoints or machines in one record.
+ENTRIES_PER_PART = 4_000
 
 
 class Recorder:
@@ -46,6 +51,9 @@
             for topic in (topics.JOBS, topics.PROGRESS)
         }
         self._recorded_by_id: dict[str, model.JobState] = {}
+        # Digests of the stored parts, by the id of their job or the key of a
+        # content that is not of a job.
+        self._digests_by_id: dict[str, dict[int, bytes]] = {}
 
     async def run_writers(self) -> None:
         """Runs the writers of both topics until cancelled."""
@@ -57,8 +65,14 @@
         """Sets the state that is known to be recorded for a job."""
         self._recorded_by_id[job_id] = state
 
+    def set_recorded_progress(
+        self, job_id: str, value_by_part: dict[int, bytes]
+    ) -> None:
+        """Sets the recorded parts of a job, or of another key of the topic."""
+        self._digests_by_id[job_id] = _digests(value_by_part)
+
     async def flush(self) -> list[progress.Run] | None:
-        """Records all changes.
+        """Records all changes, in several appends if they are large.
 
         Returns:
           The runs that may start now, or None if another leader has taken
@@ -72,7 +86,7 @@
             for endpoint_id, state in tables.endpoints.by_id.items()
             if state.handled_end > state.acked_end
         }
-        detail, states, dropped = self._encode(job_ids)
+        detail, states, dropped, digests_by_id = self._encode(job_ids)
         with metrics.RECORD_SECONDS.time():
             outcomes = await asyncio.gather(
                 self._append(topics.PROGRESS, detail),
@@ -84,12 +98,14 @@
             state = tables.endpoints.by_id.get(endpoint_id)
             if state is not None and number <= state.handled_end:
                 state.acked_end = number
+        self._digests_by_id.update(digests_by_id)
         for change in states:
             self.set_recorded_state(change.job_id, change.state)
             if change.state.final:
                 # The next flush drops its progress record.
                 tables.mark_dirty(change.job_id)
         for job_id in dropped:
+            self._digests_by_id.pop(job_id, None)
             lifecycle.close_job(tables, job_id)
         return runs
 
@@ -104,46 +120,87 @@
 
     async def save_speeds(self) -> None:
         """Records endpoint speeds for the next leader."""
-        value = orjson.dumps(self._tables.durations.speeds.dump())
-        record = records.encode_keyed(topics.SPEEDS_KEY, value)
-        await self._append(topics.PROGRESS, [record])
+        speeds = sorted(self._tables.durations.speeds.dump().items())
+        contents = [
+            dict(speeds[start : start + ENTRIES_PER_PART])
+            for start in range(0, len(speeds), ENTRIES_PER_PART)
+        ]
+        await self._save_parts(topics.SPEEDS_KEY, contents)
 
     async def save_waves(self, done_by_wave: dict[str, list[str]]) -> None:
         """Records the maintained machines of each wave for the next leader."""
-        record = records.encode_keyed(
-            topics.WAVES_KEY, orjson.dumps(done_by_wave)
-        )
-        await self._append(topics.PROGRESS, [record])
+        contents = []
+        for wave, machines in done_by_wave.items():
+            for start in range(0, len(machines), ENTRIES_PER_PART):
+                part = machines[start : start + ENTRIES_PER_PART]
+                contents.append({wave: part})
+        await self._save_parts(topics.WAVES_KEY, contents)
 
     async def drop(self, job_ids: list[str]) -> None:
         """Removes expired jobs from the jobs topic."""
-        dropped = []
-        for job_id in job_ids:
-            dropped.extend(records.encode_drop(job_id))
-            self._recorded_by_id.pop(job_id, None)
-        await self._append(topics.JOBS, dropped)
+        for start in range(0, len(job_ids), DROP_BATCH_JOBS):
+            # The records of a job are removed by the same append: it would run
+            # again without its state, and its state would never be removed.
+            dropped = []
+            for job_id in job_ids[start : start + DROP_BATCH_JOBS]:
+                dropped.extend(records.encode_drop(job_id))
+                self._recorded_by_id.pop(job_id, None)
+            await self._append(topics.JOBS, dropped)
+
+    async def _save_parts(self, key: str, contents: list[dict]) -> None:
+        """Records the parts of a content that is not of a job."""
+        value_by_part = {
+            part: orjson.dumps(content) for part, content in enumerate(contents)
+        }
+        known = self._digests_by_id.get(key, {})
+        digests = _digests(value_by_part)
+        changed = [
+            records.encode_progress(key, part, value_by_part.get(part, b""))
+            for part in sorted({*known, *digests}, reverse=True)
+            if known.get(part) != digests.get(part)
+        ]
+        outcome = await self._append(topics.PROGRESS, changed)
+        if isinstance(outcome, ports.Appended):
+            self._digests_by_id[key] = digests
 
     def _encode(
         self, job_ids: set[str]
-    ) -> tuple[list[bytes], list[records.StateChanged], list[str]]:
+    ) -> tuple[
+        list[bytes],
+        list[records.StateChanged],
+        list[str],
+        dict[str, dict[int, bytes]],
+    ]:
         """Returns progress records, changed states, and ids of closed jobs.
 
+        Only parts that have changed are recorded. The digests of all parts of
+        these jobs are returned as well.
+
         The progress of an ended job is dropped only after its terminal state
         is stored; a leader that finds neither would start the job again.
         """
         detail = []
         states = []
         dropped = []
+        digests_by_id = {}
         for job_id in job_ids:
             entry = self._tables.entries_by_id.get(job_id)
             if entry is None:
                 continue
             stored = self._recorded_by_id.get(job_id) == entry.state
+            known = self._digests_by_id.get(job_id, {})
             if entry.state.final and stored and not entry.runs():
-                detail.append(records.encode_keyed(job_id, b""))
+                for part in {0, *known}:
+                    detail.append(records.encode_progress(job_id, part, b""))
                 dropped.append(job_id)
                 continue
-            detail.append(records.encode_keyed(job_id, progress.encode(entry)))
+            value_by_part = progress.encode(entry)
+            digests_by_id[job_id] = _digests(value_by_part)
+            for part in sorted({*known, *value_by_part}, reverse=True):
+                if known.get(part) == digests_by_id[job_id].get(part):
+                    continue
+                value = value_by_part.get(part, b"")
+                detail.append(records.encode_progress(job_id, part, value))
             if stored or entry.state == model.JobState.QUEUED:
                 continue
             states.append(
@@ -154,13 +211,20 @@
                     entry.reason,
                 )
             )
-        return detail, states, dropped
+        return detail, states, dropped, digests_by_id
 
     async def _append(
         self, topic: str, encoded: list[bytes]
     ) -> ports.AppendOutcome:
         if not encoded:
             return ports.Appended(0, 0)
-        return await self._writers_by_topic[topic].append(
+        return await self._writers_by_topic[topic].append_all(
             encoded, RECORD_TIMEOUT_MS
         )
+
+
+def _digests(value_by_part: dict[int, bytes]) -> dict[int, bytes]:
+    return {
+        part: hashlib.blake2b(value, digest_size=16).digest()
+        for part, value in value_by_part.items()
+    }
--- a/packages/placer/tests/fakelog.py
+++ b/packages/placer/tests/fakelog.py
@@ -1,6 +1,7 @@
 """In-memory log service with fault injection."""
 
 import asyncio
+import math
 
 from laburnumgate_placer import ports
 
@@ -25,6 +26,9 @@
       lose_all_pages: whether each page is lost.
       empty_pages: keys after which the next page is empty once.
       pages: the keys after which pages were requested.
+      max_record_bytes: appends of larger records are rejected.
+      max_call_bytes: appends of more bytes are rejected.
+      sizes: topic and number of bytes of each append so far.
     """
 
     def __init__(self):
@@ -44,12 +48,19 @@
         self.lose_all_pages = False
         self.empty_pages: set[str] = set()
         self.pages: list[str] = []
+        self.max_record_bytes = math.inf
+        self.max_call_bytes = math.inf
+        self.sizes: list[tuple[str, int]] = []
         self.appends: list[tuple[str, ports.Sequence | None]] = []
         self.first_by_topic: dict[str, int] = {}
         self._epochs: dict[tuple[str, str], int] = {}
         self._answers: dict[tuple, ports.Appended] = {}
         self._record_added = asyncio.Event()
 
+    def answers(self) -> list[ports.Appended]:
+        """Returns the outcomes of the appends with a sequence number."""
+        return list(self._answers.values())
+
     def end(self, topic: str) -> int:
         return len(self.records_by_topic.get(topic, []))
 
@@ -62,6 +73,7 @@
         self, topic, records, *, timeout_ms, sequence=None, at_offset=None
     ):
         self.appends.append((topic, sequence))
+        self.sizes.append((topic, sum(map(len, records))))
         if self.silent or (topic in self.silent_appends and records):
             await asyncio.sleep(timeout_ms / 1000)
             return ports.Unknown("silent")
@@ -69,6 +81,8 @@
         if self.refuse:
             self.refuse -= 1
             return ports.NotAppended("refused")
+        if self._too_large(records):
+            return ports.NotAppended("too large", permanent=True)
         outcome = self._append(topic, records, sequence, at_offset)
         latency_s = self.append_s_by_topic.get(topic, 0.0)
         await asyncio.sleep(min(latency_s, timeout_ms / 1000))
@@ -79,6 +93,13 @@
             return ports.Unknown("the answer was lost")
         return outcome
 
+    def _too_large(self, records):
+        sizes = [len(record) for record in records]
+        return (
+            max(sizes, default=0) > self.max_record_bytes
+            or sum(sizes) > self.max_call_bytes
+        )
+
     def _append(self, topic, records, sequence, at_offset):
         end = self.end(topic)
         if at_offset is not None and at_offset != end:
