Fence the assignments of an earlier leader before its view of the jobs

A new leader fenced the jobs topic first. Until it had fenced the progress topic as well, the earlier leader could assign and start a job that was submitted in between. The new leader restored only jobs up to the first fence, and opened this one later without its progress, so that it could run twice.

The assignments are fenced first now, so that every job that has any is restored with them. test_leader.py:: test_no_assignment_is_stored_after_the_last_job_that_is_restored failed before. Found by reading; no run shows the second start.

--- a/packages/placer/src/laburnumgate_placer/leader.py
+++ b/packages/placer/src/laburnumgate_placer/leader.py
@@ -209,7 +209,9 @@
           that is not of a job.
         """
         ends = {}
-        for topic in (topics.JOBS, topics.PROGRESS):
+        # In this order: after the first fence, the earlier leader can assign no
+        # job that is submitted after the second.
+        for topic in (topics.PROGRESS, topics.JOBS):
             ends[topic] = await self._fence(topic)
         progress_by_id: dict[str, dict[int, bytes]] = {}
 
--- a/packages/placer/tests/test_leader.py
+++ b/packages/placer/tests/test_leader.py
@@ -16,6 +16,7 @@
 from laburnumgate_placer import policy
 from laburnumgate_placer import ports
 from laburnumgate_placer import progress
+from laburnumgate_placer import recorder
 from laburnumgate_placer import records
 from laburnumgate_placer import services
 from laburnumgate_placer import topics
@@ -1174,3 +1175,22 @@
             await _wait_until(lambda: host.leader and host.leader.recovered)
 
     builders.run(work())
+
+
+def test_no_assignment_is_stored_after_the_last_job_that_is_restored():
+    """Guards against a second start of a job that a new leader reads late.
+
+    The earlier leader must not assign a job that is submitted after the offset
+    up to which the new one restores jobs.
+    """
+
+    async def work():
+        system, _ = await _start_system("e1")
+        fences = [
+            topic
+            for topic, sequence in system.log.appends
+            if sequence is not None and sequence.producer == recorder.PRODUCER
+        ]
+        assert fences[:2] == [topics.PROGRESS, topics.JOBS]
+
+    builders.run(work())
