Add a case: a late order runs a done task again

A start without an answer is repeated and its task ends as done; the worker crashes, is back under its id, and carries the first copy of the order out 0.5 s later (TWICE).

--- a/review/standins/harness.py
+++ b/review/standins/harness.py
@@ -236,6 +236,19 @@
             and all(event.get(k) == v for k, v in details.items())
         ]
 
+    async def wait_for(self, what: str) -> dict:
+        """Waits for an event of a kind and returns the first.
+
+        Raises:
+          CannotRunError: there is none in time.
+        """
+        until_s = time.monotonic() + _READY_TIMEOUT_S
+        while time.monotonic() < until_s:
+            if found := self.found(what):
+                return found[0]
+            await asyncio.sleep(0.01)
+        raise CannotRunError(f"no event {what!r}")
+
     def has_started(self, job_id: str) -> bool:
         """Whether a worker has started a task of a job."""
         return any(
@@ -423,6 +436,8 @@
         """Ends all processes and removes the temporary folder."""
         for host in self.hosts:
             await host.end()
+        for worker in self.workers:
+            worker.close()
         if self._session is not None:
             await self._session.close()
         for task in list(self._tasks):
--- a/review/standins/worker.py
+++ b/review/standins/worker.py
@@ -3,6 +3,7 @@
 import asyncio
 from collections.abc import Callable
 import dataclasses
+import functools
 import random
 import time
 
@@ -10,6 +11,8 @@
 import orjson
 
 _TICK_S = 0.01
+# Longer than any caller waits.
+_SILENT_S = 60
 
 
 @dataclasses.dataclass
@@ -40,6 +43,8 @@
       port: port of its API on 127.0.0.1.
       up: whether it runs.
       born_ms: Unix ms of its start.
+      late_s: time after which the next start order is carried out, without an
+        answer; None to answer it at once.
     """
 
     def __init__(
@@ -59,17 +64,23 @@
         self.up = False
         self.worker_id = ""
         self.born_ms = 0
+        self.late_s: float | None = None
         self._max_hold_ms = max_hold_ms
         self._record = record
         self._lives = 0
         self._server: asyncio.Server | None = None
         self._handlers: web.Server | None = None
         self._changed = asyncio.Event()
+        self._tasks: set[asyncio.Task] = set()
+        self._silent: list[asyncio.StreamWriter] = []
 
-    async def start(self) -> None:
+    async def start(self, *, same_id: bool = False) -> None:
         """Begins a life, which knows nothing of the one before."""
+        if self._server is not None:
+            self._server.close()
         self._lives += 1
-        self.worker_id = f"i-{self.machine}-{self._lives}"
+        if not same_id:
+            self.worker_id = f"i-{self.machine}-{self._lives}"
         self.born_ms = int(time.time() * 1000)
         self._born_s = time.monotonic()
         self._fence = 0
@@ -78,7 +89,9 @@
         self._ended: list[list] = []
         self._highest_run: dict[str, int] = {}
         self.running: dict[tuple[str, int], Run] = {}
-        self._handlers = web.Server(self._handle, access_log=None)
+        self._handlers = web.Server(
+            functools.partial(self._handle, self._lives), access_log=None
+        )
         loop = asyncio.get_running_loop()
         self._server = await loop.create_server(
             self._handlers, "127.0.0.1", self.port
@@ -87,8 +100,12 @@
         self.up = True
         self._record("worker starts", worker=self.worker_id)
 
-    async def crash(self) -> None:
-        """Ends all that runs without a word; its channels are reset."""
+    async def crash(self, *, silent: bool = False) -> None:
+        """Ends all that runs without a word.
+
+        Args:
+          silent: whether its channels hang from now on; if not, they are reset.
+        """
         self._record(
             "worker crashes",
             worker=self.worker_id,
@@ -97,11 +114,21 @@
         self.up = False
         self.running.clear()
         self._server.close()
+        if silent:
+            self._server = await asyncio.start_server(
+                self._keep_silent, "127.0.0.1", self.port
+            )
+            return
         for connection in self._handlers.connections:
             if connection.transport is not None:
                 connection.transport.abort()
         await self._handlers.shutdown(0.01)
 
+    def close(self) -> None:
+        """Resets the channels that it holds."""
+        for writer in self._silent:
+            writer.transport.abort()
+
     def entry(self, beat: int) -> bytes:
         """Returns what it writes to the store of itself."""
         return orjson.dumps(
@@ -158,18 +185,54 @@
         self._changed.set()
         self._changed = asyncio.Event()
 
-    async def _handle(self, request: web.BaseRequest) -> web.Response:
+    async def _keep_silent(self, reader, writer) -> None:
+        """Holds a channel to a machine without power."""
+        self._silent.append(writer)
+
+    async def _handle(self, life: int, request: web.BaseRequest):
+        if life != self._lives and self.up:
+            # The machine is back and doesn't know the channel.
+            request.transport.abort()
+        if life != self._lives or not self.up:
+            await asyncio.sleep(_SILENT_S)
         body = orjson.loads(await request.read())
+        if request.path == "/-/run-start" and self.late_s is not None:
+            late_s, self.late_s = self.late_s, None
+            self._record("an order is late", task=body["task"])
+            task = asyncio.create_task(self._carry_out(body, late_s))
+            self._tasks.add(task)
+            await asyncio.sleep(_SILENT_S)
+        response = await self._respond(request, body)
+        if life != self._lives or not self.up:
+            await asyncio.sleep(_SILENT_S)
+        return response
+
+    async def _carry_out(self, body: dict, late_s: float) -> None:
+        """Carries a start order out late, in whatever life is up then."""
+        await asyncio.sleep(late_s)
+        if not self.up or body["fencing_token"] < self._fence:
+            self._record("the late order is not carried out")
+            return
+        self._fence = body["fencing_token"]
+        self._extend_lease(body)
+        answer = self._start_run(body)
+        self._record(
+            "the late order is carried out",
+            worker=self.worker_id,
+            born_ms=self.born_ms,
+            status=answer.status,
+        )
+
+    async def _respond(
+        self, request: web.BaseRequest, body: dict
+    ) -> web.Response:
         expected = request.headers.get("X-Laburnumgate-Expect-Instance")
         if expected != self.worker_id:
             return web.Response(status=421)
         if body.get("fencing_token", 0) < self._fence:
             return self._answer(409, {"reason": "fence"})
         self._fence = body.get("fencing_token", 0)
-        if "deadline_ms" in body:
-            longest_ms = self._clock_ms() + self._max_hold_ms
-            deadline_ms = min(body["deadline_ms"], longest_ms)
-            self._lease_ms = max(self._lease_ms, deadline_ms)
+        self._extend_lease(body)
         match request.path:
             case "/-/run-start":
                 return self._start_run(body)
@@ -179,6 +242,12 @@
                 return await self._hold(body)
         return web.Response(status=404)
 
+    def _extend_lease(self, body: dict) -> None:
+        if "deadline_ms" in body:
+            longest_ms = self._clock_ms() + self._max_hold_ms
+            deadline_ms = min(body["deadline_ms"], longest_ms)
+            self._lease_ms = max(self._lease_ms, deadline_ms)
+
     def _start_run(self, body: dict) -> web.Response:
         task, number = body["task"], body["run_id"]
         if (task, number) in self.running:
