Repeat calls without an answer in the case of many steps

A large or small job that got no answer is handed in again, so that the case can run on a leader that is already busy.

--- a/review/2/case.py
+++ b/review/2/case.py
@@ -22,15 +22,17 @@
 async def _play(installation: harness.Installation) -> list[str]:
     await installation.set_up(["z0", "z1", "z2"], _RACKS)
     if installation.disrupted:
-        status = await installation.submit(
-            installation.hosts[0], _LARGE_JOB, [_STEP] * _STEPS, _WORK_MS
-        )
-        if status != 200:
-            raise harness.CannotRunError("the large job was not accepted")
+        large = [_STEP] * _STEPS
+        if await _client(installation, _LARGE_JOB, large) is None:
+            answers = installation.found("answered", job=_LARGE_JOB)
+            if all(event["status"] for event in answers):
+                raise harness.CannotRunError("the large job was refused")
     clients = []
     for number in range(_SMALL_JOBS):
         job_id = f"7c0e7a21d94b36f{number}"
-        clients.append(installation.spawn(_client(installation, job_id)))
+        clients.append(
+            installation.spawn(_client(installation, job_id, [_STEP]))
+        )
         await asyncio.sleep(_SMALL_JOB_INTERVAL_S)
     accepted = [job_id for job_id in await asyncio.gather(*clients) if job_id]
     if not accepted:
@@ -58,15 +60,15 @@
     return broken
 
 
-async def _client(installation, job_id: str) -> str | None:
-    """Submits a small job, at another machine after each try in vain.
+async def _client(installation, job_id: str, steps: list) -> str | None:
+    """Submits a job, at another machine after each try in vain.
 
     Returns:
       The id of the job if it was accepted.
     """
     for attempt in range(_ATTEMPTS):
         host = installation.hosts[attempt % len(installation.hosts)]
-        if await installation.submit(host, job_id, [_STEP], _WORK_MS) == 200:
+        if await installation.submit(host, job_id, steps, _WORK_MS) == 200:
             return job_id
         await asyncio.sleep(_RETRY_S)
     return None
