Bound what a leader does at once for a job of many steps

Cause: the rank of each waiting step was computed by itself, from all steps of its job. In a pass over 300 steps, the pairs of steps compared in `_remaining_work_ms` took about half of the time and the critical path, computed twice for each step, a third, so that both had to go. The event loop stood still for seconds, heartbeats were late, and each successor began the same pass. The same held for a chain, of which only one step waits, and for the end of each task, which went through all steps of all occurrences and all tasks of the step.

Change: the paths of a job are computed once for all steps, in linear time, and less often for large jobs. Steps are opened by counting the steps before them that are not done. A pass ranks up to 64 steps of a job, half of which change from pass to pass, pauses while it ranks many, and places for up to 130 ms, after which steps that had no turn come first. Recovery, records and reads of the log pause after 50 ms of work. Of a job, 20,000 tasks of unfinished occurrences are open. Metric laburnumgate_pass_seconds and event 1316 tell a slow ranking from slow placing.

--- a/packages/placer/src/laburnumgate_placer/durations.py
+++ b/packages/placer/src/laburnumgate_placer/durations.py
@@ -37,23 +37,16 @@
         ratio = self.ratio(job.queue.name)
         return max(1.0, job.steps[number].estimate_ms * ratio)
 
-    def critical_path_ms(
-        self, job: model.Job, waves: tuple[int, ...] | None = None
-    ) -> float:
-        """Returns the expected duration of the job's critical path.
-
-        Args:
-          job: the job.
-          waves: how often each step counts; None for once.
-        """
-        ends: list[float] = []
+    def all_expected_ms(self, job: model.Job) -> list[float]:
+        """Returns the expected duration of a task of each step at speed 1."""
+        ratio = self.ratio(job.queue.name)
+        found = []
         for number, step in enumerate(job.steps):
-            before = max((ends[n] for n in step.after), default=0.0)
-            own = self.expected_ms(job, number)
-            if waves is not None:
-                own *= waves[number]
-            ends.append(before + own)
-        return max(ends)
+            work_ms = self.speeds.work_ms((job.job_id, 0, number))
+            if work_ms is None:
+                work_ms = max(1.0, step.estimate_ms * ratio)
+            found.append(work_ms)
+        return found
 
     def remaining_ms(self, run: progress.Run, now_ms: int) -> float:
         """Returns the expected remaining time of a run's slowest member."""
--- a/packages/placer/src/laburnumgate_placer/feed.py
+++ b/packages/placer/src/laburnumgate_placer/feed.py
@@ -8,6 +8,7 @@
 from laburnumgate_core import clock
 
 from laburnumgate_placer import events
+from laburnumgate_placer import pauses
 from laburnumgate_placer import ports
 
 _LOGGER = logging.getLogger(__name__)
@@ -183,7 +184,7 @@
                 return self._mark_down(page)
             if load.end_offset is None:
                 load.end_offset = page.end_offset
-            self._apply_all(page.entries)
+            await self._apply_all(page.entries)
             load.missing.difference_update(entry.key for entry in page.entries)
             if not page.more:
                 break
@@ -192,7 +193,7 @@
                 return self._mark_down(ports.Unknown("a page has no keys"))
             load.after = keys[-1]
         # Keys that were removed, but whose tombstones have expired unread.
-        self._apply_all(
+        await self._apply_all(
             tuple(
                 ports.Entry(load.end_offset, key, None) for key in load.missing
             )
@@ -211,7 +212,7 @@
         )
         match answer:
             case ports.Batch(entries, end_offset):
-                self._apply_all(entries)
+                await self._apply_all(entries)
                 # The answer may hold only the oldest of the records.
                 await self._advance(
                     entries[-1].offset + 1 if entries else end_offset
@@ -238,7 +239,7 @@
         )
         match answer:
             case ports.Batch(entries, end_offset):
-                self._apply_all(entries)
+                await self._apply_all(entries)
                 if entries or self.next_offset >= end_offset:
                     self._mark_up()
                 if entries:
@@ -268,8 +269,11 @@
                 return True
         return self._mark_down(answer)
 
-    def _apply_all(self, entries: tuple[ports.Entry, ...]) -> None:
+    async def _apply_all(self, entries: tuple[ports.Entry, ...]) -> None:
+        """Applies records in order, with pauses while there are many."""
+        pause = pauses.Pauses(self._monotonic)
         for entry in entries:
+            await pause.take()
             if entry.error:
                 self._log_skipped(entry, entry.error)
                 continue
--- a/packages/placer/src/laburnumgate_placer/leader.py
+++ b/packages/placer/src/laburnumgate_placer/leader.py
@@ -24,6 +24,7 @@
 from laburnumgate_placer import maintainer
 from laburnumgate_placer import metrics
 from laburnumgate_placer import model
+from laburnumgate_placer import pauses
 from laburnumgate_placer import policy as policy_module
 from laburnumgate_placer import ports
 from laburnumgate_placer import progress
@@ -59,8 +60,12 @@
 FIRST_REPORTS_SHARE = 0.6
 FEW_REPORTS_TIMEOUT_MS = 1_000
 FIRST_REPORTS_POLL_MS = 5
-# Number of jobs that a new leader restores between two turns of the event loop.
+# Maximum number of jobs that a new leader restores between two turns of the
+# event loop.
 RESTORE_CHUNK = 20
+# Passes that take longer are logged, at most one in each interval.
+LONG_PASS_MS = 200
+LONG_PASS_LOG_INTERVAL_MS = 5_000
 # Interval at which expired jobs are removed from the log.
 CLEAN_UP_INTERVAL_MS = 20_000
 # Interval at which endpoint speeds are recorded if they have changed.
@@ -129,6 +134,7 @@
         self._done_by_wave: dict[str, list[str]] = {}
         # Endpoints that were found before all jobs were restored.
         self._unwatched: list[endpoint_table.EndpointState] = []
+        self._long_pass_logged_ms = 0
         self.recovered = False
 
     async def run(self) -> None:
@@ -260,10 +266,7 @@
     async def _restore(
         self, progress_by_id: dict[str, dict[int, bytes]]
     ) -> None:
-        """Restores all jobs, with a pause after each few of them.
-
-        Heartbeats have to be sent in the meantime.
-        """
+        """Restores all jobs, with pauses in which heartbeats are sent."""
         tables = self.tables
         speeds = self._pop_content(topics.SPEEDS_KEY, progress_by_id)
         tables.durations.speeds.restore(speeds)
@@ -274,12 +277,14 @@
             missing = [i for i in tables.jobs.jobs_by_id if i not in restored]
             if not missing:
                 return
+            pause = pauses.Pauses(tables.monotonic)
             for job_id in missing[:RESTORE_CHUNK]:
                 restored.add(job_id)
                 self._restore_job(job_id, progress_by_id.get(job_id, {}))
-            if len(missing) > RESTORE_CHUNK:
-                await asyncio.sleep(0)
-                self._check_leadership()
+                if pause.due():
+                    break
+            await asyncio.sleep(0)
+            self._check_leadership()
 
     def _pop_content(
         self, key: str, progress_by_id: dict[str, dict[int, bytes]]
@@ -411,14 +416,34 @@
             began_ms = tables.monotonic.now_ms()
             self._live_list.add_restarted()
             lifecycle.give_up_crashing(tables)
+            await self._scheduler.prepare()
+            self._check_leadership()
             self._scheduler.run()
             metrics.OPEN_JOBS.set({}, len(tables.entries_by_id))
             self._send_stops()
             if tables.dirty or self._has_unacknowledged_ends():
                 self._flush_due.set()
             took_ms = tables.monotonic.now_ms() - began_ms
+            metrics.PASS_SECONDS.observe(took_ms / 1000)
+            self._log_long_pass(began_ms, took_ms)
             await asyncio.sleep(passes.pause_ms(took_ms) / 1000)
 
+    def _log_long_pass(self, began_ms: int, took_ms: int) -> None:
+        """Logs what a long pass was busy with, once in a while."""
+        if took_ms < LONG_PASS_MS or began_ms < self._long_pass_logged_ms:
+            return
+        self._long_pass_logged_ms = began_ms + LONG_PASS_LOG_INTERVAL_MS
+        times = self._scheduler.pass_times
+        events.emit(
+            _LOGGER,
+            events.Event.PASS_LONG,
+            took_ms=took_ms,
+            ranking_ms=times.ranking_ms,
+            placing_ms=times.placing_ms,
+            jobs=len(self.tables.entries_by_id),
+            steps=times.steps,
+        )
+
     def _has_unacknowledged_ends(self) -> bool:
         return any(
             state.handled_end > state.acked_end
@@ -433,7 +458,11 @@
                 entry.open_due_steps(unix_ms, now_ms)
 
     def _send_stops(self) -> None:
-        stops, self.tables.pending_stops = self.tables.pending_stops, []
+        tables = self.tables
+        stops = tables.pending_stops[: passes.MAX_STOPS]
+        tables.pending_stops = tables.pending_stops[passes.MAX_STOPS :]
+        if tables.pending_stops:
+            tables.wake.set()
         for member in stops:
             self._spawn_isolated(
                 self._launcher.stop(member),
@@ -452,7 +481,9 @@
                 self._leadership.step_down("its records were refused")
                 self.tables.wake.set()
                 return
+            pause = pauses.Pauses(self.tables.monotonic)
             for run in runs:
+                await pause.take()
                 self._spawn_isolated(
                     self._launcher.launch(run),
                     functools.partial(
@@ -481,7 +512,12 @@
             await asyncio.sleep(load_reports.INTERVAL_MS / 1000)
             try:
                 holds.set_metrics(self.tables)
-                backlogs = load_reports.collect(self.tables, largest_by_service)
+                ranking = load_reports.rank_waiting(self.tables)
+                for _ in ranking.chunks():
+                    await asyncio.sleep(0)
+                backlogs = load_reports.collect(
+                    self.tables, largest_by_service, ranking
+                )
                 load = load_reports.encode(backlogs)
                 ranked = load_reports.encode_ranked(
                     backlogs, self.tables.wall.now_ms()
--- a/packages/placer/src/laburnumgate_placer/lifecycle.py
+++ b/packages/placer/src/laburnumgate_placer/lifecycle.py
@@ -399,7 +399,7 @@
     tables.mark_dirty(unit.key.job_id)
     if unit.state == progress.UnitState.DONE:
         return
-    unit.state = progress.UnitState.WAITING
+    entry.mark_waiting(unit)
     unit.ready_ms = tables.monotonic.now_ms()
     if entry.state.final:
         return
--- a/packages/placer/src/laburnumgate_placer/load_reports.py
+++ b/packages/placer/src/laburnumgate_placer/load_reports.py
@@ -12,6 +12,7 @@
 from laburnumgate_placer.accounts import limits
 from laburnumgate_placer.overload import admission
 from laburnumgate_placer.overload import delay_cost
+from laburnumgate_placer.overload import passes
 from laburnumgate_placer.overload import ranked_backlog
 
 _LOGGER = logging.getLogger(__name__)
@@ -21,7 +22,9 @@
 
 
 def collect(
-    tables: tables_module.Tables, largest_by_service: dict[str, model.Resources]
+    tables: tables_module.Tables,
+    largest_by_service: dict[str, model.Resources],
+    ranking: ordering.Ranking | None = None,
 ) -> dict[str, admission.Backlog]:
     """Estimates the backlog of each service that has endpoints.
 
@@ -30,17 +33,23 @@
       largest_by_service: the largest amount of each resource on any endpoint
         that was seen so far; updated. An endpoint that is not listed for a
         while may come back.
+      ranking: a complete ranking of the waiting steps; made here if None.
     """
     now_ms = tables.monotonic.now_ms()
-    guaranteed = ordering.guaranteed_jobs(tables)
-    waiting = ordering.waiting_steps(tables, guaranteed, now_ms)
+    if ranking is None:
+        ranking = rank_waiting(tables)
+        for _ in ranking.chunks():
+            pass
+    waiting = ranking.ordered(now_ms)
     waiting = _within_limits(tables, waiting)
+    parts = _parts_in_window(tables, waiting)
     demands_by_service: dict[str, list[admission.Demand]] = {}
     ranked_by_service: dict[str, list[ranked_backlog.Demand]] = {}
     for step in waiting:
         unit = step.units[0]
         work_ms = tables.durations.expected_ms(unit.entry.job, unit.key.step)
         tasks = sum(each.size for each in step.units)
+        tasks = round(tasks / parts.get(unit.key.job_id, 1.0))
         core_s = tasks * reclaim.task_cores(unit.step) * work_ms / 1000
         service = tables.queue_of(unit.entry.job).service
         loss = _loss(step.rank)
@@ -66,6 +75,34 @@
     return found
 
 
+def rank_waiting(tables: tables_module.Tables) -> ordering.Ranking:
+    """Returns a ranking of the waiting steps that has not begun."""
+    return ordering.Ranking(
+        tables, ordering.guaranteed_jobs(tables), tables.monotonic.now_ms()
+    )
+
+
+def _parts_in_window(
+    tables: tables_module.Tables, waiting: list[ordering.WaitingStep]
+) -> dict[str, float]:
+    """Returns which part of its waiting steps is ranked, for large jobs.
+
+    The steps of such a job that were left out count as equal to the others,
+    unless a limit of its account holds them back.
+    """
+    ranked: dict[str, list[ordering.WaitingStep]] = {}
+    for step in waiting:
+        ranked.setdefault(step.key[0], []).append(step)
+    found = {}
+    for job_id, steps in ranked.items():
+        entry = steps[0].units[0].entry
+        if len(entry.waiting_steps) <= passes.MAX_STEPS_PER_JOB:
+            continue
+        if tables.config.limit(entry.job.account) == limits.NO_LIMIT:
+            found[job_id] = min(1.0, len(steps) / len(entry.waiting_steps))
+    return found
+
+
 def _within_limits(
     tables: tables_module.Tables, waiting: list[ordering.WaitingStep]
 ) -> list[ordering.WaitingStep]:
--- a/packages/placer/src/laburnumgate_placer/lookahead.py
+++ b/packages/placer/src/laburnumgate_placer/lookahead.py
@@ -80,6 +80,13 @@
             return False
         return any(unit.key in self._reclaimed_by_unit for unit in units)
 
+    def steps_with_reclaims(self) -> set[tuple[str, int, int]]:
+        """Returns job, occurrence and step of units with stopped runs."""
+        return {
+            (key.job_id, key.occurrence, key.step)
+            for key in self._reclaimed_by_unit
+        }
+
     def give_up(
         self, pool: pool_module.Pool, units: list[progress.Unit]
     ) -> None:
--- a/packages/placer/src/laburnumgate_placer/metrics.py
+++ b/packages/placer/src/laburnumgate_placer/metrics.py
@@ -103,6 +103,9 @@
     "laburnumgate_start_seconds",
     "From a unit's turn until all its tasks are started.",
 )
+PASS_SECONDS = DurationHistogram(
+    "laburnumgate_pass_seconds", "A placement pass of the leader."
+)
 RECORD_SECONDS = DurationHistogram(
     "laburnumgate_record_seconds", "Storing the leader's decisions."
 )
--- a/packages/placer/src/laburnumgate_placer/ordering.py
+++ b/packages/placer/src/laburnumgate_placer/ordering.py
@@ -17,11 +17,14 @@
 account.
 """
 
+from collections.abc import Collection
+from collections.abc import Iterator
 import dataclasses
 import enum
 import logging
 
 from laburnumgate_placer import events
+from laburnumgate_placer import job_paths
 from laburnumgate_placer import model
 from laburnumgate_placer import placement
 from laburnumgate_placer import progress
@@ -31,6 +34,7 @@
 from laburnumgate_placer.accounts import standings
 from laburnumgate_placer.overload import admission
 from laburnumgate_placer.overload import delay_cost
+from laburnumgate_placer.overload import passes
 from laburnumgate_placer.overload import preemption
 
 _LOGGER = logging.getLogger(__name__)
@@ -151,17 +155,36 @@
 
     A step that is too wide to run at once counts once for each of its waves.
     """
-    return _allowed_ms(tables, entry, _waves(tables, entry))
+    return _job_times(tables, entry, tables.monotonic.now_ms()).allowed_ms
 
 
-def _allowed_ms(
-    tables: tables_module.Tables,
-    entry: progress.JobEntry,
-    waves: tuple[int, ...] | None,
-) -> float:
+@dataclasses.dataclass(frozen=True, slots=True)
+class _JobTimes:
+    """What the ranks of all units of a job depend on.
+
+    Attributes:
+      queue: current configuration of its queue.
+      paths: work of its steps.
+      allowed_ms: longest duration with which the job is on time.
+    """
+
+    queue: model.Queue
+    paths: job_paths.Paths
+    allowed_ms: float
+
+
+def _job_times(
+    tables: tables_module.Tables, entry: progress.JobEntry, now_ms: int
+) -> _JobTimes:
     queue = tables.queue_of(entry.job)
-    critical_path_ms = tables.durations.critical_path_ms(entry.job, waves)
-    return queue.stretch * critical_path_ms + queue.objective_ms
+    waves = _waves(tables, entry)
+    paths = entry.paths
+    if paths is None or paths.waves != waves or now_ms >= paths.until_ms:
+        work_ms = tables.durations.all_expected_ms(entry.job)
+        paths = job_paths.compute(entry.job, work_ms, waves, now_ms)
+        entry.paths = paths
+    allowed_ms = queue.stretch * paths.critical_path_ms + queue.objective_ms
+    return _JobTimes(queue, paths, allowed_ms)
 
 
 def _counts_waves(tables: tables_module.Tables) -> bool:
@@ -225,6 +248,7 @@
     guaranteed: set[str],
     now_ms: int,
     waiting: int = 1,
+    times: _JobTimes | None = None,
 ) -> Rank:
     """Returns the unit's scheduling rank by stage, priority and due time.
 
@@ -234,13 +258,13 @@
       guaranteed: ids of the jobs that are covered by guarantees.
       now_ms: monotonic time.
       waiting: how many units of its step wait, including this one.
+      times: the times of its job, if they are known already.
     """
-    entry = unit.entry
-    queue = tables.queue_of(entry.job)
+    if times is None:
+        times = _job_times(tables, unit.entry, now_ms)
     clock_start_ms = _clock_start_ms(tables, unit, now_ms)
-    waves = _waves(tables, entry)
-    allowed_ms = _allowed_ms(tables, entry, waves)
-    remaining_ms = _remaining_work_ms(tables, unit, waves, waiting)
+    allowed_ms = times.allowed_ms
+    remaining_ms = _remaining_work_ms(tables, unit, times.paths, waiting)
     due_ms = clock_start_ms + allowed_ms - remaining_ms
     stage = Stage.ON_TIME
     if now_ms > due_ms:
@@ -251,12 +275,12 @@
         if now_ms > due_ms:
             stage = Stage.TOO_LATE
     return Rank(
-        entry.job.job_id in guaranteed,
+        unit.entry.job.job_id in guaranteed,
         stage,
-        queue.priority,
+        times.queue.priority,
         due_ms,
         remaining_ms / max(1.0, due_ms + remaining_ms - now_ms),
-        _preference(tables, queue),
+        _preference(tables, times.queue),
     )
 
 
@@ -288,7 +312,7 @@
 def _remaining_work_ms(
     tables: tables_module.Tables,
     unit: progress.Unit,
-    waves: tuple[int, ...] | None,
+    paths: job_paths.Paths,
     waiting: int,
 ) -> float:
     """Returns the expected duration of the longest path from this step.
@@ -296,36 +320,22 @@
     Args:
       tables: the leader's tables.
       unit: the unit that is next.
-      waves: in how many waves each step has to run, None if all in one.
+      paths: the work of its job.
       waiting: how many units of its step, including this one, have to run.
     """
-    job = unit.entry.job
-    ends: dict[int, float] = {}
-    for number in range(len(job.steps) - 1, unit.key.step - 1, -1):
-        later = [
-            ends[n]
-            for n in range(number + 1, len(job.steps))
-            if number in job.steps[n].after
-        ]
-        own = tables.durations.expected_ms(job, number)
-        if waves is not None:
-            own *= _waves_left(job, number, waves, unit, waiting)
-        ends[number] = own + max(later, default=0.0)
-    return ends[unit.key.step]
+    number = unit.key.step
+    own_ms = tables.durations.expected_ms(unit.entry.job, number)
+    if paths.waves is not None:
+        own_ms *= _waves_left(unit, paths.waves, waiting)
+    return own_ms + paths.later_ms[number]
 
 
 def _waves_left(
-    job: model.Job,
-    number: int,
-    waves: tuple[int, ...],
-    unit: progress.Unit,
-    waiting: int,
+    unit: progress.Unit, waves: tuple[int, ...], waiting: int
 ) -> int:
-    """Returns how many waves of a step have not started yet."""
-    if number != unit.key.step:
-        return waves[number]
+    """Returns how many waves of a unit's step have not started yet."""
     # Proportional to the tasks that are left.
-    return -(-waves[number] * waiting // job.steps[number].count)
+    return -(-waves[unit.key.step] * waiting // unit.step.count)
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
@@ -340,36 +350,148 @@
     rank: Rank
     units: tuple[progress.Unit, ...]
 
+    @property
+    def key(self) -> tuple[str, int, int]:
+        """Job, occurrence and number of the step."""
+        key = self.units[0].key
+        return (key.job_id, key.occurrence, key.step)
+
 
 def waiting_steps(
     tables: tables_module.Tables, guaranteed: set[str], now_ms: int
 ) -> list[WaitingStep]:
     """Returns the steps with units that may start now, in rank order."""
-    found = []
-    means = None
-    if standings.in_use(tables) or _counts_waves(tables):
-        tables.capacity.refresh(tables.endpoints, now_ms)
-    if tables.policy.delay_cost_order:
-        means = mean_core_s_by_queue(tables)
-    for entry in tables.entries_by_id.values():
-        if entry.state.final:
-            continue
-        for step_key in entry.open_steps:
-            units = tuple(
-                unit
-                for unit in entry.step_units(step_key)
-                if unit.state == progress.UnitState.WAITING
-                and unit.backoff_until_ms <= now_ms
-            )
+    ranking = Ranking(tables, guaranteed, now_ms)
+    for _ in ranking.chunks():
+        pass
+    return ranking.ordered(now_ms)
+
+
+class Ranking:
+    """Ranks the steps with units that may start now, a few at a time.
+
+    Of a job with very many such steps, only some are ranked; see
+    `passes.MAX_STEPS_PER_JOB`.
+
+    Attributes:
+      guaranteed: ids of the jobs that are covered by guarantees.
+      began_ms: monotonic time for which the steps are ranked.
+    """
+
+    def __init__(
+        self,
+        tables: tables_module.Tables,
+        guaranteed: set[str],
+        now_ms: int,
+        kept: Collection[tuple[str, int, int]] = (),
+    ):
+        """Prepares a ranking.
+
+        Args:
+          tables: the leader's tables.
+          guaranteed: ids of the jobs that are covered by guarantees.
+          now_ms: monotonic time.
+          kept: job, occurrence and number of steps that are not left out.
+        """
+        self.guaranteed = guaranteed
+        self._tables = tables
+        self.began_ms = now_ms
+        self._kept_by_job: dict[str, list[tuple[int, int]]] = {}
+        for job_id, occurrence, number in kept:
+            steps = self._kept_by_job.setdefault(job_id, [])
+            steps.append((occurrence, number))
+        self._found: list[tuple[tuple, WaitingStep]] = []
+        self._paused = False
+
+    def chunks(self) -> Iterator[None]:
+        """Ranks the steps; other work may be done after each chunk."""
+        tables = self._tables
+        means = None
+        if standings.in_use(tables) or _counts_waves(tables):
+            tables.capacity.refresh(tables.endpoints, self.began_ms)
+        if tables.policy.delay_cost_order:
+            means = mean_core_s_by_queue(tables)
+        ranked = 0
+        for entry in list(tables.entries_by_id.values()):
+            if entry.state.final or not entry.waiting_steps:
+                continue
+            self._rank_job(entry, means)
+            if len(self._found) - ranked >= passes.STEPS_PER_CHUNK:
+                ranked = len(self._found)
+                self._paused = True
+                yield
+
+    def ordered(self, now_ms: int) -> list[WaitingStep]:
+        """Returns the ranked steps in rank order.
+
+        Units that were started or cancelled since they were ranked are left
+        out.
+        """
+        self._found.sort(key=lambda found: found[0])
+        steps = [step for _, step in self._found]
+        if self._paused:
+            steps = _still_waiting(steps)
+        return _by_shares(self._tables, steps, now_ms)
+
+    def _rank_job(
+        self, entry: progress.JobEntry, means: dict[str, float] | None
+    ) -> None:
+        tables = self._tables
+        now_ms = self.began_ms
+        times = None
+        for step_key in entry.waiting_window(
+            passes.MAX_STEPS_PER_JOB,
+            self._kept_by_job.get(entry.job.job_id, ()),
+        ):
+            units = _waiting_units(entry, step_key, now_ms)
             if not units:
                 continue
-            step_rank = rank(tables, units[0], guaranteed, now_ms, len(units))
+            if times is None:
+                times = _job_times(tables, entry, now_ms)
+            step_rank = rank(
+                tables, units[0], self.guaranteed, now_ms, len(units), times
+            )
             if means is not None:
-                work = _waiting_work(tables, units, means, now_ms)
+                work = _waiting_work(tables, units, times, means, now_ms)
                 step_rank = dataclasses.replace(step_rank, work=work)
-            found.append(WaitingStep(step_rank, units))
-    found.sort(key=lambda step: (step.rank.sort_key(), step.units[0].key))
-    return _by_shares(tables, found, now_ms)
+            sort_key = (step_rank.sort_key(), units[0].key)
+            self._found.append((sort_key, WaitingStep(step_rank, units)))
+
+
+def _still_waiting(steps: list[WaitingStep]) -> list[WaitingStep]:
+    """Leaves out units that no longer wait."""
+    found = []
+    for step in steps:
+        if step.units[0].entry.state.final:
+            continue
+        units = tuple(
+            unit
+            for unit in step.units
+            if unit.state == progress.UnitState.WAITING
+        )
+        if not units:
+            continue
+        if len(units) < len(step.units):
+            step = dataclasses.replace(step, units=units)
+        found.append(step)
+    return found
+
+
+def _waiting_units(
+    entry: progress.JobEntry, step_key: tuple[int, int], now_ms: int
+) -> tuple[progress.Unit, ...]:
+    """Returns the units of a step that may start now.
+
+    A step of which none is waiting is no longer listed as such.
+    """
+    waiting = [
+        unit
+        for unit in entry.step_units(step_key)
+        if unit.state == progress.UnitState.WAITING
+    ]
+    if not waiting:
+        del entry.waiting_steps[step_key]
+    return tuple(unit for unit in waiting if unit.backoff_until_ms <= now_ms)
 
 
 def _by_shares(
@@ -445,15 +567,18 @@
     unit = run.unit
     own_ms = tables.durations.expected_ms(unit.entry.job, unit.key.step)
     left_ms = tables.durations.remaining_ms(run, now_ms)
-    waves = _waves(tables, unit.entry)
-    remaining_ms = _remaining_work_ms(tables, unit, waves, 1) - own_ms + left_ms
+    times = _job_times(tables, unit.entry, now_ms)
+    remaining_ms = (
+        _remaining_work_ms(tables, unit, times.paths, 1) - own_ms + left_ms
+    )
     core_s = unit.size * preemption.cores(unit.step.room) * left_ms / 1000
-    return _work(tables, unit, means, core_s, remaining_ms, waves, now_ms)
+    return _work(tables, unit, times, means, core_s, remaining_ms, now_ms)
 
 
 def _waiting_work(
     tables: tables_module.Tables,
     units: tuple[progress.Unit, ...],
+    times: _JobTimes,
     means: dict[str, float],
     now_ms: int,
 ) -> delay_cost.Work:
@@ -463,40 +588,35 @@
     of the job depends on the units that wait.
     """
     unit = units[0]
-    job = unit.entry.job
-    core_s = 0.0
-    for number in range(unit.key.step, len(job.steps)):
-        if (unit.key.occurrence, number) in unit.entry.done_steps:
-            continue
-        step = job.steps[number]
-        tasks = step.count
-        if number == unit.key.step:
-            tasks = sum(each.size for each in units)
-        work_ms = tables.durations.expected_ms(job, number)
-        core_s += tasks * preemption.cores(step.room) * work_ms / 1000
-    waves = _waves(tables, unit.entry)
-    remaining_ms = _remaining_work_ms(tables, unit, waves, len(units))
-    return _work(tables, unit, means, core_s, remaining_ms, waves, now_ms)
+    key = unit.key
+    paths = times.paths
+    tasks = sum(each.size for each in units)
+    core_s = tasks * paths.core_s[key.step] / unit.step.count
+    core_s += paths.later_core_s[key.step]
+    for number in unit.entry.done_after(key.occurrence, key.step):
+        core_s -= paths.core_s[number]
+    remaining_ms = _remaining_work_ms(tables, unit, paths, len(units))
+    return _work(
+        tables, unit, times, means, max(0.0, core_s), remaining_ms, now_ms
+    )
 
 
 def _work(
     tables: tables_module.Tables,
     unit: progress.Unit,
+    times: _JobTimes,
     means: dict[str, float],
     core_s: float,
     remaining_ms: float,
-    waves: tuple[int, ...] | None,
     now_ms: int,
 ) -> delay_cost.Work:
     entry = unit.entry
     job_core_s = declared_core_s(entry)
     mean_core_s = means.get(entry.job.queue.name, job_core_s)
-    allowed_ms = _allowed_ms(tables, entry, waves)
+    allowed_ms = times.allowed_ms
     end_ms = now_ms + remaining_ms - _clock_start_ms(tables, unit, now_ms)
     return delay_cost.Work(
-        delay_cost.value(
-            tables.queue_of(entry.job).priority, job_core_s, mean_core_s
-        ),
+        delay_cost.value(times.queue.priority, job_core_s, mean_core_s),
         core_s,
         remaining_ms,
         allowed_ms - end_ms,
--- a/packages/placer/src/laburnumgate_placer/overload/passes.py
+++ b/packages/placer/src/laburnumgate_placer/overload/passes.py
@@ -1,7 +1,9 @@
 """Limits on the work of one placement pass.
 
 Load pattern: thousands of tasks wait, and a pass that looks ahead for each of
-them occupies the process for longer than other hosts wait for a heartbeat.
+them occupies the process for longer than other hosts wait for a heartbeat. A
+job within the limit of a request body has thousands of steps or tasks. What a
+pass does therefore is bounded for each job, and in time for all of them.
 """
 
 # Maximum number of units of a pass for which the ends of running work and
@@ -16,6 +18,19 @@
 # How long such a search is not repeated while the usage of the account and its
 # limit stay the same. Runs may be stopped only some time after their start.
 DISPLACEMENT_VALID_MS = 300
+# Maximum number of steps of one job that a pass considers. Half of them change
+# with each pass, so that each step has its turn.
+MAX_STEPS_PER_JOB = 64
+# Number of steps that are ranked between two turns of the event loop.
+STEPS_PER_CHUNK = 200
+# Maximum number of units of a step that are placed without looking at the time.
+MAX_UNITS_AT_ONCE = 100
+# How long a pass places steps in rank order, and how long it then goes on with
+# those that have not had a turn for the longest time.
+RANKED_MS = 100
+OTHERS_MS = 30
+# Maximum number of stop orders that are begun after a pass.
+MAX_STOPS = 1_000
 # Minimum interval between passes, and minimum multiple of the duration of the
 # last pass that is left to renewals, orders and heartbeats.
 MIN_INTERVAL_MS = 4
--- a/packages/placer/src/laburnumgate_placer/progress.py
+++ b/packages/placer/src/laburnumgate_placer/progress.py
@@ -1,12 +1,15 @@
 """Progress of open jobs: units, their runs, and their serialization."""
 
+import bisect
 import collections
+from collections.abc import Collection
 import dataclasses
 import enum
 import itertools
 
 import orjson
 
+from laburnumgate_placer import job_paths
 from laburnumgate_placer import model
 
 # Number of tasks whose progress is one record. A task takes up to 1 KB, with
@@ -14,6 +17,9 @@
 TASKS_PER_PART = 200
 # Maximum number of avoided endpoints that are recorded of a unit.
 MAX_RECORDED_AVOIDED = 16
+# Maximum number of tasks of the unfinished occurrences of a job. Occurrences
+# that are due open once earlier ones have finished; one can always be open.
+MAX_OPEN_TASKS = 20_000
 
 
 class UnitState(enum.IntEnum):
@@ -215,6 +221,19 @@
         ]
 
 
+@dataclasses.dataclass(eq=False, slots=True)
+class _OpenOccurrence:
+    """State of an opened occurrence that has not finished.
+
+    Attributes:
+      missing: for each step, how many of the steps before it are not done.
+      done: the steps that are done, in ascending order.
+    """
+
+    missing: list[int]
+    done: list[int] = dataclasses.field(default_factory=list)
+
+
 @dataclasses.dataclass(eq=False, slots=True)
 class JobEntry:
     """Progress of an open job.
@@ -229,12 +248,22 @@
       open_steps: (occurrence, step) of opened steps that are not done.
       done_steps: (occurrence, step) of completed steps.
       next_occurrence: first occurrence that is not opened yet.
+      waiting_steps: opened steps of which a unit may be waiting, in the order
+        in which they are considered; the values are not used.
       declared_core_s: declared work of one occurrence, None until it was asked
         for.
       waves: in how many waves each step has to run, None for one; and the
         state of the pool and the limit that this was computed for.
       waves_failed: whether the waves could not be computed.
+      paths: work after each step, as of the last time it was computed.
       _units_by_step: units of the steps that were asked for.
+      _graph: dependencies between the steps, None until they are needed.
+      _open_by_occurrence: state of the unfinished opened occurrences.
+      _ready_steps: steps whose dependencies are done and that are not opened
+        yet.
+      _window_begin: where the moving half of the next window begins.
+      _left_by_step: number of units that are not done, of steps of which some
+        are.
     """
 
     job: model.Job
@@ -247,12 +276,27 @@
     open_steps: set[tuple[int, int]] = dataclasses.field(default_factory=set)
     done_steps: set[tuple[int, int]] = dataclasses.field(default_factory=set)
     next_occurrence: int = 0
+    waiting_steps: dict[tuple[int, int], None] = dataclasses.field(
+        default_factory=dict
+    )
     declared_core_s: float | None = None
     waves: tuple[object, tuple[int, ...] | None] = (None, None)
     waves_failed: bool = False
+    paths: job_paths.Paths | None = None
     _units_by_step: dict[tuple[int, int], list[Unit]] = dataclasses.field(
         default_factory=dict
     )
+    _graph: job_paths.Graph | None = None
+    _open_by_occurrence: dict[int, _OpenOccurrence] = dataclasses.field(
+        default_factory=dict
+    )
+    _ready_steps: list[tuple[int, int]] = dataclasses.field(
+        default_factory=list
+    )
+    _window_begin: int = 0
+    _left_by_step: dict[tuple[int, int], int] = dataclasses.field(
+        default_factory=dict
+    )
 
     def open_due_steps(self, unix_ms: int, now_ms: int) -> bool:
         """Opens steps that are due and whose dependencies are done.
@@ -260,23 +304,70 @@
         Returns:
           Whether any step was opened.
         """
-        opened = False
+        before = len(self.open_steps)
+        ready, self._ready_steps = self._ready_steps, []
+        self._open_all(ready, now_ms)
         while self.next_occurrence < self.job.occurrences:
             if self.job.due_ms(self.next_occurrence) > unix_ms:
                 break
+            if not self._has_room():
+                break
+            self._open_occurrence(self.next_occurrence, now_ms)
             self.next_occurrence += 1
-        for occurrence in range(self.next_occurrence):
-            for number, step in enumerate(self.job.steps):
-                step_key = (occurrence, number)
-                if step_key in self.open_steps or step_key in self.done_steps:
-                    continue
-                if any(
-                    (occurrence, n) not in self.done_steps for n in step.after
-                ):
-                    continue
-                self.open_step(step_key, now_ms)
-                opened = True
-        return opened
+        return len(self.open_steps) > before
+
+    def done_after(self, occurrence: int, number: int) -> list[int]:
+        """Returns the completed steps of an occurrence after a given one."""
+        opened = self._open_by_occurrence.get(occurrence)
+        if opened is None:
+            return []
+        return opened.done[bisect.bisect_right(opened.done, number) :]
+
+    def _steps_graph(self) -> job_paths.Graph:
+        if self._graph is None:
+            self._graph = job_paths.Graph(self.job)
+        return self._graph
+
+    def _has_room(self) -> bool:
+        """Whether another occurrence may be open; see `MAX_OPEN_TASKS`."""
+        most = max(1, MAX_OPEN_TASKS // self._steps_graph().tasks)
+        return len(self._open_by_occurrence) < most
+
+    def _open_occurrence(self, occurrence: int, now_ms: int) -> None:
+        """Opens the steps of an occurrence whose dependencies are done."""
+        graph = self._steps_graph()
+        opened = _OpenOccurrence(list(graph.counts))
+        for number in range(len(self.job.steps)):
+            if (occurrence, number) not in self.done_steps:
+                continue
+            opened.done.append(number)
+            for dependent in graph.dependents[number]:
+                opened.missing[dependent] -= 1
+        if len(opened.done) == len(self.job.steps):
+            return
+        self._open_by_occurrence[occurrence] = opened
+        self._open_all(
+            [
+                (occurrence, number)
+                for number, missing in enumerate(opened.missing)
+                if not missing
+            ],
+            now_ms,
+        )
+
+    def _open_all(self, step_keys: list[tuple[int, int]], now_ms: int) -> None:
+        """Opens steps; those that begin the longest paths wait in front."""
+        step_keys = [
+            step_key
+            for step_key in step_keys
+            if step_key not in self.open_steps
+            and step_key not in self.done_steps
+        ]
+        longest_ms = self._steps_graph().longest_ms
+        for step_key in sorted(step_keys, key=lambda k: -longest_ms[k[1]]):
+            self.waiting_steps.setdefault(step_key)
+        for step_key in step_keys:
+            self.open_step(step_key, now_ms)
 
     def finished(self) -> bool:
         """Whether all steps of all occurrences are done."""
@@ -285,13 +376,74 @@
 
     def mark_unit_done(self, unit: Unit) -> None:
         """Marks a unit as done, and its step if no other unit is left."""
-        unit.state = UnitState.DONE
         step_key = (unit.key.occurrence, unit.key.step)
-        for other in self.step_units(step_key):
-            if other.state != UnitState.DONE:
-                return
+        left = self._left_by_step.get(step_key)
+        if left is None:
+            left = sum(
+                1
+                for other in self.step_units(step_key)
+                if other.state != UnitState.DONE
+            )
+        if unit.state != UnitState.DONE:
+            unit.state = UnitState.DONE
+            left -= 1
+        if left > 0:
+            self._left_by_step[step_key] = left
+            return
+        self._left_by_step.pop(step_key, None)
         self.open_steps.discard(step_key)
+        if step_key in self.done_steps:
+            return
         self.done_steps.add(step_key)
+        self._release_dependents(*step_key)
+
+    def _release_dependents(self, occurrence: int, number: int) -> None:
+        """Marks the steps as ready that waited only for a completed one."""
+        opened = self._open_by_occurrence.get(occurrence)
+        if opened is None:
+            return
+        bisect.insort(opened.done, number)
+        if len(opened.done) == len(self.job.steps):
+            del self._open_by_occurrence[occurrence]
+            return
+        for dependent in self._steps_graph().dependents[number]:
+            opened.missing[dependent] -= 1
+            if not opened.missing[dependent]:
+                self._ready_steps.append((occurrence, dependent))
+
+    def mark_waiting(self, unit: Unit) -> None:
+        """Marks a unit as waiting to be placed."""
+        unit.state = UnitState.WAITING
+        self.waiting_steps.setdefault((unit.key.occurrence, unit.key.step))
+
+    def waiting_window(
+        self, most: int, kept: Collection[tuple[int, int]] = ()
+    ) -> list[tuple[int, int]]:
+        """Returns some of the steps of which a unit may be waiting.
+
+        The first half is the same with each call. The second half moves on
+        through the other steps, so that steps without room anywhere do not keep
+        those behind them waiting.
+
+        Args:
+          most: maximum number of steps.
+          kept: steps that are returned in addition, if they wait.
+        """
+        if len(self.waiting_steps) <= most:
+            return list(self.waiting_steps)
+        keys = list(self.waiting_steps)
+        half = most // 2
+        others = len(keys) - half
+        begin = self._window_begin % others
+        self._window_begin = begin + most - half
+        window = keys[:half]
+        for position in range(begin, begin + most - half):
+            window.append(keys[half + position % others])
+        found = set(window)
+        for step_key in kept:
+            if step_key in self.waiting_steps and step_key not in found:
+                window.append(step_key)
+        return window
 
     def step_units(self, step_key: tuple[int, int]) -> list[Unit]:
         """Returns the units of one step of one occurrence."""
@@ -325,6 +477,7 @@
         """Opens a step and adds those of its units that are missing."""
         step = self.job.steps[step_key[1]]
         self.open_steps.add(step_key)
+        self.waiting_steps.setdefault(step_key)
         indexes = [model.GANG_INDEX] if step.gang else range(step.count)
         for index in indexes:
             key = model.UnitKey(
@@ -507,7 +660,7 @@
     for unit in entry.units_by_key.values():
         # Its members were recorded by a later run, which was not started.
         if unit.state == UnitState.ACTIVE and unit.run is None:
-            unit.state = UnitState.WAITING
+            entry.mark_waiting(unit)
     entry.open_due_steps(unix_ms, now_ms)
     for part, content in contents.items():
         _restore_history(entry, parts, contents, part, content)
--- a/packages/placer/src/laburnumgate_placer/recorder.py
+++ b/packages/placer/src/laburnumgate_placer/recorder.py
@@ -9,6 +9,7 @@
 from laburnumgate_placer import lifecycle
 from laburnumgate_placer import metrics
 from laburnumgate_placer import model
+from laburnumgate_placer import pauses
 from laburnumgate_placer import ports
 from laburnumgate_placer import progress
 from laburnumgate_placer import records
@@ -86,7 +87,7 @@
             for endpoint_id, state in tables.endpoints.by_id.items()
             if state.handled_end > state.acked_end
         }
-        detail, states, dropped, digests_by_id = self._encode(job_ids)
+        detail, states, dropped, digests_by_id = await self._encode(job_ids)
         with metrics.RECORD_SECONDS.time():
             outcomes = await asyncio.gather(
                 self._append(topics.PROGRESS, detail),
@@ -163,7 +164,7 @@
         if isinstance(outcome, ports.Appended):
             self._digests_by_id[key] = digests
 
-    def _encode(
+    async def _encode(
         self, job_ids: set[str]
     ) -> tuple[
         list[bytes],
@@ -178,12 +179,17 @@
 
         The progress of an ended job is dropped only after its terminal state
         is stored; a leader that finds neither would start the job again.
+
+        Jobs may change during the pauses. They are then dirty again, and what
+        starts for them waits for the next flush.
         """
+        pause = pauses.Pauses(self._tables.monotonic)
         detail = []
         states = []
         dropped = []
         digests_by_id = {}
         for job_id in job_ids:
+            await pause.take()
             entry = self._tables.entries_by_id.get(job_id)
             if entry is None:
                 continue
--- a/packages/placer/src/laburnumgate_placer/scheduling.py
+++ b/packages/placer/src/laburnumgate_placer/scheduling.py
@@ -1,5 +1,6 @@
 """Placement pass: assigns waiting units to endpoints in rank order."""
 
+import asyncio
 import dataclasses
 import logging
 
@@ -15,8 +16,10 @@
 from laburnumgate_placer import progress
 from laburnumgate_placer import straggler_moves
 from laburnumgate_placer import tables as tables_module
+from laburnumgate_placer import turns
 from laburnumgate_placer import urgent_room
 from laburnumgate_placer.accounts import holds
+from laburnumgate_placer.overload import passes
 
 _LOGGER = logging.getLogger(__name__)
 
@@ -29,6 +32,21 @@
 ERROR_PAUSE_MS = 5_000
 
 
+@dataclasses.dataclass(frozen=True, slots=True)
+class PassTimes:
+    """What a placement pass took.
+
+    Attributes:
+      ranking_ms: time in which the waiting steps were ranked.
+      placing_ms: time in which they were placed.
+      steps: number of steps that were ranked.
+    """
+
+    ranking_ms: int = 0
+    placing_ms: int = 0
+    steps: int = 0
+
+
 class Scheduler:
     """Runs placement passes over the leader's tables."""
 
@@ -38,17 +56,46 @@
         self._holds = holds.AccountHolds(tables)
         self._room = urgent_room.UrgentRoom(tables)
         self._moves = straggler_moves.StragglerMoves(tables)
+        self.pass_times = PassTimes()
+        self._prepared: ordering.Ranking | None = None
+        self._turns = turns.Turns(tables.monotonic)
         self._moves_paused_until_ms = 0
         self._reported_steps: set[tuple[str, int, int]] = set()
 
+    async def prepare(self) -> None:
+        """Ranks the waiting steps for the next `run`, with pauses."""
+        ranking = self._ranking()
+        for _ in ranking.chunks():
+            await asyncio.sleep(0)
+        self._prepared = ranking
+
     def run(self) -> None:
         """Places units that fit and reclaims guaranteed capacity."""
+        ranking, self._prepared = self._prepared, None
+        if ranking is None:
+            ranking = self._ranking()
+            for _ in ranking.chunks():
+                pass
+        self._place_all(ranking)
+
+    def _ranking(self) -> ordering.Ranking:
         tables = self._tables
-        now_ms = tables.monotonic.now_ms()
         tables.durations.speeds.solve()
+        return ordering.Ranking(
+            tables,
+            ordering.guaranteed_jobs(tables),
+            tables.monotonic.now_ms(),
+            self._look_ahead.steps_with_reclaims(),
+        )
+
+    def _place_all(self, ranking: ordering.Ranking) -> None:
+        """Places the ranked units."""
+        tables = self._tables
+        now_ms = tables.monotonic.now_ms()
         pools: dict[str, pool_module.Pool] = {}
-        protected = ordering.guaranteed_jobs(tables)
-        waiting = ordering.waiting_steps(tables, protected, now_ms)
+        protected = ranking.guaranteed
+        waiting = ranking.ordered(now_ms)
+        steps = len(waiting)
         if any(step.rank.overdue for step in waiting):
             waiting = overdue_units.limit(tables, waiting)
         if not waiting:
@@ -70,7 +117,7 @@
                 and not self._holds.has_claim(step.units),
             )
         )
-        for step in waiting:
+        for step in self._turns.take(waiting):
             queue = tables.queue_of(step.units[0].entry.job)
             pool = pools.get(queue.service)
             if pool is None:
@@ -86,6 +133,10 @@
         self._room.end_pass(now_ms)
         if tables.policy.straggler_moves:
             self._move_stragglers(pools, protected, now_ms)
+        end_ms = tables.monotonic.now_ms()
+        self.pass_times = PassTimes(
+            now_ms - ranking.began_ms, end_ms - now_ms, steps
+        )
 
     def end_term(self) -> None:
         """Resets what the metrics of this host say of the term."""
@@ -142,7 +193,9 @@
             units = self._place_together(
                 pool, waiting.rank, units, protected, now_ms
             )
-        for unit in units:
+        for number, unit in enumerate(units):
+            if number and self._turns.over():
+                return
             placed = self._place(pool, waiting.rank, unit, protected, now_ms)
             if not placed and not self._look_ahead.reclaims_for((unit,)):
                 # The other units of the step need the same.
@@ -214,6 +267,26 @@
         units: list[progress.Unit],
         protected: set[str],
         now_ms: int,
+    ) -> list[progress.Unit]:
+        """Assigns equal units until none fits or the pass has to end.
+
+        Returns:
+          The units that have not been assigned.
+        """
+        for start in range(0, len(units), passes.MAX_UNITS_AT_ONCE):
+            some = units[start : start + passes.MAX_UNITS_AT_ONCE]
+            left = self._place_some(pool, rank, some, protected, now_ms)
+            if left or self._turns.over():
+                return left + units[start + len(some) :]
+        return []
+
+    def _place_some(
+        self,
+        pool: pool_module.Pool,
+        rank: ordering.Rank,
+        units: list[progress.Unit],
+        protected: set[str],
+        now_ms: int,
     ) -> list[progress.Unit]:
         """Assigns as many equal units as fit; returns the others.
 
