Handle the reports on a large gang in linear time

A gang of many tasks delayed the leader's heartbeats like a job of many steps: for each reported or ended task, the leader went through all tasks of its gang. Runs now find a member by the index of its task, count terminated members as they end, and a report asks once for each run whether all of it is running.

--- a/packages/placer/src/laburnumgate_placer/lifecycle.py
+++ b/packages/placer/src/laburnumgate_placer/lifecycle.py
@@ -369,12 +369,10 @@
     run = unit.run
     if run is None or run.number != row.run:
         return None
-    for member in run.members:
-        if member.terminated or member.task != row.task:
-            continue
-        if member.endpoint_id == endpoint_id:
-            return member
-    return None
+    member = run.member_of(row.task)
+    if member is None or member.terminated:
+        return None
+    return member if member.endpoint_id == endpoint_id else None
 
 
 def _complete_unit(
--- a/packages/placer/src/laburnumgate_placer/progress.py
+++ b/packages/placer/src/laburnumgate_placer/progress.py
@@ -98,7 +98,7 @@
 
     If `restored`, an earlier leader started it, and `started_ms` is the time of
     its restoration. If `overdue`, it was assigned before work that is worth
-    more, because its unit was overdue.
+    more, because its unit was overdue. Members are only ever added.
     """
 
     unit: "Unit"
@@ -114,9 +114,28 @@
         default_factory=dict
     )
 
+    # Number of members, from the first one on, that are known as terminated.
+    _terminated: int = 0
+    _member_by_index: dict[int, Member] = dataclasses.field(
+        default_factory=dict
+    )
+
     def all_terminated(self) -> bool:
         """Whether all members are terminated."""
-        return all(member.terminated for member in self.members)
+        members = self.members
+        while (
+            self._terminated < len(members)
+            and members[self._terminated].terminated
+        ):
+            self._terminated += 1
+        return self._terminated == len(members)
+
+    def member_of(self, task: model.TaskKey) -> Member | None:
+        """Returns the member that is this task, None if there is none."""
+        if len(self._member_by_index) != len(self.members):
+            self._member_by_index = {m.task.index: m for m in self.members}
+        member = self._member_by_index.get(task.index)
+        return member if member is not None and member.task == task else None
 
     def percent(self) -> int:
         """Returns the progress of the slowest member."""
--- a/packages/placer/src/laburnumgate_placer/reports.py
+++ b/packages/placer/src/laburnumgate_placer/reports.py
@@ -42,10 +42,13 @@
         state.handled_end = row.number
         lifecycle.apply_end(tables, state, row)
     rows = {(row.task, row.run): row for row in report.running}
+    whole_by_run: dict[int, bool] = {}
     for key, member in list(state.members.items()):
         row = rows.pop(key, None)
         if row is not None:
-            _update_member(tables, member, row, now_ms, observed_ms)
+            _update_member(
+                tables, member, row, now_ms, observed_ms, whole_by_run
+            )
             continue
         if (
             member.report_valid_from_ms
@@ -72,6 +75,7 @@
     row: model.ReportedRun,
     now_ms: int,
     observed_ms: int | None,
+    whole_by_run: dict[int, bool],
 ) -> None:
     if row.percent > member.percent:
         member.still_ms = 0
@@ -79,7 +83,7 @@
     elif (
         observed_ms is None
         or not member.present
-        or not _is_whole(tables, member.run)
+        or not _is_whole(tables, member.run, whole_by_run)
     ):
         member.still_ms = 0
     else:
@@ -103,12 +107,28 @@
         member.run.unit.checkpoint = row.checkpoint
 
 
-def _is_whole(tables: tables_module.Tables, run: progress.Run) -> bool:
+def _is_whole(
+    tables: tables_module.Tables,
+    run: progress.Run,
+    whole_by_run: dict[int, bool],
+) -> bool:
     """Whether all members of a run are known to be running.
 
     The members of a gang wait for each other at the start, and may do so while
     one of them is cut off.
+
+    Args:
+      tables: the leader's tables.
+      run: the run.
+      whole_by_run: answers for the same report, by the id of the run object;
+        updated.
     """
+    if id(run) not in whole_by_run:
+        whole_by_run[id(run)] = _all_running(tables, run)
+    return whole_by_run[id(run)]
+
+
+def _all_running(tables: tables_module.Tables, run: progress.Run) -> bool:
     if run.phase != progress.Phase.RUNNING:
         return False
     if len(run.members) == 1:
@@ -158,7 +178,5 @@
     unit = entry.unit_of(row.task) if entry else None
     if unit is None or unit.run is None or unit.run.number != row.run:
         return False
-    for member in unit.run.members:
-        if member.task == row.task:
-            return member.endpoint_id == state.info.endpoint_id
-    return False
+    member = unit.run.member_of(row.task)
+    return member is not None and member.endpoint_id == state.info.endpoint_id
--- a/packages/placer/tests/test_large_jobs.py
+++ b/packages/placer/tests/test_large_jobs.py
@@ -11,6 +11,7 @@
 from laburnumgate_placer import ordering
 from laburnumgate_placer import policy
 from laburnumgate_placer import progress
+from laburnumgate_placer import reports
 from laburnumgate_placer import scheduling
 from laburnumgate_placer import turns
 from laburnumgate_placer.overload import passes
@@ -250,6 +251,36 @@
     assert entry.next_occurrence == 1
 
 
+class _Members(_CountedReads, list):
+    """Members of a run that count how often one of them is read."""
+
+
+def test_reports_on_a_large_gang_read_each_member_a_few_times():
+    """Guards against reports that go through a whole gang for each task."""
+    tables = _tables(endpoints=0)
+    capacity = model.Resources(1_000_000, 1_000_000, _STEPS)
+    state = builders.add_endpoint(tables, "e1", capacity=capacity)
+    entry = _open(tables, (builders.step(_STEPS, gang=True),))
+    scheduling.Scheduler(tables).run()
+    (run,) = entry.runs()
+    run.members = members = _Members(run.members)
+    builders.start(tables, run)
+    rows = [builders.row(member) for member in run.members]
+    for clock_ms in (60_000, 60_500, 61_000):
+        tables.monotonic.advance(500)
+        now_ms = tables.monotonic.now_ms()
+        report = builders.report(state, *rows, clock_ms=clock_ms)
+        reports.apply(tables, state, report, now_ms)
+    ends = [
+        builders.end(member, number + 1, model.EndKind.DONE)
+        for number, member in enumerate(run.members)
+    ]
+    report = builders.report(state, ended=ends, clock_ms=61_500)
+    reports.apply(tables, state, report, now_ms)
+    assert entry.finished()
+    assert members.reads <= 30 * _STEPS
+
+
 class _SlowClock:
     """A clock that advances by 1 ms with each reading."""
 
