--- a/packages/placer/src/laburnumgate_placer/leader.py
+++ b/packages/placer/src/laburnumgate_placer/leader.py
@@ -40,8 +40,9 @@
 
 _LOGGER = logging.getLogger(__name__)
 
-# Maximum interval between placement passes. It is needed because occurrences
-# become due and jobs become late without any event.
+# Maximum interval between placement passes, and interval at which occurrences
+# that have become due are opened. Occurrences become due and jobs become late
+# without any event.
 MAX_PASS_INTERVAL_MS = 100
 RETRY_MS = 100
 # Endpoints write to the live list every 1.5 s, so more frequent reads only cost
@@ -405,15 +406,19 @@
 
     async def _placement_loop(self) -> None:
         tables = self.tables
+        opened_ms = 0
         while True:
             try:
                 async with asyncio.timeout(MAX_PASS_INTERVAL_MS / 1000):
                     await tables.wake.wait()
             except TimeoutError:
-                self._open_due_steps()
+                pass
             tables.wake.clear()
             self._check_leadership()
             began_ms = tables.monotonic.now_ms()
+            if began_ms - opened_ms >= MAX_PASS_INTERVAL_MS:
+                opened_ms = began_ms
+                self._open_due_steps()
             self._live_list.add_restarted()
             lifecycle.give_up_crashing(tables)
             await self._scheduler.prepare()
--- a/packages/placer/tests/test_leader.py
+++ b/packages/placer/tests/test_leader.py
@@ -1194,3 +1194,28 @@
         assert fences[:2] == [topics.PROGRESS, topics.JOBS]
 
     builders.run(work())
+
+
+def test_an_occurrence_that_becomes_due_starts_while_tasks_go_on_ending():
+    """Guards against timed jobs that never start on a busy leader."""
+
+    async def work():
+        system, host = await _start_system("e1")
+        tables = host.leader.tables
+
+        async def keep_busy():
+            while True:
+                tables.wake.set()
+                await asyncio.sleep(0.005)
+
+        busy = asyncio.create_task(keep_busy())
+        job = builders.job(
+            "a" * 16,
+            scheduled=True,
+            first_start_ms=tables.wall.now_ms() + 300,
+        )
+        await _submit(host, job)
+        await _wait_until(system.starts)
+        busy.cancel()
+
+    builders.run(work(), seconds=5)
