Limit the tasks of a job that wait for their start orders

Beside one job of 20,000 tasks that need no resources, small jobs started only after 30 s, or not within 30 s: all of the tasks fit at once, and the start orders of small jobs waited behind theirs. At most 500 tasks of a job are now assigned and not started; the others are placed as these start.

--- a/packages/placer/src/laburnumgate_placer/leader.py
+++ b/packages/placer/src/laburnumgate_placer/leader.py
@@ -490,7 +490,7 @@
             for run in runs:
                 await pause.take()
                 self._spawn_isolated(
-                    self._launcher.launch(run),
+                    self._launch(run),
                     functools.partial(
                         lifecycle.stop_run,
                         self.tables,
@@ -499,6 +499,12 @@
                     ),
                 )
 
+    async def _launch(self, run: progress.Run) -> None:
+        try:
+            await self._launcher.launch(run)
+        finally:
+            self.tables.end_launch(run)
+
     async def _save_speeds_loop(self) -> None:
         saved: dict[str, float] = {}
         while True:
--- a/packages/placer/src/laburnumgate_placer/overload/passes.py
+++ b/packages/placer/src/laburnumgate_placer/overload/passes.py
@@ -25,6 +25,10 @@
 STEPS_PER_CHUNK = 200
 # Maximum number of units of a step that are placed without looking at the time.
 MAX_UNITS_AT_ONCE = 100
+# Maximum number of tasks of one job that are assigned and not started yet. Few
+# start orders are sent at the same time, so that those of other jobs would wait
+# behind all of them.
+MAX_UNSTARTED_TASKS = 500
 # How long a pass places steps in rank order, and how long it then goes on with
 # those that have not had a turn for the longest time.
 RANKED_MS = 100
--- a/packages/placer/src/laburnumgate_placer/recorder.py
+++ b/packages/placer/src/laburnumgate_placer/recorder.py
@@ -81,7 +81,7 @@
         """
         tables = self._tables
         job_ids, tables.dirty = tables.dirty, set()
-        runs, tables.assigned_runs = tables.assigned_runs, []
+        runs = tables.take_assigned()
         ends_by_id = {
             endpoint_id: state.handled_end
             for endpoint_id, state in tables.endpoints.by_id.items()
--- a/packages/placer/src/laburnumgate_placer/scheduling.py
+++ b/packages/placer/src/laburnumgate_placer/scheduling.py
@@ -1,6 +1,7 @@
 """Placement pass: assigns waiting units to endpoints in rank order."""
 
 import asyncio
+import collections
 import dataclasses
 import logging
 
@@ -58,6 +59,8 @@
         self._moves = straggler_moves.StragglerMoves(tables)
         self.pass_times = PassTimes()
         self._prepared: ordering.Ranking | None = None
+        # Tasks assigned since the last records were written.
+        self._assigned_by_job: collections.Counter[str] = collections.Counter()
         self._turns = turns.Turns(tables.monotonic)
         self._moves_paused_until_ms = 0
         self._reported_steps: set[tuple[str, int, int]] = set()
@@ -93,6 +96,9 @@
         tables = self._tables
         now_ms = tables.monotonic.now_ms()
         pools: dict[str, pool_module.Pool] = {}
+        self._assigned_by_job.clear()
+        for run in tables.assigned_runs:
+            self._assigned_by_job[run.unit.key.job_id] += len(run.members)
         protected = ranking.guaranteed
         waiting = ranking.ordered(now_ms)
         steps = len(waiting)
@@ -187,6 +193,7 @@
         units = self._holds.admit(waiting, now_ms)
         if len(units) < len(waiting.units):
             self._hold_back(pool, waiting, units, protected, now_ms)
+        units = self._startable(units)
         if not units:
             return
         if self._independent(units[0]):
@@ -203,6 +210,17 @@
                     self._look_ahead.hold(pool, other)
                 return
 
+    def _startable(self, units: list[progress.Unit]) -> list[progress.Unit]:
+        """Leaves out units whose start orders would delay other jobs."""
+        if not units:
+            return units
+        job_id = units[0].key.job_id
+        unstarted = self._assigned_by_job[job_id]
+        unstarted += self._tables.launching_by_job[job_id]
+        room = passes.MAX_UNSTARTED_TASKS - unstarted
+        # A gang with more tasks starts by itself.
+        return units[: max(0, -(-room // units[0].size))]
+
     def _hold_back(
         self,
         pool: pool_module.Pool,
@@ -631,6 +649,7 @@
     ) -> None:
         pool.allocate(unit.step.charged, chosen)
         run = lifecycle.assign(self._tables, unit, chosen, tickets)
+        self._assigned_by_job[unit.key.job_id] += unit.size
         self._look_ahead.assigned(pool, run, now_ms)
 
 
--- a/packages/placer/src/laburnumgate_placer/tables.py
+++ b/packages/placer/src/laburnumgate_placer/tables.py
@@ -1,6 +1,7 @@
 """In-memory state of the leader, shared by its components."""
 
 import asyncio
+import collections
 
 from laburnumgate_core import clock
 
@@ -29,6 +30,8 @@
       entries_by_id: open jobs, and ended jobs that still have runs.
       dirty: ids of jobs with progress that is not recorded yet.
       assigned_runs: runs to start once their assignment is recorded.
+      launching_by_job: number of tasks, by job, that were assigned and whose
+        start is being recorded or ordered.
       pending_stops: members to stop.
       shares_paused_until_ms: monotonic time until which shares of accounts do
         not count in the order, after an error.
@@ -64,6 +67,7 @@
         self.entries_by_id: dict[str, progress.JobEntry] = {}
         self.dirty: set[str] = set()
         self.assigned_runs: list[progress.Run] = []
+        self.launching_by_job: collections.Counter[str] = collections.Counter()
         self.pending_stops: list[progress.Member] = []
         self.shares_paused_until_ms = 0
         self.wake = asyncio.Event()
@@ -78,6 +82,21 @@
             return job.queue
         return config.queues_by_name.get(job.queue.name, job.queue)
 
+    def take_assigned(self) -> list[progress.Run]:
+        """Returns the assigned runs; they count as launching from now on."""
+        runs, self.assigned_runs = self.assigned_runs, []
+        for run in runs:
+            self.launching_by_job[run.unit.key.job_id] += len(run.members)
+        return runs
+
+    def end_launch(self, run: progress.Run) -> None:
+        """Records that no more start orders of a taken run are to be sent."""
+        job_id = run.unit.key.job_id
+        self.launching_by_job[job_id] -= len(run.members)
+        if not self.launching_by_job[job_id]:
+            del self.launching_by_job[job_id]
+        self.wake.set()
+
     def mark_dirty(self, job_id: str) -> None:
         """Marks the progress of a job as not recorded."""
         self.dirty.add(job_id)
--- a/packages/placer/tests/test_large_jobs.py
+++ b/packages/placer/tests/test_large_jobs.py
@@ -251,6 +251,28 @@
     assert entry.next_occurrence == 1
 
 
+def test_a_bounded_number_of_tasks_of_a_job_waits_for_its_start():
+    """Guards against start orders of other jobs behind those of a large one.
+
+    Beside 20,000 tasks that need no resources, small jobs started after 30 s.
+    """
+    tables = _tables()
+    entry = _open(tables, (model.Step(4_000, model.Resources()),))
+    scheduler = scheduling.Scheduler(tables)
+    scheduler.run()
+    first = tables.take_assigned()
+    assert len(first) == passes.MAX_UNSTARTED_TASKS
+    scheduler.run()
+    assert not tables.assigned_runs
+    small = _open(tables, (builders.step(),), "f" * 16)
+    scheduler.run()
+    assert [run.unit.entry for run in tables.take_assigned()] == [small]
+    for run in first[:30]:
+        tables.end_launch(run)
+    scheduler.run()
+    assert [run.unit.entry for run in tables.assigned_runs] == [entry] * 30
+
+
 class _Members(_CountedReads, list):
     """Members of a run that count how often one of them is read."""
 
