Cancel no job as unknown without asking the log

A host decided by its view of the jobs, which may be 1.5 s old. That is allowed for a request for the state, but the answer to a cancellation is final. A host now reads the log before it answers that a job does not exist. If the log does not answer, or the submission of the job on this host is in doubt, the caller is told to repeat the call.

--- a/packages/placer/src/laburnumgate_placer/feed.py
+++ b/packages/placer/src/laburnumgate_placer/feed.py
@@ -163,6 +163,23 @@
             return False
         return True
 
+    async def confirm(self, timeout_ms: int) -> bool:
+        """Applies all records that were stored before the call.
+
+        Returns:
+          Whether that is certain; not if the log does not answer in time.
+        """
+        if not self.complete:
+            return False
+        until_ms = self._monotonic.now_ms() + timeout_ms
+        answer = await self._log.read(
+            self.topic, self.next_offset, wait_ms=0, timeout_ms=timeout_ms
+        )
+        if not isinstance(answer, ports.Batch):
+            return False
+        left_ms = max(0, until_ms - self._monotonic.now_ms())
+        return await self.wait_for_offset(answer.end_offset, left_ms)
+
     def age_ms(self) -> int:
         """Returns the time since all records were known to be applied."""
         return self._monotonic.now_ms() - self.fresh_ms
--- a/packages/placer/src/laburnumgate_placer/intake.py
+++ b/packages/placer/src/laburnumgate_placer/intake.py
@@ -45,6 +45,9 @@
 # How long a request for an unknown job waits for its record to be read.
 UNKNOWN_WAIT_MS = 200
 UNKNOWN_POLL_MS = 20
+# How long a cancellation of an unknown job waits until it is certain that the
+# job does not exist.
+CONFIRM_UNKNOWN_MS = 400
 # Maximum time after which an append without an answer may still be stored.
 DOUBT_MS = 20_000
 # How long a request for the state of a job waits for the latest records.
@@ -222,7 +225,13 @@
         """Cancels a job; returns `Accepted` only after that is stored."""
         job = await self._find(job_id, account)
         if job is None:
-            return self._unknown()
+            # The answer is final, unlike that to a request for the state.
+            refusal = await self._unconfirmed(job_id, wait_ms)
+            if refusal is not None:
+                return refusal
+            job = self._visible(job_id, account)
+        if job is None:
+            return NoSuchJob()
         if self._jobs.state(job_id).final:
             return Accepted()
         if self._submissions.stalled():
@@ -276,11 +285,35 @@
                 return None
             await asyncio.sleep(UNKNOWN_POLL_MS / 1000)
             waited_ms += UNKNOWN_POLL_MS
-        job = self._jobs.jobs_by_id[job_id]
-        if job.account and job.account != account:
+        return self._visible(job_id, account)
+
+    def _visible(self, job_id: str, account: str) -> model.Job | None:
+        """Returns a known job if the account may access it."""
+        job = self._jobs.jobs_by_id.get(job_id)
+        if job is None or (job.account and job.account != account):
             return None
         return job
 
+    async def _unconfirmed(
+        self, job_id: str, wait_ms: int
+    ) -> NotRun | MayHaveRun | None:
+        """Returns why a job may exist of which this host does not know.
+
+        Returns None if no such job was stored before the call, or if it is
+        known by now.
+        """
+        if job_id in self._jobs.jobs_by_id:
+            return None
+        timeout_ms = min(CONFIRM_UNKNOWN_MS, _confirm_ms(wait_ms))
+        if not await self._jobs_feed.confirm(timeout_ms):
+            return self._refuse(
+                job_id, "this host's view of the jobs is out of date"
+            )
+        if job_id in self._jobs.jobs_by_id:
+            return None
+        verdict = self.not_run(job_id, "its submission is in doubt")
+        return verdict if isinstance(verdict, MayHaveRun) else None
+
     def _unknown(self) -> NotRun | NoSuchJob:
         complete = self._jobs_feed.complete
         if complete and self._jobs_feed.age_ms() < self._bounds.visible_ms / 2:
--- a/packages/placer/tests/test_intake_rejections.py
+++ b/packages/placer/tests/test_intake_rejections.py
@@ -249,3 +249,52 @@
     """Guards against changed decisions where the setting is off."""
     host = _Host(setting=False)
     assert builders.run(host.submit(_job())) == [intake.Accepted()]
+
+
+async def _cancel(host, job_id, disturb):
+    """Cancels a job after a disturbance; returns the verdict."""
+    follow = asyncio.create_task(host.jobs_feed.run())
+    send = asyncio.create_task(host.submissions.run())
+    await host.jobs_feed.loaded.wait()
+    disturb()
+    verdict = await host.intake.cancel(job_id, "mina", 900)
+    follow.cancel()
+    send.cancel()
+    return verdict
+
+
+def test_a_cancellation_that_cannot_be_checked_is_not_answered_as_unknown():
+    """Guards against a job that runs on after its caller was told it is gone.
+
+    The log turned one host away, and another host had just accepted the job.
+    """
+    host = _Host()
+
+    def turn_away():
+        host.log.silent = True
+        record = records.encode(records.Submitted(_job()))
+        host.log.put(topics.JOBS, record)
+
+    verdict = builders.run(_cancel(host, "a" * 16, turn_away))
+    assert isinstance(verdict, intake.NotRun)
+
+
+def test_the_cancellation_of_a_job_in_doubt_is_not_answered_as_unknown():
+    """Guards against a submission that is stored after its cancellation."""
+    host = _Host()
+    host.report = None
+
+    async def work():
+        host.log.silent_appends.add(topics.JOBS)
+        (verdict,) = await host.submit(_job(), wait_ms=300)
+        assert isinstance(verdict, intake.MayHaveRun)
+        return await _cancel(host, "a" * 16, lambda: None)
+
+    assert isinstance(builders.run(work()), intake.MayHaveRun)
+
+
+def test_the_cancellation_of_a_job_that_does_not_exist_is_answered_so():
+    """Guards against callers that cancel an unknown job again and again."""
+    host = _Host()
+    verdict = builders.run(_cancel(host, "a" * 16, lambda: None))
+    assert verdict == intake.NoSuchJob()
