Record the upkeep of a machine before it is ordered

Cause: orders were sent without a check that this host still leads, and only upkeep that was done was recorded. What is ordered is now recorded first, in the topic that a successor fences: the record of a leader that was replaced fails, and nothing is ordered. A successor counts recorded orders as under way. It repeats them after `lease_ms`, so that two leaders do not order the same machine in turn. Earlier releases ignore the new key of the record.

--- a/packages/placer/src/laburnumgate_placer/leader.py
+++ b/packages/placer/src/laburnumgate_placer/leader.py
@@ -132,7 +132,7 @@
         self.tables.endpoints.list_age_ms = self._list_feed.age_ms
         self._tasks: set[asyncio.Task] = set()
         self._flush_due = asyncio.Event()
-        self._done_by_wave: dict[str, list[str]] = {}
+        self._recorded_waves: dict[str, list[str]] = {}
         # Endpoints that were found before all jobs were restored.
         self._unwatched: list[endpoint_table.EndpointState] = []
         self._long_pass_logged_ms = 0
@@ -175,7 +175,7 @@
                     self.tables,
                     self._recorder,
                     self._leadership.step_down,
-                    self._done_by_wave,
+                    self._recorded_waves,
                 )
                 self._spawn(upkeep.run())
             await self._wait_for_first_reports()
@@ -271,7 +271,9 @@
         tables = self.tables
         speeds = self._pop_content(topics.SPEEDS_KEY, progress_by_id)
         tables.durations.speeds.restore(speeds)
-        self._done_by_wave = self._pop_content(topics.WAVES_KEY, progress_by_id)
+        self._recorded_waves = self._pop_content(
+            topics.WAVES_KEY, progress_by_id
+        )
         restored: set[str] = set()
         while True:
             # Callers go on submitting jobs during the pauses.
--- a/packages/placer/src/laburnumgate_placer/maintainer.py
+++ b/packages/placer/src/laburnumgate_placer/maintainer.py
@@ -5,6 +5,7 @@
 
 from laburnumgate_placer import events
 from laburnumgate_placer import lifecycle
+from laburnumgate_placer import model
 from laburnumgate_placer import ports
 from laburnumgate_placer import recorder as recorder_module
 from laburnumgate_placer import services as services_module
@@ -26,7 +27,7 @@
         tables: tables_module.Tables,
         recorder: recorder_module.Recorder,
         on_fenced,
-        done_by_wave: dict[str, list[str]],
+        recorded: dict[str, list[str]],
     ):
         """Initialises the upkeep for one term of a leader.
 
@@ -36,35 +37,67 @@
           recorder: records progress and publishes the state of waves.
           on_fenced: callback for an order that is refused because a higher
             fencing token was used.
-          done_by_wave: machines whose upkeep was completed under earlier
-            leaders.
+          recorded: upkeep that earlier leaders recorded.
         """
         self._services = services
         self._tables = tables
         self._recorder = recorder
         self._on_fenced = on_fenced
-        self._waves = upkeep.UpkeepTable(tables, done_by_wave)
+        self._waves = upkeep.UpkeepTable(tables, recorded)
         self._confirmed: set[tuple[int, str]] = set()
+        self._saved: dict[str, list[str]] = {}
+        # Upkeep that this leader ordered. What a predecessor ordered is not
+        # ordered again while that leader may still do so.
+        self._ordered: set[tuple[int, str]] = set()
+        self._repeat_from_ms = (
+            tables.monotonic.now_ms() + tables.bounds.lease_ms
+        )
 
     async def run(self) -> None:
         """Processes all waves until cancelled."""
-        tables = self._tables
-        saved: dict[str, list[str]] = {}
         while True:
-            waves = tables.config.waves_by_number
+            waves = self._tables.config.waves_by_number
             if waves:
-                for action in self._waves.plan(waves):
-                    await self._perform(action)
-                await self._check_ordered()
-                done = self._waves.dump()
-                if done != saved:
-                    await self._recorder.save_waves(done)
-                    saved = done
-                tables.endpoints.emptying_machines = (
-                    self._waves.emptying_machines()
-                )
+                await self._advance(waves)
             await asyncio.sleep(PASS_INTERVAL_MS / 1000)
 
+    async def _advance(self, waves: dict[int, model.Wave]) -> None:
+        actions = self._waves.plan(waves)
+        if not await self._record_orders(actions):
+            return
+        for action in actions:
+            await self._perform(action)
+        await self._check_ordered()
+        await self._record()
+        self._tables.endpoints.emptying_machines = (
+            self._waves.emptying_machines()
+        )
+
+    async def _record_orders(self, actions: list[upkeep.Action]) -> bool:
+        """Records the upkeep that is about to be ordered.
+
+        A machine may be down from the order on, whether or not it is answered.
+        The record fails if another leader has taken over.
+
+        Returns:
+          Whether the orders may be sent.
+        """
+        for action in actions:
+            if isinstance(action, upkeep.OrderUpkeep):
+                self._waves.mark_ordered(action.wave, action.machine)
+        return await self._record()
+
+    async def _record(self) -> bool:
+        """Records the state of all waves, if it has changed."""
+        machines_by_key = self._waves.dump()
+        if machines_by_key == self._saved:
+            return True
+        if not await self._recorder.save_waves(machines_by_key):
+            self._on_fenced("its records of upkeep were refused")
+            return False
+        self._saved = machines_by_key
+        return True
+
     async def _perform(self, action: upkeep.Action) -> None:
         match action:
             case upkeep.StopRun(run):
@@ -85,8 +118,7 @@
                 await self._order_upkeep(wave, machine)
 
     async def _order_upkeep(self, wave: int, machine: str) -> None:
-        # The machine may be down from now on, whether or not the call succeeds.
-        self._waves.mark_ordered(wave, machine)
+        self._ordered.add((wave, machine))
         answer = await self._services.machines.upkeep(
             machine, wave, self._tables.token, timeout_ms=CALL_TIMEOUT_MS
         )
@@ -121,7 +153,10 @@
         if isinstance(rows, ports.Unknown):
             return
         up_by_machine = {row.machine: row.up for row in rows}
+        may_repeat = self._tables.monotonic.now_ms() >= self._repeat_from_ms
         for wave, machine in ordered:
+            if not may_repeat and (wave, machine) not in self._ordered:
+                continue
             up = up_by_machine.get(machine)
             if up and (wave, machine) in self._confirmed:
                 self._waves.mark_done(wave, machine)
--- a/packages/placer/src/laburnumgate_placer/recorder.py
+++ b/packages/placer/src/laburnumgate_placer/recorder.py
@@ -128,14 +128,21 @@
         ]
         await self._save_parts(topics.SPEEDS_KEY, contents)
 
-    async def save_waves(self, done_by_wave: dict[str, list[str]]) -> None:
-        """Records the maintained machines of each wave for the next leader."""
+    async def save_waves(self, machines_by_key: dict[str, list[str]]) -> bool:
+        """Records the machines of each wave for the next leader.
+
+        Args:
+          machines_by_key: content as of `upkeep.UpkeepTable.dump`.
+
+        Returns:
+          Whether it is stored; not if another leader has taken over.
+        """
         contents = []
-        for wave, machines in done_by_wave.items():
+        for key, machines in machines_by_key.items():
             for start in range(0, len(machines), ENTRIES_PER_PART):
                 part = machines[start : start + ENTRIES_PER_PART]
-                contents.append({wave: part})
-        await self._save_parts(topics.WAVES_KEY, contents)
+                contents.append({key: part})
+        return await self._save_parts(topics.WAVES_KEY, contents)
 
     async def drop(self, job_ids: list[str]) -> None:
         """Removes expired jobs from the jobs topic."""
@@ -148,8 +155,11 @@
                 self._recorded_by_id.pop(job_id, None)
             await self._append(topics.JOBS, dropped)
 
-    async def _save_parts(self, key: str, contents: list[dict]) -> None:
-        """Records the parts of a content that is not of a job."""
+    async def _save_parts(self, key: str, contents: list[dict]) -> bool:
+        """Records the parts of a content that is not of a job.
+
+        Returns whether they are stored.
+        """
         value_by_part = {
             part: orjson.dumps(content) for part, content in enumerate(contents)
         }
@@ -161,8 +171,10 @@
             if known.get(part) != digests.get(part)
         ]
         outcome = await self._append(topics.PROGRESS, changed)
-        if isinstance(outcome, ports.Appended):
+        stored = isinstance(outcome, ports.Appended)
+        if stored:
             self._digests_by_id[key] = digests
+        return stored
 
     async def _encode(
         self, job_ids: set[str]
--- a/packages/placer/src/laburnumgate_placer/upkeep.py
+++ b/packages/placer/src/laburnumgate_placer/upkeep.py
@@ -64,18 +64,24 @@
 class UpkeepTable:
     """Waves in progress during one term of a leader.
 
-    A new leader orders the upkeep of machines again if it is not recorded as
-    done. An upkeep that was completed is then confirmed without a second one.
+    Upkeep is recorded before it is ordered. For a new leader, what was ordered
+    and is not recorded as done is under way, and is ordered again. An upkeep
+    that was completed is then confirmed without a second one.
     """
 
     def __init__(
         self,
         tables: tables_module.Tables,
-        done_by_wave: dict[str, list[str]] | None = None,
+        recorded: dict[str, list[str]] | None = None,
     ):
-        """Initialises the table with upkeep recorded by earlier leaders."""
+        """Initialises the table.
+
+        Args:
+          tables: the leader's tables.
+          recorded: what `dump` of earlier leaders returned.
+        """
         self._tables = tables
-        self._done_by_wave = done_by_wave or {}
+        self._recorded = recorded or {}
         self._progress_by_wave: dict[int, _WaveProgress] = {}
 
     def plan(self, waves: dict[int, model.Wave]) -> list[Action]:
@@ -91,21 +97,27 @@
                     dict.fromkeys(wave.machines, MachineState.WAITING),
                     {},
                 )
-                for machine in self._done_by_wave.get(str(wave.number), ()):
-                    wave_progress.state_by_machine[machine] = MachineState.DONE
+                for key, state in _recorded_states(wave.number):
+                    for machine in self._recorded.get(key, ()):
+                        wave_progress.state_by_machine[machine] = state
                 self._progress_by_wave[wave.number] = wave_progress
             actions.extend(self._plan_wave(wave_progress, now_ms))
         return actions
 
     def dump(self) -> dict[str, list[str]]:
-        """Returns the machines whose upkeep is done, by wave."""
+        """Returns the machines whose upkeep was ordered or is done.
+
+        The key of those that are done is the number of the wave, as in earlier
+        releases, which ignore other keys.
+        """
         return {
-            str(number): [
+            key: [
                 machine
                 for machine, state in wave_progress.state_by_machine.items()
-                if state == MachineState.DONE
+                if state == wanted
             ]
             for number, wave_progress in self._progress_by_wave.items()
+            for key, wanted in _recorded_states(number)
         }
 
     def emptying_machines(self) -> set[str]:
@@ -219,6 +231,14 @@
         return len(state.members) if state is not None else 0
 
 
+def _recorded_states(number: int) -> list[tuple[str, MachineState]]:
+    """Returns the keys of a wave in records, and what they list."""
+    return [
+        (str(number), MachineState.DONE),
+        (f"{number}/ordered", MachineState.ORDERED),
+    ]
+
+
 def may_interrupt(unit: progress.Unit) -> bool:
     """Whether a long-running unit may be stopped within `may_miss`."""
     step_key = (unit.key.occurrence, unit.key.step)
--- a/packages/placer/tests/test_maintainer.py
+++ b/packages/placer/tests/test_maintainer.py
@@ -26,27 +26,36 @@
 
 
 class _Recorder:
-    def __init__(self):
+    """Records of a leader; they are refused if another one has taken over."""
+
+    def __init__(self, *, fenced=False):
         self.published = []
+        self.saved = {}
+        self._fenced = fenced
 
     async def publish(self, key, value):
         self.published.append(value)
         return True
 
-    async def save_waves(self, done):
-        return
+    async def save_waves(self, machines_by_key):
+        if self._fenced:
+            return False
+        self.saved = machines_by_key
+        return True
 
 
-async def _carry_out(machines, passes):
+async def _carry_out(
+    machines, passes, recorder=None, recorded=None, of_wave=("m1",)
+):
     tables = builders.tables()
-    tables.config.set_wave(1, model.Wave(1, ("m1",), 20_000, 1))
-    recorder = _Recorder()
+    tables.config.set_wave(1, model.Wave(1, of_wave, 20_000, 1))
+    recorder = recorder or _Recorder()
     services = types.SimpleNamespace(
         machines=machines,
         encode_wave_state=lambda wave, completed: (str(wave), completed),
     )
     work = maintainer.Maintainer(
-        services, tables, recorder, lambda reason: None, {}
+        services, tables, recorder, lambda reason: None, recorded or {}
     )
     task = asyncio.create_task(work.run())
     await asyncio.sleep((passes - 0.5) * maintainer.PASS_INTERVAL_MS / 1000)
@@ -68,3 +77,41 @@
     machines = _Machines([], ports.UpkeepRefusal.NO_MACHINE)
     published = builders.run(_carry_out(machines, 4))
     assert published == [False, True]
+
+
+def test_a_leader_that_was_replaced_orders_no_upkeep():
+    """Guards against an order beside those of the successor.
+
+    A leader that froze orders the upkeep of a machine when it wakes, before it
+    reads that another host leads.
+    """
+    machines = _Machines(["m1"], ports.Done(0))
+    builders.run(_carry_out(machines, 3, _Recorder(fenced=True)))
+    assert not machines.orders
+
+
+def test_an_upkeep_is_recorded_before_it_is_ordered():
+    """Guards against a successor that does not know which machines are down."""
+    recorder = _Recorder()
+    saved = []
+
+    class Machines(_Machines):
+        async def upkeep(self, machine, wave, fencing_token, *, timeout_ms):
+            saved.append(dict(recorder.saved))
+            return ports.Unknown("lost")
+
+    builders.run(_carry_out(Machines(["m1"], None), 2, recorder))
+    assert saved[0] == {"1": [], "1/ordered": ["m1"]}
+
+
+def test_an_upkeep_of_the_predecessor_counts_as_under_way():
+    """Guards against two machines that are down where one may be.
+
+    The leader was stopped while a machine was down, and its successor ordered
+    the upkeep of another one.
+    """
+    machines = _Machines([], ports.Done(0))
+    recorded = {"1": [], "1/ordered": ["m2"]}
+    work = _carry_out(machines, 4, recorded=recorded, of_wave=("m1", "m2"))
+    builders.run(work)
+    assert "m1" not in machines.orders
