Keep to may_miss when several machines go down at once

Whether a task may be stopped was asked for all machines before the first stop was carried out. It is asked again for each stop.

The new test fails before the change: three of three tasks are stopped where one may be.

--- a/packages/placer/src/laburnumgate_placer/maintainer.py
+++ b/packages/placer/src/laburnumgate_placer/maintainer.py
@@ -101,6 +101,11 @@
     async def _perform(self, action: upkeep.Action) -> None:
         match action:
             case upkeep.StopRun(run):
+                # Other stops may have been carried out since it was planned.
+                if run.unit.step.long_running and not upkeep.may_interrupt(
+                    run.unit
+                ):
+                    return
                 lifecycle.stop_run(
                     self._tables, run, "its machine is due for upkeep"
                 )
--- a/packages/placer/tests/test_maintainer.py
+++ b/packages/placer/tests/test_maintainer.py
@@ -4,9 +4,11 @@
 import types
 
 import builders
+from laburnumgate_placer import lifecycle
 from laburnumgate_placer import maintainer
 from laburnumgate_placer import model
 from laburnumgate_placer import ports
+from laburnumgate_placer import progress
 
 
 class _Machines:
@@ -115,3 +117,35 @@
     work = _carry_out(machines, 4, recorded=recorded, of_wave=("m1", "m2"))
     builders.run(work)
     assert "m1" not in machines.orders
+
+
+def test_a_wave_stops_only_as_many_lasting_tasks_as_may_miss_permits():
+    """Guards against a service without tasks while several machines go down."""
+
+    async def work():
+        tables = builders.tables()
+        step = builders.step(3, long_running=True, may_miss=1)
+        entry = lifecycle.open_job(tables, builders.job("a" * 16, step))
+        for number, unit in enumerate(entry.units_by_key.values()):
+            name = f"e{number}"
+            builders.add_endpoint(tables, name, machine=f"m{number}")
+            builders.start(tables, lifecycle.assign(tables, unit, [name]))
+            unit.run.members[0].percent = 100
+        tables.config.set_wave(1, model.Wave(1, ("m0", "m1", "m2"), 20_000, 3))
+        services = types.SimpleNamespace(
+            machines=_Machines([], ports.Done(0)),
+            encode_wave_state=lambda wave, completed: (str(wave), completed),
+        )
+        task = asyncio.create_task(
+            maintainer.Maintainer(
+                services, tables, _Recorder(), lambda reason: None, {}
+            ).run()
+        )
+        await asyncio.sleep(0.05)
+        tables.monotonic.advance(10_000)
+        await asyncio.sleep(2 * maintainer.PASS_INTERVAL_MS / 1000)
+        task.cancel()
+        phases = [run.phase for run in entry.runs()]
+        assert phases.count(progress.Phase.STOPPING) == 1
+
+    builders.run(work())
