--- a/packages/placer/tests/test_leader.py
+++ b/packages/placer/tests/test_leader.py
@@ -1219,3 +1219,53 @@
         busy.cancel()
 
     builders.run(work(), seconds=5)
+
+
+def test_a_restart_in_the_dark_is_found_soon_while_an_order_is_in_doubt():
+    """Guards against a delayed start order that runs a task again.
+
+    The endpoint restarts while it cannot be reached, and the order arrives half
+    a second after it is back.
+    """
+
+    async def work():
+        system, host = await _start_system("e1")
+        worker = system.worker("e1")
+        states = host.leader.tables.endpoints.by_id
+        await _wait_until(lambda: states["e1"].contacted)
+        worker.drop_answers = True
+        await _submit(host, builders.job("a" * 16, builders.step(gpu=8)))
+        await _wait_until(lambda: worker.starts)
+        order = worker.starts[0]
+        await asyncio.sleep(0.2)
+        worker.drop_answers = False
+        entry = host.leader.tables.entries_by_id["a" * 16]
+        await _wait_until(
+            lambda: any(
+                run.phase == progress.Phase.RUNNING for run in entry.runs()
+            )
+        )
+        worker.end_all()
+        await _wait_until(lambda: worker.acked == worker.next_end - 1)
+        worker.partitioned = True
+        worker.restart()
+        await _wait_until(lambda: not states["e1"].answering)
+        began = asyncio.Event()
+        renew = system.workers.renew
+
+        def renew_in_the_dark(*args, **kwargs):
+            began.set()
+            return renew(*args, **kwargs)
+
+        system.workers.renew = renew_in_the_dark
+        await began.wait()
+        # The call that has just begun is not answered any more.
+        await asyncio.sleep(0.01)
+        worker.partitioned = False
+        await asyncio.sleep(0.5)
+        answer = await system.workers.start(
+            builders.endpoint("e1"), order, timeout_ms=100
+        )
+        assert answer == ports.Refused(ports.Refusal.SUPERSEDED, 1_000)
+
+    builders.run(work())
