Let fewer tasks of a job wait for their start orders

The tests of large jobs now take assigned runs as the leader does: two of them never ended with the lower limit, as their 400 tasks were never started.

--- a/packages/placer/src/laburnumgate_placer/overload/passes.py
+++ b/packages/placer/src/laburnumgate_placer/overload/passes.py
@@ -28,7 +28,7 @@
 # Maximum number of tasks of one job that are assigned and not started yet. Few
 # start orders are sent at the same time, so that those of other jobs would wait
 # behind all of them.
-MAX_UNSTARTED_TASKS = 500
+MAX_UNSTARTED_TASKS = 200
 # How long a pass places steps in rank order, and how long it then goes on with
 # those that have not had a turn for the longest time.
 RANKED_MS = 100
--- a/packages/placer/tests/test_large_jobs.py
+++ b/packages/placer/tests/test_large_jobs.py
@@ -82,7 +82,9 @@
 
 
 def _end_all(tables, entry) -> int:
-    """Ends all running tasks as done and returns their number."""
+    """Starts and ends all assigned tasks, and returns their number."""
+    for run in tables.take_assigned():
+        tables.end_launch(run)
     runs = entry.runs()
     for number, run in enumerate(runs):
         builders.start(tables, run)
