--- a/packages/placer/src/laburnumgate_placer/job_paths.py
+++ b/packages/placer/src/laburnumgate_placer/job_paths.py
@@ -10,9 +10,9 @@
 from laburnumgate_placer import model
 from laburnumgate_placer.overload import preemption
 
-# Paths of a job with this many steps and dependencies are kept for 1 ms, those
-# of larger jobs for longer in proportion, so that a job of any size takes about
-# the same small part of the leader's time.
+# Number of steps and dependencies for which the paths of a job are kept for
+# 1 ms. Those of larger jobs are kept for longer, so that a job of any size
+# takes about the same small part of the leader's time.
 KEPT_PER_MS = 10
 
 
@@ -90,10 +90,11 @@
             own_ms * count for own_ms, count in zip(work_ms, waves, strict=True)
         ]
     later_ms = _later_ms(job, work_ms)
-    size = len(steps) + sum(len(step.after) for step in steps)
+    dependencies = sum(len(step.after) for step in steps)
+    kept_ms = (len(steps) + dependencies) // KEPT_PER_MS
     return Paths(
         waves,
-        now_ms + size // KEPT_PER_MS,
+        now_ms + kept_ms,
         max(map(sum, zip(work_ms, later_ms, strict=True))),
         later_ms,
         core_s,
--- a/packages/placer/src/laburnumgate_placer/load_reports.py
+++ b/packages/placer/src/laburnumgate_placer/load_reports.py
@@ -42,14 +42,14 @@
             pass
     waiting = ranking.ordered(now_ms)
     waiting = _within_limits(tables, waiting)
-    parts = _parts_in_window(tables, waiting)
+    ranked_parts = _ranked_parts(tables, waiting)
     demands_by_service: dict[str, list[admission.Demand]] = {}
     ranked_by_service: dict[str, list[ranked_backlog.Demand]] = {}
     for step in waiting:
         unit = step.units[0]
         work_ms = tables.durations.expected_ms(unit.entry.job, unit.key.step)
         tasks = sum(each.size for each in step.units)
-        tasks = round(tasks / parts.get(unit.key.job_id, 1.0))
+        tasks = round(tasks / ranked_parts.get(unit.key.job_id, 1.0))
         core_s = tasks * reclaim.task_cores(unit.step) * work_ms / 1000
         service = tables.queue_of(unit.entry.job).service
         loss = _loss(step.rank)
@@ -82,10 +82,10 @@
     )
 
 
-def _parts_in_window(
+def _ranked_parts(
     tables: tables_module.Tables, waiting: list[ordering.WaitingStep]
 ) -> dict[str, float]:
-    """Returns which part of its waiting steps is ranked, for large jobs.
+    """Returns which part of the waiting steps of each large job was ranked.
 
     The steps of such a job that were left out count as equal to the others,
     unless a limit of its account holds them back.
--- a/packages/placer/src/laburnumgate_placer/scheduling.py
+++ b/packages/placer/src/laburnumgate_placer/scheduling.py
@@ -59,7 +59,7 @@
         self._moves = straggler_moves.StragglerMoves(tables)
         self.pass_times = PassTimes()
         self._prepared: ordering.Ranking | None = None
-        # Tasks assigned since the last records were written.
+        # Number of assigned tasks whose records are not being written yet.
         self._assigned_by_job: collections.Counter[str] = collections.Counter()
         self._turns = turns.Turns(tables.monotonic)
         self._moves_paused_until_ms = 0
@@ -101,7 +101,7 @@
             self._assigned_by_job[run.unit.key.job_id] += len(run.members)
         protected = ranking.guaranteed
         waiting = ranking.ordered(now_ms)
-        steps = len(waiting)
+        ranked_steps = len(waiting)
         if any(step.rank.overdue for step in waiting):
             waiting = overdue_units.limit(tables, waiting)
         if not waiting:
@@ -141,7 +141,7 @@
             self._move_stragglers(pools, protected, now_ms)
         end_ms = tables.monotonic.now_ms()
         self.pass_times = PassTimes(
-            now_ms - ranking.began_ms, end_ms - now_ms, steps
+            now_ms - ranking.began_ms, end_ms - now_ms, ranked_steps
         )
 
     def end_term(self) -> None:
@@ -218,7 +218,7 @@
         unstarted = self._assigned_by_job[job_id]
         unstarted += self._tables.launching_by_job[job_id]
         room = passes.MAX_UNSTARTED_TASKS - unstarted
-        # A gang with more tasks starts by itself.
+        # Rounded up, as a gang may have more tasks than the limit.
         return units[: max(0, -(-room // units[0].size))]
 
     def _hold_back(
--- a/packages/placer/src/laburnumgate_placer/turns.py
+++ b/packages/placer/src/laburnumgate_placer/turns.py
@@ -19,8 +19,7 @@
     def __init__(self, monotonic: clock.Clock):
         self._monotonic = monotonic
         self._until_ms = 0
-        # Job, occurrence and number of the steps that were tried since all of
-        # them were tried the last time.
+        # Keys of the steps that were tried out of order since all of them were.
         self._tried: set[tuple[str, int, int]] = set()
 
     def over(self) -> bool:
