Let as many tasks of a job start as orders can be under way

With a limit of 200, a step of 300 tasks filled only 200 of the 256 places of an idle pool in one pass; two tests of headroom failed. The limit is now the number of start orders that can be under way at the same time, 256.

--- a/packages/placer/src/laburnumgate_placer/overload/passes.py
+++ b/packages/placer/src/laburnumgate_placer/overload/passes.py
@@ -6,6 +6,8 @@
 pass does therefore is bounded for each job, and in time for all of them.
 """
 
+from laburnumgate_placer.overload import dispatch
+
 # Maximum number of units of a pass for which the ends of running work and
 # possible stops are searched. The others wait for a later pass.
 MAX_LOOKAHEADS = 6
@@ -25,10 +27,10 @@
 STEPS_PER_CHUNK = 200
 # Maximum number of units of a step that are placed without looking at the time.
 MAX_UNITS_AT_ONCE = 100
-# Maximum number of tasks of one job that are assigned and not started yet. Few
-# start orders are sent at the same time, so that those of other jobs would wait
-# behind all of them.
-MAX_UNSTARTED_TASKS = 200
+# Maximum number of tasks of one job that are assigned and not started yet: as
+# many as start orders can be under way. Those of other jobs would wait behind
+# more of them.
+MAX_UNSTARTED_TASKS = dispatch.MAX_CALLS
 # How long a pass places steps in rank order, and how long it then goes on with
 # those that have not had a turn for the longest time.
 RANKED_MS = 100
