--- a/packages/placer/src/laburnumgate_placer/watcher.py
+++ b/packages/placer/src/laburnumgate_placer/watcher.py
@@ -25,11 +25,6 @@
 # restart breaks the renewal that waits meanwhile.
 CURSOR_VALID_MS = RENEW_WAIT_MS + ANSWER_MARGIN_MS
 BACKOFF_MS = 150
-# The same times while an order without an answer may still be carried out: a
-# restart has to be found before the new incarnation does so.
-IN_DOUBT_WAIT_MS = 150
-IN_DOUBT_MARGIN_MS = 250
-IN_DOUBT_BACKOFF_MS = 50
 # Renewal interval while a stop or an acknowledgement is pending.
 FAST_POLL_INTERVAL_MS = 20
 # Interval at which an endpoint that needs no renewal is checked again.
@@ -83,9 +78,7 @@
                 continue
             if not await self._renew_or_log():
                 self._expire_runs()
-                in_doubt = bool(state.unconfirmed_starts)
-                pause_ms = IN_DOUBT_BACKOFF_MS if in_doubt else BACKOFF_MS
-                await asyncio.sleep(pause_ms / 1000)
+                await asyncio.sleep(BACKOFF_MS / 1000)
 
     async def _renew_or_log(self) -> bool:
         """Renews the lease; an unexpected error counts as no answer."""
@@ -133,7 +126,7 @@
             fencing_token=tables.token,
             acknowledged=acked,
             wait_ms=wait_ms,
-            timeout_ms=wait_ms + self._margin_ms(),
+            timeout_ms=wait_ms + ANSWER_MARGIN_MS,
         )
         if state.contacted:
             answer = await call
@@ -258,16 +251,9 @@
             for m in state.members.values()
         ):
             return FAST_POLL_INTERVAL_MS
-        if state.unconfirmed_starts:
-            return IN_DOUBT_WAIT_MS if state.answering else 0
-        return RENEW_WAIT_MS if state.members else 0
-
-    def _margin_ms(self) -> int:
-        """Returns how long an answer may take beyond the time it is held."""
-        state = self._state
-        if state.unconfirmed_starts and not state.answering:
-            return IN_DOUBT_MARGIN_MS
-        return ANSWER_MARGIN_MS
+        if state.members or state.unconfirmed_starts:
+            return RENEW_WAIT_MS
+        return 0
 
     def _expire_runs(self) -> None:
         """Marks runs as terminated once no lease can keep them alive."""
