Log the proof by which a task counts as over

The logs of an incident could not tell why a run was started again: some places that end a member logged nothing, and a refused count named neither queue nor path.

Each of the five ways is a type in `termination` now, decided there and logged by `lifecycle.mark_terminated` as event 1317; event 1300 names the latest proof of the unit. Decisions are unchanged.

--- a/packages/placer/src/laburnumgate_placer/events.py
+++ b/packages/placer/src/laburnumgate_placer/events.py
@@ -50,6 +50,7 @@
     ACCOUNT_RELEASED = (1313, "account is no longer held back")
     HEADROOM_CHANGED = (1314, "endpoints reserved for urgent gangs changed")
     RUN_MOVED = (1315, "run is moved off an endpoint")
+    TASK_OVER = (1317, "task is over")
     PASS_LONG = (1316, "placement pass took long", logging.WARNING)
     ENDPOINT_FOUND = (1400, "endpoint joined the live list")
     ENDPOINT_CHANGED = (1401, "endpoint changed its state")
--- a/packages/placer/src/laburnumgate_placer/lifecycle.py
+++ b/packages/placer/src/laburnumgate_placer/lifecycle.py
@@ -1,6 +1,7 @@
 """State transitions of jobs, units, runs and members, without I/O."""
 
 from collections.abc import Callable
+import dataclasses
 import logging
 
 from laburnumgate_placer import endpoint_table
@@ -9,6 +10,7 @@
 from laburnumgate_placer import model
 from laburnumgate_placer import progress
 from laburnumgate_placer import tables as tables_module
+from laburnumgate_placer import termination
 
 _LOGGER = logging.getLogger(__name__)
 
@@ -93,6 +95,7 @@
         index=unit.key.index,
         run=run.number,
         endpoints=sorted(set(endpoint_ids)),
+        after=unit.last_proof,
         checkpoint=unit.checkpoint,
         waited_ms=now_ms - unit.ready_ms,
         expected_ms=round(
@@ -154,8 +157,9 @@
     for member in run.members:
         if member.terminated:
             continue
-        if not member.start_sent:
-            mark_terminated(tables, member)
+        proof = termination.from_order(member)
+        if proof is not None:
+            mark_terminated(tables, member, proof)
             continue
         member.stopping = True
         tables.pending_stops.append(member)
@@ -163,15 +167,35 @@
 
 
 def mark_terminated(
-    tables: tables_module.Tables, member: progress.Member
+    tables: tables_module.Tables,
+    member: progress.Member,
+    proof: termination.Proof,
 ) -> None:
     """Marks a member as terminated and releases its resources.
 
-    Must be called only if the task is not running and can no longer start.
+    Args:
+      tables: the leader's tables.
+      member: the member.
+      proof: why the task is not running and can no longer start.
     """
     if member.terminated:
         return
     member.terminated = True
+    member.run.unit.last_proof = type(proof).__name__
+    key = member.task
+    events.emit(
+        _LOGGER,
+        events.Event.TASK_OVER,
+        job=key.job_id,
+        occurrence=key.occurrence,
+        step=key.step,
+        index=key.index,
+        run=member.run.number,
+        endpoint=member.endpoint_id,
+        born_ms=member.born_ms,
+        proof=type(proof).__name__,
+        **dataclasses.asdict(proof),
+    )
     tables.usage.remove(member)
     state = tables.endpoints.by_id.get(member.endpoint_id)
     if state is not None:
@@ -236,7 +260,9 @@
             unit.checkpoint = row.checkpoint
         if run.result is None or row.kind == model.EndKind.FAILED:
             run.result = row.kind
-    mark_terminated(tables, member)
+    mark_terminated(
+        tables, member, termination.EndReported(row.number, row.kind)
+    )
 
 
 def end_incarnation(
@@ -257,17 +283,19 @@
         runs=len(state.members),
         contact_age_ms=tables.monotonic.now_ms() - state.last_answer_ms,
     )
-    _lose_members(tables, state, list(state.members.values()), True)
+    _lose_members(tables, state, termination.IncarnationEnded(reason))
 
 
 def expire_leases(
-    tables: tables_module.Tables, state: endpoint_table.EndpointState
+    tables: tables_module.Tables,
+    state: endpoint_table.EndpointState,
+    proof: termination.LeasesExpired,
 ) -> None:
     """Gives up the runs of an endpoint whose leases have all expired.
 
     Nothing is known about the endpoint itself: it may be cut off or have ended.
     """
-    _lose_members(tables, state, list(state.members.values()), False)
+    _lose_members(tables, state, proof)
 
 
 def lose_recorded(
@@ -277,7 +305,8 @@
 ) -> None:
     """Gives up a recorded member whose endpoint has a new incarnation."""
     _record_lost(tables, state, member)
-    mark_terminated(tables, member)
+    proof = termination.IncarnationEnded("a later incarnation is known")
+    mark_terminated(tables, member, proof)
 
 
 def _record_lost(
@@ -323,9 +352,10 @@
 def _lose_members(
     tables: tables_module.Tables,
     state: endpoint_table.EndpointState,
-    members: list[progress.Member],
-    ended: bool,
+    proof: termination.LeasesExpired | termination.IncarnationEnded,
 ) -> None:
+    members = list(state.members.values())
+    ended = isinstance(proof, termination.IncarnationEnded)
     how = "ended" if ended else "lapsed"
     now_ms = tables.monotonic.now_ms()
     tables.crashes.record(tables.endpoints, state, members, ended, now_ms)
@@ -333,7 +363,7 @@
         _log_lost(tables, state, member, how)
         if member.run.result is None:
             member.run.result = model.EndKind.LAPSED
-        mark_terminated(tables, member)
+        mark_terminated(tables, member, proof)
 
 
 def _log_lost(
--- a/packages/placer/src/laburnumgate_placer/progress.py
+++ b/packages/placer/src/laburnumgate_placer/progress.py
@@ -166,6 +166,8 @@
       losses: endpoints that were lost while a task of it may have run there.
       moves: runs that were stopped because they were stalled or too slow.
       moved_run: number of the latest of these runs, 0 for none.
+      last_proof: name of the latest proof that a member of it was over, empty
+        if there was none in this term.
     """
 
     key: model.UnitKey
@@ -185,6 +187,7 @@
     losses: list[model.EndpointLoss] = dataclasses.field(default_factory=list)
     moves: int = 0
     moved_run: int = 0
+    last_proof: str = ""
 
     @property
     def suspected(self) -> bool:
--- a/packages/placer/src/laburnumgate_placer/reports.py
+++ b/packages/placer/src/laburnumgate_placer/reports.py
@@ -8,6 +8,7 @@
 from laburnumgate_placer import model
 from laburnumgate_placer import progress
 from laburnumgate_placer import tables as tables_module
+from laburnumgate_placer import termination
 from laburnumgate_placer.overload import stragglers
 
 _LOGGER = logging.getLogger(__name__)
@@ -50,11 +51,9 @@
                 tables, member, row, now_ms, observed_ms, whole_by_run
             )
             continue
-        if (
-            member.report_valid_from_ms
-            and member.report_valid_from_ms < sent_ms
-        ):
-            lifecycle.mark_terminated(tables, member)
+        proof = termination.from_report(member, sent_ms)
+        if proof is not None:
+            lifecycle.mark_terminated(tables, member, proof)
     return _find_unknown_runs(tables, state, rows)
 
 
--- a/packages/placer/src/laburnumgate_placer/watcher.py
+++ b/packages/placer/src/laburnumgate_placer/watcher.py
@@ -14,6 +14,7 @@
 from laburnumgate_placer import ports
 from laburnumgate_placer import reports
 from laburnumgate_placer import tables as tables_module
+from laburnumgate_placer import termination
 
 _LOGGER = logging.getLogger(__name__)
 
@@ -257,13 +258,12 @@
 
     def _expire_runs(self) -> None:
         """Marks runs as terminated once no lease can keep them alive."""
-        state = self._state
-        tables = self._tables
-        if not state.members:
-            return
-        if tables.monotonic.now_ms() <= state.leases_expire_ms():
+        if not self._state.members:
             return
-        lifecycle.expire_leases(tables, state)
+        now_ms = self._tables.monotonic.now_ms()
+        proof = termination.from_leases(self._state, now_ms)
+        if proof is not None:
+            lifecycle.expire_leases(self._tables, self._state, proof)
 
     async def _handle_restart(self, report: model.Report) -> None:
         """Handles the restart of an endpoint under its id.
--- a/packages/placer/tests/builders.py
+++ b/packages/placer/tests/builders.py
@@ -10,10 +10,13 @@
 from laburnumgate_placer import limits
 from laburnumgate_placer import model
 from laburnumgate_placer import tables as tables_module
+from laburnumgate_placer import termination
 
 QUEUE = model.Queue(
     "reviews", "h.example", "/reviews/", "pool", attempts=3, stretch=2.0
 )
+PROOF = termination.EndReported(1, model.EndKind.STOPPED)
+EXPIRED = termination.LeasesExpired(0)
 ACCOUNT = model.Account("mina", frozenset({"key-1"}), guaranteed_gpu=16)
 # Three queues as users have them, the most urgent one first.
 URGENT = dataclasses.replace(
--- a/packages/placer/tests/test_accounts_displacement.py
+++ b/packages/placer/tests/test_accounts_displacement.py
@@ -57,7 +57,7 @@
 def _end_stops(tables):
     stops, tables.pending_stops = tables.pending_stops, []
     for member in stops:
-        lifecycle.mark_terminated(tables, member)
+        lifecycle.mark_terminated(tables, member, builders.PROOF)
     return stops
 
 
@@ -205,7 +205,7 @@
     assert len(tables.pending_stops) == 4
     # A part has ended; smaller work of the account and of the same queue waits.
     _, *left = tables.pending_stops
-    lifecycle.mark_terminated(tables, tables.pending_stops[0])
+    lifecycle.mark_terminated(tables, tables.pending_stops[0], builders.PROOF)
     tables.pending_stops = left
     small = _open(tables, "u0", builders.step(gpu=1), queue=_URGENT)
     small.arrived_ms -= 900
@@ -391,7 +391,7 @@
     assert not small.runs()
     for run in first.runs()[:2]:
         run.unit.state = progress.UnitState.DONE
-        lifecycle.mark_terminated(tables, run.members[0])
+        lifecycle.mark_terminated(tables, run.members[0], builders.PROOF)
     scheduler.run()
     assert len(gang.runs()) == 1
     assert tables.usage.usage("mina").gpu == 8
--- a/packages/placer/tests/test_accounts_failures.py
+++ b/packages/placer/tests/test_accounts_failures.py
@@ -125,7 +125,7 @@
         lifecycle.adopt(after, run, live.state_for)
     assert _used_gpu(after) == 2
     (state,) = after.endpoints.by_id.values()
-    lifecycle.expire_leases(after, state)
+    lifecycle.expire_leases(after, state, builders.EXPIRED)
     assert _used_gpu(after) == 0
 
 
@@ -339,14 +339,14 @@
     stopped = tables.pending_stops[0]
     # A guaranteed job of the account starts on the other endpoint first.
     rest = second if stopped.run is first else first
-    lifecycle.mark_terminated(tables, rest.members[0])
+    lifecycle.mark_terminated(tables, rest.members[0], builders.PROOF)
     rest.unit.backoff_until_ms = tables.monotonic.now_ms() + 60_000
     _publish(tables, _account(8, guaranteed_gpu=8), version=2)
     urgent.job = builders.replace(urgent.job, accepted_ms=2_000_000)
     other = _open(tables, "a1", builders.step(gpu=8), queue=_URGENT)
     scheduler.run()
     assert len(other.runs()) == 1
-    lifecycle.mark_terminated(tables, stopped)
+    lifecycle.mark_terminated(tables, stopped, builders.PROOF)
     stopped.run.unit.backoff_until_ms = 0
     scheduler.run()
     assert not urgent.runs()
--- a/packages/placer/tests/test_accounts_limits.py
+++ b/packages/placer/tests/test_accounts_limits.py
@@ -139,7 +139,7 @@
     scheduler.run()
     assert entry.runs() == runs
     for run in runs[:2]:
-        lifecycle.mark_terminated(tables, run.members[0])
+        lifecycle.mark_terminated(tables, run.members[0], builders.PROOF)
     scheduler.run()
     assert _active(entry) == 2
 
@@ -170,8 +170,8 @@
     tables.endpoints.by_id["e0"] = endpoint_table.EndpointState(
         builders.endpoint("e0", born_ms=2)
     )
-    lifecycle.mark_terminated(tables, run.members[0])
-    lifecycle.mark_terminated(tables, run.members[0])
+    lifecycle.mark_terminated(tables, run.members[0], builders.PROOF)
+    lifecycle.mark_terminated(tables, run.members[0], builders.PROOF)
     assert tables.usage.usage("mina") == model.Resources()
     assert tables.usage.changes("mina") == 2
 
@@ -203,7 +203,7 @@
         scheduler.run()
         for run in entry.runs():
             for member in run.members:
-                lifecycle.mark_terminated(tables, member)
+                lifecycle.mark_terminated(tables, member, builders.PROOF)
         for unit in entry.units_by_key.values():
             unit.backoff_until_ms = tables.monotonic.now_ms() + 30
         scheduler.run()
--- a/packages/placer/tests/test_accounts_shares.py
+++ b/packages/placer/tests/test_accounts_shares.py
@@ -213,7 +213,7 @@
         while ends and ends[0][0] <= now_ms:
             _, run = ends.pop(0)
             run.unit.state = progress.UnitState.DONE
-            lifecycle.mark_terminated(tables, run.members[0])
+            lifecycle.mark_terminated(tables, run.members[0], builders.PROOF)
             lifecycle.set_state(
                 tables, run.unit.entry, model.JobState.COMPLETED
             )
--- a/packages/placer/tests/test_capacity.py
+++ b/packages/placer/tests/test_capacity.py
@@ -226,7 +226,7 @@
     tracked.apply(ports.Entry(2, "e1", b"1"))
     assert tables.endpoints.by_id["e1"].info.born_ms == 1
     # The leases are over, and the endpoint was not reached meanwhile.
-    lifecycle.mark_terminated(tables, run.members[0])
+    lifecycle.mark_terminated(tables, run.members[0], builders.PROOF)
     tracked.add_restarted()
     state = tables.endpoints.by_id["e1"]
     assert state.info.born_ms == 2
@@ -306,7 +306,7 @@
                 lifecycle.stop_run(tables, member.run, "test")
                 if kind == "end":
                     for each in member.run.members:
-                        lifecycle.mark_terminated(tables, each)
+                        lifecycle.mark_terminated(tables, each, builders.PROOF)
             scheduler.run()
             runs, tables.assigned_runs = tables.assigned_runs, []
             for run in runs:
--- a/packages/placer/tests/test_crashes.py
+++ b/packages/placer/tests/test_crashes.py
@@ -131,7 +131,7 @@
         state = tables.endpoints.by_id[endpoint_id]
         state.mark_unreachable(tables.monotonic.now_ms(), "refused")
         tables.monotonic.advance(8_000)
-        lifecycle.expire_leases(tables, state)
+        lifecycle.expire_leases(tables, state, builders.EXPIRED)
         lifecycle.give_up_crashing(tables)
     assert not entry.state.final
     builders.add_endpoint(tables, "e0", machine="m0", born_ms=2)
@@ -147,7 +147,7 @@
     state = tables.endpoints.by_id[endpoint_id]
     state.mark_unreachable(tables.monotonic.now_ms(), "refused")
     tables.monotonic.advance(8_000)
-    lifecycle.expire_leases(tables, state)
+    lifecycle.expire_leases(tables, state, builders.EXPIRED)
     lifecycle.give_up_crashing(tables)
 
 
@@ -201,7 +201,7 @@
         state = tables.endpoints.by_id[endpoint_id]
         state.mark_unreachable(tables.monotonic.now_ms(), "no answer")
         tables.monotonic.advance(8_000)
-        lifecycle.expire_leases(tables, state)
+        lifecycle.expire_leases(tables, state, builders.EXPIRED)
         lifecycle.give_up_crashing(tables)
         assert unit.losses
         state.answering = True
@@ -306,7 +306,7 @@
             starts[run.unit.key] = starts.get(run.unit.key, 0) + 1
         tables.assigned_runs.clear()
         for member in tables.pending_stops:
-            lifecycle.mark_terminated(tables, member)
+            lifecycle.mark_terminated(tables, member, builders.PROOF)
         tables.pending_stops.clear()
         doomed = sorted(
             endpoint_id
--- a/packages/placer/tests/test_overload_delay_cost.py
+++ b/packages/placer/tests/test_overload_delay_cost.py
@@ -162,7 +162,7 @@
         for run in entry.runs():
             lifecycle.stop_run(tables, run, "the test ends it")
             for member in list(run.members):
-                lifecycle.mark_terminated(tables, member)
+                lifecycle.mark_terminated(tables, member, builders.PROOF)
         tables.entries_by_id.pop(job.job_id, None)
         _advance(tables, 1_000)
     assert started_ms is not None
--- a/packages/placer/tests/test_progress.py
+++ b/packages/placer/tests/test_progress.py
@@ -262,7 +262,9 @@
                     # A member that was never started, or is gone, is found
                     # absent by a report.
                     if member.start_sent and member.task not in self.alive:
-                        lifecycle.mark_terminated(self.tables, member)
+                        lifecycle.mark_terminated(
+                            self.tables, member, builders.PROOF
+                        )
                     continue
                 self.ends += 1
                 del self.alive[member.task]
--- a/packages/placer/tests/test_scheduling.py
+++ b/packages/placer/tests/test_scheduling.py
@@ -161,7 +161,7 @@
     ]
     assert len(stopped) == 1
     member = _run_of(stopped[0]).members[0]
-    lifecycle.mark_terminated(tables, member)
+    lifecycle.mark_terminated(tables, member, builders.PROOF)
     scheduler.run()
     assert [m.endpoint_id for m in _run_of(urgent).members] == [
         member.endpoint_id
@@ -184,7 +184,7 @@
         if _run_of(entry).phase == progress.Phase.STOPPING
     ]
     assert len(stopping) == 2
-    lifecycle.mark_terminated(tables, stopping[0].members[0])
+    lifecycle.mark_terminated(tables, stopping[0].members[0], builders.PROOF)
     scheduler.run()
     assert _run_of(small) is None
 
@@ -400,7 +400,7 @@
     ]
     tables.monotonic.advance(1_500)
     for run in stopping:
-        lifecycle.mark_terminated(tables, run.members[0])
+        lifecycle.mark_terminated(tables, run.members[0], builders.PROOF)
         scheduler.run()
     assert _run_of(other) is None
     assert len(_run_of(urgent).members) == 2
@@ -423,7 +423,7 @@
     urgent = _open(tables, "b", builders.step(gpu=8, estimate_ms=4_000), tight)
     scheduler.run()
     assert _run_of(urgent) is None
-    lifecycle.mark_terminated(tables, run.members[0])
+    lifecycle.mark_terminated(tables, run.members[0], builders.PROOF)
     run.unit.entry.mark_unit_done(run.unit)
     scheduler.run()
     assert _run_of(urgent).members[0].endpoint_id == "e1"
@@ -507,7 +507,9 @@
     guaranteed = _open(tables, "e", builders.step(gpu=8), _URGENT)
     tables.monotonic.advance(tables.bounds.reclaim_ms - 1_000)
     for entry in batch:
-        lifecycle.mark_terminated(tables, _run_of(entry).members[0])
+        lifecycle.mark_terminated(
+            tables, _run_of(entry).members[0], builders.PROOF
+        )
         scheduler.run()
         if _run_of(guaranteed):
             break
@@ -531,7 +533,7 @@
     tables.monotonic.advance(1_500)
     lost = stopping[0].members[0].endpoint_id
     for run in stopping:
-        lifecycle.mark_terminated(tables, run.members[0])
+        lifecycle.mark_terminated(tables, run.members[0], builders.PROOF)
     tables.endpoints.by_id[lost].listed = False
     scheduler.run()
     tables.monotonic.advance(200)
@@ -686,7 +688,9 @@
             for run in entry.runs():
                 if run.phase == progress.Phase.STOPPING:
                     for member in list(run.members):
-                        lifecycle.mark_terminated(tables, member)
+                        lifecycle.mark_terminated(
+                            tables, member, builders.PROOF
+                        )
 
     resumable = {"checkpointing": True, "estimate_ms": 60_000}
     batch = [_open(tables, j, builders.step(gpu=8, **resumable)) for j in "ab"]
@@ -767,7 +771,7 @@
     )
     for run in stopping:
         tables.monotonic.advance(50)
-        lifecycle.mark_terminated(tables, run.members[0])
+        lifecycle.mark_terminated(tables, run.members[0], builders.PROOF)
         scheduler.run()
     assert _run_of(large) is not None
     assert _run_of(guaranteed) is None
@@ -811,7 +815,9 @@
     ]
     assert len(stopped) == 2
     for entry in stopped:
-        lifecycle.mark_terminated(tables, _run_of(entry).members[0])
+        lifecycle.mark_terminated(
+            tables, _run_of(entry).members[0], builders.PROOF
+        )
     scheduler.run()
     builders.start(tables, _run_of(gang))
     tables.monotonic.advance(2_500)
--- a/packages/placer/tests/test_upkeep.py
+++ b/packages/placer/tests/test_upkeep.py
@@ -62,7 +62,7 @@
     assert table.emptying_machines() == {"m1"}
     tables.monotonic.advance(4_000)
     assert upkeep.StopRun(run) in table.plan(waves)
-    lifecycle.mark_terminated(tables, run.members[0])
+    lifecycle.mark_terminated(tables, run.members[0], builders.PROOF)
     assert _orders(table.plan(waves))
 
 
