Add tests: a run in an endpoint's next life beside its successor

An idle endpoint is not asked for reports. If it restarts under its id, its next life gets starts that were meant for the one before. The first report shows the restart; the leader stops these runs and starts their tasks elsewhere as soon as the stops are answered.

The fakes and stand-ins carried stops out at once and never refused one, so that no test or soak could show it. With stops that take 200 ms four tasks of a job ran twice at the same time; with stops that are refused as unhealthy, too.

--- a/packages/placer/tests/fakeworkers.py
+++ b/packages/placer/tests/fakeworkers.py
@@ -16,6 +16,8 @@
       partitioned: whether calls to it time out without effect.
       refuse_connections: whether connections to it are refused.
       drop_answers: whether calls are executed but not answered.
+      refuse_stops: whether it answers stops as unhealthy and does nothing.
+      stop_s: how long a stopped run goes on after the answer.
       report_s: latency of a report.
       clock: returns the reading of its clock in reports; it stands still by
         default.
@@ -28,6 +30,8 @@
     drop_answers: bool = False
     refuse_connections: bool = False
     unhealthy: bool = False
+    refuse_stops: bool = False
+    stop_s: float = 0.0
     report_s: float = 0.0
     clock: Callable[[], int] = lambda: 1_000
     running: dict = dataclasses.field(default_factory=dict)
@@ -41,6 +45,19 @@
     checkpoint: str = ""
     changed: asyncio.Event = dataclasses.field(default_factory=asyncio.Event)
 
+    def stop(self, task, run) -> None:
+        """Ends a run that is there, after the time that stops take."""
+        if not self.stop_s:
+            self._end_stopped(task, run, self.born_ms)
+            return
+        asyncio.get_running_loop().call_later(
+            self.stop_s, self._end_stopped, task, run, self.born_ms
+        )
+
+    def _end_stopped(self, task, run, born_ms) -> None:
+        if born_ms == self.born_ms and (task, run) in self.running:
+            self.end(task, run, model.EndKind.STOPPED, self.checkpoint)
+
     def end(self, task, run, kind, checkpoint="") -> None:
         self.running.pop((task, run), None)
         self.stopped[task] = max(run, self.stopped.get(task, 0))
@@ -66,10 +83,17 @@
 
 
 class FakeEndpoints:
-    """Implements `ports.Endpoints` with fake workers."""
+    """Implements `ports.Endpoints` with fake workers.
+
+    Attributes:
+      by_id: the workers.
+      overlaps: tasks that were started while another run of them went on, each
+        with the ids of both workers.
+    """
 
     def __init__(self, *workers: FakeWorker):
         self.by_id = {worker.endpoint_id: worker for worker in workers}
+        self.overlaps = []
 
     async def start(self, endpoint, order, *, timeout_ms):
         worker = self.by_id[endpoint.endpoint_id]
@@ -82,6 +106,7 @@
         if key not in worker.running:
             if worker.stopped.get(order.task, 0) >= order.run:
                 return ports.Refused(ports.Refusal.SUPERSEDED, 1_000)
+            self._record_overlaps(worker, order.task)
             worker.running[key] = order
             worker.starts.append(order)
         return await self._answer(worker, timeout_ms, ports.Done(1_000))
@@ -91,11 +116,19 @@
         refused = await self._reach(worker, fencing_token, timeout_ms)
         if refused is not None:
             return refused
-        if (task, run) in worker.running:
-            worker.end(task, run, model.EndKind.STOPPED, worker.checkpoint)
+        if worker.refuse_stops:
+            return ports.Refused(ports.Refusal.UNHEALTHY)
+        worker.stop(task, run)
         worker.stopped[task] = max(run, worker.stopped.get(task, 0))
         return await self._answer(worker, timeout_ms, ports.Done(1_000))
 
+    def _record_overlaps(self, worker, task) -> None:
+        for other in self.by_id.values():
+            if any(running == task for running, _ in other.running):
+                self.overlaps.append(
+                    (task, other.endpoint_id, worker.endpoint_id)
+                )
+
     async def pace(
         self, endpoint, task, run, percent, fencing_token, *, timeout_ms
     ):
--- a/packages/placer/tests/test_leader.py
+++ b/packages/placer/tests/test_leader.py
@@ -406,6 +406,63 @@
     builders.run(work())
 
 
+async def _restart_idle_endpoints():
+    """Returns a system whose endpoints restarted while nothing asked them."""
+    system, host = await _start_system("e1", "e2")
+    states = host.leader.tables.endpoints.by_id
+    await _wait_until(
+        lambda: len(states) == 2 and all(s.contacted for s in states.values())
+    )
+    await asyncio.sleep(0.2)
+    for worker in system.workers.by_id.values():
+        worker.restart()
+    return system, host
+
+
+def test_a_run_in_the_next_life_ends_before_it_is_started_again():
+    """Guards against a second run beside one that is still being stopped.
+
+    An idle endpoint restarts under its id, and its next life gets starts before
+    the leader knows of it.
+    """
+
+    async def work():
+        system, host = await _restart_idle_endpoints()
+        for worker in system.workers.by_id.values():
+            worker.stop_s = 0.2
+        await _submit(host, builders.job("a" * 16, builders.step(4, gpu=2)))
+        await _wait_until(lambda: len(system.starts()) >= 4)
+        for worker_id in ("e1", "e2"):
+            system.list_worker(worker_id)
+        await asyncio.sleep(1.0)
+        assert len(system.starts()) >= 8
+        assert not system.workers.overlaps
+
+    builders.run(work())
+
+
+def test_a_run_in_the_next_life_that_cannot_be_stopped_is_not_started_again():
+    """Guards against a refused stop that counts as the end of a run."""
+
+    async def work():
+        system, host = await _restart_idle_endpoints()
+        for worker in system.workers.by_id.values():
+            worker.refuse_stops = True
+        await _submit(host, builders.job("a" * 16, builders.step(4, gpu=2)))
+        await _wait_until(lambda: len(system.starts()) >= 4)
+        for worker_id in ("e1", "e2"):
+            system.list_worker(worker_id)
+        # The report that shows the restart waits for an end before.
+        await asyncio.sleep(1.2)
+        assert len(system.starts()) == 4
+        for worker in system.workers.by_id.values():
+            worker.refuse_stops = False
+        await _wait_until(lambda: len(system.starts()) >= 8)
+        assert not system.workers.overlaps
+
+    builders.run(work())
+
+
 def test_a_start_in_flight_is_voided_in_the_next_life_though_its_run_ended():
     """Guards against a start that arrives after its job was cancelled.
 
