--- a/packages/placer/tests/endpoint_model.py
+++ b/packages/placer/tests/endpoint_model.py
@@ -60,6 +60,7 @@
       rate: rate of its steady clock.
       stop_ms: time that a stop takes.
       running: what is present, with the true time of each start.
+      stopping: true time at which the runs that are being stopped end.
       stopped: highest run of each task that ended or was stopped.
       lapsed_ms: true time at which its lease lapsed last.
       terms: tokens of the leaders that have read a report of it.
@@ -77,7 +78,7 @@
     lapsed: bool = True
     lapsed_ms: int = 0
     running: dict = dataclasses.field(default_factory=dict)
-    stopping: set = dataclasses.field(default_factory=set)
+    stopping: dict = dataclasses.field(default_factory=dict)
     stopped: dict = dataclasses.field(default_factory=dict)
     ended: list = dataclasses.field(default_factory=list)
     ended_ms: dict = dataclasses.field(default_factory=dict)
@@ -104,6 +105,7 @@
     """A start that was not answered and is still to be carried out."""
 
     sent_to: Life
+    endpoint_id: str
     order: ports.StartOrder
 
     def excluded(self, life, token) -> bool:
@@ -164,10 +166,15 @@
             self._break_gang(key)
 
     def sync(self) -> None:
-        """Ends what runs without a lease."""
+        """Ends what is stopped, and what runs without a lease."""
         now_ms = self._clock.now_ms()
         for life in self.lives:
-            if not life.up or life.lapsed:
+            if not life.up:
+                continue
+            for key, stopped_ms in list(life.stopping.items()):
+                if stopped_ms <= now_ms:
+                    self._end(life, key, model.EndKind.STOPPED)
+            if life.lapsed:
                 continue
             if life.clock_ms(now_ms) <= life.lease:
                 continue
@@ -205,7 +212,7 @@
         if life.running.pop(key, None) is None:
             return
         task, run = key
-        life.stopping.discard(key)
+        life.stopping.pop(key, None)
         life.stopped[task] = max(run, life.stopped.get(task, 0))
         life.ended.append(model.ReportedEnd(life.next_end, task, run, kind, ""))
         life.ended_ms[life.next_end] = self._clock.now_ms()
@@ -292,8 +299,9 @@
         if mode == Mode.UNHEALTHY:
             return ports.Refused(ports.Refusal.UNHEALTHY)
         if mode == Mode.LATE:
-            copy = _Copy(life, order) if order is not None else None
-            if copy is not None:
+            copy = None
+            if order is not None:
+                copy = _Copy(life, endpoint.endpoint_id, order)
                 self.copies.append(copy)
             asyncio.get_running_loop().call_later(
                 timeout_s + self.late_ms / 1000,
@@ -389,18 +397,13 @@
         task, run = key
         life.stopped[task] = max(run, life.stopped.get(task, 0))
         if key in life.running and key not in life.stopping:
-            life.stopping.add(key)
+            life.stopping[key] = self._clock.now_ms() + life.stop_ms
             self.log(f"{_name(key)} is being stopped on {life}")
             asyncio.get_running_loop().call_later(
-                life.stop_ms / 1000, self._end_stopped, life, key
+                life.stop_ms / 1000 + _LATENCY_S, self.sync
             )
         return ports.Done(life.clock_ms(self._clock.now_ms()))
 
-    def _end_stopped(self, life, key) -> None:
-        self.sync()
-        if life.up:
-            self._end(life, key, model.EndKind.STOPPED)
-
     def _hold(self, life, endpoint, deadline_ms, token, acknowledged):
         refusal = self._refusal(life, endpoint, token)
         if refusal is not None:
@@ -461,7 +464,7 @@
             life = self.life_at(copy.sent_to.machine)
             if (
                 life is not None
-                and life.endpoint_id == copy.sent_to.endpoint_id
+                and life.endpoint_id == copy.endpoint_id
                 and not copy.excluded(life, self.token)
                 and copy.order.fencing_token >= life.token
                 and copy.order.deadline_ms > life.clock_ms(now_ms)
@@ -564,12 +567,33 @@
         if life is None:
             return
         self._names += 1
-        key = f"{life.endpoint_id}"
         self._listed[f"{self._names}"] = life
         self.log.put(
-            _LIST, records.encode_keyed(key, f"{self._names}".encode())
+            _LIST,
+            records.encode_keyed(life.endpoint_id, f"{self._names}".encode()),
         )
 
+    def list_earlier(self, machine):
+        """Writes the entry of the life before, as a write that is late does."""
+        lives = [w for w in self.endpoints.lives if w.machine == machine]
+        if len(lives) < 2:
+            return
+        self._names += 1
+        self._listed[f"{self._names}"] = lives[-2]
+        self.endpoints.log(f"late entry of {lives[-2]}")
+        self.log.put(
+            _LIST,
+            records.encode_keyed(
+                lives[-2].endpoint_id, f"{self._names}".encode()
+            ),
+        )
+
+    def suspend(self, by_ms):
+        """Lets time pass in which only the machines go on."""
+        asyncio.get_running_loop().skip(by_ms / 1000)
+        self.endpoints.log(f"suspended for {by_ms} ms")
+        self.endpoints.sync()
+
     def unlist(self, endpoint_id):
         self.log.put(_LIST, records.encode_keyed(endpoint_id, b""))
 
--- a/packages/placer/tests/test_termination_machine.py
+++ b/packages/placer/tests/test_termination_machine.py
@@ -82,6 +82,26 @@
         system.list_life(self.machine)
 
 
+@dataclasses.dataclass(frozen=True)
+class ListEarlier:
+    """Writes the entry of the life before the current one."""
+
+    machine: int
+
+    def __call__(self, system):
+        system.list_earlier(self.machine)
+
+
+@dataclasses.dataclass(frozen=True)
+class Suspend:
+    """Suspends the leader."""
+
+    by_ms: int
+
+    def __call__(self, system):
+        system.suspend(self.by_ms)
+
+
 @dataclasses.dataclass(frozen=True)
 class Unlist:
     """Removes the entry of a machine's current life."""
@@ -126,7 +146,9 @@
 _OTHERS = (
     st.builds(Crash, _MACHINE)
     | st.builds(List, _MACHINE)
+    | st.builds(ListEarlier, _MACHINE)
     | st.builds(Unlist, _MACHINE)
+    | st.builds(Suspend, st.sampled_from([300, 1_500, 9_000]))
     | st.builds(Lead, st.sampled_from([0, 1_000, 8_000]))
 )
 
--- a/packages/placer/tests/virtual_time.py
+++ b/packages/placer/tests/virtual_time.py
@@ -32,6 +32,10 @@
     def time(self):
         return self._virtual.now_s
 
+    def skip(self, by_s):
+        """Lets time pass in which no timer fires."""
+        self._virtual.now_s += by_s
+
 
 class Clock:
     """Clock of a loop in whole ms, as `laburnumgate_core.clock.Clock`."""
