Start a task again only after its run in the next life has ended

Cause: an idle endpoint that restarts under its id gets starts before a report shows the restart. Their tasks counted as over once the stops in the new life were answered. A stop takes up to stop_ms, though, and an answer of 429 or 503, or any other refusal, counted as well. Ends that the new life had listed were dropped with the old one, so that a task that was done there ran again. While the restart was being handled, renewals went on with a deadline on the clock of the old life and with its cursor of acknowledged ends.

Change: the restart is kept with the endpoint until a report that was requested after the last accepted stop lists none of the runs (termination.from_restart). Only an accepted stop, or the refusal that the run has ended there, voids an order; others are sent again. Ends in the new life count. Until then nothing is renewed or acknowledged, and leases on the old clock are no proof.

--- a/packages/placer/src/laburnumgate_placer/endpoint_table.py
+++ b/packages/placer/src/laburnumgate_placer/endpoint_table.py
@@ -24,6 +24,27 @@
 MAX_AVOID_MS = 30_000
 
 
+@dataclasses.dataclass(eq=False, slots=True)
+class Restart:
+    """A restart of an endpoint under its id, while old orders are voided.
+
+    An order names only the id, so that the new incarnation carries it out as
+    well. It has seen neither a fencing token nor the stops of the earlier one.
+
+    Attributes:
+      born_ms: start of the new incarnation, Unix ms.
+      seen_ms: monotonic time at which a report first showed it.
+      voided_ms_by_order: monotonic time at which it accepted the stop of an
+        order, by task and run.
+    """
+
+    born_ms: int
+    seen_ms: int
+    voided_ms_by_order: dict[tuple[model.TaskKey, int], int] = (
+        dataclasses.field(default_factory=dict)
+    )
+
+
 @dataclasses.dataclass(eq=False, slots=True)
 class EndpointState:
     """State of one incarnation of an endpoint under the current leader.
@@ -48,8 +69,7 @@
       unknown_runs: resources of reported runs that belong to no known job.
       unconfirmed_starts: monotonic time of the newest start without an answer,
         by task and run; a copy may be in flight, even after the run has ended.
-      restarted: whether a report came from a later incarnation, in which the
-        orders to this one are being voided.
+      restart: the restart that a report showed, None for none.
       ended: whether the incarnation has ended, so that nothing runs there.
       unreachable_ms: monotonic time at which it last became unreachable, 0 for
         never.
@@ -86,7 +106,7 @@
     unconfirmed_starts: dict[tuple[model.TaskKey, int], int] = (
         dataclasses.field(default_factory=dict)
     )
-    restarted: bool = False
+    restart: Restart | None = None
     ended: bool = False
     unreachable_ms: int = 0
     suspects: set[tuple[model.TaskKey, int]] = dataclasses.field(
@@ -289,7 +309,7 @@
                 continue
             if state.ended or info.zone in zones_out or state.unknown_runs:
                 continue
-            if state.restarted:
+            if state.restart is not None:
                 continue
             if now_ms < state.avoid_until_ms:
                 continue
--- a/packages/placer/src/laburnumgate_placer/events.py
+++ b/packages/placer/src/laburnumgate_placer/events.py
@@ -59,6 +59,7 @@
     ENDPOINT_OVER = (1404, "the endpoint's life is over")
     ADVICE_MISSING = (1310, "no advice on a step", logging.WARNING)
     ENDPOINT_SUSPECT = (1405, "endpoint is avoided", logging.WARNING)
+    ENDPOINT_RESTARTED = (1406, "endpoint restarted under its id")
     UPKEEP_ORDERED = (1500, "upkeep of a machine ordered")
     WAVE_STATE = (1501, "a wave of upkeep changed its state")
 
--- a/packages/placer/src/laburnumgate_placer/launcher.py
+++ b/packages/placer/src/laburnumgate_placer/launcher.py
@@ -269,7 +269,7 @@
             return "the live list is too old"
         if not state.listed:
             return "an assigned endpoint is not listed any more"
-        if state.restarted:
+        if state.restart is not None:
             # Only the orders before the restart was seen are voided.
             return "an assigned endpoint has restarted"
         if state.overcommitted():
--- a/packages/placer/src/laburnumgate_placer/termination.py
+++ b/packages/placer/src/laburnumgate_placer/termination.py
@@ -94,17 +94,57 @@
     return NotReported(requested_ms, answered_ms)
 
 
+def from_restart(
+    state: endpoint_table.EndpointState,
+    report: model.Report,
+    requested_ms: int,
+    now_ms: int,
+) -> IncarnationEnded | None:
+    """Returns the proof for the members of an endpoint that has restarted.
+
+    Args:
+      state: the endpoint, with `restart` set.
+      report: a report of the new incarnation.
+      requested_ms: monotonic time at which the report was requested.
+      now_ms: monotonic time.
+
+    Returns:
+      None while a run may be present in the new incarnation: an order to the
+      earlier one is not voided, or what it started is still being stopped.
+    """
+    restart = state.restart
+    voided_ms_by_order = restart.voided_ms_by_order
+    if not state.pending_orders(now_ms) <= voided_ms_by_order.keys():
+        return None
+    if requested_ms <= max(voided_ms_by_order.values(), default=0):
+        return None
+    if any((row.task, row.run) in voided_ms_by_order for row in report.running):
+        return None
+    return IncarnationEnded(f"restarted under its id at {restart.born_ms}")
+
+
 def from_leases(
-    state: endpoint_table.EndpointState, now_ms: int
+    state: endpoint_table.EndpointState, now_ms: int, max_lease_ms: int
 ) -> LeasesExpired | None:
     """Returns the proof for the members of an endpoint without contact.
 
     Args:
       state: the endpoint.
       now_ms: monotonic time.
+      max_lease_ms: longest lease that an endpoint grants.
 
     Returns:
       None while a lease may be valid.
     """
     expired_ms = state.leases_expire_ms()
+    if state.restart is not None:
+        # Deadlines on the clock of the earlier incarnation mean nothing to the
+        # new one, which only limits their distance.
+        lease_ms = int(max_lease_ms / endpoint_table.MIN_CLOCK_RATE)
+        expired_ms = max(
+            expired_ms,
+            state.restart.seen_ms
+            + endpoint_table.MAX_ORDER_DELAY_MS
+            + lease_ms,
+        )
     return LeasesExpired(expired_ms) if now_ms > expired_ms else None
--- a/packages/placer/src/laburnumgate_placer/watcher.py
+++ b/packages/placer/src/laburnumgate_placer/watcher.py
@@ -100,7 +100,7 @@
 
     def _needs_renewal(self) -> bool:
         state = self._state
-        if state.members or state.unknown_runs:
+        if state.members or state.unknown_runs or state.restart is not None:
             return True
         if state.pending_orders(self._tables.monotonic.now_ms()):
             # A restart has to be detected before the new incarnation carries
@@ -117,7 +117,8 @@
         tables = self._tables
         sent_ms = tables.monotonic.now_ms()
         deadline_ms = None
-        if state.contacted and state.members and self._may_renew():
+        renews = state.contacted and state.members and state.restart is None
+        if renews and self._may_renew():
             deadline_ms = state.extend_lease(tables.bounds.lease_ms, sent_ms)
         wait_ms = self._wait_ms()
         acked = self._cursor(sent_ms)
@@ -160,6 +161,8 @@
         never reported.
         """
         state = self._state
+        if state.restart is not None:
+            return 0
         if not state.answering or now_ms - state.reported_ms > CURSOR_VALID_MS:
             return 0
         return state.acked_end
@@ -173,7 +176,7 @@
             if not state.info.born_ms:
                 pass
             elif report.born_ms > state.info.born_ms:
-                await self._handle_restart(report)
+                await self._handle_restart(report, sent_ms)
                 return True
             else:
                 return False
@@ -244,6 +247,8 @@
         state = self._state
         if not state.contacted or state.acked_end < state.handled_end:
             return 0
+        if state.restart is not None:
+            return 0
         if any(
             m.stopping
             and m.report_valid_from_ms
@@ -261,30 +266,85 @@
         if not self._state.members:
             return
         now_ms = self._tables.monotonic.now_ms()
-        proof = termination.from_leases(self._state, now_ms)
+        proof = termination.from_leases(
+            self._state, now_ms, self._tables.bounds.max_lease_ms
+        )
         if proof is not None:
             lifecycle.expire_leases(self._tables, self._state, proof)
 
-    async def _handle_restart(self, report: model.Report) -> None:
+    async def _handle_restart(
+        self, report: model.Report, requested_ms: int
+    ) -> None:
         """Handles the restart of an endpoint under its id.
 
-        A start sent to the previous incarnation could still be carried out by
-        the new one, which has not seen a fencing token yet. A stop of the same
-        run prevents this.
+        Orders to the previous incarnation are stopped in the new one, also
+        those still in flight. The previous one is over once a later report
+        shows that none of their runs is left.
         """
         state = self._state
         tables = self._tables
-        state.restarted = True
-        for task, run in state.pending_orders(tables.monotonic.now_ms()):
+        now_ms = tables.monotonic.now_ms()
+        restart = state.restart
+        if restart is None or restart.born_ms != report.born_ms:
+            restart = endpoint_table.Restart(report.born_ms, now_ms)
+            state.restart = restart
+            events.emit(
+                _LOGGER,
+                events.Event.ENDPOINT_RESTARTED,
+                endpoint=state.info.endpoint_id,
+                born_ms=report.born_ms,
+                before_ms=state.info.born_ms,
+                orders=len(state.pending_orders(now_ms)),
+                present=len(report.running),
+            )
+        proof = termination.from_restart(state, report, requested_ms, now_ms)
+        if proof is not None:
+            for row in report.ended:
+                if (row.task, row.run) in state.members:
+                    lifecycle.apply_end(tables, state, row)
+            lifecycle.end_incarnation(tables, state, proof.reason)
+            return
+        if not await self._void_orders(restart, report):
+            await asyncio.sleep(BACKOFF_MS / 1000)
+        elif report.running:
+            await asyncio.sleep(FAST_POLL_INTERVAL_MS / 1000)
+
+    async def _void_orders(
+        self, restart: endpoint_table.Restart, report: model.Report
+    ) -> bool:
+        """Stops what an incarnation may have been ordered before its start.
+
+        Returns whether all stops were accepted. A refused one has no effect,
+        unless it is refused because the run has ended there.
+        """
+        state = self._state
+        tables = self._tables
+        present = {(row.task, row.run) for row in report.running}
+        now_ms = tables.monotonic.now_ms()
+        for key in state.pending_orders(now_ms):
+            voided_ms = restart.voided_ms_by_order.get(key)
+            if voided_ms is not None and (
+                key not in present
+                or now_ms - voided_ms <= tables.bounds.stop_ms
+            ):
+                continue
             answer = await self._endpoints.stop(
                 state.info,
-                task,
-                run,
+                *key,
                 tables.token,
                 timeout_ms=limits.ORDER_TIMEOUT_MS,
             )
-            if not isinstance(answer, ports.Done | ports.Refused):
-                return
-        lifecycle.end_incarnation(
-            tables, state, f"restarted under its id at {report.born_ms}"
-        )
+            match answer:
+                case ports.Done() | ports.Refused(ports.Refusal.SUPERSEDED):
+                    restart.voided_ms_by_order[key] = tables.monotonic.now_ms()
+                case ports.Refused(ports.Refusal.FENCED):
+                    self._on_fenced("a stop was refused for its token")
+                    return False
+                case ports.Refused(ports.Refusal.OTHER_INSTANCE):
+                    lifecycle.end_incarnation(
+                        tables, state, "another endpoint answers at its address"
+                    )
+                    return True
+                case _:
+                    return False
+        return True
--- a/packages/placer/tests/test_leader.py
+++ b/packages/placer/tests/test_leader.py
@@ -434,8 +434,8 @@
         await _wait_until(lambda: len(system.starts()) >= 4)
         for worker_id in ("e1", "e2"):
             system.list_worker(worker_id)
-        await asyncio.sleep(1.0)
-        assert len(system.starts()) >= 8
+        await _wait_until(lambda: len(system.starts()) >= 8)
+        await asyncio.sleep(0.3)
         assert not system.workers.overlaps
 
     builders.run(work())
@@ -458,11 +458,29 @@
         for worker in system.workers.by_id.values():
             worker.refuse_stops = False
         await _wait_until(lambda: len(system.starts()) >= 8)
+        await asyncio.sleep(0.3)
         assert not system.workers.overlaps
 
     builders.run(work())
 
 
+def test_a_run_that_was_done_in_the_next_life_is_not_started_again():
+    """Guards against an end that is dropped with the life before it."""
+
+    async def work():
+        system, host = await _restart_idle_endpoints()
+        await _submit(host, builders.job("a" * 16))
+        await _wait_until(system.starts)
+        for worker in system.workers.by_id.values():
+            worker.end_all()
+        await _wait_until(
+            lambda: host.jobs.state("a" * 16) == model.JobState.COMPLETED
+        )
+        assert len(system.starts()) == 1
+
+    builders.run(work())
+
+
 def test_a_start_in_flight_is_voided_in_the_next_life_though_its_run_ended():
     """Guards against a start that arrives after its job was cancelled.
 
