Wait for the longest lease while a start is not reported

Cause: a start order names a deadline on the endpoint's clock. If the endpoint has restarted unseen, the deadline is far away on its new clock, and only max_lease_ms limits the lease. With the answer lost as well, the leader gave the task up when the lease that it had asked for was over, while the run went on for up to three seconds more without having been stopped.

Change: a member that no report has shown counts as over only after the longest lease from its latest order (termination.from_leases, now decided for each member).

--- a/packages/placer/src/laburnumgate_placer/launcher.py
+++ b/packages/placer/src/laburnumgate_placer/launcher.py
@@ -172,6 +172,7 @@
                 first = not member.start_sent
                 member.start_sent = True
                 sent_ms = tables.monotonic.now_ms()
+                member.ordered_ms = sent_ms
                 # A restart while the answer is waited for voids the order.
                 earlier_ms = state.add_unconfirmed_start(member, sent_ms)
                 answer = await self._endpoints.start(
--- a/packages/placer/src/laburnumgate_placer/lifecycle.py
+++ b/packages/placer/src/laburnumgate_placer/lifecycle.py
@@ -283,19 +283,22 @@
         runs=len(state.members),
         contact_age_ms=tables.monotonic.now_ms() - state.last_answer_ms,
     )
-    _lose_members(tables, state, termination.IncarnationEnded(reason))
+    members = list(state.members.values())
+    proof = termination.IncarnationEnded(reason)
+    _lose_members(tables, state, members, proof)
 
 
 def expire_leases(
     tables: tables_module.Tables,
     state: endpoint_table.EndpointState,
+    members: list[progress.Member],
     proof: termination.LeasesExpired,
 ) -> None:
-    """Gives up the runs of an endpoint whose leases have all expired.
+    """Gives up members of an endpoint whose leases have expired.
 
     Nothing is known about the endpoint itself: it may be cut off or have ended.
     """
-    _lose_members(tables, state, proof)
+    _lose_members(tables, state, members, proof)
 
 
 def lose_recorded(
@@ -352,9 +355,9 @@
 def _lose_members(
     tables: tables_module.Tables,
     state: endpoint_table.EndpointState,
+    members: list[progress.Member],
     proof: termination.LeasesExpired | termination.IncarnationEnded,
 ) -> None:
-    members = list(state.members.values())
     ended = isinstance(proof, termination.IncarnationEnded)
     how = "ended" if ended else "lapsed"
     now_ms = tables.monotonic.now_ms()
--- a/packages/placer/src/laburnumgate_placer/progress.py
+++ b/packages/placer/src/laburnumgate_placer/progress.py
@@ -49,6 +49,8 @@
       born_ms: incarnation of the endpoint.
       run: run that it belongs to.
       start_sent: whether a start order may be in flight or executed.
+      ordered_ms: monotonic time of the latest start order of this term, 0 for
+        none.
       report_valid_from_ms: monotonic time after which a requested report
         decides whether the task is running; 0 while an order is unanswered.
       present: whether the endpoint reported it as running.
@@ -76,6 +78,7 @@
     born_ms: int
     run: "Run"
     start_sent: bool = False
+    ordered_ms: int = 0
     report_valid_from_ms: int = 0
     present: bool = False
     confirmed: bool = False
--- a/packages/placer/src/laburnumgate_placer/termination.py
+++ b/packages/placer/src/laburnumgate_placer/termination.py
@@ -124,12 +124,16 @@
 
 
 def from_leases(
-    state: endpoint_table.EndpointState, now_ms: int, max_lease_ms: int
+    state: endpoint_table.EndpointState,
+    member: progress.Member,
+    now_ms: int,
+    max_lease_ms: int,
 ) -> LeasesExpired | None:
-    """Returns the proof for the members of an endpoint without contact.
+    """Returns the proof for a member on an endpoint without contact.
 
     Args:
       state: the endpoint.
+      member: the member.
       now_ms: monotonic time.
       max_lease_ms: longest lease that an endpoint grants.
 
@@ -137,14 +141,12 @@
       None while a lease may be valid.
     """
     expired_ms = state.leases_expire_ms()
+    # A deadline on the clock of an earlier incarnation means nothing to a new
+    # one, which only limits its distance.
+    lease_ms = int(max_lease_ms / endpoint_table.MIN_CLOCK_RATE)
     if state.restart is not None:
-        # Deadlines on the clock of the earlier incarnation mean nothing to the
-        # new one, which only limits their distance.
-        lease_ms = int(max_lease_ms / endpoint_table.MIN_CLOCK_RATE)
-        expired_ms = max(
-            expired_ms,
-            state.restart.seen_ms
-            + endpoint_table.MAX_ORDER_DELAY_MS
-            + lease_ms,
-        )
+        late_ms = state.restart.seen_ms + endpoint_table.MAX_ORDER_DELAY_MS
+        expired_ms = max(expired_ms, late_ms + lease_ms)
+    elif member.ordered_ms and not member.present:
+        expired_ms = max(expired_ms, member.ordered_ms + lease_ms)
     return LeasesExpired(expired_ms) if now_ms > expired_ms else None
--- a/packages/placer/src/laburnumgate_placer/watcher.py
+++ b/packages/placer/src/laburnumgate_placer/watcher.py
@@ -1,6 +1,7 @@
 """Renews leases and reads reports, with one loop for each endpoint."""
 
 import asyncio
+import collections
 from collections.abc import Callable
 import logging
 
@@ -176,7 +177,8 @@
             if not state.info.born_ms:
                 pass
             elif report.born_ms > state.info.born_ms:
-                await self._handle_restart(report, sent_ms)
+                pause_ms = await self._handle_restart(report, sent_ms)
+                await asyncio.sleep(pause_ms / 1000)
                 return True
             else:
                 return False
@@ -263,23 +265,32 @@
 
     def _expire_runs(self) -> None:
         """Marks runs as terminated once no lease can keep them alive."""
-        if not self._state.members:
-            return
         now_ms = self._tables.monotonic.now_ms()
-        proof = termination.from_leases(
-            self._state, now_ms, self._tables.bounds.max_lease_ms
-        )
-        if proof is not None:
-            lifecycle.expire_leases(self._tables, self._state, proof)
+        members_by_proof = collections.defaultdict(list)
+        for member in self._state.members.values():
+            proof = termination.from_leases(
+                self._state, member, now_ms, self._tables.bounds.max_lease_ms
+            )
+            if proof is not None:
+                members_by_proof[proof].append(member)
+        for proof, members in members_by_proof.items():
+            lifecycle.expire_leases(self._tables, self._state, members, proof)
 
     async def _handle_restart(
         self, report: model.Report, requested_ms: int
-    ) -> None:
+    ) -> int:
         """Handles the restart of an endpoint under its id.
 
         Orders to the previous incarnation are stopped in the new one, also
         those still in flight. The previous one is over once a later report
         shows that none of their runs is left.
+
+        Args:
+          report: a report of the new incarnation.
+          requested_ms: monotonic time at which it was requested.
+
+        Returns:
+          The pause in ms before the next report.
         """
         state = self._state
         tables = self._tables
@@ -303,11 +314,10 @@
                 if (row.task, row.run) in state.members:
                     lifecycle.apply_end(tables, state, row)
             lifecycle.end_incarnation(tables, state, proof.reason)
-            return
+            return 0
         if not await self._void_orders(restart, report):
-            await asyncio.sleep(BACKOFF_MS / 1000)
-        elif report.running:
-            await asyncio.sleep(FAST_POLL_INTERVAL_MS / 1000)
+            return BACKOFF_MS
+        return FAST_POLL_INTERVAL_MS if report.running else 0
 
     async def _void_orders(
         self, restart: endpoint_table.Restart, report: model.Report
--- a/packages/placer/tests/builders.py
+++ b/packages/placer/tests/builders.py
@@ -7,6 +7,7 @@
 from laburnumgate_placer import config_table
 from laburnumgate_placer import endpoint_table
 from laburnumgate_placer import job_table
+from laburnumgate_placer import lifecycle
 from laburnumgate_placer import limits
 from laburnumgate_placer import model
 from laburnumgate_placer import tables as tables_module
@@ -16,7 +17,6 @@
     "reviews", "h.example", "/reviews/", "pool", attempts=3, stretch=2.0
 )
 PROOF = termination.EndReported(1, model.EndKind.STOPPED)
-EXPIRED = termination.LeasesExpired(0)
 ACCOUNT = model.Account("mina", frozenset({"key-1"}), guaranteed_gpu=16)
 # Three queues as users have them, the most urgent one first.
 URGENT = dataclasses.replace(
@@ -157,3 +157,10 @@
 
 
 replace = dataclasses.replace
+
+
+def expire_leases(tables, state) -> None:
+    """Gives up all members of an endpoint, whatever their leases."""
+    members = list(state.members.values())
+    proof = termination.LeasesExpired(0)
+    lifecycle.expire_leases(tables, state, members, proof)
--- a/packages/placer/tests/test_accounts_failures.py
+++ b/packages/placer/tests/test_accounts_failures.py
@@ -125,7 +125,7 @@
         lifecycle.adopt(after, run, live.state_for)
     assert _used_gpu(after) == 2
     (state,) = after.endpoints.by_id.values()
-    lifecycle.expire_leases(after, state, builders.EXPIRED)
+    builders.expire_leases(after, state)
     assert _used_gpu(after) == 0
 
 
--- a/packages/placer/tests/test_accounts_ledger.py
+++ b/packages/placer/tests/test_accounts_ledger.py
@@ -569,7 +569,7 @@
                     lambda: True,
                     lambda reason: None,
                 )
-                _drive(reader._handle_restart(report))
+                _drive(reader._handle_restart(report, sent_ms))
             return
         state.answering = True
         for row in reports.apply(self.tables, state, report, sent_ms):
@@ -605,7 +605,7 @@
             if state.ended or state.answering or not state.members:
                 continue
             if self.monotonic.now_ms() > state.leases_expire_ms():
-                lifecycle.expire_leases(self.tables, state, builders.EXPIRED)
+                builders.expire_leases(self.tables, state)
 
     @stateful.rule(number=_NODE, pick=_PICK, failed=st.booleans())
     def finish(self, number, pick, failed):
@@ -749,9 +749,7 @@
             for state in list(self.tables.endpoints.by_id.values()):
                 if not state.listed and state.members and not state.ended:
                     # Its id is gone for good.
-                    lifecycle.expire_leases(
-                        self.tables, state, builders.EXPIRED
-                    )
+                    builders.expire_leases(self.tables, state)
         for account in _ACCOUNTS:
             usage = self.tables.usage.usage(account)
             assert usage.gpu == self._true_gpu(account)
--- a/packages/placer/tests/test_crashes.py
+++ b/packages/placer/tests/test_crashes.py
@@ -131,7 +131,7 @@
         state = tables.endpoints.by_id[endpoint_id]
         state.mark_unreachable(tables.monotonic.now_ms(), "refused")
         tables.monotonic.advance(8_000)
-        lifecycle.expire_leases(tables, state, builders.EXPIRED)
+        builders.expire_leases(tables, state)
         lifecycle.give_up_crashing(tables)
     assert not entry.state.final
     builders.add_endpoint(tables, "e0", machine="m0", born_ms=2)
@@ -147,7 +147,7 @@
     state = tables.endpoints.by_id[endpoint_id]
     state.mark_unreachable(tables.monotonic.now_ms(), "refused")
     tables.monotonic.advance(8_000)
-    lifecycle.expire_leases(tables, state, builders.EXPIRED)
+    builders.expire_leases(tables, state)
     lifecycle.give_up_crashing(tables)
 
 
@@ -201,7 +201,7 @@
         state = tables.endpoints.by_id[endpoint_id]
         state.mark_unreachable(tables.monotonic.now_ms(), "no answer")
         tables.monotonic.advance(8_000)
-        lifecycle.expire_leases(tables, state, builders.EXPIRED)
+        builders.expire_leases(tables, state)
         lifecycle.give_up_crashing(tables)
         assert unit.losses
         state.answering = True
--- a/packages/placer/tests/test_lifecycle.py
+++ b/packages/placer/tests/test_lifecycle.py
@@ -271,7 +271,7 @@
     state = builders.add_endpoint(tables)
     builders.add_endpoint(tables, "e2")
     entry, unit, first = _started(tables, builders.step())
-    lifecycle.expire_leases(tables, state, builders.EXPIRED)
+    builders.expire_leases(tables, state)
     second = lifecycle.assign(tables, unit, ["e2"])
     builders.start(tables, second)
     late = builders.end(first.members[0], 1, _FAILED)
@@ -288,7 +288,7 @@
     tables = builders.tables(queue)
     state = builders.add_endpoint(tables)
     entry, unit, run = _started(tables, builders.step())
-    lifecycle.expire_leases(tables, state, builders.EXPIRED)
+    builders.expire_leases(tables, state)
     assert unit.run is None
     late = builders.end(run.members[0], 1, _FAILED)
     lifecycle.apply_end(tables, state, late)
