Never take a claim again that was given up

Callers could see a task run twice: a host that stepped down, resigned or handed over before it had read its own claim took that claim again when its feed read it, or when the append that made it was answered. Two terms then had one fencing token and one producer epoch, so that endpoints did not refuse what the first had sent, and the log could answer an append of the second with the outcome of one of the first.

Cause: `_take_leadership` compared a claim only with the current one, and a claim that was given up stays the current one until a later one is read. Besides, a claim that was read a second time replaced a later one.

Before this change the three new tests of test_leadership.py failed, and so did the new invariant of test_hand_over.py; all pass now, with the other tests of both files.

Tokens increase with every claim, so that one number, the latest token given up, covers all claims of the host before it. The next term needs a new claim and therefore a higher token and epoch.

--- a/packages/placer/src/laburnumgate_placer/leadership.py
+++ b/packages/placer/src/laburnumgate_placer/leadership.py
@@ -109,6 +109,9 @@
         self._no_leader = first_start
         self._confirmed_ms = 0
         self._own: Claim | None = None
+        # Tokens up to this one are not taken any more: a term that began again
+        # would share its fencing token and its epoch with the earlier one.
+        self._given_up_token = 0
         self._stopping = False
         self._heartbeat_gaps_ms: collections.deque[int] = collections.deque(
             maxlen=GAP_WINDOW
@@ -245,7 +248,7 @@
                 )
 
     def _take_leadership(self, claim: Claim, sent_ms: int) -> None:
-        if self._own == claim:
+        if self._own == claim or claim.token <= self._given_up_token:
             return
         if self.current is not None and self.current.token > claim.token:
             return
@@ -273,6 +276,7 @@
     def _give_up_leadership(self, reason: str) -> Claim:
         own = self._own
         self._own = None
+        self._given_up_token = own.token
         self._last_record_ms = self._monotonic.now_ms()
         self.feed.min_interval_ms = self._read_interval_ms
         events.emit(
@@ -286,6 +290,8 @@
         now_ms = self._monotonic.now_ms()
         if kind == "claim":
             claim = Claim(host, entry.offset + 1)
+            if self.current is not None and self.current.token > claim.token:
+                return  # It is read again.
             if self.current is not None and not self._no_leader:
                 self._replaced_ms.append(now_ms)
             self.current = claim
--- a/packages/placer/tests/test_hand_over.py
+++ b/packages/placer/tests/test_hand_over.py
@@ -32,6 +32,7 @@
         self.orders: list[tuple[int, str]] = []
         self.epoch = 0
         self.recorded: list[tuple[int, str]] = []
+        self.resigned: set[int] = set()
 
     @stateful.rule(number=_HOSTS, answered=st.booleans())
     def claim(self, number, answered):
@@ -70,6 +71,7 @@
         if own is None:
             return
         self.hosts[number].step_down("test")
+        self.resigned.add(own.token)
         self.log.append(orjson.dumps(["resign", own.host, own.token]))
 
     @stateful.rule(number=_HOSTS)
@@ -114,6 +116,13 @@
         tokens = [h.own_claim.token for h in self.hosts if h.own_claim]
         assert len(tokens) == len(set(tokens))
 
+    @stateful.invariant()
+    def no_claim_is_taken_again(self):
+        """A term that has ended does not begin again under its token."""
+        for host in self.hosts:
+            if host.own_claim is not None:
+                assert host.own_claim.token not in self.resigned
+
     @stateful.invariant()
     def a_host_that_has_read_a_later_claim_does_not_lead(self):
         """A replaced leader stops as soon as it can know."""
--- a/packages/placer/tests/test_leadership.py
+++ b/packages/placer/tests/test_leadership.py
@@ -6,6 +6,7 @@
 import fakelog
 from laburnumgate_core import clock
 from laburnumgate_placer import leadership
+from laburnumgate_placer import ports
 from laburnumgate_placer import topics
 from laburnumgate_placer.overload import election
 import orjson
@@ -121,6 +122,64 @@
     builders.run(work())
 
 
+def test_a_claim_that_was_given_up_is_not_taken_again_when_it_is_read():
+    """Guards against two terms that share a fencing token and an epoch."""
+
+    async def work():
+        log = fakelog.FakeLog()
+        log.read_s = 0.15
+        host = _Candidate(log, "h1", first_start=True)
+        await _wait_until(lambda: host.leadership.own_claim)
+        assert host.leadership.feed.next_offset == 0
+        host.leadership.step_down("test")
+        await _wait_until(lambda: host.leadership.feed.next_offset == 1)
+        assert host.leadership.own_claim is None
+        # It leads again, under a new claim.
+        await _wait_until(lambda: host.leadership.own_claim)
+        assert host.leadership.own_claim.token > 1
+        host.kill()
+
+    builders.run(work())
+
+
+def test_a_claim_that_was_given_up_is_not_taken_again_when_it_is_answered():
+    """Guards against an answer that arrives after its term has ended."""
+
+    async def work():
+        log = fakelog.FakeLog()
+        log.append_s_by_topic[topics.LEADER] = 0.2
+        host = _Candidate(log, "h1", first_start=True)
+        await _wait_until(lambda: host.leadership.own_claim)
+        host.leadership.step_down("test")
+        await asyncio.sleep(0.3)
+        assert host.leadership.own_claim is None
+        host.kill()
+
+    builders.run(work())
+
+
+def test_claims_that_are_read_again_change_nothing():
+    """Guards against a return to an earlier claim of the same host."""
+
+    def read(host, offset, name):
+        value = orjson.dumps(["claim", name, 0])
+        host._apply(ports.Entry(offset, "", value))
+
+    host = leadership.Leadership(None, clock.ManualClock(1), "h1", 0, True)
+    read(host, 0, "h1")
+    read(host, 1, "h2")
+    read(host, 2, "h1")
+    own = leadership.Claim("h1", 3)
+    assert host.own_claim == host.current == own
+    for offset, name in enumerate(("h1", "h2", "h1")):
+        read(host, offset, name)
+        assert host.own_claim == host.current == own
+    host.step_down("test")
+    for offset, name in enumerate(("h1", "h2", "h1")):
+        read(host, offset, name)
+        assert host.own_claim is None
+
+
 class _SlowHeartbeats:
     """Log of a host that needs a while for each heartbeat."""
 
