Count a leader's right to renew leases from what it has read

Callers could see a task run twice: a leader that could append to the log but not read it went on renewing leases and starting tasks after its successor had given up its runs, for as long as its heartbeats were stored.

Cause: the right counted from the latest stored heartbeat, but a heartbeat is stored after the claim of another host as well. A claim that was found by reading counted from the time of reading, even if it was replaced before.

The successor waits from its claim on for a lease, and for the leases granted until then. Up to the send time of a read that reached the end of the log, or of a claim that was stored where this host had read to, no unread claim was stored; the right ends a lease after that, and so before the successor's first wait does. The stored heartbeat still limits it as well.

--- a/packages/placer/src/laburnumgate_placer/leader.py
+++ b/packages/placer/src/laburnumgate_placer/leader.py
@@ -198,7 +198,7 @@
                 lifecycle.cancel_job(self.tables, job_id)
 
     def _may_renew(self) -> bool:
-        """Whether the latest confirmed heartbeat permits renewing leases.
+        """Whether this host led recently enough to renew leases.
 
         A later leader waits for this period before it gives up runs on
         unreachable endpoints.
--- a/packages/placer/src/laburnumgate_placer/leadership.py
+++ b/packages/placer/src/laburnumgate_placer/leadership.py
@@ -107,7 +107,11 @@
             self._delay_ms += RESERVE_CLAIM_DELAY_MS
         self._last_record_ms = 0 if first_start else monotonic.now_ms()
         self._no_leader = first_start
-        self._confirmed_ms = 0
+        # Send time of the latest heartbeat, or own claim, that was stored.
+        self._stored_ms = 0
+        # Time after which the own claim was stored, if nothing was before it
+        # that this host had not read.
+        self._claimed_ms = 0
         self._own: Claim | None = None
         # Tokens up to this one are not taken any more: a term that began again
         # would share its fencing token and its epoch with the earlier one.
@@ -164,8 +168,18 @@
         return LoadReport(load, self._ranked_load, age_ms)
 
     def confirmed_ms(self) -> int:
-        """Returns the send time of the latest heartbeat that was stored."""
-        return self._confirmed_ms
+        """Returns the latest time at which this host is known to have led.
+
+        A stored heartbeat alone does not show that: it may be stored after a
+        later claim that this host has not read.
+
+        Returns:
+          Monotonic time in ms: the earlier of the send time of the latest
+          heartbeat that was stored and the latest time by which no claim was
+          stored that this host has not read.
+        """
+        read_ms = max(self.feed.fresh_ms, self._claimed_ms)
+        return min(self._stored_ms, read_ms)
 
     async def run(self) -> None:
         """Claims and maintains leadership until cancelled."""
@@ -240,6 +254,8 @@
         )
         match outcome:
             case ports.Appended(offset):
+                # The condition shows that no claim was unread by then.
+                self._claimed_ms = sent_ms
                 self._take_leadership(Claim(self._host, offset + 1), sent_ms)
             case ports.Unknown():
                 # The claim may be stored: `_apply` finds it when it is read.
@@ -247,14 +263,20 @@
                     at_offset + 1, APPEND_TIMEOUT_MS
                 )
 
-    def _take_leadership(self, claim: Claim, sent_ms: int) -> None:
+    def _take_leadership(self, claim: Claim, stored_ms: int) -> None:
+        """Begins a term, unless it is over.
+
+        Args:
+          claim: a claim of this host that is stored.
+          stored_ms: monotonic time after which it was stored.
+        """
         if self._own == claim or claim.token <= self._given_up_token:
             return
         if self.current is not None and self.current.token > claim.token:
             return
         self._own = claim
         self.current = claim
-        self._confirmed_ms = sent_ms
+        self._stored_ms = stored_ms
         self._no_leader = False
         self.feed.min_interval_ms = 0
         events.emit(_LOGGER, events.Event.LEAD_TAKEN, token=claim.token)
@@ -271,7 +293,7 @@
             topics.LEADER, records, timeout_ms=APPEND_TIMEOUT_MS
         )
         if isinstance(outcome, ports.Appended) and self._own == own:
-            self._confirmed_ms = sent_ms
+            self._stored_ms = sent_ms
 
     def _give_up_leadership(self, reason: str) -> Claim:
         own = self._own
@@ -298,7 +320,8 @@
             self._last_record_ms = now_ms
             self._no_leader = False
             if host == self._host:
-                self._take_leadership(claim, now_ms)
+                # It may have been stored long before it is read.
+                self._take_leadership(claim, self.feed.fresh_ms)
             elif self._own is not None and self._own.token < claim.token:
                 self._give_up_leadership("another host leads")
             return
--- a/packages/placer/src/laburnumgate_placer/limits.py
+++ b/packages/placer/src/laburnumgate_placer/limits.py
@@ -62,9 +62,9 @@
     def lease_ms(self) -> int:
         """Duration of leases, and of a leader's right to renew them.
 
-        A leader stops renewing leases when its last confirmed heartbeat is
-        older than this, so that a later leader can tell when the leases of
-        earlier leaders have expired.
+        A leader stops renewing leases when the last time at which it is known
+        to have led is older than this, so that a later leader can tell when
+        the leases of earlier leaders have expired.
         """
         return min(self.max_lease_ms, MAX_LEASE_MS)
 
--- a/packages/placer/tests/test_leader.py
+++ b/packages/placer/tests/test_leader.py
@@ -20,6 +20,7 @@
 from laburnumgate_placer import records
 from laburnumgate_placer import services
 from laburnumgate_placer import topics
+import orjson
 import pytest
 
 _BOUNDS = limits.Bounds(max_lease_ms=600, gang_ms=1_000)
@@ -1326,3 +1327,41 @@
         assert answer == ports.Refused(ports.Refusal.SUPERSEDED, 1_000)
 
     builders.run(work())
+
+
+def test_a_leader_that_cannot_read_the_log_renews_no_leases():
+    """Guards against leases that outlast the wait of a later leader.
+
+    The heartbeats of the first leader are stored after the claim of the second
+    one, which it does not read.
+    """
+
+    async def work():
+        system, host = await _start_system("e1")
+        await _submit(host, builders.job("a" * 16))
+        await _wait_until(lambda: system.starts())
+        deadlines = []
+        renew = system.workers.renew
+
+        def record(endpoint, *, deadline_ms, **options):
+            deadlines.append(deadline_ms)
+            return renew(endpoint, deadline_ms=deadline_ms, **options)
+
+        system.workers.renew = record
+        system.log.silent_reads.add(topics.LEADER)
+        await asyncio.sleep(0.35)
+        system.log.put(topics.LEADER, orjson.dumps(["claim", "h2", 0]))
+        await asyncio.sleep(_BOUNDS.lease_ms / 1000 + 0.1)
+        assert host.leadership.own_claim is not None
+        # Each event makes the endpoint answer, so that it is asked again.
+        deadlines.clear()
+        worker = system.worker("e1")
+        for _ in range(3):
+            worker.changed.set()
+            await asyncio.sleep(0.1)
+        assert deadlines and set(deadlines) == {None}
+        await _submit(host, builders.job("b" * 16))
+        await asyncio.sleep(0.3)
+        assert len(system.starts()) == 1
+
+    builders.run(work())
--- a/packages/placer/tests/test_leadership.py
+++ b/packages/placer/tests/test_leadership.py
@@ -180,6 +180,62 @@
         assert host.own_claim is None
 
 
+def test_a_heartbeat_confirms_no_more_than_what_was_read():
+    """Guards against a leader that is replaced while it cannot read the log."""
+
+    async def work():
+        log = fakelog.FakeLog()
+        host = _Candidate(log, "h1", first_start=True)
+        await _wait_until(lambda: host.leadership.own_claim)
+        monotonic = clock.MonotonicClock()
+        await asyncio.sleep(0.5)
+        assert monotonic.now_ms() - host.leadership.confirmed_ms() < 500
+        log.silent_reads.add(topics.LEADER)
+        await asyncio.sleep(0.35)
+        replaced_ms = monotonic.now_ms()
+        log.put(topics.LEADER, orjson.dumps(["claim", "h2", 0]))
+        await asyncio.sleep(0.6)
+        assert orjson.loads(log.records_by_topic[topics.LEADER][-1])[0] == (
+            "beat"
+        )
+        assert host.leadership.own_claim is not None
+        assert host.leadership.confirmed_ms() < replaced_ms
+        host.kill()
+
+    builders.run(work())
+
+
+def test_a_claim_is_confirmed_before_the_log_is_read_again():
+    """Guards against a new leader that may order nothing for a while."""
+
+    async def work():
+        log = fakelog.FakeLog()
+        log.read_s = 0.3
+        host = _Candidate(log, "h1", first_start=True)
+        before_ms = clock.MonotonicClock().now_ms()
+        await _wait_until(lambda: host.leadership.own_claim)
+        assert host.leadership.confirmed_ms() >= before_ms
+        host.kill()
+
+    builders.run(work())
+
+
+def test_a_claim_that_is_read_late_is_not_confirmed_by_reading_it():
+    """Guards against a leader that leads by a claim that was replaced.
+
+    The claim was stored long before it is read, and the records after it are
+    not read yet.
+    """
+    monotonic = clock.ManualClock(50_000)
+    host = leadership.Leadership(None, monotonic, "h1", 0, True)
+    host.feed.fresh_ms = 50_000
+    monotonic.advance(9_000)
+    record = orjson.dumps(["claim", "h1", 0])
+    host._apply(ports.Entry(0, "", record))
+    assert host.own_claim is not None
+    assert host.confirmed_ms() <= 50_000
+
+
 class _SlowHeartbeats:
     """Log of a host that needs a while for each heartbeat."""
 
