Order nothing from the moment at which a leader steps down

Callers could see a start by a term that had ended beside the first orders of the next one, also of the same host.

Cause: a host notices some turns of the event loop after the claim is lost that its term is over, and cancels the tasks of the term then. The right to start tasks and to renew leases depended only on the time of the latest heartbeat, which says nothing about the claim. A run whose record was stored just before was started in between.

Before this change test_nothing_is_ordered_from_the_moment_at_which_a_leader_steps_down failed: the run started under the token of the ended term.

The right is asked for at each start and each lease, without a pause before the call, and now needs the claim under which the term began to be the host's claim still.

--- a/packages/placer/src/laburnumgate_placer/leader.py
+++ b/packages/placer/src/laburnumgate_placer/leader.py
@@ -198,11 +198,14 @@
                 lifecycle.cancel_job(self.tables, job_id)
 
     def _may_renew(self) -> bool:
-        """Whether this host led recently enough to renew leases.
+        """Whether this term goes on and was confirmed recently enough.
 
         A later leader waits for this period before it gives up runs on
         unreachable endpoints.
         """
+        # The tasks of a term are cancelled some time after its claim is lost.
+        if self._leadership.own_claim != self._claim:
+            return False
         age_ms = (
             self.tables.monotonic.now_ms() - self._leadership.confirmed_ms()
         )
--- a/packages/placer/tests/test_leader.py
+++ b/packages/placer/tests/test_leader.py
@@ -1365,3 +1365,26 @@
         assert len(system.starts()) == 1
 
     builders.run(work())
+
+
+def test_nothing_is_ordered_from_the_moment_at_which_a_leader_steps_down():
+    """Guards against a run that is recorded, but starts after its term."""
+
+    async def work():
+        system, host = await _start_system("e1")
+        term = host.leader
+        token = term.tables.token
+        flush = term._recorder.flush
+
+        async def flush_and_step_down():
+            runs = await flush()
+            if runs:
+                host.leadership.step_down("test")
+            return runs
+
+        term._recorder.flush = flush_and_step_down
+        await _submit(host, builders.job("a" * 16))
+        await _wait_until(lambda: system.starts())
+        assert [o.fencing_token > token for _, o in system.starts()] == [True]
+
+    builders.run(work())
