--- a/packages/placer/src/laburnumgate_placer/launcher.py
+++ b/packages/placer/src/laburnumgate_placer/launcher.py
@@ -172,6 +172,7 @@
                 first = not member.start_sent
                 member.start_sent = True
                 sent_ms = tables.monotonic.now_ms()
+                member.ordered_ms = sent_ms
                 # A restart while the answer is waited for voids the order.
                 earlier_ms = state.add_unconfirmed_start(member, sent_ms)
                 answer = await self._endpoints.start(
@@ -269,7 +270,7 @@
             return "the live list is too old"
         if not state.listed:
             return "an assigned endpoint is not listed any more"
-        if state.restarted:
+        if state.restart is not None:
             # Only the orders before the restart was seen are voided.
             return "an assigned endpoint has restarted"
         if state.overcommitted():
