--- a/packages/placer/tests/endpoint_model.py
+++ b/packages/placer/tests/endpoint_model.py
@@ -447,7 +447,7 @@
 
     # What the leader concludes.
 
-    def check_proof(self, member, proof) -> None:
+    def check_proof(self, member, proof=None) -> None:
         """Checks that a member which is marked as terminated is over."""
         key = (member.task, member.run.number)
         name = type(proof).__name__
@@ -558,7 +558,9 @@
         )
         self.endpoints.crash(machine)
         self._names += 1
-        new_id = old_id if same_id else f"e{machine}-{self._names}"
+        # New ids sort before and after the earlier ones.
+        letter = "de"[self._names % 2]
+        new_id = old_id if same_id else f"{letter}{machine}-{self._names}"
         self.boot(machine, new_id, back_ms)
 
     def list_life(self, machine):
@@ -588,6 +590,12 @@
             ),
         )
 
+    def unlist_earlier(self, machine):
+        """Removes the entries of the lives of a machine that are over."""
+        for life in self.endpoints.lives:
+            if life.machine == machine and not life.up:
+                self.unlist(life.endpoint_id)
+
     def suspend(self, by_ms):
         """Lets time pass in which only the machines go on."""
         asyncio.get_running_loop().skip(by_ms / 1000)
@@ -670,10 +678,8 @@
     async def settle(self):
         """Ends all faults and checks that no run is left unnoticed."""
         self.endpoints.modes.clear()
-        for life in self.endpoints.lives:
-            if not life.up:
-                self.unlist(life.endpoint_id)
         for machine in range(MACHINES):
+            self.unlist_earlier(machine)
             self.list_life(machine)
         self.endpoints.log("settle")
         await asyncio.sleep(SETTLE_MS / 1000)
@@ -708,13 +714,13 @@
         system = System(loop, rates, stops)
         system.endpoints.late_ms = late_ms
 
-        def checked(tables, member, proof):
+        def checked(tables, member, *proof):
             current = system.leader is not None and (
                 tables is system.leader.tables
             )
             if current and not member.terminated:
-                system.endpoints.check_proof(member, proof)
-            mark_terminated(tables, member, proof)
+                system.endpoints.check_proof(member, *proof)
+            mark_terminated(tables, member, *proof)
 
         with mock.patch.object(lifecycle, "mark_terminated", checked):
             system.lead()
@@ -724,10 +730,7 @@
             for pause_ms, event in schedule:
                 await asyncio.sleep(pause_ms / 1000)
                 event(system)
-                if system.endpoints.violations:
-                    break
-            else:
-                await system.settle()
+            await system.settle()
         return system.endpoints.violations, system.endpoints.trace
 
     return virtual_time.run(work)
--- a/packages/placer/tests/test_termination_machine.py
+++ b/packages/placer/tests/test_termination_machine.py
@@ -82,6 +82,30 @@
         system.list_life(self.machine)
 
 
+@dataclasses.dataclass(frozen=True)
+class ListOnly:
+    """Leaves one machine in the live list, which gets all new work."""
+
+    machine: int
+
+    def __call__(self, system):
+        for machine in range(endpoint_model.MACHINES):
+            life = system.endpoints.life_at(machine)
+            if machine == self.machine:
+                system.list_life(machine)
+            elif life is not None:
+                system.unlist(life.endpoint_id)
+
+
+@dataclasses.dataclass(frozen=True)
+class ListAll:
+    """Writes the entries of all machines."""
+
+    def __call__(self, system):
+        for machine in range(endpoint_model.MACHINES):
+            system.list_life(machine)
+
+
 @dataclasses.dataclass(frozen=True)
 class ListEarlier:
     """Writes the entry of the life before the current one."""
@@ -92,6 +116,16 @@
         system.list_earlier(self.machine)
 
 
+@dataclasses.dataclass(frozen=True)
+class UnlistEarlier:
+    """Removes the entries of the lives that are over."""
+
+    machine: int
+
+    def __call__(self, system):
+        system.unlist_earlier(self.machine)
+
+
 @dataclasses.dataclass(frozen=True)
 class Suspend:
     """Suspends the leader."""
@@ -147,6 +181,9 @@
     st.builds(Crash, _MACHINE)
     | st.builds(List, _MACHINE)
     | st.builds(ListEarlier, _MACHINE)
+    | st.builds(UnlistEarlier, _MACHINE)
+    | st.builds(ListOnly, _MACHINE)
+    | st.just(ListAll())
     | st.builds(Unlist, _MACHINE)
     | st.builds(Suspend, st.sampled_from([300, 1_500, 9_000]))
     | st.builds(Lead, st.sampled_from([0, 1_000, 8_000]))
