Stop an unknown run again until it is gone

Callers could see two runs of a task at the same time: a run that the leader does not expect was stopped when it was first reported only, and the answer of that stop was ignored. If it was refused with 429 or 503, or lost, the run went on to its end. A task of a gang that counted as over while the rest of the gang was still being stopped was taken for an expected one and not stopped at all.

Every reported run without a member counts as unknown now. The table keeps when each was last stopped, and the stop is repeated every 500 ms (or stop_ms if that is longer) while reports list the run. The stops of one report are sent together, since the next renewal waits for them, and event 1307 names their outcome. While only unknown runs are left, a renewal waits for an end instead of returning at once.

--- a/packages/placer/src/laburnumgate_placer/endpoint_table.py
+++ b/packages/placer/src/laburnumgate_placer/endpoint_table.py
@@ -45,7 +45,8 @@
       handled_end: highest number of the reported ends that were handled.
       acked_end: highest number of the ends that may be acknowledged.
       members: members that may be present, by task and run.
-      unknown_runs: resources of reported runs that belong to no known job.
+      unknown_runs: monotonic time of the last stop of each run in the last
+        report that the leader does not expect there, by task and run.
       unconfirmed_starts: monotonic time of the newest start without an answer,
         by task and run; a copy may be in flight, even after the run has ended.
       restarted: whether a report came from a later incarnation, in which the
@@ -80,8 +81,8 @@
     members: dict[tuple[model.TaskKey, int], progress.Member] = (
         dataclasses.field(default_factory=dict)
     )
-    unknown_runs: dict[tuple[model.TaskKey, int], model.Resources] = (
-        dataclasses.field(default_factory=dict)
+    unknown_runs: dict[tuple[model.TaskKey, int], int] = dataclasses.field(
+        default_factory=dict
     )
     unconfirmed_starts: dict[tuple[model.TaskKey, int], int] = (
         dataclasses.field(default_factory=dict)
--- a/packages/placer/src/laburnumgate_placer/reports.py
+++ b/packages/placer/src/laburnumgate_placer/reports.py
@@ -1,9 +1,6 @@
 """Reconciles endpoint reports with the expected runs."""
 
-import logging
-
 from laburnumgate_placer import endpoint_table
-from laburnumgate_placer import events
 from laburnumgate_placer import lifecycle
 from laburnumgate_placer import model
 from laburnumgate_placer import progress
@@ -11,7 +8,8 @@
 from laburnumgate_placer import termination
 from laburnumgate_placer.overload import stragglers
 
-_LOGGER = logging.getLogger(__name__)
+# Minimum interval at which an unknown run is stopped again.
+MIN_STOP_INTERVAL_MS = 500
 
 
 def apply(
@@ -29,7 +27,8 @@
       sent_ms: monotonic time at which the report was requested.
 
     Returns:
-      Unknown runs, which belong to no job and have to be stopped.
+      Unknown runs, which the leader does not expect there, that have to be
+      stopped now.
     """
     now_ms = tables.monotonic.now_ms()
     observed_ms = _observed_ms(state, report, now_ms)
@@ -54,7 +53,7 @@
         proof = termination.from_report(member, sent_ms)
         if proof is not None:
             lifecycle.mark_terminated(tables, member, proof)
-    return _find_unknown_runs(tables, state, rows)
+    return _find_unknown_runs(tables, state, rows, now_ms)
 
 
 def _observed_ms(
@@ -143,39 +142,24 @@
     tables: tables_module.Tables,
     state: endpoint_table.EndpointState,
     rows: dict[tuple[model.TaskKey, int], model.ReportedRun],
+    now_ms: int,
 ) -> list[model.ReportedRun]:
+    """Records the reported runs without a member; returns those to stop now.
+
+    A stop may be lost or refused, so that it is repeated while the run is
+    reported.
+    """
+    interval_ms = max(MIN_STOP_INTERVAL_MS, tables.bounds.stop_ms)
     found = []
     unknown_runs = {}
     for key, row in rows.items():
-        if _is_expected(tables, state, row):
+        stopped_ms = state.unknown_runs.get(key)
+        if stopped_ms is not None and now_ms - stopped_ms < interval_ms:
+            unknown_runs[key] = stopped_ms
             continue
-        unknown_runs[key] = model.Resources()
-        if key not in state.unknown_runs:
-            found.append(row)
-            events.emit(
-                _LOGGER,
-                events.Event.STRAY_STOPPED,
-                job=row.task.job_id,
-                step=row.task.step,
-                index=row.task.index,
-                run=row.run,
-                endpoint=state.info.endpoint_id,
-            )
+        unknown_runs[key] = now_ms
+        found.append(row)
     if state.unknown_runs and not unknown_runs:
         tables.wake.set()
     state.unknown_runs = unknown_runs
     return found
-
-
-def _is_expected(
-    tables: tables_module.Tables,
-    state: endpoint_table.EndpointState,
-    row: model.ReportedRun,
-) -> bool:
-    """Whether a reported run belongs to a member on this endpoint."""
-    entry = tables.entries_by_id.get(row.task.job_id)
-    unit = entry.unit_of(row.task) if entry else None
-    if unit is None or unit.run is None or unit.run.number != row.run:
-        return False
-    member = unit.run.member_of(row.task)
-    return member is not None and member.endpoint_id == state.info.endpoint_id
--- a/packages/placer/src/laburnumgate_placer/watcher.py
+++ b/packages/placer/src/laburnumgate_placer/watcher.py
@@ -186,14 +186,9 @@
                 silent_ms=tables.monotonic.now_ms() - state.last_answer_ms,
             )
         fresh = not state.contacted
-        for row in reports.apply(tables, state, report, sent_ms):
-            await self._endpoints.stop(
-                state.info,
-                row.task,
-                row.run,
-                tables.token,
-                timeout_ms=limits.ORDER_TIMEOUT_MS,
-            )
+        unknown_runs = reports.apply(tables, state, report, sent_ms)
+        # Together, as the next renewal waits for the answers.
+        await asyncio.gather(*map(self._stop_unknown_run, unknown_runs))
         await self._adjust_pace()
         self._ack_due = bool(report.ended) and state.handled_end > acked
         if fresh:
@@ -203,6 +198,29 @@
             await self._wait_until_recorded()
         return True
 
+    async def _stop_unknown_run(self, row: model.ReportedRun) -> None:
+        """Stops an unknown run; later reports tell whether it has ended."""
+        answer = await self._endpoints.stop(
+            self._state.info,
+            row.task,
+            row.run,
+            self._tables.token,
+            timeout_ms=limits.ORDER_TIMEOUT_MS,
+        )
+        events.emit(
+            _LOGGER,
+            events.Event.STRAY_STOPPED,
+            job=row.task.job_id,
+            step=row.task.step,
+            index=row.task.index,
+            run=row.run,
+            endpoint=self._state.info.endpoint_id,
+            outcome=type(answer).__name__,
+        )
+        match answer:
+            case ports.Refused(ports.Refusal.FENCED):
+                self._on_fenced("a stop was refused for its token")
+
     async def _adjust_pace(self) -> None:
         """Throttles filler tasks that disturb serving tasks on the endpoint."""
         tables = self._tables
@@ -252,6 +270,8 @@
             for m in state.members.values()
         ):
             return FAST_POLL_INTERVAL_MS
+        if state.unknown_runs:
+            return min(RENEW_WAIT_MS, reports.MIN_STOP_INTERVAL_MS)
         if state.members or state.unconfirmed_starts:
             return RENEW_WAIT_MS
         return 0
--- a/packages/placer/tests/fakeworkers.py
+++ b/packages/placer/tests/fakeworkers.py
@@ -17,6 +17,7 @@
       refuse_connections: whether connections to it are refused.
       drop_answers: whether calls are executed but not answered.
       refuse_stops: whether it answers stops as unhealthy and does nothing.
+      drop_stops: whether stops get no answer and have no effect.
       stop_s: how long a stopped run goes on after the answer.
       report_s: latency of a report.
       clock: returns the reading of its clock in reports; it stands still by
@@ -31,6 +32,7 @@
     refuse_connections: bool = False
     unhealthy: bool = False
     refuse_stops: bool = False
+    drop_stops: bool = False
     stop_s: float = 0.0
     report_s: float = 0.0
     clock: Callable[[], int] = lambda: 1_000
@@ -118,6 +120,9 @@
             return refused
         if worker.refuse_stops:
             return ports.Refused(ports.Refusal.UNHEALTHY)
+        if worker.drop_stops:
+            await asyncio.sleep(timeout_ms / 1000)
+            return ports.Unknown("lost")
         worker.stop(task, run)
         worker.stopped[task] = max(run, worker.stopped.get(task, 0))
         return await self._answer(worker, timeout_ms, ports.Done(1_000))
--- a/packages/placer/tests/test_leader.py
+++ b/packages/placer/tests/test_leader.py
@@ -1326,3 +1326,59 @@
         assert answer == ports.Refused(ports.Refusal.SUPERSEDED, 1_000)
 
     builders.run(work())
+
+
+async def _list_stray(**faults):
+    """Returns a system, a worker with a stray and the times of the stops."""
+    system = _System("e1")
+    worker = system.worker("e1")
+    for name, value in faults.items():
+        setattr(worker, name, value)
+    task = model.TaskKey("b" * 16, 0, 0, 0)
+    worker.running[(task, 1)] = None
+    stop = system.workers.stop
+    stops = []
+
+    async def count_stop(*args, **kwargs):
+        stops.append(asyncio.get_running_loop().time())
+        return await stop(*args, **kwargs)
+
+    system.workers.stop = count_stop
+    host = system.add_host("h1", first_start=True)
+    await _wait_until(lambda: host.leader and host.leader.recovered)
+    await _wait_until(lambda: stops)
+    return system, worker, stops
+
+
+@pytest.mark.parametrize("fault", ["refuse_stops", "drop_stops"])
+def test_a_stray_that_was_not_stopped_is_stopped_again(fault):
+    """Guards against a stray that goes on after one refused or lost stop."""
+
+    async def work():
+        _, worker, stops = await _list_stray(**{fault: True})
+        await _wait_until(lambda: len(stops) == 2)
+        setattr(worker, fault, False)
+        await _wait_until(lambda: not worker.running)
+
+    builders.run(work())
+
+
+def test_a_stray_is_not_stopped_nor_asked_for_all_the_time():
+    """Guards against a busy loop while a stray takes long to stop."""
+
+    async def work():
+        system, worker, stops = await _list_stray(refuse_stops=True)
+        renew = system.workers.renew
+        reports = []
+
+        async def count_renewal(*args, **kwargs):
+            reports.append(None)
+            return await renew(*args, **kwargs)
+
+        system.workers.renew = count_renewal
+        await asyncio.sleep(1.2)
+        assert worker.running
+        assert len(stops) <= 4
+        assert len(reports) <= 8
+
+    builders.run(work())
--- a/packages/placer/tests/test_lifecycle.py
+++ b/packages/placer/tests/test_lifecycle.py
@@ -172,6 +172,21 @@
     assert tables.endpoints.usable("pool", set(), 200_000) == []
 
 
+def test_a_task_that_was_taken_for_over_and_is_listed_is_stopped():
+    """Guards against a task of a gang that goes on though it counts as over."""
+    tables = builders.tables()
+    state = builders.add_endpoint(tables)
+    builders.add_endpoint(tables, "e2")
+    _, unit, run = _started(
+        tables, builders.step(count=2, gang=True), endpoints=["e1", "e2"]
+    )
+    lifecycle.expire_leases(tables, state, builders.EXPIRED)
+    assert unit.run is run
+    report = builders.report(state, builders.row(run.members[0]))
+    found = reports.apply(tables, state, report, tables.monotonic.now_ms())
+    assert [row.task for row in found] == [run.members[0].task]
+
+
 def test_a_run_that_was_done_before_its_lease_expired_counts():
     """Guards against work that is repeated after a network partition."""
     tables = builders.tables()
