Start no task while an unknown run of it may go on

Callers could see two runs of a task at the same time: nothing kept a unit back while an endpoint reported a run of one of its tasks that the leader did not expect. The unit was assigned to another endpoint beside it.

The endpoint table is asked by Ranking.ordered, the one place from which units are placed, for the tasks of unknown runs; their units are left out. Without such runs this costs one look at each endpoint a pass. A run that is assigned but not ordered yet when an unknown run of its task is found is withdrawn. The unit waits no longer once the runs are not reported, the endpoint has ended, or its leases have expired: the watcher checks that now also without members.

--- a/packages/placer/src/laburnumgate_placer/endpoint_table.py
+++ b/packages/placer/src/laburnumgate_placer/endpoint_table.py
@@ -67,7 +67,8 @@
       acked_end: highest number of the ends that may be acknowledged.
       members: members that may be present, by task and run.
       unknown_runs: monotonic time of the last stop of each run in the last
-        report that the leader does not expect there, by task and run.
+        report that the leader does not expect there, by task and run. Their
+        units wait until they are gone.
       unconfirmed_starts: monotonic time of the newest start without an answer,
         by task and run; a copy may be in flight, even after the run has ended.
       restart: the restart that a report showed, None for none.
@@ -295,6 +296,15 @@
         """Whether endpoints may have shrunk without the leader's knowledge."""
         return self.list_age_ms() > self._max_list_age_ms
 
+    def tasks_of_unknown_runs(self) -> set[model.TaskKey]:
+        """Returns the tasks of which a run may go on that has no member."""
+        return {
+            task
+            for state in self.by_id.values()
+            if not state.ended
+            for task, _ in state.unknown_runs
+        }
+
     def usable(
         self, service: str, zones_out: set[str], now_ms: int
     ) -> list[EndpointState]:
--- a/packages/placer/src/laburnumgate_placer/lifecycle.py
+++ b/packages/placer/src/laburnumgate_placer/lifecycle.py
@@ -166,6 +166,17 @@
     tables.mark_dirty(key.job_id)
 
 
+def withdraw(tables: tables_module.Tables, task: model.TaskKey) -> None:
+    """Stops the run of a task that has another run, if it was not ordered."""
+    entry = tables.entries_by_id.get(task.job_id)
+    unit = entry.unit_of(task) if entry else None
+    if unit is None or unit.run is None:
+        return
+    member = unit.run.member_of(task)
+    if member is not None and not member.start_sent:
+        stop_run(tables, unit.run, "another run of a task is present")
+
+
 def mark_terminated(
     tables: tables_module.Tables,
     member: progress.Member,
@@ -295,7 +306,11 @@
 
     Nothing is known about the endpoint itself: it may be cut off or have ended.
     """
-    _lose_members(tables, state, proof)
+    if state.unknown_runs:
+        state.unknown_runs.clear()
+        tables.wake.set()
+    if state.members:
+        _lose_members(tables, state, proof)
 
 
 def lose_recorded(
--- a/packages/placer/src/laburnumgate_placer/ordering.py
+++ b/packages/placer/src/laburnumgate_placer/ordering.py
@@ -17,6 +17,7 @@
 account.
 """
 
+from collections.abc import Callable
 from collections.abc import Collection
 from collections.abc import Iterator
 import dataclasses
@@ -425,12 +426,15 @@
         """Returns the ranked steps in rank order.
 
         Units that were started or cancelled since they were ranked are left
-        out.
+        out, and those of which an unknown run may still go on.
         """
         self._found.sort(key=lambda found: found[0])
         steps = [step for _, step in self._found]
         if self._paused:
             steps = _still_waiting(steps)
+        unknown = self._tables.endpoints.tasks_of_unknown_runs()
+        if unknown:
+            steps = _without_unknown_runs(self._tables, steps, unknown)
         return _by_shares(self._tables, steps, now_ms)
 
     def _rank_job(
@@ -460,15 +464,32 @@
 
 def _still_waiting(steps: list[WaitingStep]) -> list[WaitingStep]:
     """Leaves out units that no longer wait."""
+    steps = [s for s in steps if not s.units[0].entry.state.final]
+    return _select(steps, lambda u: u.state == progress.UnitState.WAITING)
+
+
+def _without_unknown_runs(
+    tables: tables_module.Tables,
+    steps: list[WaitingStep],
+    tasks: set[model.TaskKey],
+) -> list[WaitingStep]:
+    """Leaves out the units of tasks of which an unknown run may go on."""
+    blocked = set()
+    for task in tasks:
+        entry = tables.entries_by_id.get(task.job_id)
+        unit = entry.unit_of(task) if entry else None
+        if unit is not None:
+            blocked.add(unit.key)
+    return _select(steps, lambda u: u.key not in blocked) if blocked else steps
+
+
+def _select(
+    steps: list[WaitingStep], may_start: Callable[[progress.Unit], bool]
+) -> list[WaitingStep]:
+    """Returns the steps with those of their units that may start."""
     found = []
     for step in steps:
-        if step.units[0].entry.state.final:
-            continue
-        units = tuple(
-            unit
-            for unit in step.units
-            if unit.state == progress.UnitState.WAITING
-        )
+        units = tuple(unit for unit in step.units if may_start(unit))
         if not units:
             continue
         if len(units) < len(step.units):
--- a/packages/placer/src/laburnumgate_placer/reports.py
+++ b/packages/placer/src/laburnumgate_placer/reports.py
@@ -159,6 +159,7 @@
             continue
         unknown_runs[key] = now_ms
         found.append(row)
+        lifecycle.withdraw(tables, row.task)
     if state.unknown_runs and not unknown_runs:
         tables.wake.set()
     state.unknown_runs = unknown_runs
--- a/packages/placer/src/laburnumgate_placer/watcher.py
+++ b/packages/placer/src/laburnumgate_placer/watcher.py
@@ -283,7 +283,7 @@
 
     def _expire_runs(self) -> None:
         """Marks runs as terminated once no lease can keep them alive."""
-        if not self._state.members:
+        if not self._state.members and not self._state.unknown_runs:
             return
         now_ms = self._tables.monotonic.now_ms()
         proof = termination.from_leases(
--- a/packages/placer/tests/test_leader.py
+++ b/packages/placer/tests/test_leader.py
@@ -40,6 +40,7 @@
         for worker_id in worker_ids:
             self.list_worker(worker_id)
         self.tasks = {}
+        self.hosts = {}
         self.advisor = None
         self.machines = None
         self.queue = builders.QUEUE
@@ -83,6 +84,7 @@
             first_start=first_start,
             policy=self.policy,
         )
+        self.hosts[name] = host
         self.tasks[name] = asyncio.create_task(host.run())
         return host
 
@@ -1400,3 +1402,45 @@
         assert len(reports) <= 8
 
     builders.run(work())
+
+
+async def _submit_beside_stray():
+    """Returns a system with a job whose task has a stray, and its worker."""
+    system, worker, _ = await _list_stray(refuse_stops=True)
+    system.workers.by_id["e2"] = fakeworkers.FakeWorker("e2")
+    system.list_worker("e2")
+    host = system.hosts["h1"]
+    states = host.leader.tables.endpoints.by_id
+    await _wait_until(lambda: "e2" in states and states["e2"].contacted)
+    await _submit(host, builders.job("b" * 16))
+    return system, worker
+
+
+def test_a_task_does_not_start_while_a_stray_run_of_it_goes_on():
+    """Guards against a run beside another one that is known to be present."""
+
+    async def work():
+        system, worker = await _submit_beside_stray()
+        await asyncio.sleep(0.3)
+        assert not system.starts()
+        worker.refuse_stops = False
+        await _wait_until(system.starts)
+        assert not system.workers.overlaps
+
+    builders.run(work())
+
+
+def test_a_stray_out_of_reach_holds_its_task_until_its_lease_is_over():
+    """Guards against a task that waits for an endpoint that is gone."""
+
+    async def work():
+        system, worker = await _submit_beside_stray()
+        loop = asyncio.get_running_loop()
+        began = loop.time()
+        worker.partitioned = True
+        await _wait_until(system.starts)
+        # Leases of an earlier leader, of 600 ms, may have been renewed for as
+        # long after the claim.
+        assert loop.time() - began > 0.5
+
+    builders.run(work(), seconds=5)
--- a/packages/placer/tests/test_lifecycle.py
+++ b/packages/placer/tests/test_lifecycle.py
@@ -3,6 +3,7 @@
 import builders
 from laburnumgate_placer import lifecycle
 from laburnumgate_placer import model
+from laburnumgate_placer import ordering
 from laburnumgate_placer import progress
 from laburnumgate_placer import reports
 import pytest
@@ -187,6 +188,41 @@
     assert [row.task for row in found] == [run.members[0].task]
 
 
+def test_an_assigned_run_gives_way_to_a_stray_of_its_task():
+    """Guards against a start beside a run found since the assignment."""
+    tables = builders.tables()
+    builders.add_endpoint(tables)
+    other = builders.add_endpoint(tables, "e2")
+    entry = lifecycle.open_job(tables, builders.job("a" * 16))
+    unit = next(iter(entry.units_by_key.values()))
+    run = lifecycle.assign(tables, unit, ["e1"])
+    now_ms = tables.monotonic.now_ms()
+    stray = model.ReportedRun(run.members[0].task, 9, "", 0, 0.0)
+    reports.apply(tables, other, builders.report(other, stray), now_ms)
+    assert run.all_terminated()
+    assert not ordering.waiting_steps(tables, set(), now_ms + 1_000)
+    reports.apply(tables, other, builders.report(other), now_ms)
+    assert ordering.waiting_steps(tables, set(), now_ms + 1_000)
+
+
+@pytest.mark.parametrize("ended", [True, False])
+def test_a_stray_on_an_endpoint_that_is_over_holds_no_task(ended):
+    """Guards against a task that waits for a run that is gone."""
+    tables = builders.tables()
+    state = builders.add_endpoint(tables)
+    entry = lifecycle.open_job(tables, builders.job("a" * 16))
+    now_ms = tables.monotonic.now_ms()
+    task = next(iter(entry.units_by_key.values())).tasks()[0]
+    stray = model.ReportedRun(task, 9, "", 0, 0.0)
+    reports.apply(tables, state, builders.report(state, stray), now_ms)
+    assert not ordering.waiting_steps(tables, set(), now_ms)
+    if ended:
+        lifecycle.end_incarnation(tables, state, "test")
+    else:
+        lifecycle.expire_leases(tables, state, builders.EXPIRED)
+    assert ordering.waiting_steps(tables, set(), now_ms)
+
+
 def test_a_run_that_was_done_before_its_lease_expired_counts():
     """Guards against work that is repeated after a network partition."""
     tables = builders.tables()
