Refuse to assign a run to a unit that does not wait

A unit that was assigned while it had a run lost that run silently: nothing stopped it any more, and callers could see two runs of a task at the same time. No caller of lifecycle.assign is known to do so, but nothing refused it either.

lifecycle.assign raises ValueError now unless the unit is waiting and has no run. The new test failed before for a unit with a run, and for a done one.

--- a/packages/placer/src/laburnumgate_placer/lifecycle.py
+++ b/packages/placer/src/laburnumgate_placer/lifecycle.py
@@ -68,7 +68,14 @@
     endpoint_ids: list[str],
     tickets_by_endpoint: dict[str, str] | None = None,
 ) -> progress.Run:
-    """Assigns a new run to a unit; it starts once it is recorded."""
+    """Assigns a new run to a unit; it starts once it is recorded.
+
+    Raises:
+      ValueError: if the unit is not waiting or has a run, which would be
+        forgotten while it may go on.
+    """
+    if unit.state != progress.UnitState.WAITING or unit.run is not None:
+        raise ValueError(f"{unit.key} is not waiting for a run")
     now_ms = tables.monotonic.now_ms()
     unit.last_run += 1
     unit.state = progress.UnitState.ACTIVE
--- a/packages/placer/tests/test_lifecycle.py
+++ b/packages/placer/tests/test_lifecycle.py
@@ -39,6 +39,23 @@
     assert not entry.state.final
 
 
+@pytest.mark.parametrize("done", [False, True])
+def test_a_unit_that_does_not_wait_is_not_assigned(done):
+    """Guards against a run that is forgotten while it goes on."""
+    tables = builders.tables()
+    state = builders.add_endpoint(tables)
+    other = builders.add_endpoint(tables, "e2")
+    entry, unit, run = _started(tables, builders.step(count=2, gang=True))
+    if done:
+        end = builders.end(run.members[0], 1, _DONE)
+        lifecycle.apply_end(tables, state, end)
+    with pytest.raises(ValueError):
+        lifecycle.assign(tables, unit, ["e2", "e2"])
+    assert unit.run is run
+    assert unit.last_run == run.number
+    assert not other.members
+
+
 def test_one_end_of_a_gang_stands_for_all_its_tasks():
     """Guards against a completed gang that is started again."""
     tables = builders.tables()
