End no endpoint by the time of day at which another one started

Callers could see two runs of a task at the same time: an endpoint counted as over as soon as another one of its machine with a later start was listed. If the time of day stepped back between the two, a stale entry that was still listed, or read by a new leader, ended the life that was up. Its runs were started again elsewhere, and it was never asked or stopped again.

An endpoint ends for this reason now only while it does not answer, and once the later one has answered a call after its own last answer: a machine has one life at a time. Each pass looks for that. To find out soon, an endpoint is doubted when the later one is listed: it is asked, and gets nothing new until its next report. An endpoint that died before its successor was listed ends with the first answer of the successor instead of with its entry.

--- a/packages/placer/src/laburnumgate_placer/endpoint_table.py
+++ b/packages/placer/src/laburnumgate_placer/endpoint_table.py
@@ -72,6 +72,8 @@
       unconfirmed_starts: monotonic time of the newest start without an answer,
         by task and run; a copy may be in flight, even after the run has ended.
       restart: the restart that a report showed, None for none.
+      doubted: whether an endpoint of its machine with a later start is listed
+        and this one has not reported since.
       ended: whether the incarnation has ended, so that nothing runs there.
       unreachable_ms: monotonic time at which it last became unreachable, 0 for
         never.
@@ -109,6 +111,7 @@
         dataclasses.field(default_factory=dict)
     )
     restart: Restart | None = None
+    doubted: bool = False
     ended: bool = False
     unreachable_ms: int = 0
     suspects: set[tuple[model.TaskKey, int]] = dataclasses.field(
@@ -320,7 +323,7 @@
                 continue
             if state.ended or info.zone in zones_out or state.unknown_runs:
                 continue
-            if state.restart is not None:
+            if state.restart is not None or state.doubted:
                 continue
             if now_ms < state.avoid_until_ms:
                 continue
--- a/packages/placer/src/laburnumgate_placer/launcher.py
+++ b/packages/placer/src/laburnumgate_placer/launcher.py
@@ -272,6 +272,8 @@
         if state.restart is not None:
             # Only the orders before the restart was seen are voided.
             return "an assigned endpoint has restarted"
+        if state.doubted:
+            return "an assigned endpoint may have been replaced"
         if state.overcommitted():
             return "the capacity of an assigned endpoint has shrunk"
         if state.unknown_runs:
--- a/packages/placer/src/laburnumgate_placer/live_list.py
+++ b/packages/placer/src/laburnumgate_placer/live_list.py
@@ -41,6 +41,7 @@
 
     def add_restarted(self) -> None:
         """Adds listed incarnations whose predecessor ended or has no runs."""
+        self._end_replaced()
         for endpoint in list(self._listed_by_id.values()):
             state = self._tables.endpoints.by_id.get(endpoint.endpoint_id)
             replaced = state is not None and (
@@ -150,7 +151,7 @@
             )
             state = None
         if state is None:
-            self._end_earlier_incarnations(endpoint)
+            self._doubt_earlier_incarnations(endpoint)
             self._add_state(endpoint)
             events.emit(
                 _LOGGER,
@@ -180,17 +181,45 @@
             self._log_changed(state, "it is listed again")
             self._tables.wake.set()
 
-    def _end_earlier_incarnations(self, endpoint: model.Endpoint) -> None:
-        """Ends older incarnations of the same machine under other ids."""
+    def _doubt_earlier_incarnations(self, endpoint: model.Endpoint) -> None:
+        """Has older incarnations of a machine under other ids asked."""
         if not endpoint.machine:
             return
-        for state in list(self._tables.endpoints.by_id.values()):
+        for state in self._tables.endpoints.by_id.values():
             if state.info.machine != endpoint.machine:
                 continue
             if state.info.born_ms < endpoint.born_ms:
-                lifecycle.end_incarnation(
-                    self._tables, state, "its machine has a newer endpoint"
+                state.doubted = True
+
+    def _end_replaced(self) -> None:
+        """Ends silent incarnations whose machine answers as a later one.
+
+        That a later time of day is listed proves nothing: the time may have
+        been set back between the two, and the entry may be a stale one.
+        """
+        by_id = self._tables.endpoints.by_id
+        silent = [
+            state
+            for state in by_id.values()
+            if state.info.machine and not state.answering and not state.ended
+        ]
+        if not silent:
+            return
+        contacted_by_machine: dict[str, list[endpoint_table.EndpointState]] = {}
+        for state in by_id.values():
+            if state.contacted:
+                contacted_by_machine.setdefault(state.info.machine, []).append(
+                    state
                 )
+        for state in silent:
+            for other in contacted_by_machine.get(state.info.machine, ()):
+                if (
+                    other.info.born_ms > state.info.born_ms
+                    and other.last_answer_ms > state.last_answer_ms
+                ):
+                    lifecycle.end_incarnation(
+                        self._tables, state, "its machine has a newer endpoint"
+                    )
 
     def _drain(self, state: endpoint_table.EndpointState) -> None:
         """Stops runs on a draining endpoint that have to move.
--- a/packages/placer/src/laburnumgate_placer/reports.py
+++ b/packages/placer/src/laburnumgate_placer/reports.py
@@ -35,6 +35,9 @@
     state.report_clock_ms = report.clock_ms
     state.set_clock(report.clock_ms, now_ms)
     state.contacted = True
+    if state.doubted:
+        state.doubted = False
+        tables.wake.set()
     state.reported_ms = now_ms
     for row in sorted(report.ended, key=lambda r: r.number):
         if row.number <= state.handled_end:
--- a/packages/placer/src/laburnumgate_placer/watcher.py
+++ b/packages/placer/src/laburnumgate_placer/watcher.py
@@ -108,7 +108,7 @@
             return True
         if not state.listed:
             return bool(state.info.address) and not state.contacted
-        if not state.contacted or not state.answering:
+        if not state.contacted or not state.answering or state.doubted:
             return True
         return state.acked_end < state.handled_end or self._ack_due
 
--- a/packages/placer/tests/test_leader.py
+++ b/packages/placer/tests/test_leader.py
@@ -1444,3 +1444,52 @@
         assert loop.time() - began > 0.5
 
     builders.run(work(), seconds=5)
+
+
+def test_a_stale_entry_of_its_machine_ends_no_endpoint_that_answers():
+    """Guards against a run given up because the time of day stepped back.
+
+    The entry of the machine's previous endpoint, which started at a later time
+    of day, is still listed.
+    """
+
+    async def work():
+        system, host = await _start_system("e1")
+        await _submit(host, builders.job("a" * 16))
+        await _wait_until(system.starts)
+        for worker_id, machine in (("e0", "m-e1"), ("e2", "m-e2")):
+            system.workers.by_id[worker_id] = fakeworkers.FakeWorker(
+                worker_id, born_ms=9
+            )
+            system.machines_by_id[worker_id] = machine
+            system.list_worker(worker_id)
+        system.worker("e0").refuse_connections = True
+        await asyncio.sleep(0.8)
+        assert len(system.starts()) == 1
+        state = host.leader.tables.endpoints.by_id["e1"]
+        assert state.members and not state.ended
+        await _submit(host, builders.job("b" * 16, builders.step(gpu=7)))
+        await _submit(host, builders.job("c" * 16, builders.step(gpu=7)))
+        await _wait_until(lambda: len(system.starts()) == 3)
+        assert {e for e, _ in system.starts()} == {"e1", "e2"}
+        assert not system.workers.overlaps
+
+    builders.run(work())
+
+
+def test_an_idle_endpoint_is_asked_when_its_machine_has_a_newer_one():
+    """Guards against starts on an endpoint that has been replaced."""
+
+    async def work():
+        system, host = await _start_system("e1")
+        states = host.leader.tables.endpoints.by_id
+        await _wait_until(lambda: "e1" in states and states["e1"].contacted)
+        system.worker("e1").refuse_connections = True
+        system.workers.by_id["e2"] = fakeworkers.FakeWorker("e2", born_ms=2)
+        system.machines_by_id["e2"] = "m-e1"
+        system.list_worker("e2")
+        await _wait_until(lambda: states["e1"].ended)
+        await _submit(host, builders.job("a" * 16))
+        await _wait_until(lambda: system.worker("e2").starts)
+
+    builders.run(work())
--- a/packages/placer/tests/test_live_list.py
+++ b/packages/placer/tests/test_live_list.py
@@ -12,6 +12,7 @@
 from laburnumgate_placer import live_list
 from laburnumgate_placer import ports
 from laburnumgate_placer import records
+from laburnumgate_placer import reports
 import pytest
 
 _TOPIC = "keyed.list"
@@ -110,3 +111,62 @@
     assert given_ms <= min(max_lease_ms, 7_000)
     waits_ms = tables.endpoints.by_id["e1"].leases_expire_ms() - claimed_ms
     assert given_ms + given_ms / 0.98 - 1 <= waits_ms <= 14_200
+
+
+def _list_two_of_a_machine():
+    """Returns tables, the list, and an older and a newer endpoint."""
+    tables = builders.tables()
+    born_by_id = {"e1": 5, "e2": 9}
+    listed = live_list.LiveList(
+        tables,
+        lambda entry: builders.endpoint(
+            entry.key, born_ms=born_by_id[entry.key], machine="m"
+        ),
+        lambda state: None,
+        tables.monotonic.now_ms(),
+    )
+    listed.apply(ports.Entry(1, "e1", b"1"))
+    older = tables.endpoints.by_id["e1"]
+    older.contacted = True
+    listed.apply(ports.Entry(2, "e2", b"1"))
+    return tables, listed, older, tables.endpoints.by_id["e2"]
+
+
+def _report_from(tables, state):
+    now_ms = tables.monotonic.now_ms()
+    reports.apply(tables, state, builders.report(state), now_ms)
+
+
+def test_an_endpoint_ends_only_when_it_is_silent_and_a_later_one_answers():
+    """Guards against a life that ends by a comparison of times of day."""
+    tables, listed, older, newer = _list_two_of_a_machine()
+    listed.add_restarted()
+    assert not older.ended
+    older.mark_unreachable(tables.monotonic.now_ms(), "test")
+    listed.add_restarted()
+    assert not older.ended
+    tables.monotonic.advance(10)
+    _report_from(tables, newer)
+    listed.add_restarted()
+    assert older.ended
+    assert not newer.ended
+
+
+def test_an_endpoint_that_answered_after_a_later_one_goes_on():
+    """Guards against the end of a life that followed the one listed later."""
+    tables, listed, older, newer = _list_two_of_a_machine()
+    _report_from(tables, newer)
+    tables.monotonic.advance(10)
+    _report_from(tables, older)
+    older.mark_unreachable(tables.monotonic.now_ms(), "test")
+    listed.add_restarted()
+    assert not older.ended
+
+
+def test_an_endpoint_of_a_machine_with_a_later_one_has_to_answer_first():
+    """Guards against starts on an endpoint that has probably been replaced."""
+    tables, _, older, _ = _list_two_of_a_machine()
+    now_ms = tables.monotonic.now_ms()
+    assert not tables.endpoints.usable("pool", set(), now_ms)
+    _report_from(tables, older)
+    assert tables.endpoints.usable("pool", set(), now_ms) == [older]
