--- a/packages/placer/tests/test_lifecycle.py
+++ b/packages/placer/tests/test_lifecycle.py
@@ -198,7 +198,7 @@
     _, unit, run = _started(
         tables, builders.step(count=2, gang=True), endpoints=["e1", "e2"]
     )
-    lifecycle.expire_leases(tables, state, builders.EXPIRED)
+    builders.expire_leases(tables, state)
     assert unit.run is run
     report = builders.report(state, builders.row(run.members[0]))
     found = reports.apply(tables, state, report, tables.monotonic.now_ms())
@@ -236,7 +236,7 @@
     if ended:
         lifecycle.end_incarnation(tables, state, "test")
     else:
-        lifecycle.expire_leases(tables, state, builders.EXPIRED)
+        lifecycle.expire_unknown_runs(tables, state)
     assert ordering.waiting_steps(tables, set(), now_ms)
 
 
@@ -339,7 +339,7 @@
     state = builders.add_endpoint(tables)
     builders.add_endpoint(tables, "e2")
     entry, unit, first = _started(tables, builders.step())
-    lifecycle.expire_leases(tables, state, builders.EXPIRED)
+    builders.expire_leases(tables, state)
     second = lifecycle.assign(tables, unit, ["e2"])
     builders.start(tables, second)
     late = builders.end(first.members[0], 1, _FAILED)
@@ -356,7 +356,7 @@
     tables = builders.tables(queue)
     state = builders.add_endpoint(tables)
     entry, unit, run = _started(tables, builders.step())
-    lifecycle.expire_leases(tables, state, builders.EXPIRED)
+    builders.expire_leases(tables, state)
     assert unit.run is None
     late = builders.end(run.members[0], 1, _FAILED)
     lifecycle.apply_end(tables, state, late)
