Handle a life of an endpoint that starts at an earlier time of day

Callers could see a job that ran for good (rule LOST): if an endpoint restarted under its id after its time of day had been set back, its reports were ignored, while their arrival showed that it answers, so that its leases were extended and its tasks never ended. Its entry in the live list was ignored as well, so that it got no work under this leader, and a new leader that found a record of the past life dropped the listed one.

A report with any other start than the known one shows another life now: each renewal is answered by a life that is up when it is sent. An entry with an earlier start may also have been written before a restart, so that the endpoint has to report before it gets new work; if it does not answer, or has ended, the entry replaces it. A recorded member of another life is bound to the listed one, whose first report decides. A listed restart of an endpoint with unknown runs is left to its report too, since they could be in the new life.

Before this change, the four new tests failed: no second start within 8 s, the idle endpoint kept the start of its past life, the same under a new leader, and the entry with the earlier start was ignored.

--- a/packages/placer/src/laburnumgate_placer/live_list.py
+++ b/packages/placer/src/laburnumgate_placer/live_list.py
@@ -44,19 +44,22 @@
         self._end_replaced()
         for endpoint in list(self._listed_by_id.values()):
             state = self._tables.endpoints.by_id.get(endpoint.endpoint_id)
-            replaced = state is not None and (
-                state.info.born_ms < endpoint.born_ms
-            )
-            if state is None or state.ended or replaced:
+            if state is None or state.ended or _is_replaced(state, endpoint):
                 self._apply_listed(endpoint)
 
     def state_for(
         self, member: progress.Member
     ) -> endpoint_table.EndpointState:
-        """Returns the state of a recorded member's endpoint, listed or not."""
+        """Returns the state of a recorded member's endpoint, listed or not.
+
+        A listed one may be of another incarnation than the member, with an
+        earlier start if the time of day was set back. Its report decides.
+        """
         by_id = self._tables.endpoints.by_id
         state = by_id.get(member.endpoint_id)
-        if state is not None and not (0 < state.info.born_ms < member.born_ms):
+        if state is not None and (
+            state.listed or not 0 < state.info.born_ms < member.born_ms
+        ):
             return state
         if state is not None:
             # A record of another job named an earlier incarnation.
@@ -135,19 +138,24 @@
         by_id = self._tables.endpoints.by_id
         state = by_id.get(endpoint.endpoint_id)
         if state is not None and state.info.born_ms != endpoint.born_ms:
-            if endpoint.born_ms < state.info.born_ms:
+            if not state.ended and not _is_replaced(state, endpoint):
+                # The entry may be one that was written before a restart. The
+                # next report tells whether it is.
+                state.listed = True
+                state.doubted = True
                 return
             pending = state.pending_orders(self._tables.monotonic.now_ms())
-            if (state.members or pending) and not state.ended:
+            present = state.members or state.unknown_runs or pending
+            if present and not state.ended:
                 # The watcher detects the new incarnation and voids orders that
                 # were sent to the old one. Until then new orders could reach
                 # the new one, which may be smaller.
                 if state.listed:
                     state.listed = False
-                    self._log_changed(state, "a newer incarnation is listed")
+                    self._log_changed(state, "another incarnation is listed")
                 return
             lifecycle.end_incarnation(
-                self._tables, state, "a later incarnation is listed"
+                self._tables, state, "another incarnation is listed"
             )
             state = None
         if state is None:
@@ -269,6 +277,19 @@
         )
 
 
+def _is_replaced(
+    state: endpoint_table.EndpointState, endpoint: model.Endpoint
+) -> bool:
+    """Whether an entry under the same id is taken for a later incarnation.
+
+    One with an earlier start may be of a later incarnation, too, whose time of
+    day was set back. It is not taken for one while the known one answers.
+    """
+    if endpoint.born_ms < state.info.born_ms:
+        return not state.answering
+    return endpoint.born_ms > state.info.born_ms
+
+
 def _amounts(resources: model.Resources) -> list[int]:
     """Returns millicores, MB and accelerators for a log line."""
     return [resources.cpu, resources.mem_mb, resources.gpu]
--- a/packages/placer/src/laburnumgate_placer/watcher.py
+++ b/packages/placer/src/laburnumgate_placer/watcher.py
@@ -173,15 +173,12 @@
     ) -> bool:
         state = self._state
         tables = self._tables
-        if report.born_ms and report.born_ms != state.info.born_ms:
-            if not state.info.born_ms:
-                pass
-            elif report.born_ms > state.info.born_ms:
-                pause_ms = await self._handle_restart(report, sent_ms)
-                await asyncio.sleep(pause_ms / 1000)
-                return True
-            else:
-                return False
+        born_ms = state.info.born_ms
+        if born_ms and report.born_ms and report.born_ms != born_ms:
+            # A later life may have an earlier time of day.
+            pause_ms = await self._handle_restart(report, sent_ms)
+            await asyncio.sleep(pause_ms / 1000)
+            return True
         if not state.answering:
             state.answering = True
             events.emit(
--- a/packages/placer/tests/test_leader.py
+++ b/packages/placer/tests/test_leader.py
@@ -1555,3 +1555,70 @@
         await _wait_until(lambda: system.worker("e2").starts)
 
     builders.run(work())
+
+
+async def _start_with_later_time():
+    """Returns a system whose endpoint's next life may have an earlier start."""
+    system = _System("e1")
+    system.worker("e1").born_ms = 9
+    system.list_worker("e1")
+    host = system.add_host("h1", first_start=True)
+    await _wait_until(lambda: host.leader and host.leader.recovered)
+    await _wait_until(
+        lambda: host.leader.tables.endpoints.by_id["e1"].contacted
+    )
+    return system, host
+
+
+def _restart_at_earlier_time(system):
+    worker = system.worker("e1")
+    worker.restart()
+    worker.born_ms = 3
+    worker.changed.set()
+    system.list_worker("e1")
+
+
+@pytest.mark.parametrize("idle", [False, True])
+def test_an_endpoint_that_restarts_at_an_earlier_time_is_used_again(idle):
+    """Guards against tasks that count as running for good.
+
+    The time of day stepped back, and reports of the next life were ignored,
+    while they showed that the endpoint answers.
+    """
+
+    async def work():
+        system, host = await _start_with_later_time()
+        if not idle:
+            await _submit(host, builders.job("a" * 16, builders.step(gpu=8)))
+            await _wait_until(system.starts)
+        await asyncio.sleep(0.1)
+        _restart_at_earlier_time(system)
+        states = host.leader.tables.endpoints.by_id
+        await _wait_until(lambda: states["e1"].info.born_ms == 3)
+        if idle:
+            await _submit(host, builders.job("a" * 16, builders.step(gpu=8)))
+        await _wait_until(lambda: len(system.starts()) == 2 - idle)
+        system.worker("e1").end_all()
+        await _wait_until(
+            lambda: host.jobs.state("a" * 16) == model.JobState.COMPLETED
+        )
+        assert not system.workers.overlaps
+
+    builders.run(work(), seconds=8)
+
+
+def test_a_new_leader_uses_an_endpoint_that_restarted_at_an_earlier_time():
+    """Guards against an endpoint that is lost to a record of its past life."""
+
+    async def work():
+        system, host = await _start_with_later_time()
+        await _submit(host, builders.job("a" * 16, builders.step(gpu=8)))
+        await _wait_until(system.starts)
+        await asyncio.sleep(0.1)
+        system.kill("h1")
+        _restart_at_earlier_time(system)
+        system.add_host("h2")
+        await _wait_until(lambda: len(system.starts()) == 2)
+        assert not system.workers.overlaps
+
+    builders.run(work(), seconds=8)
--- a/packages/placer/tests/test_live_list.py
+++ b/packages/placer/tests/test_live_list.py
@@ -8,6 +8,7 @@
 from laburnumgate_core import clock
 from laburnumgate_placer import events
 from laburnumgate_placer import feed
+from laburnumgate_placer import lifecycle
 from laburnumgate_placer import limits
 from laburnumgate_placer import live_list
 from laburnumgate_placer import ports
@@ -170,3 +171,26 @@
     assert not tables.endpoints.usable("pool", set(), now_ms)
     _report_from(tables, older)
     assert tables.endpoints.usable("pool", set(), now_ms) == [older]
+
+
+def test_an_entry_with_an_earlier_start_does_not_end_an_endpoint():
+    """Guards against an entry that its endpoint wrote before it restarted."""
+    tables = builders.tables()
+    listed = live_list.LiveList(
+        tables,
+        lambda entry: builders.endpoint(entry.key, born_ms=int(entry.value)),
+        lambda state: None,
+        tables.monotonic.now_ms(),
+    )
+    listed.apply(ports.Entry(1, "e1", b"9"))
+    state = tables.endpoints.by_id["e1"]
+    now_ms = tables.monotonic.now_ms()
+    _report_from(tables, state)
+    listed.apply(ports.Entry(2, "e1", b"5"))
+    assert not tables.endpoints.usable("pool", set(), now_ms)
+    _report_from(tables, state)
+    listed.add_restarted()
+    assert tables.endpoints.usable("pool", set(), now_ms) == [state]
+    lifecycle.end_incarnation(tables, state, "test")
+    listed.add_restarted()
+    assert tables.endpoints.by_id["e1"].info.born_ms == 5
