--- a/packages/placer/src/laburnumgate_placer/lifecycle.py
+++ b/packages/placer/src/laburnumgate_placer/lifecycle.py
@@ -319,13 +319,12 @@
     _lose_members(tables, state, members, proof)
 
 
-def expire_unknown_runs(
+def forget_unknown_runs(
     tables: tables_module.Tables, state: endpoint_table.EndpointState
 ) -> None:
-    """Counts the unknown runs as over on an endpoint whose leases expired."""
-    if state.unknown_runs:
-        state.unknown_runs.clear()
-        tables.wake.set()
+    """Lets the tasks start again whose unknown runs must have ended."""
+    state.unknown_runs.clear()
+    tables.wake.set()
 
 
 def lose_recorded(
--- a/packages/placer/src/laburnumgate_placer/termination.py
+++ b/packages/placer/src/laburnumgate_placer/termination.py
@@ -150,3 +150,19 @@
     elif member.ordered_ms and not member.present:
         expired_ms = max(expired_ms, member.ordered_ms + lease_ms)
     return LeasesExpired(expired_ms) if now_ms > expired_ms else None
+
+
+def unknown_runs_expired(
+    state: endpoint_table.EndpointState, now_ms: int, max_lease_ms: int
+) -> bool:
+    """Whether the leases of the reported runs without a member have expired.
+
+    Args:
+      state: the endpoint, without contact.
+      now_ms: monotonic time.
+      max_lease_ms: longest lease that an endpoint grants.
+    """
+    lease_ms = int(max_lease_ms / endpoint_table.MIN_CLOCK_RATE)
+    # It is not known by which deadline they were started.
+    expired_ms = max(state.leases_expire_ms(), state.reported_ms + lease_ms)
+    return now_ms > expired_ms
--- a/packages/placer/src/laburnumgate_placer/watcher.py
+++ b/packages/placer/src/laburnumgate_placer/watcher.py
@@ -282,18 +282,21 @@
 
     def _expire_runs(self) -> None:
         """Marks runs as terminated once no lease can keep them alive."""
-        now_ms = self._tables.monotonic.now_ms()
+        state = self._state
+        tables = self._tables
+        now_ms = tables.monotonic.now_ms()
+        max_lease_ms = tables.bounds.max_lease_ms
         members_by_proof = collections.defaultdict(list)
-        for member in self._state.members.values():
-            proof = termination.from_leases(
-                self._state, member, now_ms, self._tables.bounds.max_lease_ms
-            )
+        for member in state.members.values():
+            proof = termination.from_leases(state, member, now_ms, max_lease_ms)
             if proof is not None:
                 members_by_proof[proof].append(member)
         for proof, members in members_by_proof.items():
-            lifecycle.expire_leases(self._tables, self._state, members, proof)
-        if now_ms > self._state.leases_expire_ms():
-            lifecycle.expire_unknown_runs(self._tables, self._state)
+            lifecycle.expire_leases(tables, state, members, proof)
+        if state.unknown_runs and termination.unknown_runs_expired(
+            state, now_ms, max_lease_ms
+        ):
+            lifecycle.forget_unknown_runs(tables, state)
 
     async def _handle_restart(
         self, report: model.Report, requested_ms: int
--- a/packages/placer/tests/test_lifecycle.py
+++ b/packages/placer/tests/test_lifecycle.py
@@ -236,7 +236,7 @@
     if ended:
         lifecycle.end_incarnation(tables, state, "test")
     else:
-        lifecycle.expire_unknown_runs(tables, state)
+        lifecycle.forget_unknown_runs(tables, state)
     assert ordering.waiting_steps(tables, set(), now_ms)
 
 
