Count no suspended time towards the end of leases elsewhere

Callers could see a task run twice after all machines of a deployment had been suspended for a while: the leader took the leases of endpoints that did not answer at once for expired and started their tasks elsewhere, while they ran on.

Cause: the leader's clock counts the time in which its machine is suspended. That is right for its own right to lead. But leases are measured on the endpoints' steady clocks, which do not count such time, and the machines of the endpoints may have been suspended in the same time.

The proof now adds the time that this machine was suspended since the endpoint's clock was read, or since the claim for leases of earlier leaders. It is CLOCK_BOOTTIME less CLOCK_MONOTONIC, and changes nothing where the two go on alike. An endpoint that is suspended while the leader is not cannot be told from a lost one, so this does not cover it.

--- a/packages/core/src/laburnumgate_core/clock.py
+++ b/packages/core/src/laburnumgate_core/clock.py
@@ -51,6 +51,22 @@
     return time.monotonic_ns() // 1_000_000
 
 
+def suspended_ms() -> int:
+    """Returns how long the machine has been suspended since its boot, in ms.
+
+    It is the part of `MonotonicClock` in which nothing ran on this machine.
+    Clocks of other machines may have stood still as well in that time.
+    """
+    # The two clocks are read one after the other; the least difference is the
+    # one that was least delayed.
+    return min(_suspended_ns() for _ in range(2)) // 1_000_000
+
+
+def _suspended_ns() -> int:
+    steady_ns = time.clock_gettime_ns(time.CLOCK_MONOTONIC)
+    return time.clock_gettime_ns(time.CLOCK_BOOTTIME) - steady_ns
+
+
 class MonotonicClock:
     """Time since boot, which also advances while the machine is suspended.
 
--- a/packages/placer/src/laburnumgate_placer/endpoint_table.py
+++ b/packages/placer/src/laburnumgate_placer/endpoint_table.py
@@ -4,6 +4,8 @@
 import dataclasses
 import logging
 
+from laburnumgate_core import clock
+
 from laburnumgate_placer import events
 from laburnumgate_placer import model
 from laburnumgate_placer import progress
@@ -62,6 +64,9 @@
       avoid_pause_ms: duration of the last avoidance.
       used: resources that runs may be using.
       paced_ms: monotonic time of the last change of a pace there.
+      read_suspended_ms: returns how long this machine has been suspended.
+      clock_suspended_ms: that time at `clock_at_ms`.
+      prior_suspended_ms: that time when this leader's term began.
     """
 
     info: model.Endpoint
@@ -98,6 +103,13 @@
     avoid_pause_ms: int = 0
     used: model.Resources = dataclasses.field(default_factory=model.Resources)
     paced_ms: int = 0
+    read_suspended_ms: Callable[[], int] = lambda: clock.suspended_ms()
+    clock_suspended_ms: int = 0
+    prior_suspended_ms: int = 0
+
+    def __post_init__(self):
+        self.clock_suspended_ms = self.read_suspended_ms()
+        self.prior_suspended_ms = self.clock_suspended_ms
 
     def free(self) -> model.Resources:
         """Returns the resources that are certainly not in use."""
@@ -166,6 +178,7 @@
         """Records a reading of the endpoint's clock and the contact."""
         self.clock_ms = clock_ms
         self.clock_at_ms = now_ms
+        self.clock_suspended_ms = self.read_suspended_ms()
         self.last_answer_ms = now_ms
 
     def extend_lease(self, lease_ms: int, now_ms: int) -> int:
@@ -181,13 +194,21 @@
         return self.deadline_ms
 
     def leases_expire_ms(self) -> int:
-        """Returns the monotonic time by which all leases have expired."""
+        """Returns the monotonic time by which all leases have expired.
+
+        Time in which this machine was suspended does not count, as the
+        endpoint's may have been suspended as well, and its clock stands still
+        then.
+        """
+        suspended_ms = self.read_suspended_ms()
+        prior_ms = self.prior_leases_expire_ms + (
+            suspended_ms - self.prior_suspended_ms
+        )
         if not self.contacted:
-            return self.prior_leases_expire_ms
+            return prior_ms
         left_ms = max(0, self.deadline_ms - self.clock_ms) / MIN_CLOCK_RATE
-        return max(
-            self.prior_leases_expire_ms, self.clock_at_ms + int(left_ms) + 1
-        )
+        own_ms = self.clock_at_ms + int(left_ms) + 1
+        return max(prior_ms, own_ms + suspended_ms - self.clock_suspended_ms)
 
     def mark_unreachable(self, now_ms: int, reason: str) -> None:
         """Marks the endpoint as unreachable after an unanswered call."""
--- a/packages/placer/src/laburnumgate_placer/leader.py
+++ b/packages/placer/src/laburnumgate_placer/leader.py
@@ -99,6 +99,9 @@
         self._leadership = leadership_state
         self._claim = leadership_state.own_claim
         self._jobs_feed = jobs_feed
+        # Read before the time of the claim, so that a suspension between the
+        # two counts.
+        self._suspended_ms = clock.suspended_ms()
         self._claimed_ms = monotonic.now_ms()
         self.tables = tables_module.Tables(
             self._claim.token, monotonic, wall, config, jobs, bounds, policy
@@ -375,6 +378,8 @@
             )
 
     def _watch_endpoint(self, state: endpoint_table.EndpointState) -> None:
+        # The leases of earlier leaders are counted from the claim on.
+        state.prior_suspended_ms = self._suspended_ms
         if not self.recovered:
             # A report would list runs of jobs that are not restored yet.
             self._unwatched.append(state)
