Grant no longer leases where the endpoint's clock was read long ago

Callers could see a task run twice after a change of the leader: the new one gave up runs on an endpoint that it could not reach, while their lease went on for up to some seconds.

Cause: a deadline is a time on the endpoint's clock, which may be 2% slow. The leader took it to go like its own since the last answer. An endpoint without work is not asked, so that answer may be minutes old: the lease of the first run after 150 s was 10 s instead of 7 s. The leader itself counts on that, but a later leader knows only the agreed length. (An endpoint shortens leases to the platform's maximum, which limits the fault to the difference.) Time in which all machines were suspended lengthened leases likewise.

It is 20 ms earlier for each second since the last answer.

--- a/packages/placer/src/laburnumgate_placer/endpoint_table.py
+++ b/packages/placer/src/laburnumgate_placer/endpoint_table.py
@@ -171,8 +171,15 @@
         return ordered | set(self.unconfirmed_starts)
 
     def endpoint_now_ms(self, now_ms: int) -> int:
-        """Estimates the reading of the endpoint's clock at a monotonic time."""
-        return self.clock_ms + now_ms - self.clock_at_ms
+        """Returns a time that the endpoint's clock has reached at `now_ms`.
+
+        A later leader counts on leases that are not longer than agreed, even
+        if the clock is slow and was last read long ago, or stood still while
+        this machine was suspended.
+        """
+        suspended_ms = self.read_suspended_ms() - self.clock_suspended_ms
+        passed_ms = max(0, now_ms - self.clock_at_ms - suspended_ms)
+        return self.clock_ms + int(passed_ms * MIN_CLOCK_RATE)
 
     def set_clock(self, clock_ms: int, now_ms: int) -> None:
         """Records a reading of the endpoint's clock and the contact."""
--- a/packages/placer/tests/test_leases.py
+++ b/packages/placer/tests/test_leases.py
@@ -8,6 +8,7 @@
 from laburnumgate_placer import leadership
 from laburnumgate_placer import services
 from laburnumgate_placer import termination
+import pytest
 
 _LEASE_MS = 7_000
 
@@ -113,3 +114,37 @@
     """Guards against leases that never expire where no machine sleeps."""
     readings = [clock.suspended_ms() for _ in range(2_000)]
     assert max(readings) - min(readings) <= 1
+
+
+@pytest.mark.parametrize("clock_rate", [0.98, 1.0, 1.02])
+def test_a_lease_after_a_pause_lasts_no_longer_than_others(clock_rate):
+    """Guards against a lease that outlasts the wait of a later leader.
+
+    An endpoint without work is not asked for reports, so that the reading of
+    its clock is old when it is given work.
+    """
+    machine = _Machine()
+    state = _endpoint(machine)
+    idle_ms = 150_000
+    machine.run(idle_ms)
+    deadline_ms = state.extend_lease(_LEASE_MS, machine.monotonic.now_ms())
+    endpoint_now_ms = 50_000 + clock_rate * idle_ms
+    assert deadline_ms - endpoint_now_ms <= _LEASE_MS
+
+
+def test_a_lease_after_a_suspension_lasts_no_longer_than_others():
+    """Guards against a lease that is longer by the time all machines slept."""
+    machine = _Machine()
+    state = _endpoint(machine)
+    machine.suspend(60_000)
+    deadline_ms = state.extend_lease(_LEASE_MS, machine.monotonic.now_ms())
+    assert deadline_ms <= 50_000 + _LEASE_MS
+
+
+def test_a_lease_of_a_busy_endpoint_is_given_in_full():
+    """Guards against leases that are shortened where nothing is uncertain."""
+    machine = _Machine()
+    state = _endpoint(machine)
+    machine.run(1_000)
+    deadline_ms = state.extend_lease(_LEASE_MS, machine.monotonic.now_ms())
+    assert deadline_ms >= 50_000 + 1_000 + _LEASE_MS - 20
