Order no upkeep when leadership is not confirmed

Operators could see an upkeep ordered under a lower fencing token after the successor had ordered with a higher one.

Cause: an upkeep is recorded before it is ordered, which a replaced leader cannot do. But an order without an answer is repeated without a new record, and nothing asked whether this host still leads. A leader that cannot read the log went on with it; where the platform checks no tokens, it was obeyed.

Before this change test_a_leader_that_is_not_confirmed_repeats_no_upkeep failed with 5 orders instead of 2. It passes now, with test_maintainer, test_upkeep and the test of upkeep in test_leader. The other tests of test_maintainer pass the new argument.

Each order now asks for the same right as a start, which ends a lease after the host is last known to have led. The successor repeats orders of its predecessors from a lease after its claim on.

--- a/packages/placer/src/laburnumgate_placer/leader.py
+++ b/packages/placer/src/laburnumgate_placer/leader.py
@@ -177,6 +177,7 @@
                     self._services,
                     self.tables,
                     self._recorder,
+                    self._may_renew,
                     self._leadership.step_down,
                     self._recorded_waves,
                 )
--- a/packages/placer/src/laburnumgate_placer/maintainer.py
+++ b/packages/placer/src/laburnumgate_placer/maintainer.py
@@ -1,6 +1,7 @@
 """Carries out waves of machine upkeep."""
 
 import asyncio
+from collections.abc import Callable
 import logging
 
 from laburnumgate_placer import events
@@ -26,7 +27,8 @@
         services: services_module.Services,
         tables: tables_module.Tables,
         recorder: recorder_module.Recorder,
-        on_fenced,
+        may_order: Callable[[], bool],
+        on_fenced: Callable[[str], None],
         recorded: dict[str, list[str]],
     ):
         """Initialises the upkeep for one term of a leader.
@@ -35,6 +37,8 @@
           services: the external services; `machines` must be set.
           tables: the leader's tables.
           recorder: records progress and publishes the state of waves.
+          may_order: returns whether leadership was confirmed recently enough
+            to order upkeep.
           on_fenced: callback for an order that is refused because a higher
             fencing token was used.
           recorded: upkeep that earlier leaders recorded.
@@ -42,6 +46,7 @@
         self._services = services
         self._tables = tables
         self._recorder = recorder
+        self._may_order = may_order
         self._on_fenced = on_fenced
         self._waves = upkeep.UpkeepTable(tables, recorded)
         self._confirmed: set[tuple[int, str]] = set()
@@ -123,6 +128,9 @@
                 await self._order_upkeep(wave, machine)
 
     async def _order_upkeep(self, wave: int, machine: str) -> None:
+        if not self._may_order():
+            # A later leader repeats orders of this one from a lease on.
+            return
         self._ordered.add((wave, machine))
         answer = await self._services.machines.upkeep(
             machine, wave, self._tables.token, timeout_ms=CALL_TIMEOUT_MS
--- a/packages/placer/tests/test_maintainer.py
+++ b/packages/placer/tests/test_maintainer.py
@@ -47,7 +47,12 @@
 
 
 async def _carry_out(
-    machines, passes, recorder=None, recorded=None, of_wave=("m1",)
+    machines,
+    passes,
+    recorder=None,
+    recorded=None,
+    of_wave=("m1",),
+    may_order=lambda: True,
 ):
     tables = builders.tables()
     tables.config.set_wave(1, model.Wave(1, of_wave, 20_000, 1))
@@ -57,7 +62,12 @@
         encode_wave_state=lambda wave, completed: (str(wave), completed),
     )
     work = maintainer.Maintainer(
-        services, tables, recorder, lambda reason: None, recorded or {}
+        services,
+        tables,
+        recorder,
+        may_order,
+        lambda reason: None,
+        recorded or {},
     )
     task = asyncio.create_task(work.run())
     await asyncio.sleep((passes - 0.5) * maintainer.PASS_INTERVAL_MS / 1000)
@@ -92,6 +102,19 @@
     assert not machines.orders
 
 
+def test_a_leader_that_is_not_confirmed_repeats_no_upkeep():
+    """Guards against an order under a lower token after the successor's.
+
+    A leader that cannot read the log repeats an order that was not answered.
+    Nothing changes that it would have to record first.
+    """
+    machines = _Machines(["m1"], ports.Unknown("lost"))
+    builders.run(
+        _carry_out(machines, 4, may_order=lambda: len(machines.orders) < 2)
+    )
+    assert len(machines.orders) == 2
+
+
 def test_an_upkeep_is_recorded_before_it_is_ordered():
     """Guards against a successor that does not know which machines are down."""
     recorder = _Recorder()
@@ -138,7 +161,12 @@
         )
         task = asyncio.create_task(
             maintainer.Maintainer(
-                services, tables, _Recorder(), lambda reason: None, {}
+                services,
+                tables,
+                _Recorder(),
+                lambda: True,
+                lambda reason: None,
+                {},
             ).run()
         )
         await asyncio.sleep(0.05)
