Step down on records of a later term whose claim was not read

Callers could see orders of two leaders after one of them had been suspended or cut off for longer than the log keeps records.

Cause: records of a term with a higher token than the latest claim that was read counted as heartbeats of that claim. If the later claim had expired unread, the earlier leader took its successor's heartbeats for its own, and its right to renew leases counted from reading them.

A token is one more than the offset of its claim, so that any record with a higher one shows that there was a later claim.

--- a/packages/placer/src/laburnumgate_placer/leadership.py
+++ b/packages/placer/src/laburnumgate_placer/leadership.py
@@ -327,6 +327,13 @@
             return
         if self.current is not None and token < self.current.token:
             return
+        if self.current is None or token > self.current.token:
+            # The log keeps records for a limited time, and the claim expired
+            # before it was read.
+            self.current = Claim(host, token)
+            self._no_leader = False
+            if self._own is not None:
+                self._give_up_leadership("another host has led")
         if kind == "load":
             self._load = details[0]
             self._ranked_load = details[1] if len(details) > 1 else None
--- a/packages/placer/tests/test_leadership.py
+++ b/packages/placer/tests/test_leadership.py
@@ -236,6 +236,38 @@
     assert host.confirmed_ms() <= 50_000
 
 
+def test_a_leader_steps_down_when_it_reads_records_of_a_later_term():
+    """Guards against a leader whose successor's claim has expired unread.
+
+    It was suspended for longer than the log keeps records, and reads on from
+    the oldest one that is left.
+    """
+
+    async def work(kind):
+        log = fakelog.FakeLog()
+        host = _Candidate(log, "h1", first_start=True)
+        await _wait_until(lambda: host.leadership.own_claim)
+        log.silent_reads.add(topics.LEADER)
+        await asyncio.sleep(0.35)
+        log.put(topics.LEADER, orjson.dumps(["claim", "h2", 0]))
+        token = log.end(topics.LEADER)
+        await asyncio.sleep(0.1)
+        log.first_by_topic[topics.LEADER] = log.end(topics.LEADER)
+        record = [kind, "h2", token]
+        if kind == "load":
+            record.append({})
+        log.put(topics.LEADER, orjson.dumps(record))
+        log.silent_reads.clear()
+        await _wait_until(
+            lambda: host.leadership.current == leadership.Claim("h2", token)
+        )
+        assert host.leadership.own_claim is None
+        host.kill()
+
+    for kind in ("beat", "load", "resign"):
+        builders.run(work(kind), seconds=4)
+
+
 class _SlowHeartbeats:
     """Log of a host that needs a while for each heartbeat."""
 
