--- a/packages/placer/src/laburnumgate_placer/endpoint_table.py
+++ b/packages/placer/src/laburnumgate_placer/endpoint_table.py
@@ -4,6 +4,8 @@
 import dataclasses
 import logging
 
+from laburnumgate_core import clock
+
 from laburnumgate_placer import events
 from laburnumgate_placer import model
 from laburnumgate_placer import progress
@@ -66,10 +68,14 @@
       handled_end: highest number of the reported ends that were handled.
       acked_end: highest number of the ends that may be acknowledged.
       members: members that may be present, by task and run.
-      unknown_runs: resources of reported runs that belong to no known job.
+      unknown_runs: monotonic time of the last stop of each run in the last
+        report that the leader does not expect there, by task and run. Their
+        units wait until they are gone.
       unconfirmed_starts: monotonic time of the newest start without an answer,
         by task and run; a copy may be in flight, even after the run has ended.
       restart: the restart that a report showed, None for none.
+      doubted: whether an endpoint of its machine with a later start is listed
+        and this one has not reported since.
       ended: whether the incarnation has ended, so that nothing runs there.
       unreachable_ms: monotonic time at which it last became unreachable, 0 for
         never.
@@ -82,6 +88,9 @@
       avoid_pause_ms: duration of the last avoidance.
       used: resources that runs may be using.
       paced_ms: monotonic time of the last change of a pace there.
+      read_suspended_ms: returns how long this machine has been suspended.
+      clock_suspended_ms: that time at `clock_at_ms`.
+      prior_suspended_ms: that time when this leader's term began.
     """
 
     info: model.Endpoint
@@ -100,13 +109,14 @@
     members: dict[tuple[model.TaskKey, int], progress.Member] = (
         dataclasses.field(default_factory=dict)
     )
-    unknown_runs: dict[tuple[model.TaskKey, int], model.Resources] = (
-        dataclasses.field(default_factory=dict)
+    unknown_runs: dict[tuple[model.TaskKey, int], int] = dataclasses.field(
+        default_factory=dict
     )
     unconfirmed_starts: dict[tuple[model.TaskKey, int], int] = (
         dataclasses.field(default_factory=dict)
     )
     restart: Restart | None = None
+    doubted: bool = False
     ended: bool = False
     unreachable_ms: int = 0
     suspects: set[tuple[model.TaskKey, int]] = dataclasses.field(
@@ -118,6 +128,13 @@
     avoid_pause_ms: int = 0
     used: model.Resources = dataclasses.field(default_factory=model.Resources)
     paced_ms: int = 0
+    read_suspended_ms: Callable[[], int] = lambda: clock.suspended_ms()
+    clock_suspended_ms: int = 0
+    prior_suspended_ms: int = 0
+
+    def __post_init__(self):
+        self.clock_suspended_ms = self.read_suspended_ms()
+        self.prior_suspended_ms = self.clock_suspended_ms
 
     def free(self) -> model.Resources:
         """Returns the resources that are certainly not in use."""
@@ -179,13 +196,21 @@
         return ordered | set(self.unconfirmed_starts)
 
     def endpoint_now_ms(self, now_ms: int) -> int:
-        """Estimates the reading of the endpoint's clock at a monotonic time."""
-        return self.clock_ms + now_ms - self.clock_at_ms
+        """Returns a time that the endpoint's clock has reached at `now_ms`.
+
+        A later leader counts on leases that are not longer than agreed, even
+        if the clock is slow and was last read long ago, or stood still while
+        this machine was suspended.
+        """
+        suspended_ms = self.read_suspended_ms() - self.clock_suspended_ms
+        passed_ms = max(0, now_ms - self.clock_at_ms - suspended_ms)
+        return self.clock_ms + int(passed_ms * MIN_CLOCK_RATE)
 
     def set_clock(self, clock_ms: int, now_ms: int) -> None:
         """Records a reading of the endpoint's clock and the contact."""
         self.clock_ms = clock_ms
         self.clock_at_ms = now_ms
+        self.clock_suspended_ms = self.read_suspended_ms()
         self.last_answer_ms = now_ms
 
     def extend_lease(self, lease_ms: int, now_ms: int) -> int:
@@ -201,13 +226,21 @@
         return self.deadline_ms
 
     def leases_expire_ms(self) -> int:
-        """Returns the monotonic time by which all leases have expired."""
+        """Returns the monotonic time by which all leases have expired.
+
+        Time in which this machine was suspended does not count, as the
+        endpoint's may have been suspended as well, and its clock stands still
+        then.
+        """
+        suspended_ms = self.read_suspended_ms()
+        prior_ms = self.prior_leases_expire_ms + (
+            suspended_ms - self.prior_suspended_ms
+        )
         if not self.contacted:
-            return self.prior_leases_expire_ms
+            return prior_ms
         left_ms = max(0, self.deadline_ms - self.clock_ms) / MIN_CLOCK_RATE
-        return max(
-            self.prior_leases_expire_ms, self.clock_at_ms + int(left_ms) + 1
-        )
+        own_ms = self.clock_at_ms + int(left_ms) + 1
+        return max(prior_ms, own_ms + suspended_ms - self.clock_suspended_ms)
 
     def mark_unreachable(self, now_ms: int, reason: str) -> None:
         """Marks the endpoint as unreachable after an unanswered call."""
@@ -294,6 +327,15 @@
         """Whether endpoints may have shrunk without the leader's knowledge."""
         return self.list_age_ms() > self._max_list_age_ms
 
+    def tasks_of_unknown_runs(self) -> set[model.TaskKey]:
+        """Returns the tasks of which a run may go on that has no member."""
+        return {
+            task
+            for state in self.by_id.values()
+            if not state.ended
+            for task, _ in state.unknown_runs
+        }
+
     def usable(
         self, service: str, zones_out: set[str], now_ms: int
     ) -> list[EndpointState]:
@@ -309,7 +351,7 @@
                 continue
             if state.ended or info.zone in zones_out or state.unknown_runs:
                 continue
-            if state.restart is not None:
+            if state.restart is not None or state.doubted:
                 continue
             if now_ms < state.avoid_until_ms:
                 continue
--- a/packages/placer/src/laburnumgate_placer/lifecycle.py
+++ b/packages/placer/src/laburnumgate_placer/lifecycle.py
@@ -68,7 +68,14 @@
     endpoint_ids: list[str],
     tickets_by_endpoint: dict[str, str] | None = None,
 ) -> progress.Run:
-    """Assigns a new run to a unit; it starts once it is recorded."""
+    """Assigns a new run to a unit; it starts once it is recorded.
+
+    Raises:
+      ValueError: if the unit is not waiting or has a run, which would be
+        forgotten while it may go on.
+    """
+    if unit.state != progress.UnitState.WAITING or unit.run is not None:
+        raise ValueError(f"{unit.key} is not waiting for a run")
     now_ms = tables.monotonic.now_ms()
     unit.last_run += 1
     unit.state = progress.UnitState.ACTIVE
@@ -166,6 +173,17 @@
     tables.mark_dirty(key.job_id)
 
 
+def withdraw(tables: tables_module.Tables, task: model.TaskKey) -> None:
+    """Stops the run of a task that has another run, if it was not ordered."""
+    entry = tables.entries_by_id.get(task.job_id)
+    unit = entry.unit_of(task) if entry else None
+    if unit is None or unit.run is None:
+        return
+    member = unit.run.member_of(task)
+    if member is not None and not member.start_sent:
+        stop_run(tables, unit.run, "another run of a task is present")
+
+
 def mark_terminated(
     tables: tables_module.Tables,
     member: progress.Member,
@@ -301,6 +319,14 @@
     _lose_members(tables, state, members, proof)
 
 
+def forget_unknown_runs(
+    tables: tables_module.Tables, state: endpoint_table.EndpointState
+) -> None:
+    """Lets the tasks start again whose unknown runs must have ended."""
+    state.unknown_runs.clear()
+    tables.wake.set()
+
+
 def lose_recorded(
     tables: tables_module.Tables,
     state: endpoint_table.EndpointState,
--- a/packages/placer/src/laburnumgate_placer/watcher.py
+++ b/packages/placer/src/laburnumgate_placer/watcher.py
@@ -109,7 +109,7 @@
             return True
         if not state.listed:
             return bool(state.info.address) and not state.contacted
-        if not state.contacted or not state.answering:
+        if not state.contacted or not state.answering or state.doubted:
             return True
         return state.acked_end < state.handled_end or self._ack_due
 
@@ -173,15 +173,12 @@
     ) -> bool:
         state = self._state
         tables = self._tables
-        if report.born_ms and report.born_ms != state.info.born_ms:
-            if not state.info.born_ms:
-                pass
-            elif report.born_ms > state.info.born_ms:
-                pause_ms = await self._handle_restart(report, sent_ms)
-                await asyncio.sleep(pause_ms / 1000)
-                return True
-            else:
-                return False
+        born_ms = state.info.born_ms
+        if born_ms and report.born_ms and report.born_ms != born_ms:
+            # A later life may have an earlier time of day.
+            pause_ms = await self._handle_restart(report, sent_ms)
+            await asyncio.sleep(pause_ms / 1000)
+            return True
         if not state.answering:
             state.answering = True
             events.emit(
@@ -191,14 +188,9 @@
                 silent_ms=tables.monotonic.now_ms() - state.last_answer_ms,
             )
         fresh = not state.contacted
-        for row in reports.apply(tables, state, report, sent_ms):
-            await self._endpoints.stop(
-                state.info,
-                row.task,
-                row.run,
-                tables.token,
-                timeout_ms=limits.ORDER_TIMEOUT_MS,
-            )
+        unknown_runs = reports.apply(tables, state, report, sent_ms)
+        # Together, as the next renewal waits for the answers.
+        await asyncio.gather(*map(self._stop_unknown_run, unknown_runs))
         await self._adjust_pace()
         self._ack_due = bool(report.ended) and state.handled_end > acked
         if fresh:
@@ -208,6 +200,29 @@
             await self._wait_until_recorded()
         return True
 
+    async def _stop_unknown_run(self, row: model.ReportedRun) -> None:
+        """Stops an unknown run; later reports tell whether it has ended."""
+        answer = await self._endpoints.stop(
+            self._state.info,
+            row.task,
+            row.run,
+            self._tables.token,
+            timeout_ms=limits.ORDER_TIMEOUT_MS,
+        )
+        events.emit(
+            _LOGGER,
+            events.Event.STRAY_STOPPED,
+            job=row.task.job_id,
+            step=row.task.step,
+            index=row.task.index,
+            run=row.run,
+            endpoint=self._state.info.endpoint_id,
+            outcome=type(answer).__name__,
+        )
+        match answer:
+            case ports.Refused(ports.Refusal.FENCED):
+                self._on_fenced("a stop was refused for its token")
+
     async def _adjust_pace(self) -> None:
         """Throttles filler tasks that disturb serving tasks on the endpoint."""
         tables = self._tables
@@ -259,22 +274,29 @@
             for m in state.members.values()
         ):
             return FAST_POLL_INTERVAL_MS
+        if state.unknown_runs:
+            return min(RENEW_WAIT_MS, reports.MIN_STOP_INTERVAL_MS)
         if state.members or state.unconfirmed_starts:
             return RENEW_WAIT_MS
         return 0
 
     def _expire_runs(self) -> None:
         """Marks runs as terminated once no lease can keep them alive."""
-        now_ms = self._tables.monotonic.now_ms()
+        state = self._state
+        tables = self._tables
+        now_ms = tables.monotonic.now_ms()
+        max_lease_ms = tables.bounds.max_lease_ms
         members_by_proof = collections.defaultdict(list)
-        for member in self._state.members.values():
-            proof = termination.from_leases(
-                self._state, member, now_ms, self._tables.bounds.max_lease_ms
-            )
+        for member in state.members.values():
+            proof = termination.from_leases(state, member, now_ms, max_lease_ms)
             if proof is not None:
                 members_by_proof[proof].append(member)
         for proof, members in members_by_proof.items():
-            lifecycle.expire_leases(self._tables, self._state, members, proof)
+            lifecycle.expire_leases(tables, state, members, proof)
+        if state.unknown_runs and termination.unknown_runs_expired(
+            state, now_ms, max_lease_ms
+        ):
+            lifecycle.forget_unknown_runs(tables, state)
 
     async def _handle_restart(
         self, report: model.Report, requested_ms: int
