--- a/packages/placer/tests/endpoint_model.py
+++ b/packages/placer/tests/endpoint_model.py
@@ -504,6 +504,33 @@
         pass
 
 
+class _LogLink:
+    """The log as one leader reaches it."""
+
+    def __init__(self, log):
+        self._log = log
+        self.cut = False
+
+    async def append(self, topic, encoded, *, timeout_ms, **fields):
+        if self.cut:
+            await asyncio.sleep(timeout_ms / 1000)
+            return ports.Unknown("cut")
+        return await self._log.append(
+            topic, encoded, timeout_ms=timeout_ms, **fields
+        )
+
+    async def read(self, topic, from_offset, *, wait_ms, timeout_ms):
+        if self.cut:
+            await asyncio.sleep(timeout_ms / 1000)
+            return ports.Unknown("cut")
+        return await self._log.read(
+            topic, from_offset, wait_ms=wait_ms, timeout_ms=timeout_ms
+        )
+
+    async def newest(self, topic, after, *, timeout_ms):
+        return await self._log.newest(topic, after, timeout_ms=timeout_ms)
+
+
 class System:
     """Machines, a log, and the leaders that follow one another."""
 
@@ -617,20 +644,25 @@
         )
 
     def lead(self, stale_ms=0):
-        """Starts the next term; the leader before goes on for a while."""
+        """Starts the next term; the one before ends after `stale_ms`.
+
+        Until then its leader reaches the endpoints but not the log.
+        """
         old = self._leadership
         if old is not None:
             old.frozen_ms = self.clock.now_ms()
         if self.leader is not None:
+            self._link.cut = True
             asyncio.get_running_loop().call_later(
                 stale_ms / 1000, self._leader_task.cancel
             )
         self.endpoints.token += 1
         self.endpoints.log(f"leader {self.endpoints.token}")
         self._leadership = _Leadership(self.clock, self.endpoints.token)
+        self._link = _LogLink(self.log)
         self.leader = leader_module.Leader(
             services.Services(
-                log=self.log,
+                log=self._link,
                 endpoints=self.endpoints,
                 advisor=None,
                 machines=None,
