--- a/packages/placer/tests/test_termination_machine.py
+++ b/packages/placer/tests/test_termination_machine.py
@@ -259,14 +259,15 @@
 def test_an_endpoint_whose_time_stepped_back_is_not_renewed_unread():
     """Guards against a lease that outlasts the wait of the next leader.
 
-    The reports of a life with an earlier start are not read, and its clock is
-    estimated from its answer to a start, ever further off.
+    The reports of a life with an earlier start were not read. Its clock was
+    estimated from its answer to a start, ever further off, while a leader that
+    was cut off from the log renewed the lease.
     """
     _check(
         [
-            (1, Restart(0, True, 60_000, False)),
-            (500, Submit(1, False)),
-            (40_000, Lead(8_000)),
+            (1, Restart(0, True, 60_000, True)),
+            (30, Submit(1, False)),
+            (33_000, Lead(8_000)),
             (20_000, ListAll()),
         ]
     )
