--- a/packages/placer/tests/endpoint_model.py
+++ b/packages/placer/tests/endpoint_model.py
@@ -4,9 +4,11 @@
 and each proof that a task is over when the leader marks it as terminated.
 
 One exception is left out, which KNOWN-RED.txt lists under issue 18: a copy of a
-start that was sent to one life of an id and arrives at a later life, before the
-leader in office has read a report of that life. `_Copy.excluded` drops exactly
-these copies. Starts that are sent after the later life began are carried out.
+start that was sent to one life and arrives at a later life under the same id,
+before the leader in office has read a report of that life, when this leader
+counts the run as over. `_Copy.excluded` drops exactly these copies. Starts that
+are sent after the later life began are carried out, and so are late ones of
+runs that the leader still counts.
 """
 
 import asyncio
@@ -108,9 +110,16 @@
     endpoint_id: str
     order: ports.StartOrder
 
-    def excluded(self, life, token) -> bool:
-        """Whether this is the late order of KNOWN-RED.txt, issue 18."""
-        return life is not self.sent_to and token not in life.terms
+    def excluded(self, life, token, counted) -> bool:
+        """Whether this is the late order of KNOWN-RED.txt, issue 18.
+
+        Args:
+          life: the life that it arrives at.
+          token: token of the leader in office.
+          counted: whether that leader counts the run as going on.
+        """
+        unread = life is not self.sent_to and token not in life.terms
+        return unread and not counted
 
 
 class Endpoints:
@@ -126,6 +135,7 @@
         self.trace: list[str] = []
         self.gang_steps: set[tuple[str, int]] = set()
         self.token = 0
+        self.counted = lambda endpoint_id, key: False
         self._starts: dict[model.TaskKey, list[tuple[int, str]]] = {}
         self._noted: dict[model.TaskKey, int] = {}
 
@@ -336,7 +346,9 @@
         life = self.life_at(machine)
         if copy is not None:
             self.copies.remove(copy)
-            if life is not None and copy.excluded(life, self.token):
+            key = (copy.order.task, copy.order.run)
+            counted = self.counted(copy.endpoint_id, key)
+            if life is not None and copy.excluded(life, self.token, counted):
                 self.log("a late start is left out")
                 return
         if life is not None:
@@ -465,7 +477,7 @@
             if (
                 life is not None
                 and life.endpoint_id == copy.endpoint_id
-                and not copy.excluded(life, self.token)
+                and not copy.excluded(life, self.token, False)
                 and copy.order.fencing_token >= life.token
                 and copy.order.deadline_ms > life.clock_ms(now_ms)
                 and life.stopped.get(key[0], 0) < key[1]
@@ -538,6 +550,7 @@
         self.clock = virtual_time.Clock(loop, _START_MS)
         self.wall = virtual_time.Clock(loop, 2 * _START_MS)
         self.endpoints = Endpoints(self.clock)
+        self.endpoints.counted = self._counts
         self.log = fakelog.FakeLog()
         self.jobs = job_table.JobTable()
         self.config = builders.tables().config
@@ -556,6 +569,12 @@
             self.boot(machine, f"e{machine}", 0)
             self.list_life(machine)
 
+    def _counts(self, endpoint_id, key) -> bool:
+        if self.leader is None:
+            return False
+        state = self.leader.tables.endpoints.by_id.get(endpoint_id)
+        return state is not None and key in state.members
+
     def _spawn(self, coroutine):
         task = asyncio.create_task(coroutine)
         self._tasks.add(task)
