Acknowledge ends only in the life that listed them

Callers: a task that was done could run again (rule TWICE).

Cause: a flush kept the ends that it records by the id of their endpoint. If the endpoint restarted under its id while the records were being stored, the number of the earlier life acknowledged ends of the next one that were not recorded. A leader that was replaced then never learned of them.

Change: the flush keeps the incarnations themselves.

Evidence: found by a reviewer who had not seen the work; test_no_end_of_the_next_life_is_acknowledged_by_an_earlier_record fails without the change.

--- a/packages/placer/src/laburnumgate_placer/recorder.py
+++ b/packages/placer/src/laburnumgate_placer/recorder.py
@@ -82,11 +82,12 @@
         tables = self._tables
         job_ids, tables.dirty = tables.dirty, set()
         runs = tables.take_assigned()
-        ends_by_id = {
-            endpoint_id: state.handled_end
-            for endpoint_id, state in tables.endpoints.by_id.items()
+        # By incarnation: ends of the next one under an id have other numbers.
+        handled_ends = [
+            (state, state.handled_end)
+            for state in tables.endpoints.by_id.values()
             if state.handled_end > state.acked_end
-        }
+        ]
         detail, states, dropped, digests_by_id = await self._encode(job_ids)
         with metrics.RECORD_SECONDS.time():
             outcomes = await asyncio.gather(
@@ -95,10 +96,8 @@
             )
         if not all(isinstance(o, ports.Appended) for o in outcomes):
             return None
-        for endpoint_id, number in ends_by_id.items():
-            state = tables.endpoints.by_id.get(endpoint_id)
-            if state is not None and number <= state.handled_end:
-                state.acked_end = number
+        for state, number in handled_ends:
+            state.acked_end = max(state.acked_end, number)
         self._digests_by_id.update(digests_by_id)
         for change in states:
             self.set_recorded_state(change.job_id, change.state)
--- a/packages/placer/tests/test_recorder.py
+++ b/packages/placer/tests/test_recorder.py
@@ -87,6 +87,32 @@
     assert state.acked_end == 3
 
 
+def test_no_end_of_the_next_life_is_acknowledged_by_an_earlier_record():
+    """Guards against a done task that runs again after a restart.
+
+    The endpoint restarts under its id while the ends of its earlier life are
+    being recorded.
+    """
+    tables = builders.tables()
+    log = fakelog.FakeLog()
+    _assign_jobs(tables, jobs=1, tasks=1)
+    before = tables.endpoints.by_id[_ENDPOINT]
+    before.handled_end = 3
+
+    async def restart(recorder):
+        flush = asyncio.create_task(recorder.flush())
+        await asyncio.sleep(0)
+        lifecycle.end_incarnation(tables, before, "test")
+        after = builders.add_endpoint(tables, _ENDPOINT, born_ms=2)
+        after.handled_end = 4
+        await flush
+        return after
+
+    after = builders.run(_with_recorder(log, tables, restart))
+    assert before.acked_end == 3
+    assert after.acked_end == 0
+
+
 def test_the_records_of_an_expired_job_are_dropped_together():
     """Guards against a job that runs again because only its state is gone."""
     tables = builders.tables()
