Ask a life that left the list before its machine came back

Callers: upkeep could be ordered for a machine in use (AVAIL, work lost).

Cause: since an endpoint is no longer ended by the time of day of another one, a life that had left the list while idle was not asked any more, so that it stayed among the endpoints. Upkeep looked at the first life of a machine only, found no tasks and took the machine for empty.

Change: a doubted life is asked also if it is not listed, and upkeep counts the tasks of all lives of a machine.

--- a/packages/placer/src/laburnumgate_placer/upkeep.py
+++ b/packages/placer/src/laburnumgate_placer/upkeep.py
@@ -3,7 +3,6 @@
 import dataclasses
 import enum
 
-from laburnumgate_placer import endpoint_table
 from laburnumgate_placer import model
 from laburnumgate_placer import progress
 from laburnumgate_placer import tables as tables_module
@@ -198,18 +197,17 @@
     def _may_go_down(
         self, machine: str, waited_ms: int, batch_ms: float
     ) -> bool:
-        state = self._state_of(machine)
-        if state is None or not state.members:
+        members = self._members_on(machine)
+        if not members:
             return True
-        if any(m.run.unit.step.long_running for m in state.members.values()):
+        if any(member.run.unit.step.long_running for member in members):
             return False
         return waited_ms >= EMPTYING_FRACTION * batch_ms
 
     def _stoppable_runs(self, machine: str) -> list[StopRun]:
         """Returns stops of runs that resume and of long-running ones."""
         stops = []
-        state = self._state_of(machine)
-        for member in state.members.values():
+        for member in self._members_on(machine):
             run = member.run
             step = run.unit.step
             if run.phase != progress.Phase.RUNNING:
@@ -220,15 +218,17 @@
                 stops.append(StopRun(run))
         return stops
 
-    def _state_of(self, machine: str) -> endpoint_table.EndpointState | None:
-        for state in self._tables.endpoints.by_id.values():
-            if state.info.machine == machine and not state.ended:
-                return state
-        return None
+    def _members_on(self, machine: str) -> list[progress.Member]:
+        """Returns the members on a machine, in whichever of its lives."""
+        return [
+            member
+            for state in self._tables.endpoints.by_id.values()
+            if state.info.machine == machine and not state.ended
+            for member in state.members.values()
+        ]
 
     def _count_runs(self, machine: str) -> int:
-        state = self._state_of(machine)
-        return len(state.members) if state is not None else 0
+        return len(self._members_on(machine))
 
 
 def _recorded_states(number: int) -> list[tuple[str, MachineState]]:
--- a/packages/placer/src/laburnumgate_placer/watcher.py
+++ b/packages/placer/src/laburnumgate_placer/watcher.py
@@ -108,7 +108,9 @@
             # out an order that was sent to the old one.
             return True
         if not state.listed:
-            return bool(state.info.address) and not state.contacted
+            return bool(state.info.address) and (
+                state.doubted or not state.contacted
+            )
         if not state.contacted or not state.answering or state.doubted:
             return True
         return state.acked_end < state.handled_end or self._ack_due
--- a/packages/placer/tests/test_live_list.py
+++ b/packages/placer/tests/test_live_list.py
@@ -14,6 +14,7 @@
 from laburnumgate_placer import ports
 from laburnumgate_placer import records
 from laburnumgate_placer import reports
+from laburnumgate_placer import watcher
 import pytest
 
 _TOPIC = "keyed.list"
@@ -194,3 +195,28 @@
     lifecycle.end_incarnation(tables, state, "test")
     listed.add_restarted()
     assert tables.endpoints.by_id["e1"].info.born_ms == 5
+
+
+def test_a_life_that_left_the_list_is_asked_when_its_machine_is_back():
+    """Guards against a life that counts as present long after its end."""
+    tables = builders.tables()
+    born_ms_by_id = {"e1": 5, "e2": 9}
+    listed = live_list.LiveList(
+        tables,
+        lambda entry: builders.endpoint(
+            entry.key, born_ms=born_ms_by_id[entry.key], machine="m1"
+        ),
+        lambda state: None,
+        tables.monotonic.now_ms(),
+    )
+    listed.apply(ports.Entry(1, "e1", b"1"))
+    before = tables.endpoints.by_id["e1"]
+    now_ms = tables.monotonic.now_ms()
+    reports.apply(tables, before, builders.report(before), now_ms)
+    listed.apply(ports.Entry(2, "e1", None))
+    reader = watcher.Watcher(
+        None, tables, before, None, lambda: True, lambda reason: None
+    )
+    assert not reader._needs_renewal()
+    listed.apply(ports.Entry(3, "e2", b"1"))
+    assert reader._needs_renewal()
--- a/packages/placer/tests/test_upkeep.py
+++ b/packages/placer/tests/test_upkeep.py
@@ -79,3 +79,18 @@
     assert upkeep.may_interrupt(units[0])
     units[1].run.members[0].percent = 40
     assert not upkeep.may_interrupt(units[0])
+
+
+def test_a_past_life_of_a_machine_does_not_hide_what_runs_on_it():
+    """Guards against upkeep of a machine in use that seems to be empty."""
+    tables = builders.tables()
+    builders.add_endpoint(tables, "e1", machine="m1")
+    builders.add_endpoint(tables, "e2", machine="m1", born_ms=2)
+    step = builders.step(long_running=True)
+    entry = lifecycle.open_job(tables, builders.job("a" * 16, step))
+    unit = next(iter(entry.units_by_key.values()))
+    builders.start(tables, lifecycle.assign(tables, unit, ["e2"]))
+    table = upkeep.UpkeepTable(tables)
+    waves = _waves(machines=("m1",))
+    table.plan(waves)
+    assert not _orders(table.plan(waves))
