Let an end in the next life void its order

Callers: a task could wait without bound (LOST) while an endpoint that had restarted refused to stop a run whose end it had listed already.

Change: an end in a report of the next life counts like an accepted stop, as the run cannot start there again; leases are looked at while stops are refused.

Evidence: test_a_refused_stop_does_not_hold_a_task_whose_run_has_lapsed and test_an_end_in_the_next_life_voids_its_order fail without the change.

--- a/packages/placer/src/laburnumgate_placer/termination.py
+++ b/packages/placer/src/laburnumgate_placer/termination.py
@@ -114,7 +114,8 @@
     """
     restart = state.restart
     voided_ms_by_order = restart.voided_ms_by_order
-    if not state.pending_orders(now_ms) <= voided_ms_by_order.keys():
+    ended = {(row.task, row.run) for row in report.ended}
+    if not state.pending_orders(now_ms) <= voided_ms_by_order.keys() | ended:
         return None
     if requested_ms <= max(voided_ms_by_order.values(), default=0):
         return None
--- a/packages/placer/src/laburnumgate_placer/watcher.py
+++ b/packages/placer/src/laburnumgate_placer/watcher.py
@@ -340,6 +340,7 @@
             lifecycle.end_incarnation(tables, state, proof.reason)
             return 0
         if not await self._void_orders(restart, report):
+            self._expire_runs()
             return BACKOFF_MS
         return FAST_POLL_INTERVAL_MS if report.running else 0
 
@@ -354,8 +355,9 @@
         state = self._state
         tables = self._tables
         present = {(row.task, row.run) for row in report.running}
+        ended = {(row.task, row.run) for row in report.ended}
         now_ms = tables.monotonic.now_ms()
-        for key in state.pending_orders(now_ms):
+        for key in state.pending_orders(now_ms) - ended:
             voided_ms = restart.voided_ms_by_order.get(key)
             if voided_ms is not None and (
                 key not in present
--- a/packages/placer/tests/test_leader.py
+++ b/packages/placer/tests/test_leader.py
@@ -467,6 +467,25 @@
     builders.run(work())
 
 
+def test_a_refused_stop_does_not_hold_a_task_whose_run_has_lapsed():
+    """Guards against a task that waits for a stop without need."""
+
+    async def work():
+        system, host = await _restart_idle_endpoints()
+        for worker in system.workers.by_id.values():
+            worker.refuse_stops = True
+        await _submit(host, builders.job("a" * 16))
+        await _wait_until(system.starts)
+        await asyncio.sleep(0.2)
+        system.worker(system.starts()[0][0]).end_all(model.EndKind.LAPSED)
+        for worker_id in ("e1", "e2"):
+            system.list_worker(worker_id)
+        await _wait_until(lambda: len(system.starts()) == 2)
+        assert not system.workers.overlaps
+
+    builders.run(work())
+
+
 def test_a_run_that_was_done_in_the_next_life_is_not_started_again():
     """Guards against an end that is dropped with the life before it."""
 
--- a/packages/placer/tests/test_termination.py
+++ b/packages/placer/tests/test_termination.py
@@ -74,6 +74,17 @@
     assert proof(empty, now_ms + 1) is not None
 
 
+def test_an_end_in_the_next_life_voids_its_order():
+    """Guards against a task that waits while its stop is refused."""
+    tables, state, member = _start()
+    now_ms = tables.monotonic.now_ms()
+    key = (member.task, member.run.number)
+    state.restart = endpoint_table.Restart(2, now_ms)
+    row = model.ReportedEnd(1, *key, model.EndKind.LAPSED, "")
+    report = model.Report(5, 2, (), (row,))
+    assert termination.from_restart(state, report, now_ms, now_ms) is not None
+
+
 def test_the_lease_of_an_unknown_run_counts_from_its_last_report():
     """Guards against a start beside an unknown run that is out of reach."""
     _, state, member = _start()
