Take the clock of an endpoint from its reports only

Callers: a task could wait for minutes (LOST) after its endpoint restarted under its id and was lost.

Cause: an answer to an order does not say which life gave it. The clock of the next life, which begins anew, was set beside a deadline on the clock of the earlier one, so that its leases seemed to last for minutes.

Change: only reports, which name the life, and the refusal of a start as too late set the clock.

--- a/packages/placer/src/laburnumgate_placer/launcher.py
+++ b/packages/placer/src/laburnumgate_placer/launcher.py
@@ -115,10 +115,11 @@
                 timeout_ms=limits.ORDER_TIMEOUT_MS,
             )
             match answer:
-                case ports.Done(clock_ms):
+                case ports.Done():
+                    # The answer does not say which incarnation gave it, so that
+                    # its clock is not used.
                     now_ms = tables.monotonic.now_ms()
-                    if clock_ms:
-                        state.set_clock(clock_ms, now_ms)
+                    state.last_answer_ms = now_ms
                     member.report_valid_from_ms = now_ms
                     return
                 case ports.Refused(ports.Refusal.FENCED):
@@ -183,10 +184,10 @@
             if not isinstance(answer, ports.Unknown):
                 state.confirm_start(member, earlier_ms)
             match answer:
-                case ports.Done(clock_ms):
+                case ports.Done():
                     self._gate.record_answer(sent_ms)
                     now_ms = tables.monotonic.now_ms()
-                    state.set_clock(clock_ms, now_ms)
+                    state.last_answer_ms = now_ms
                     member.report_valid_from_ms = now_ms
                     member.confirmed = True
                     if not member.base_ms and not run.unit.checkpoint:
--- a/packages/placer/tests/test_leader.py
+++ b/packages/placer/tests/test_leader.py
@@ -467,6 +467,36 @@
     builders.run(work())
 
 
+def test_the_clock_of_the_next_life_does_not_prolong_the_leases_of_this_one():
+    """Guards against a task that waits for minutes for an endpoint.
+
+    The answer to a start came from the next life, whose clock began anew, and
+    the endpoint is then out of reach.
+    """
+
+    async def work():
+        system, host = await _restart_idle_endpoints()
+        states = host.leader.tables.endpoints.by_id
+        start = system.workers.start
+
+        async def start_with_new_clock(endpoint, order, *, timeout_ms):
+            answer = await start(endpoint, order, timeout_ms=timeout_ms)
+            system.worker(endpoint.endpoint_id).partitioned = True
+            return ports.Done(1) if answer == ports.Done(1_000) else answer
+
+        system.workers.start = start_with_new_clock
+        for state in states.values():
+            state.set_clock(300_000, host.monotonic.now_ms())
+        await _submit(host, builders.job("a" * 16))
+        await _wait_until(system.starts)
+        await asyncio.sleep(0.05)
+        state = states[system.starts()[0][0]]
+        left_ms = state.leases_expire_ms() - host.monotonic.now_ms()
+        assert left_ms < 5 * _BOUNDS.max_lease_ms
+
+    builders.run(work())
+
+
 def test_a_refused_stop_does_not_hold_a_task_whose_run_has_lapsed():
     """Guards against a task that waits for a stop without need."""
 
