--- a/packages/placer/tests/test_termination_machine.py
+++ b/packages/placer/tests/test_termination_machine.py
@@ -294,6 +294,25 @@
     )
 
 
+def test_the_renewal_that_finds_a_restart_counts_as_a_lease():
+    """Guards against a lease of which the leader does not know.
+
+    The renewal whose report shows the restart has a deadline on the clock of
+    the life before, which the new life shortens to the longest lease. What is
+    started there right afterwards shares that lease.
+    """
+    _check(
+        [
+            (1, ListOnly(0)),
+            (11_000, Submit(1, False)),
+            (500, Restart(0, True, 0, True)),
+            (1_500, Set(0, _ALL, endpoint_model.Mode.CUT)),
+            (100, List(1)),
+            (20_000, ListAll()),
+        ]
+    )
+
+
 def test_an_end_in_the_next_life_is_not_acknowledged_unread():
     """Guards against the cursor of the life before in the first renewal.
 
