Resign a claim that was under way when the host resigned

Callers could see nothing start for an election timeout: a host that was told to stop while its claim was under way led until it was killed, and did not say so.

Cause: `resign` acts on the claim that the host holds, and it held none yet.

A claim that is taken by a host that is stopping is handed over in place of its first heartbeat.

--- a/packages/placer/src/laburnumgate_placer/leadership.py
+++ b/packages/placer/src/laburnumgate_placer/leadership.py
@@ -185,6 +185,10 @@
         """Claims and maintains leadership until cancelled."""
         await self.feed.loaded.wait()
         while True:
+            if self._own is not None and self._stopping:
+                # The claim was under way when the host resigned.
+                await self._hand_over("stopping")
+                continue
             if self._own is not None:
                 await self._send_heartbeat()
                 await self._wait_for_heartbeat()
--- a/packages/placer/tests/test_leadership.py
+++ b/packages/placer/tests/test_leadership.py
@@ -268,6 +268,26 @@
         builders.run(work(kind), seconds=4)
 
 
+def test_a_host_that_stops_while_it_claims_does_not_keep_the_lead():
+    """Guards against a leader that is killed without having resigned."""
+
+    async def work():
+        log = fakelog.FakeLog()
+        log.append_s_by_topic[topics.LEADER] = 0.1
+        log.read_s = 0.2
+        host = _Candidate(log, "h1", first_start=True)
+        await _wait_until(lambda: log.end(topics.LEADER))
+        assert host.leadership.own_claim is None
+        await host.leadership.resign()
+        await asyncio.sleep(0.5)
+        assert host.leadership.own_claim is None
+        records = map(orjson.loads, log.records_by_topic[topics.LEADER])
+        assert ["resign", "h1", 1] in records
+        host.kill()
+
+    builders.run(work())
+
+
 class _SlowHeartbeats:
     """Log of a host that needs a while for each heartbeat."""
 
