Test a start on an endpoint whose clock was read long ago

Deadlines count from the least time that the endpoint's clock can have reached, so that the first start after a long pause may be refused as late. The test shows that it is repeated once with the clock that the refusal carries, and that its lease is no longer than agreed.

--- a/packages/placer/tests/test_leader.py
+++ b/packages/placer/tests/test_leader.py
@@ -1388,3 +1388,36 @@
         assert [o.fencing_token > token for _, o in system.starts()] == [True]
 
     builders.run(work())
+
+
+def test_a_start_after_a_long_pause_of_its_endpoint_is_not_lost():
+    """Guards against a lease that is over before the start arrives.
+
+    The endpoint's clock was read long ago and could be slow, but is not.
+    """
+
+    async def work():
+        system, host = await _start_system("e1")
+        state = host.leader.tables.endpoints.by_id["e1"]
+        await _wait_until(lambda: state.contacted)
+        state.clock_ms = 0
+        state.clock_at_ms -= 1_000_000
+        read_at_ms = state.clock_at_ms
+        leases_ms = []
+        start = system.workers.start
+
+        async def start_in_time(endpoint, order, *, timeout_ms):
+            endpoint_now_ms = host.monotonic.now_ms() - read_at_ms
+            leases_ms.append(order.deadline_ms - endpoint_now_ms)
+            if leases_ms[-1] <= 0:
+                return ports.Refused(ports.Refusal.LATE, endpoint_now_ms)
+            return await start(endpoint, order, timeout_ms=timeout_ms)
+
+        system.workers.start = start_in_time
+        await _submit(host, builders.job("a" * 16))
+        await _wait_until(system.starts)
+        assert [lease_ms > 0 for lease_ms in leases_ms] == [False, True]
+        assert leases_ms[1] <= _BOUNDS.lease_ms
+        assert system.starts()[0][1].run == 1
+
+    builders.run(work())
