--- a/packages/placer/tests/test_leader.py
+++ b/packages/placer/tests/test_leader.py
@@ -1671,3 +1671,36 @@
         assert not system.workers.overlaps
 
     builders.run(work(), seconds=8)
+
+
+def test_a_start_after_a_long_pause_of_its_endpoint_is_not_lost():
+    """Guards against a lease that is over before the start arrives.
+
+    The endpoint's clock was read long ago and could be slow, but is not.
+    """
+
+    async def work():
+        system, host = await _start_system("e1")
+        state = host.leader.tables.endpoints.by_id["e1"]
+        await _wait_until(lambda: state.contacted)
+        state.clock_ms = 0
+        state.clock_at_ms -= 1_000_000
+        read_at_ms = state.clock_at_ms
+        leases_ms = []
+        start = system.workers.start
+
+        async def start_in_time(endpoint, order, *, timeout_ms):
+            endpoint_now_ms = host.monotonic.now_ms() - read_at_ms
+            leases_ms.append(order.deadline_ms - endpoint_now_ms)
+            if leases_ms[-1] <= 0:
+                return ports.Refused(ports.Refusal.LATE, endpoint_now_ms)
+            return await start(endpoint, order, timeout_ms=timeout_ms)
+
+        system.workers.start = start_in_time
+        await _submit(host, builders.job("a" * 16))
+        await _wait_until(system.starts)
+        assert [lease_ms > 0 for lease_ms in leases_ms] == [False, True]
+        assert leases_ms[1] <= _BOUNDS.lease_ms
+        assert system.starts()[0][1].run == 1
+
+    builders.run(work())
