Take no run for over while an endpoint has more ends to list

An endpoint lists at most 500 ends that are not acknowledged. A run whose end came after those was in neither list of the report, so that it counted as never started (termination.NotReported) and its unit was assigned again. The end that was listed next then completed the task.

A report with a full list of ends no longer decides about runs that it omits. Their ends follow once the listed ones are acknowledged.

Found by reading PROTOCOL.md; the stand-in workers of deploy/tests list all ends. The new test failed before: the run of the 501st end was given up.

--- a/packages/placer/src/laburnumgate_placer/reports.py
+++ b/packages/placer/src/laburnumgate_placer/reports.py
@@ -8,6 +8,8 @@
 from laburnumgate_placer import termination
 from laburnumgate_placer.overload import stragglers
 
+# Maximum number of ends that an endpoint lists at a time, the lowest first.
+ENDS_PER_REPORT = 500
 # Minimum interval at which an unknown run is stopped again.
 MIN_STOP_INTERVAL_MS = 500
 
@@ -46,6 +48,7 @@
         lifecycle.apply_end(tables, state, row)
     rows = {(row.task, row.run): row for row in report.running}
     whole_by_run: dict[int, bool] = {}
+    lists_all_ends = len(report.ended) < ENDS_PER_REPORT
     for key, member in list(state.members.items()):
         row = rows.pop(key, None)
         if row is not None:
@@ -53,6 +56,9 @@
                 tables, member, row, now_ms, observed_ms, whole_by_run
             )
             continue
+        if not lists_all_ends:
+            # The end of this run may be one of the others.
+            continue
         proof = termination.from_report(member, sent_ms)
         if proof is not None:
             lifecycle.mark_terminated(tables, member, proof)
--- a/packages/placer/tests/test_lifecycle.py
+++ b/packages/placer/tests/test_lifecycle.py
@@ -165,6 +165,36 @@
     assert unit.run is None
 
 
+def test_a_run_whose_end_is_not_listed_yet_is_not_taken_for_absent():
+    """Guards against a task that runs again though it was done.
+
+    An endpoint lists 500 ends at a time, the lowest numbers first.
+    """
+    tables = builders.tables()
+    state = builders.add_endpoint(
+        tables, capacity=model.Resources(10**6, 10**6)
+    )
+    step = builders.step(count=501, gpu=0)
+    entry = lifecycle.open_job(tables, builders.job("a" * 16, step))
+    runs = []
+    for unit in list(entry.units_by_key.values()):
+        runs.append(lifecycle.assign(tables, unit, ["e1"]))
+        builders.start(tables, runs[-1])
+    ends = [
+        builders.end(run.members[0], number, _DONE)
+        for number, run in enumerate(runs, 1)
+    ]
+    sent_ms = tables.monotonic.now_ms() + 1
+    first = builders.report(state, ended=ends[:500])
+    reports.apply(tables, state, first, sent_ms)
+    assert runs[500].unit.run is runs[500]
+    reports.apply(tables, state, first, sent_ms)
+    assert runs[500].unit.run is runs[500]
+    last = builders.report(state, ended=ends[500:])
+    reports.apply(tables, state, last, sent_ms)
+    assert entry.state == model.JobState.COMPLETED
+
+
 def test_an_unanswered_start_is_never_taken_for_absent():
     """Guards against a delayed start that is executed beside a new run."""
     tables = builders.tables()
