--- a/packages/placer/src/laburnumgate_placer/watcher.py
+++ b/packages/placer/src/laburnumgate_placer/watcher.py
@@ -108,7 +108,9 @@
             # out an order that was sent to the old one.
             return True
         if not state.listed:
-            return bool(state.info.address) and not state.contacted
+            return bool(state.info.address) and (
+                state.doubted or not state.contacted
+            )
         if not state.contacted or not state.answering or state.doubted:
             return True
         return state.acked_end < state.handled_end or self._ack_due
@@ -338,6 +340,7 @@
             lifecycle.end_incarnation(tables, state, proof.reason)
             return 0
         if not await self._void_orders(restart, report):
+            self._expire_runs()
             return BACKOFF_MS
         return FAST_POLL_INTERVAL_MS if report.running else 0
 
@@ -352,8 +355,9 @@
         state = self._state
         tables = self._tables
         present = {(row.task, row.run) for row in report.running}
+        ended = {(row.task, row.run) for row in report.ended}
         now_ms = tables.monotonic.now_ms()
-        for key in state.pending_orders(now_ms):
+        for key in state.pending_orders(now_ms) - ended:
             voided_ms = restart.voided_ms_by_order.get(key)
             if voided_ms is not None and (
                 key not in present
