Make room for another leader if the log cannot be read

Callers: jobs could wait without end (LOST) in an outage in which the log takes appends but answers no reads of the leader.

Change: a term ends after 3 s in which heartbeats were stored unread.

Evidence: found by the reviewer; test_a_leader_that_cannot_read_the_log_makes_room_for_another fails without the change. A further test of restarts has room on an endpoint that did not restart, as the block by unknown runs hid the fault in the two others.

--- a/packages/placer/src/laburnumgate_placer/leader.py
+++ b/packages/placer/src/laburnumgate_placer/leader.py
@@ -67,6 +67,9 @@
 # Passes that take longer are logged, at most one in each interval.
 LONG_PASS_MS = 200
 LONG_PASS_LOG_INTERVAL_MS = 5_000
+# A leader that stores heartbeats but reads nothing for longer than this makes
+# room for another one, before its right to renew leases is over.
+MAX_UNREAD_MS = 3_000
 # Interval at which expired jobs are removed from the log.
 CLEAN_UP_INTERVAL_MS = 20_000
 # Interval at which endpoint speeds are recorded if they have changed.
@@ -270,6 +273,8 @@
     def _check_leadership(self) -> None:
         if self._leadership.own_claim != self._claim:
             raise LeadershipLostError("another host leads")
+        if self._leadership.unread_ms() > MAX_UNREAD_MS:
+            raise LeadershipLostError("the log takes heartbeats unread")
 
     async def _restore(
         self, progress_by_id: dict[str, dict[int, bytes]]
--- a/packages/placer/src/laburnumgate_placer/leadership.py
+++ b/packages/placer/src/laburnumgate_placer/leadership.py
@@ -178,8 +178,17 @@
           heartbeat that was stored and the latest time by which no claim was
           stored that this host has not read.
         """
-        read_ms = max(self.feed.fresh_ms, self._claimed_ms)
-        return min(self._stored_ms, read_ms)
+        return min(self._stored_ms, self._read_ms())
+
+    def unread_ms(self) -> int:
+        """Returns for how long heartbeats were stored, but nothing was read.
+
+        No other host claims then, and this one may not lead for much longer.
+        """
+        return max(0, self._stored_ms - self._read_ms())
+
+    def _read_ms(self) -> int:
+        return max(self.feed.fresh_ms, self._claimed_ms)
 
     async def run(self) -> None:
         """Claims and maintains leadership until cancelled."""
--- a/packages/placer/tests/test_leader.py
+++ b/packages/placer/tests/test_leader.py
@@ -497,6 +497,36 @@
     builders.run(work())
 
 
+@pytest.mark.parametrize("refused", [False, True])
+def test_a_run_in_the_next_life_is_not_started_beside_it_elsewhere(refused):
+    """Guards against a second run on an endpoint that did not restart.
+
+    There, no report of the first run keeps the task waiting.
+    """
+
+    async def work():
+        system, host = await _start_system("e1", "e2")
+        states = host.leader.tables.endpoints.by_id
+        await _wait_until(lambda: len(states) == 2)
+        await _wait_until(lambda: all(s.contacted for s in states.values()))
+        await asyncio.sleep(0.2)
+        worker = system.worker("e1")
+        worker.restart()
+        worker.stop_s = 0.2
+        worker.refuse_stops = refused
+        # Fills both.
+        job = builders.job("a" * 16, builders.step(8, gpu=1))
+        await _submit(host, job)
+        await _wait_until(lambda: len(system.starts()) == 8)
+        if refused:
+            await asyncio.sleep(1.2)
+            worker.refuse_stops = False
+        await asyncio.sleep(1.5)
+        assert not system.workers.overlaps
+
+    builders.run(work())
+
+
 def test_a_refused_stop_does_not_hold_a_task_whose_run_has_lapsed():
     """Guards against a task that waits for a stop without need."""
 
@@ -1436,6 +1466,20 @@
     builders.run(work())
 
 
+def test_a_leader_that_cannot_read_the_log_makes_room_for_another(monkeypatch):
+    """Guards against a leader that keeps others out and can start nothing."""
+    monkeypatch.setattr(leader_module, "MAX_UNREAD_MS", 600)
+
+    async def work():
+        system, host = await _start_system("e1")
+        await asyncio.sleep(1.0)
+        assert host.leadership.own_claim is not None
+        system.log.silent_reads.add(topics.LEADER)
+        await _wait_until(lambda: host.leadership.own_claim is None)
+
+    builders.run(work())
+
+
 def test_nothing_is_ordered_from_the_moment_at_which_a_leader_steps_down():
     """Guards against a run that is recorded, but starts after its term."""
 
