--- a/packages/placer/tests/test_leases.py
+++ b/packages/placer/tests/test_leases.py
@@ -6,6 +6,8 @@
 from laburnumgate_placer import endpoint_table
 from laburnumgate_placer import leader
 from laburnumgate_placer import leadership
+from laburnumgate_placer import model
+from laburnumgate_placer import progress
 from laburnumgate_placer import services
 from laburnumgate_placer import termination
 import pytest
@@ -38,7 +40,10 @@
 
 
 def _expired(machine, state) -> bool:
-    proof = termination.from_leases(state, machine.monotonic.now_ms())
+    task = model.TaskKey("a" * 16, 0, 0, 0)
+    member = progress.Member(task, "e1", 1, None, present=True)
+    now_ms = machine.monotonic.now_ms()
+    proof = termination.from_leases(state, member, now_ms, _LEASE_MS)
     return proof is not None
 
 
