--- a/packages/placer/tests/virtual_time.py
+++ b/packages/placer/tests/virtual_time.py
@@ -7,6 +7,9 @@
 import asyncio
 import selectors
 
+# Turns of the event loop without time passing that show an endless loop.
+MAX_TURNS = 20_000
+
 
 class _Selector(selectors.SelectSelector):
     """Moves the time of its loop instead of waiting."""
@@ -14,10 +17,14 @@
     def __init__(self):
         super().__init__()
         self.now_s = 0.0
+        self._turns = 0
 
     def select(self, timeout=None):
         if timeout is None:
             raise AssertionError("all tasks wait for each other")
+        self._turns = 0 if timeout > 0 else self._turns + 1
+        if self._turns > MAX_TURNS:
+            raise AssertionError("a task does not let time pass")
         self.now_s += max(0.0, timeout)
         return []
 
