Count what the life before was granted and listed for itself only

Cause: a renewal or start meant for one life of an endpoint may reach the next one under its id. Its deadline on the old clock is far ahead there and grants the longest lease, of which the leader knew nothing when it gave up what it started in the new life.

Change: leases in a new life count from the last deadline sent to its id, and the cursor is sent only while the last report listed such ends.

--- a/packages/placer/src/laburnumgate_placer/endpoint_table.py
+++ b/packages/placer/src/laburnumgate_placer/endpoint_table.py
@@ -59,6 +59,8 @@
       clock_ms: reading of its clock at `clock_at_ms`.
       clock_at_ms: monotonic time of that reading.
       deadline_ms: latest lease deadline sent, on the endpoint's clock.
+      deadline_sent_ms: monotonic time at which a deadline was last sent, 0 for
+        never.
       prior_leases_expire_ms: monotonic time by which all leases of earlier
         leaders have expired.
       last_answer_ms: monotonic time of its last answer.
@@ -67,6 +69,7 @@
       report_clock_ms: reading of its clock in that report.
       handled_end: highest number of the reported ends that were handled.
       acked_end: highest number of the ends that may be acknowledged.
+      listed_end: highest number of the ends in the last report, 0 for none.
       members: members that may be present, by task and run.
       unknown_runs: monotonic time of the last stop of each run in the last
         report that the leader does not expect there, by task and run. Their
@@ -100,12 +103,14 @@
     clock_ms: int = 0
     clock_at_ms: int = 0
     deadline_ms: int = 0
+    deadline_sent_ms: int = 0
     prior_leases_expire_ms: int = 0
     last_answer_ms: int = 0
     reported_ms: int = 0
     report_clock_ms: int = 0
     handled_end: int = 0
     acked_end: int = 0
+    listed_end: int = 0
     members: dict[tuple[model.TaskKey, int], progress.Member] = (
         dataclasses.field(default_factory=dict)
     )
@@ -220,6 +225,7 @@
         may arrive without a response coming back, so each of them could extend
         the lease and it would never be known to have expired.
         """
+        self.deadline_sent_ms = now_ms
         if self.answering:
             deadline_ms = self.endpoint_now_ms(now_ms) + lease_ms
             self.deadline_ms = max(self.deadline_ms, deadline_ms)
--- a/packages/placer/src/laburnumgate_placer/live_list.py
+++ b/packages/placer/src/laburnumgate_placer/live_list.py
@@ -90,10 +90,20 @@
         state.last_answer_ms = tables.monotonic.now_ms()
         # An earlier leader renews until its leadership is stale, and the leases
         # that it granted have to expire after that.
-        max_lease_ms = tables.bounds.lease_ms
+        lease_ms = tables.bounds.lease_ms
         state.prior_leases_expire_ms = self._claimed_ms + int(
-            max_lease_ms + max_lease_ms / endpoint_table.MIN_CLOCK_RATE
+            lease_ms + lease_ms / endpoint_table.MIN_CLOCK_RATE
         )
+        before = tables.endpoints.by_id.get(info.endpoint_id)
+        if before is not None and before.deadline_sent_ms:
+            # A deadline meant for the incarnation before may have reached this
+            # one, which only limits its distance.
+            max_lease_ms = tables.bounds.max_lease_ms
+            state.prior_leases_expire_ms = max(
+                state.prior_leases_expire_ms,
+                before.deadline_sent_ms
+                + int(max_lease_ms / endpoint_table.MIN_CLOCK_RATE),
+            )
         tables.endpoints.by_id[info.endpoint_id] = state
         self._watch(state)
         return state
--- a/packages/placer/src/laburnumgate_placer/reports.py
+++ b/packages/placer/src/laburnumgate_placer/reports.py
@@ -41,6 +41,7 @@
         state.doubted = False
         tables.wake.set()
     state.reported_ms = now_ms
+    state.listed_end = max((row.number for row in report.ended), default=0)
     for row in sorted(report.ended, key=lambda r: r.number):
         if row.number <= state.handled_end:
             continue
--- a/packages/placer/src/laburnumgate_placer/watcher.py
+++ b/packages/placer/src/laburnumgate_placer/watcher.py
@@ -161,14 +161,14 @@
 
         Ends are numbered by incarnation. Without a recent report the endpoint
         may have restarted, and an old number would acknowledge ends that were
-        never reported.
+        never reported. The same holds if the last report listed none.
         """
         state = self._state
         if state.restart is not None:
             return 0
         if not state.answering or now_ms - state.reported_ms > CURSOR_VALID_MS:
             return 0
-        return state.acked_end
+        return min(state.acked_end, state.listed_end)
 
     async def _handle_report(
         self, report: model.Report, sent_ms: int, acked: int
