Step down when records of the leader topic have expired unread

Callers could see orders of two leaders after one of them had been suspended or cut off for longer than the log keeps records, and its successor had written nothing since.

Cause: a leader whose next record had expired read on from the oldest one that was left. That read reached the end of the log, so that its right to renew leases counted from it, although a later claim may have been among the expired records.

The feed reports the gap before it reads on, and a host that leads steps down. It may claim again, at the end of the log.

--- a/packages/placer/src/laburnumgate_placer/feed.py
+++ b/packages/placer/src/laburnumgate_placer/feed.py
@@ -62,6 +62,7 @@
         keyed: bool = True,
         min_interval_ms: int = 0,
         newest_only: bool = False,
+        on_expired: Callable[[], None] | None = None,
     ):
         """Prepares a feed.
 
@@ -77,6 +78,7 @@
           newest_only: whether records that are superseded before they are
             read may be skipped. Saves transfers if the topic has few keys and
             large records.
+          on_expired: called when records are known to have expired unread.
         """
         self.topic = topic
         self.next_offset = 0
@@ -93,6 +95,7 @@
         # Offset of the latest record of each key.
         self._offset_by_key: dict[str, int] = {}
         self._newest_only = newest_only
+        self._on_expired = on_expired
         # Set while records are skipped or none was read yet.
         self._load_due = True
         self._load: _Load | None = None
@@ -283,6 +286,8 @@
                 )
                 self._load_due = True
                 self.complete = False
+                if self._on_expired is not None:
+                    self._on_expired()
                 return True
         return self._mark_down(answer)
 
--- a/packages/placer/src/laburnumgate_placer/leadership.py
+++ b/packages/placer/src/laburnumgate_placer/leadership.py
@@ -96,6 +96,8 @@
             wait_ms=READ_WAIT_MS,
             keyed=False,
             min_interval_ms=self._read_interval_ms,
+            # One of them may have been a later claim.
+            on_expired=lambda: self.step_down("records expired unread"),
         )
         self.current: Claim | None = None
         self.changed = asyncio.Event()
--- a/packages/placer/tests/test_leadership.py
+++ b/packages/placer/tests/test_leadership.py
@@ -268,6 +268,30 @@
         builders.run(work(kind), seconds=4)
 
 
+def test_a_leader_steps_down_when_records_have_expired_unread():
+    """Guards against a leader that cannot know whether it was replaced.
+
+    The claim of its successor has expired, and nothing was written after it.
+    """
+
+    async def work():
+        log = fakelog.FakeLog()
+        host = _Candidate(log, "h1", first_start=True)
+        await _wait_until(lambda: host.leadership.own_claim)
+        log.silent_reads.add(topics.LEADER)
+        await asyncio.sleep(0.35)
+        log.put(topics.LEADER, orjson.dumps(["claim", "h2", 0]))
+        log.first_by_topic[topics.LEADER] = log.end(topics.LEADER)
+        log.silent_reads.clear()
+        await _wait_until(lambda: host.leadership.own_claim is None)
+        # It may lead again, under a claim of its own.
+        await _wait_until(lambda: host.leadership.own_claim)
+        assert host.leadership.own_claim.token > 2
+        host.kill()
+
+    builders.run(work(), seconds=8)
+
+
 def test_a_host_that_stops_while_it_claims_does_not_keep_the_lead():
     """Guards against a leader that is killed without having resigned."""
 
