Extend the soak: outages at the shape of a site

The draws come from streams of their own, so that other soaks draw as before. A violation gives the record of both runs.

--- a/deploy/tests/soak.py
+++ b/deploy/tests/soak.py
@@ -18,6 +18,7 @@
 import orjson
 import standin_capacity
 import standin_crashes
+import standin_outages
 import standin_store
 import standin_worker
 
@@ -63,7 +64,7 @@
 cpu_share = 1.0
 cores = {cores}
 [bounds]
-max_hold_ms = 3000
+max_hold_ms = {max_hold_ms}
 stop_timeout_ms = 200
 gang_timeout_ms = 3000
 reclaim_ms = 2700
@@ -81,8 +82,8 @@
     Attributes:
       target: port on the loopback address that connections are forwarded to.
       mode: None to forward normally, `delay` to add latency, `silent` to stall
-        both directions, `one_way` to stall responses only, or `refuse` to
-        abort new connections.
+        both directions, `one_way` to stall responses only, `one_way_out` to
+        stall requests only, or `refuse` to abort new connections.
       down: whether the target has crashed, so that connections are refused.
       port: port on which the proxy listens.
     """
@@ -137,9 +138,11 @@
             while data := await reader.read(65_536):
                 # Stalled data is forwarded once the mode is cleared, unless
                 # the connection is reset first.
-                while self.mode == "silent" or (
-                    from_target and self.mode == "one_way"
-                ):
+                stalled_modes = (
+                    "silent",
+                    "one_way" if from_target else "one_way_out",
+                )
+                while self.mode in stalled_modes:
                     await asyncio.sleep(0.05)
                 if self.mode == "delay":
                     await asyncio.sleep(0.15)
@@ -159,7 +162,9 @@
     ):
         self.name = name
         self._env = {**os.environ, "LABURNUMGATE_POLICY": policy}
-        self.values = values
+        self.values = {
+            "max_hold_ms": int(standin_worker.MAX_LEASE_S * 1000)
+        } | values
         self.caller_address = f"{values['ip']}:8521"
         self._path = folder / f"{name}.toml"
         self._log = folder / f"{name}.log"
@@ -257,6 +262,7 @@
         limits: bool,
         policies: bool,
         odd_entries: bool = False,
+        outages: bool = False,
     ):
         self.odd_entries = odd_entries
         self.rng = random.Random(seed)
@@ -281,6 +287,8 @@
         self.fleet = standin_worker.Fleet(self.rng, self.crash_rng)
         if limits:
             self.fleet.limit_by_account = _LIMIT_GPU_BY_ACCOUNT
+        # With outages, only these are injected and none of `_FAULTS`.
+        self.outages = standin_outages.Outages(self, seed) if outages else None
         self.host_count = hosts
         self.worker_count = workers
         self.hosts: list[HostProcess] = []
@@ -354,8 +362,8 @@
             await proxy.start()
             worker.proxy = proxy
             self.worker_proxies.append(proxy)
-        self._spawn(self._publish_workers_loop())
-        self._spawn(self._tick_loop())
+        self.spawn(self._publish_workers_loop())
+        self.spawn(self._tick_loop())
         for number in range(self.host_count):
             proxy = Proxy(store_port)
             await proxy.start()
@@ -365,6 +373,7 @@
                 "zone": f"z{number % 3}",
                 "store": proxy.port,
                 "cores": 1 + number % 2,
+                "max_hold_ms": int(self.fleet.max_lease_s * 1000),
                 "ip": _loopback_address(number),
             }
             host = HostProcess(
@@ -431,7 +440,7 @@
 
     async def _submit_until(self, session, deadline: float) -> None:
         while time.monotonic() < deadline:
-            self._spawn(
+            self.spawn(
                 self._run_client(session, f"{self.rng.getrandbits(64):016x}")
             )
             await asyncio.sleep(self.rng.uniform(0.1, 0.5))
@@ -516,13 +525,15 @@
 
     async def _inject_faults_until(self, deadline: float) -> None:
         await asyncio.sleep(2.0)
+        while self.outages and time.monotonic() < deadline:
+            await asyncio.sleep(self.outages.inject())
         while time.monotonic() < deadline:
-            self._spawn(self._inject_fault())
+            self.spawn(self._inject_fault())
             await asyncio.sleep(self.rng.uniform(0.3, 2.5))
 
     async def _shrink_workers_until(self, deadline: float) -> None:
         while self.shrinks and time.monotonic() < deadline:
-            self._spawn(self._shrink_worker())
+            self.spawn(self._shrink_worker())
             await asyncio.sleep(self.capacity_rng.uniform(0.5, 3.0))
 
     async def _shrink_worker(self) -> None:
@@ -622,6 +633,13 @@
                     pending_jobs.discard(job_id)
             await asyncio.sleep(0.3)
         violations = list(self.fleet.violations)
+        host_by_token = self.store.host_by_token()
+        for first, second in self.fleet.overlaps:
+            since = second.started_at
+            violations.append(
+                f"two at once: {first.describe(since, host_by_token)}"
+                f" | {second.describe(since, host_by_token)}"
+            )
         for job_id in sorted(pending_jobs):
             violations.append(
                 f"{job_id} was accepted, last state: {last_state[job_id]}"
@@ -638,7 +656,21 @@
                 violations.append(f"{job_id} was rejected but ran")
         return violations
 
-    def _spawn(self, work) -> None:
+    def leader(self) -> HostProcess | None:
+        """Returns the host with the newest claim to lead, if any."""
+        names = list(self.store.host_by_token().values())
+        for host in self.hosts:
+            # Each life of a process adds its own suffix.
+            if names and names[-1].startswith(f"{host.name}-"):
+                return host
+        return None
+
+    def note_fault(self, text: str) -> None:
+        """Adds a fault to those that are listed with violations."""
+        self.faults.append(f"{time.strftime('%X', time.gmtime())} {text}")
+
+    def spawn(self, work) -> None:
+        """Starts a coroutine that is cancelled at the end of the soak."""
         task = asyncio.create_task(work)
         self._tasks.add(task)
         task.add_done_callback(self._tasks.discard)
@@ -665,6 +697,7 @@
     limits: bool = False,
     policies: bool = False,
     odd_entries: bool = False,
+    outages: bool = False,
 ) -> list[str]:
     """Runs one seed and returns the violations.
 
@@ -679,6 +712,7 @@
         limits,
         policies,
         odd_entries,
+        outages,
     )
     violations = asyncio.run(soak.run(seconds))
     if violations:
@@ -716,6 +750,11 @@
     default=True,
     help="Whether all optional parts of the policy are switched on.",
 )
+@click.option(
+    "--outages/--no-outages",
+    default=False,
+    help="Whether outages at the shape of a site replace the other faults.",
+)
 def main(
     seed,
     seeds,
@@ -726,6 +765,7 @@
     shrinks,
     limits,
     policies,
+    outages,
 ) -> None:
     """Runs seeds sequentially and reports the result of each."""
     seed = seed or random.SystemRandom().randrange(1, 10**6)
@@ -740,6 +780,7 @@
             shrinks,
             limits,
             policies,
+            outages=outages,
         )
         failed += bool(violations)
         click.echo(f"seed {number}: {'broken' if violations else 'kept'}")
--- a/deploy/tests/standin_store.py
+++ b/deploy/tests/standin_store.py
@@ -9,6 +9,7 @@
 import orjson
 
 _CHUNK_BYTES = 4_096
+_LEADER_TOPIC = "laburnumgate-leader"
 
 
 class Store:
@@ -56,6 +57,15 @@
         for topic, records in self.topics.items():
             self.first[topic] = len(records)
 
+    def host_by_token(self) -> dict[int, str]:
+        """Returns the hosts that claimed to lead by their fencing tokens."""
+        hosts = {}
+        for offset, record in enumerate(self.topics.get(_LEADER_TOPIC, [])):
+            kind, host, *_ = orjson.loads(record)
+            if kind == "claim":
+                hosts[offset + 1] = host
+        return hosts
+
     async def handle(self, request: web.BaseRequest) -> web.StreamResponse:
         """Handles one request."""
         response = await self._respond(request)
--- a/deploy/tests/standin_worker.py
+++ b/deploy/tests/standin_worker.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import dataclasses
+import random
 import time
 
 from aiohttp import web
@@ -14,6 +15,8 @@
 # The platform tolerates starts above an account's limit by this share and one
 # task more.
 QUOTA_OVERRUN = 0.1
+# Orders executed longer than this after their arrival are late.
+_LATE_S = 0.1
 
 
 @dataclasses.dataclass(eq=False)
@@ -25,11 +28,19 @@
       number: number of the run.
       spec: payload of the job, which describes its steps.
       worker: the worker that executes the run.
+      worker_id: id of that worker when the run started.
       crash_at: monotonic time at which a crashing task crashes its worker, in
         seconds; None for other tasks.
       ordered_at: monotonic time at which the order arrived, in seconds; it is
         before the start if the order was executed late.
       started_at: monotonic time of the start, in seconds.
+      fencing_token: token of the order that started it.
+      born: start of the worker's incarnation, in Unix milliseconds.
+      stop_at: monotonic time at which the first stop arrived, in seconds.
+      stopped_at: monotonic time at which that stop ends the run, in seconds.
+      ended_at: monotonic time of the end, in seconds.
+      outcome: how it ended; `restart` if it was dropped with its worker.
+      noted_at: monotonic time of the acknowledgement of the end, in seconds.
     """
 
     task: str
@@ -37,9 +48,17 @@
     spec: dict
     worker: "Worker"
     done_at: float = 0.0
+    worker_id: str = ""
     crash_at: float | None = None
     ordered_at: float = dataclasses.field(default_factory=time.monotonic)
     started_at: float = dataclasses.field(default_factory=time.monotonic)
+    fencing_token: int = 0
+    born: int = 0
+    stop_at: float | None = None
+    stopped_at: float | None = None
+    ended_at: float | None = None
+    outcome: str = ""
+    noted_at: float | None = None
 
     @property
     def gang_key(self) -> tuple:
@@ -52,6 +71,32 @@
         step_and_index = self.task.split(".", 2)[2]
         return step_and_index in self.spec.get("crashing", ())
 
+    def describe(self, since: float, host_by_token: dict[int, str]) -> str:
+        """Returns a record of the run.
+
+        Args:
+          since: monotonic time that times are relative to, in seconds.
+          host_by_token: names of the hosts by their fencing tokens.
+        """
+        host = host_by_token.get(self.fencing_token, "unknown")
+        late_s = self.started_at - self.ordered_at
+        times = {
+            "start": self.started_at,
+            "stop": self.stop_at,
+            f"end {self.outcome}": self.ended_at,
+            "noted": self.noted_at,
+        }
+        parts = [
+            f"{self.task} run {self.number} on {self.worker_id}"
+            f" born {self.born} ordered by {host} token {self.fencing_token},"
+            f" {f'late by {late_s:.3f} s' if late_s > _LATE_S else 'not late'}"
+        ]
+        for name, at in times.items():
+            parts.append(
+                f"{name} never" if at is None else f"{name} {at - since:+.3f}"
+            )
+        return "; ".join(parts)
+
 
 class Fleet:
     """All workers, and the state needed to detect violations.
@@ -67,6 +112,10 @@
       crash_log: crashes and failed runs by task.
       limit_by_account: accelerators that each account may have running; empty
         without limits.
+      overlaps: pairs of runs of one task that were there at the same time.
+      max_lease_s: longest lease in seconds.
+      max_stop_s: longest time in seconds that a stopped run goes on.
+      stop_rng: source of randomness of that time.
     """
 
     def __init__(self, rng, crash_rng):
@@ -81,6 +130,10 @@
         self.end_counts: dict[str, int] = {}
         self.late_order_share = 0.0
         self.limit_by_account: dict[str, int] = {}
+        self.overlaps: list[tuple[Run, Run]] = []
+        self.max_lease_s = MAX_LEASE_S
+        self.max_stop_s = 0.0
+        self.stop_rng = random.Random(0)
 
     def check_start(self, run: Run) -> None:
         """Records a violation if the run must not start now.
@@ -95,6 +148,7 @@
         for worker in self.workers:
             for other in worker.running.values():
                 if other is not run and other.task == run.task:
+                    self.overlaps.append((other, run))
                     self._record_violation(
                         run,
                         f"also running as run {other.number} on {worker.id}",
@@ -151,9 +205,11 @@
             worker.expire(now)
             worker.crash_or_boot(now)
             for run in list(worker.running.values()):
-                if run.spec["gang"]:
+                if run.stopped_at is not None and now >= run.stopped_at:
+                    worker.end(run, "stopped")
+                elif run.spec["gang"]:
                     gangs.setdefault(run.gang_key, []).append(run)
-                elif run.crashing:
+                elif run.crashing or run.stopped_at is not None:
                     continue
                 elif now - run.started_at >= run.spec["s"]:
                     worker.end(run, self._random_outcome())
@@ -167,6 +223,7 @@
         if (
             len(members) == size
             and not any(run.crashing for run in members)
+            and not any(run.stopped_at is not None for run in members)
             and now - all_started_at >= members[0].spec["s"]
         ):
             outcome = self._random_outcome()
@@ -214,6 +271,12 @@
         self.back_at: float | None = None
         self._first_id = worker_id
         self._crash_count = 0
+        self._restart_count = 0
+        # Unhealthy until this monotonic time, for these paths.
+        self._refuse_until = 0.0
+        self._refuse_paths: set[str] = set()
+        self._refuse_status = 0
+        self.running: dict[tuple, Run] = {}
         self.capacity = standin_capacity.Capacity(gpu)
         self.clock_rate = clock_rate
         self.born = int(time.time() * 1000)
@@ -224,16 +287,29 @@
     def _reset_state(self) -> None:
         self.token = 0
         self.lease_s = 0.0
-        self.running: dict[tuple, Run] = {}
+        now = time.monotonic()
+        for run in self.running.values():
+            run.ended_at, run.outcome = now, "restart"
+        self.running = {}
+        self._run_by_end: dict[int, Run] = {}
         self.ended: list[list] = []
         self.highest_run_by_task: dict[str, int] = {}
         self.next_end = 1
         self._clock_started_at = time.monotonic()
 
-    def restart(self) -> None:
-        """Restarts the worker as a new incarnation under the same id."""
+    def refuse(self, status: int, paths: set[str], duration_s: float) -> None:
+        """Answers calls to these paths as an unhealthy worker for some time."""
+        self._refuse_status = status
+        self._refuse_paths = paths
+        self._refuse_until = time.monotonic() + duration_s
+
+    def restart(self, new_id: bool = False) -> None:
+        """Restarts the worker as a new incarnation, by default with its id."""
         if self.back_at is not None:
             return
+        if new_id:
+            self._restart_count += 1
+            self.id = f"{self._first_id}-r{self._restart_count}"
         self.fleet.crash_log.record_crash(r.task for r in self.running.values())
         self.born = int(time.time() * 1000)
         self._reset_state()
@@ -291,6 +367,8 @@
                 step = run.task.rpartition(".")[0]
                 size = run.spec["counts"][int(step.split(".")[2])]
                 self.fleet.done.update(f"{step}.{n}" for n in range(size))
+        run.ended_at, run.outcome = time.monotonic(), outcome
+        self._run_by_end[self.next_end] = run
         self.ended.append([self.next_end, run.task, run.number, outcome, ""])
         self.next_end += 1
         self.fleet.end_counts[outcome] = (
@@ -303,6 +381,11 @@
         expected = request.headers.get("X-Laburnumgate-Expect-Instance")
         if self.back_at is not None or expected != self.id:
             return web.Response(status=421)
+        if (
+            request.path in self._refuse_paths
+            and time.monotonic() < self._refuse_until
+        ):
+            return web.Response(status=self._refuse_status)
         crash_count = self._crash_count
         arrived_at = time.monotonic()
         if request.path == "/-/hold":
@@ -327,7 +410,7 @@
         key = (body["task"], body["run_id"])
         if path == "/-/run-stop":
             if key in self.running:
-                self.end(self.running[key], "stopped")
+                self._stop(self.running[key])
             self.highest_run_by_task[key[0]] = max(
                 key[1], self.highest_run_by_task.get(key[0], 0)
             )
@@ -341,6 +424,8 @@
             return 409, {"reason": "old"}
         run = Run(*key, orjson.loads(body["task_spec"]), self)
         run.ordered_at = arrived_at
+        run.fencing_token = body["fencing_token"]
+        run.worker_id, run.born = self.id, self.born
         self.running[key] = run
         self.fleet.check_start(run)
         if run.crashing:
@@ -349,12 +434,26 @@
             self.crash_or_boot(run.started_at)
         return 200, {}
 
+    def _stop(self, run: Run) -> None:
+        """Ends a run at once, or later if stops take time in the fleet."""
+        if run.stop_at is not None:
+            return
+        run.stop_at = time.monotonic()
+        if not self.fleet.max_stop_s:
+            self.end(run, "stopped")
+            return
+        stop_s = self.fleet.stop_rng.uniform(0.5, 1.0) * self.fleet.max_stop_s
+        run.stopped_at = run.stop_at + stop_s
+
     async def _handle_hold(self, body: dict) -> web.Response:
         if not self._accept_token(body):
             return self._response({"reason": "fence"}, 409)
         self._extend_lease(body)
         for row in self.ended:
-            if row[0] <= body["ack_cursor"] and row[3] == "done":
+            if row[0] > body["ack_cursor"]:
+                continue
+            self._run_by_end.pop(row[0]).noted_at = time.monotonic()
+            if row[3] == "done":
                 self.fleet.acked_done.add(row[1])
         self.ended = [r for r in self.ended if r[0] > body["ack_cursor"]]
         until = time.monotonic() + body.get("wait_ms", 0) / 1000
@@ -379,7 +478,7 @@
     def _extend_lease(self, body: dict) -> None:
         if body.get("deadline_ms"):
             requested_s = body["deadline_ms"] / 1000
-            max_deadline_s = self.clock_s() + MAX_LEASE_S
+            max_deadline_s = self.clock_s() + self.fleet.max_lease_s
             self.lease_s = max(self.lease_s, min(requested_s, max_deadline_s))
 
     def _response(self, content: dict, status: int = 200) -> web.Response:
