--- a/packages/placer/src/laburnumgate_placer/termination.py
+++ b/packages/placer/src/laburnumgate_placer/termination.py
@@ -94,17 +94,59 @@
     return NotReported(requested_ms, answered_ms)
 
 
+def from_restart(
+    state: endpoint_table.EndpointState,
+    report: model.Report,
+    requested_ms: int,
+    now_ms: int,
+) -> IncarnationEnded | None:
+    """Returns the proof for the members of an endpoint that has restarted.
+
+    Args:
+      state: the endpoint, with `restart` set.
+      report: a report of the new incarnation.
+      requested_ms: monotonic time at which the report was requested.
+      now_ms: monotonic time.
+
+    Returns:
+      None while a run may be present in the new incarnation: an order to the
+      earlier one is not voided, or what it started is still being stopped.
+    """
+    restart = state.restart
+    voided_ms_by_order = restart.voided_ms_by_order
+    if not state.pending_orders(now_ms) <= voided_ms_by_order.keys():
+        return None
+    if requested_ms <= max(voided_ms_by_order.values(), default=0):
+        return None
+    if any((row.task, row.run) in voided_ms_by_order for row in report.running):
+        return None
+    return IncarnationEnded(f"restarted under its id at {restart.born_ms}")
+
+
 def from_leases(
-    state: endpoint_table.EndpointState, now_ms: int
+    state: endpoint_table.EndpointState,
+    member: progress.Member,
+    now_ms: int,
+    max_lease_ms: int,
 ) -> LeasesExpired | None:
-    """Returns the proof for the members of an endpoint without contact.
+    """Returns the proof for a member on an endpoint without contact.
 
     Args:
       state: the endpoint.
+      member: the member.
       now_ms: monotonic time.
+      max_lease_ms: longest lease that an endpoint grants.
 
     Returns:
       None while a lease may be valid.
     """
     expired_ms = state.leases_expire_ms()
+    # A deadline on the clock of an earlier incarnation means nothing to a new
+    # one, which only limits its distance.
+    lease_ms = int(max_lease_ms / endpoint_table.MIN_CLOCK_RATE)
+    if state.restart is not None:
+        late_ms = state.restart.seen_ms + endpoint_table.MAX_ORDER_DELAY_MS
+        expired_ms = max(expired_ms, late_ms + lease_ms)
+    elif member.ordered_ms and not member.present:
+        expired_ms = max(expired_ms, member.ordered_ms + lease_ms)
     return LeasesExpired(expired_ms) if now_ms > expired_ms else None
