--- a/deploy/tests/standin_outages.py
+++ b/deploy/tests/standin_outages.py
@@ -32,9 +32,11 @@
     "restart_idle",
     "restart_busy",
     "restart_group",
+    "restart_group",
+    "restart_group",
     "new_id",
     "unhealthy",
-    "unhealthy",
+    "restart_unhealthy",
     "restart_unhealthy",
     "pause_leader",
     "kill_leader",
@@ -71,16 +73,17 @@
     def inject(self) -> float:
         """Starts an outage; returns the time in seconds until the next one."""
         rng = self._rng
+        fleet = self._soak.fleet
         kind = rng.choice(_KINDS)
         duration_s = rng.uniform(0.5, 4.5)
         pause_s = rng.uniform(1.0, _MAX_PAUSE_S)
-        workers = rng.sample(self._soak.fleet.workers, k=4)
+        workers = rng.sample(fleet.workers, k=min(8, len(fleet.workers)))
         restarts = [
             Restart(
                 rng.uniform(0.0, _MAX_DOWN_S),
                 rng.uniform(0.05, _MAX_SERIES_GAP_S),
             )
-            for _ in range(rng.randint(1, 3))
+            for _ in range(rng.choice([1, 1, 1, 2, 3]))
         ]
         paths = rng.choice(_UNHEALTHY_PATHS)
         status = rng.choice([429, 503])
@@ -97,12 +100,13 @@
                 work = self._restart(busy[0], restarts)
                 where = busy[0].id
             case "restart_group":
-                work = self._restart_all(workers, restarts)
-                where = " ".join(worker.id for worker in workers)
+                work = self._restart_all(idle, restarts)
+                where = " ".join(worker.id for worker in idle)
             case "restart_unhealthy":
-                idle[0].refuse(status, paths, duration_s)
-                work = self._restart(idle[0], restarts)
-                where = f"{idle[0].id} {status} {sorted(paths)}"
+                for worker in idle:
+                    worker.refuse(status, {_STOP}, duration_s)
+                work = self._restart_all(idle, restarts)
+                where = " ".join(worker.id for worker in idle)
             case "new_id":
                 work = self._restart(workers[0], restarts, new_id=True)
                 where = workers[0].id
@@ -126,14 +130,14 @@
             case "worker_cut":
                 # Orders must not be held up, so only responses are.
                 proxy = self._soak.worker_proxies[
-                    self._soak.fleet.workers.index(workers[0])
+                    fleet.workers.index(workers[0])
                 ]
                 work = self._cut(proxy, "one_way", duration_s)
                 where = workers[0].id
         self._soak.note_fault(f"{kind} {where} {duration_s:.1f} s")
         if work:
             self._soak.spawn(work)
-        return rng.uniform(0.1, 1.2)
+        return rng.uniform(0.1, 0.8)
 
     async def _restart(
         self,
