--- a/packages/placer/src/laburnumgate_placer/endpoint_table.py
+++ b/packages/placer/src/laburnumgate_placer/endpoint_table.py
@@ -66,10 +66,14 @@
       handled_end: highest number of the reported ends that were handled.
       acked_end: highest number of the ends that may be acknowledged.
       members: members that may be present, by task and run.
-      unknown_runs: resources of reported runs that belong to no known job.
+      unknown_runs: monotonic time of the last stop of each run in the last
+        report that the leader does not expect there, by task and run. Their
+        units wait until they are gone.
       unconfirmed_starts: monotonic time of the newest start without an answer,
         by task and run; a copy may be in flight, even after the run has ended.
       restart: the restart that a report showed, None for none.
+      doubted: whether an endpoint of its machine with a later start is listed
+        and this one has not reported since.
       ended: whether the incarnation has ended, so that nothing runs there.
       unreachable_ms: monotonic time at which it last became unreachable, 0 for
         never.
@@ -100,13 +104,14 @@
     members: dict[tuple[model.TaskKey, int], progress.Member] = (
         dataclasses.field(default_factory=dict)
     )
-    unknown_runs: dict[tuple[model.TaskKey, int], model.Resources] = (
-        dataclasses.field(default_factory=dict)
+    unknown_runs: dict[tuple[model.TaskKey, int], int] = dataclasses.field(
+        default_factory=dict
     )
     unconfirmed_starts: dict[tuple[model.TaskKey, int], int] = (
         dataclasses.field(default_factory=dict)
     )
     restart: Restart | None = None
+    doubted: bool = False
     ended: bool = False
     unreachable_ms: int = 0
     suspects: set[tuple[model.TaskKey, int]] = dataclasses.field(
@@ -294,6 +299,15 @@
         """Whether endpoints may have shrunk without the leader's knowledge."""
         return self.list_age_ms() > self._max_list_age_ms
 
+    def tasks_of_unknown_runs(self) -> set[model.TaskKey]:
+        """Returns the tasks of which a run may go on that has no member."""
+        return {
+            task
+            for state in self.by_id.values()
+            if not state.ended
+            for task, _ in state.unknown_runs
+        }
+
     def usable(
         self, service: str, zones_out: set[str], now_ms: int
     ) -> list[EndpointState]:
@@ -309,7 +323,7 @@
                 continue
             if state.ended or info.zone in zones_out or state.unknown_runs:
                 continue
-            if state.restart is not None:
+            if state.restart is not None or state.doubted:
                 continue
             if now_ms < state.avoid_until_ms:
                 continue
--- a/packages/placer/tests/test_leader.py
+++ b/packages/placer/tests/test_leader.py
@@ -20,6 +20,7 @@
 from laburnumgate_placer import records
 from laburnumgate_placer import services
 from laburnumgate_placer import topics
+import orjson
 import pytest
 
 _BOUNDS = limits.Bounds(max_lease_ms=600, gang_ms=1_000)
@@ -40,6 +41,7 @@
         for worker_id in worker_ids:
             self.list_worker(worker_id)
         self.tasks = {}
+        self.hosts = {}
         self.advisor = None
         self.machines = None
         self.queue = builders.QUEUE
@@ -83,6 +85,7 @@
             first_start=first_start,
             policy=self.policy,
         )
+        self.hosts[name] = host
         self.tasks[name] = asyncio.create_task(host.run())
         return host
 
@@ -1344,3 +1347,211 @@
         assert answer == ports.Refused(ports.Refusal.SUPERSEDED, 1_000)
 
     builders.run(work())
+
+
+def test_a_leader_that_cannot_read_the_log_renews_no_leases():
+    """Guards against leases that outlast the wait of a later leader.
+
+    The heartbeats of the first leader are stored after the claim of the second
+    one, which it does not read.
+    """
+
+    async def work():
+        system, host = await _start_system("e1")
+        await _submit(host, builders.job("a" * 16))
+        await _wait_until(lambda: system.starts())
+        deadlines = []
+        renew = system.workers.renew
+
+        def record(endpoint, *, deadline_ms, **options):
+            deadlines.append(deadline_ms)
+            return renew(endpoint, deadline_ms=deadline_ms, **options)
+
+        system.workers.renew = record
+        system.log.silent_reads.add(topics.LEADER)
+        await asyncio.sleep(0.35)
+        system.log.put(topics.LEADER, orjson.dumps(["claim", "h2", 0]))
+        await asyncio.sleep(_BOUNDS.lease_ms / 1000 + 0.1)
+        assert host.leadership.own_claim is not None
+        # Each event makes the endpoint answer, so that it is asked again.
+        deadlines.clear()
+        worker = system.worker("e1")
+        for _ in range(3):
+            worker.changed.set()
+            await asyncio.sleep(0.1)
+        assert deadlines and set(deadlines) == {None}
+        await _submit(host, builders.job("b" * 16))
+        await asyncio.sleep(0.3)
+        assert len(system.starts()) == 1
+
+    builders.run(work())
+
+
+def test_nothing_is_ordered_from_the_moment_at_which_a_leader_steps_down():
+    """Guards against a run that is recorded, but starts after its term."""
+
+    async def work():
+        system, host = await _start_system("e1")
+        term = host.leader
+        token = term.tables.token
+        flush = term._recorder.flush
+
+        async def flush_and_step_down():
+            runs = await flush()
+            if runs:
+                host.leadership.step_down("test")
+            return runs
+
+        term._recorder.flush = flush_and_step_down
+        await _submit(host, builders.job("a" * 16))
+        await _wait_until(lambda: system.starts())
+        assert [o.fencing_token > token for _, o in system.starts()] == [True]
+
+    builders.run(work())
+
+
+async def _list_stray(**faults):
+    """Returns a system, a worker with a stray and the times of the stops."""
+    system = _System("e1")
+    worker = system.worker("e1")
+    for name, value in faults.items():
+        setattr(worker, name, value)
+    task = model.TaskKey("b" * 16, 0, 0, 0)
+    worker.running[(task, 1)] = None
+    stop = system.workers.stop
+    stops = []
+
+    async def count_stop(*args, **kwargs):
+        stops.append(asyncio.get_running_loop().time())
+        return await stop(*args, **kwargs)
+
+    system.workers.stop = count_stop
+    host = system.add_host("h1", first_start=True)
+    await _wait_until(lambda: host.leader and host.leader.recovered)
+    await _wait_until(lambda: stops)
+    return system, worker, stops
+
+
+@pytest.mark.parametrize("fault", ["refuse_stops", "drop_stops"])
+def test_a_stray_that_was_not_stopped_is_stopped_again(fault):
+    """Guards against a stray that goes on after one refused or lost stop."""
+
+    async def work():
+        _, worker, stops = await _list_stray(**{fault: True})
+        await _wait_until(lambda: len(stops) == 2)
+        setattr(worker, fault, False)
+        await _wait_until(lambda: not worker.running)
+
+    builders.run(work())
+
+
+def test_a_stray_is_not_stopped_nor_asked_for_all_the_time():
+    """Guards against a busy loop while a stray takes long to stop."""
+
+    async def work():
+        system, worker, stops = await _list_stray(refuse_stops=True)
+        renew = system.workers.renew
+        reports = []
+
+        async def count_renewal(*args, **kwargs):
+            reports.append(None)
+            return await renew(*args, **kwargs)
+
+        system.workers.renew = count_renewal
+        await asyncio.sleep(1.2)
+        assert worker.running
+        assert len(stops) <= 4
+        assert len(reports) <= 8
+
+    builders.run(work())
+
+
+async def _submit_beside_stray():
+    """Returns a system with a job whose task has a stray, and its worker."""
+    system, worker, _ = await _list_stray(refuse_stops=True)
+    system.workers.by_id["e2"] = fakeworkers.FakeWorker("e2")
+    system.list_worker("e2")
+    host = system.hosts["h1"]
+    states = host.leader.tables.endpoints.by_id
+    await _wait_until(lambda: "e2" in states and states["e2"].contacted)
+    await _submit(host, builders.job("b" * 16))
+    return system, worker
+
+
+def test_a_task_does_not_start_while_a_stray_run_of_it_goes_on():
+    """Guards against a run beside another one that is known to be present."""
+
+    async def work():
+        system, worker = await _submit_beside_stray()
+        await asyncio.sleep(0.3)
+        assert not system.starts()
+        worker.refuse_stops = False
+        await _wait_until(system.starts)
+        assert not system.workers.overlaps
+
+    builders.run(work())
+
+
+def test_a_stray_out_of_reach_holds_its_task_until_its_lease_is_over():
+    """Guards against a task that waits for an endpoint that is gone."""
+
+    async def work():
+        system, worker = await _submit_beside_stray()
+        loop = asyncio.get_running_loop()
+        began = loop.time()
+        worker.partitioned = True
+        await _wait_until(system.starts)
+        # Leases of an earlier leader, of 600 ms, may have been renewed for as
+        # long after the claim.
+        assert loop.time() - began > 0.5
+
+    builders.run(work(), seconds=5)
+
+
+def test_a_stale_entry_of_its_machine_ends_no_endpoint_that_answers():
+    """Guards against a run given up because the time of day stepped back.
+
+    The entry of the machine's previous endpoint, which started at a later time
+    of day, is still listed.
+    """
+
+    async def work():
+        system, host = await _start_system("e1")
+        await _submit(host, builders.job("a" * 16))
+        await _wait_until(system.starts)
+        for worker_id, machine in (("e0", "m-e1"), ("e2", "m-e2")):
+            system.workers.by_id[worker_id] = fakeworkers.FakeWorker(
+                worker_id, born_ms=9
+            )
+            system.machines_by_id[worker_id] = machine
+            system.list_worker(worker_id)
+        system.worker("e0").refuse_connections = True
+        await asyncio.sleep(0.8)
+        assert len(system.starts()) == 1
+        state = host.leader.tables.endpoints.by_id["e1"]
+        assert state.members and not state.ended
+        await _submit(host, builders.job("b" * 16, builders.step(gpu=7)))
+        await _submit(host, builders.job("c" * 16, builders.step(gpu=7)))
+        await _wait_until(lambda: len(system.starts()) == 3)
+        assert {e for e, _ in system.starts()} == {"e1", "e2"}
+        assert not system.workers.overlaps
+
+    builders.run(work())
+
+
+def test_an_idle_endpoint_is_asked_when_its_machine_has_a_newer_one():
+    """Guards against starts on an endpoint that has been replaced."""
+
+    async def work():
+        system, host = await _start_system("e1")
+        states = host.leader.tables.endpoints.by_id
+        await _wait_until(lambda: "e1" in states and states["e1"].contacted)
+        system.worker("e1").refuse_connections = True
+        system.workers.by_id["e2"] = fakeworkers.FakeWorker("e2", born_ms=2)
+        system.machines_by_id["e2"] = "m-e1"
+        system.list_worker("e2")
+        await _wait_until(lambda: states["e1"].ended)
+        await _submit(host, builders.job("a" * 16))
+        await _wait_until(lambda: system.worker("e2").starts)
+
+    builders.run(work())
--- a/packages/placer/tests/test_lifecycle.py
+++ b/packages/placer/tests/test_lifecycle.py
@@ -3,6 +3,7 @@
 import builders
 from laburnumgate_placer import lifecycle
 from laburnumgate_placer import model
+from laburnumgate_placer import ordering
 from laburnumgate_placer import progress
 from laburnumgate_placer import reports
 import pytest
@@ -38,6 +39,23 @@
     assert not entry.state.final
 
 
+@pytest.mark.parametrize("done", [False, True])
+def test_a_unit_that_does_not_wait_is_not_assigned(done):
+    """Guards against a run that is forgotten while it goes on."""
+    tables = builders.tables()
+    state = builders.add_endpoint(tables)
+    other = builders.add_endpoint(tables, "e2")
+    entry, unit, run = _started(tables, builders.step(count=2, gang=True))
+    if done:
+        end = builders.end(run.members[0], 1, _DONE)
+        lifecycle.apply_end(tables, state, end)
+    with pytest.raises(ValueError):
+        lifecycle.assign(tables, unit, ["e2", "e2"])
+    assert unit.run is run
+    assert unit.last_run == run.number
+    assert not other.members
+
+
 def test_one_end_of_a_gang_stands_for_all_its_tasks():
     """Guards against a completed gang that is started again."""
     tables = builders.tables()
@@ -172,6 +190,56 @@
     assert tables.endpoints.usable("pool", set(), 200_000) == []
 
 
+def test_a_task_that_was_taken_for_over_and_is_listed_is_stopped():
+    """Guards against a task of a gang that goes on though it counts as over."""
+    tables = builders.tables()
+    state = builders.add_endpoint(tables)
+    builders.add_endpoint(tables, "e2")
+    _, unit, run = _started(
+        tables, builders.step(count=2, gang=True), endpoints=["e1", "e2"]
+    )
+    builders.expire_leases(tables, state)
+    assert unit.run is run
+    report = builders.report(state, builders.row(run.members[0]))
+    found = reports.apply(tables, state, report, tables.monotonic.now_ms())
+    assert [row.task for row in found] == [run.members[0].task]
+
+
+def test_an_assigned_run_gives_way_to_a_stray_of_its_task():
+    """Guards against a start beside a run found since the assignment."""
+    tables = builders.tables()
+    builders.add_endpoint(tables)
+    other = builders.add_endpoint(tables, "e2")
+    entry = lifecycle.open_job(tables, builders.job("a" * 16))
+    unit = next(iter(entry.units_by_key.values()))
+    run = lifecycle.assign(tables, unit, ["e1"])
+    now_ms = tables.monotonic.now_ms()
+    stray = model.ReportedRun(run.members[0].task, 9, "", 0, 0.0)
+    reports.apply(tables, other, builders.report(other, stray), now_ms)
+    assert run.all_terminated()
+    assert not ordering.waiting_steps(tables, set(), now_ms + 1_000)
+    reports.apply(tables, other, builders.report(other), now_ms)
+    assert ordering.waiting_steps(tables, set(), now_ms + 1_000)
+
+
+@pytest.mark.parametrize("ended", [True, False])
+def test_a_stray_on_an_endpoint_that_is_over_holds_no_task(ended):
+    """Guards against a task that waits for a run that is gone."""
+    tables = builders.tables()
+    state = builders.add_endpoint(tables)
+    entry = lifecycle.open_job(tables, builders.job("a" * 16))
+    now_ms = tables.monotonic.now_ms()
+    task = next(iter(entry.units_by_key.values())).tasks()[0]
+    stray = model.ReportedRun(task, 9, "", 0, 0.0)
+    reports.apply(tables, state, builders.report(state, stray), now_ms)
+    assert not ordering.waiting_steps(tables, set(), now_ms)
+    if ended:
+        lifecycle.end_incarnation(tables, state, "test")
+    else:
+        lifecycle.forget_unknown_runs(tables, state)
+    assert ordering.waiting_steps(tables, set(), now_ms)
+
+
 def test_a_run_that_was_done_before_its_lease_expired_counts():
     """Guards against work that is repeated after a network partition."""
     tables = builders.tables()
--- a/packages/placer/tests/test_termination.py
+++ b/packages/placer/tests/test_termination.py
@@ -72,3 +72,17 @@
     assert proof(empty, now_ms) is None
     assert proof(present, now_ms + 1) is None
     assert proof(empty, now_ms + 1) is not None
+
+
+def test_the_lease_of_an_unknown_run_counts_from_its_last_report():
+    """Guards against a start beside an unknown run that is out of reach."""
+    _, state, member = _start()
+    state.reported_ms = member.ordered_ms
+    left_ms = int(_MAX_LEASE_MS / endpoint_table.MIN_CLOCK_RATE)
+    until_ms = state.reported_ms + left_ms
+
+    def expired(now_ms):
+        return termination.unknown_runs_expired(state, now_ms, _MAX_LEASE_MS)
+
+    assert not expired(until_ms)
+    assert expired(until_ms + 1)
