--- a/deploy/tests/soak.py
+++ b/deploy/tests/soak.py
@@ -443,9 +443,7 @@
             self.spawn(
                 self._run_client(session, f"{self.rng.getrandbits(64):016x}")
             )
-            pause_s = self.rng.uniform(0.1, 0.5)
-            # More starts reach workers that have just restarted.
-            await asyncio.sleep(pause_s / 2 if self.outages else pause_s)
+            await asyncio.sleep(self.rng.uniform(0.1, 0.5))
 
     async def _run_client(self, session, job_id: str) -> None:
         """Submits a job with up to four retries, like the platform's clients.
--- a/deploy/tests/standin_worker.py
+++ b/deploy/tests/standin_worker.py
@@ -83,7 +83,7 @@
         times = {
             "start": self.started_at,
             "stop": self.stop_at,
-            f"end {self.outcome}": self.ended_at,
+            f"end {self.outcome}".strip(): self.ended_at,
             "noted": self.noted_at,
         }
         parts = [
--- a/deploy/tests/test_soak.py
+++ b/deploy/tests/test_soak.py
@@ -102,3 +102,22 @@
         seed, seconds, hosts, workers, crashing_share=crashing_share
     )
     assert not violations
+
+
+def test_a_run_in_the_next_life_does_not_overlap_its_successor():
+    """Guards against two runs of a task after quick restarts of idle workers.
+
+    The next life of a worker gets starts before the leader knows of it. Their
+    tasks were started elsewhere while these runs were still being stopped, or
+    after a stop that was refused.
+    """
+    violations = soak.run_seed(
+        4200,
+        _SECONDS,
+        hosts=3,
+        workers=12,
+        crashing_share=0.0,
+        shrinks=False,
+        outages=True,
+    )
+    assert not violations
--- a/deploy/tests/test_soak_checks.py
+++ b/deploy/tests/test_soak_checks.py
@@ -4,7 +4,10 @@
 import random
 import signal
 import time
+import types
+from unittest import mock
 
+import orjson
 import pytest
 import soak
 import standin_capacity
@@ -219,6 +222,67 @@
     assert not fleet.violations
 
 
+def _order(worker, call, token=1, number=1):
+    spec = {"s": 60.0, "gang": False, "counts": [4], "gpu": 1}
+    body = {
+        "task": _TASK,
+        "run_id": number,
+        "task_spec": orjson.dumps(spec).decode(),
+        "deadline_ms": 60_000,
+        "fencing_token": token,
+    }
+    request = types.SimpleNamespace(
+        path=f"/-/run-{call}",
+        headers={"X-Laburnumgate-Expect-Instance": worker.id},
+        read=mock.AsyncMock(return_value=orjson.dumps(body)),
+    )
+    return asyncio.run(worker.handle(request)).status
+
+
+def test_a_run_that_is_being_stopped_counts_as_running(fleet):
+    fleet.max_stop_s = 0.2
+    first, second = _add_worker(fleet, "w0"), _add_worker(fleet, "w1")
+    assert _order(first, "start") == 200
+    assert _order(first, "stop") == 200
+    run = first.running[(_TASK, 1)]
+    assert 0.1 <= run.stopped_at - run.stop_at <= 0.2
+    assert _order(second, "start", token=2, number=2) == 200
+    assert len(fleet.violations) == len(fleet.overlaps) == 1
+    run.stopped_at = 0.0
+    fleet.tick()
+    assert [row[3] for row in first.ended] == ["stopped"]
+    records = [r.describe(run.started_at, {1: "h0"}) for r in fleet.overlaps[0]]
+    assert "on w0" in records[0]
+    assert "ordered by h0 token 1, not late; start +0.000; stop" in records[0]
+    assert "end stopped" in records[0]
+    assert "ordered by unknown token 2" in records[1]
+    assert "stop never; end never; noted never" in records[1]
+
+
+@pytest.mark.parametrize("status", [429, 503])
+def test_an_unhealthy_worker_does_nothing(fleet, status):
+    worker = _add_worker(fleet)
+    assert _order(worker, "start") == 200
+    worker.refuse(status, {"/-/run-stop"}, 60.0)
+    assert _order(worker, "stop") == status
+    assert _order(worker, "start", number=2) == 200
+    assert len(worker.running) == 2
+    assert not worker.highest_run_by_task
+    worker.refuse(status, {"/-/run-stop"}, 0.0)
+    assert _order(worker, "stop") == 200
+    assert [row[2] for row in worker.ended] == [1]
+
+
+def test_a_restart_under_a_new_id_keeps_the_first_part(fleet):
+    worker = _add_worker(fleet)
+    run = _start(worker, 1)
+    worker.restart()
+    assert (worker.id, run.outcome) == ("w0", "restart")
+    worker.restart(new_id=True)
+    worker.restart(new_id=True)
+    assert worker.id == "w0-r2"
+
+
 @pytest.fixture
 def idle_host(tmp_path, monkeypatch):
     """A host whose process does nothing, and all processes that it started."""
