--- a/packages/placer/tests/test_leader.py
+++ b/packages/placer/tests/test_leader.py
@@ -467,6 +467,85 @@
     builders.run(work())
 
 
+def test_the_clock_of_the_next_life_does_not_prolong_the_leases_of_this_one():
+    """Guards against a task that waits for minutes for an endpoint.
+
+    The answer to a start came from the next life, whose clock began anew, and
+    the endpoint is then out of reach.
+    """
+
+    async def work():
+        system, host = await _restart_idle_endpoints()
+        states = host.leader.tables.endpoints.by_id
+        start = system.workers.start
+
+        async def start_with_new_clock(endpoint, order, *, timeout_ms):
+            answer = await start(endpoint, order, timeout_ms=timeout_ms)
+            system.worker(endpoint.endpoint_id).partitioned = True
+            return ports.Done(1) if answer == ports.Done(1_000) else answer
+
+        system.workers.start = start_with_new_clock
+        for state in states.values():
+            state.set_clock(300_000, host.monotonic.now_ms())
+        await _submit(host, builders.job("a" * 16))
+        await _wait_until(system.starts)
+        await asyncio.sleep(0.05)
+        state = states[system.starts()[0][0]]
+        left_ms = state.leases_expire_ms() - host.monotonic.now_ms()
+        assert left_ms < 5 * _BOUNDS.max_lease_ms
+
+    builders.run(work())
+
+
+@pytest.mark.parametrize("refused", [False, True])
+def test_a_run_in_the_next_life_is_not_started_beside_it_elsewhere(refused):
+    """Guards against a second run on an endpoint that did not restart.
+
+    There, no report of the first run keeps the task waiting.
+    """
+
+    async def work():
+        system, host = await _start_system("e1", "e2")
+        states = host.leader.tables.endpoints.by_id
+        await _wait_until(lambda: len(states) == 2)
+        await _wait_until(lambda: all(s.contacted for s in states.values()))
+        await asyncio.sleep(0.2)
+        worker = system.worker("e1")
+        worker.restart()
+        worker.stop_s = 0.2
+        worker.refuse_stops = refused
+        # Fills both.
+        job = builders.job("a" * 16, builders.step(8, gpu=1))
+        await _submit(host, job)
+        await _wait_until(lambda: len(system.starts()) == 8)
+        if refused:
+            await asyncio.sleep(1.2)
+            worker.refuse_stops = False
+        await asyncio.sleep(1.5)
+        assert not system.workers.overlaps
+
+    builders.run(work())
+
+
+def test_a_refused_stop_does_not_hold_a_task_whose_run_has_lapsed():
+    """Guards against a task that waits for a stop without need."""
+
+    async def work():
+        system, host = await _restart_idle_endpoints()
+        for worker in system.workers.by_id.values():
+            worker.refuse_stops = True
+        await _submit(host, builders.job("a" * 16))
+        await _wait_until(system.starts)
+        await asyncio.sleep(0.2)
+        system.worker(system.starts()[0][0]).end_all(model.EndKind.LAPSED)
+        for worker_id in ("e1", "e2"):
+            system.list_worker(worker_id)
+        await _wait_until(lambda: len(system.starts()) == 2)
+        assert not system.workers.overlaps
+
+    builders.run(work())
+
+
 def test_a_run_that_was_done_in_the_next_life_is_not_started_again():
     """Guards against an end that is dropped with the life before it."""
 
@@ -1387,6 +1466,20 @@
     builders.run(work())
 
 
+def test_a_leader_that_cannot_read_the_log_makes_room_for_another(monkeypatch):
+    """Guards against a leader that keeps others out and can start nothing."""
+    monkeypatch.setattr(leader_module, "MAX_UNREAD_MS", 600)
+
+    async def work():
+        system, host = await _start_system("e1")
+        await asyncio.sleep(1.0)
+        assert host.leadership.own_claim is not None
+        system.log.silent_reads.add(topics.LEADER)
+        await _wait_until(lambda: host.leadership.own_claim is None)
+
+    builders.run(work())
+
+
 def test_nothing_is_ordered_from_the_moment_at_which_a_leader_steps_down():
     """Guards against a run that is recorded, but starts after its term."""
 
@@ -1622,3 +1715,36 @@
         assert not system.workers.overlaps
 
     builders.run(work(), seconds=8)
+
+
+def test_a_start_after_a_long_pause_of_its_endpoint_is_not_lost():
+    """Guards against a lease that is over before the start arrives.
+
+    The endpoint's clock was read long ago and could be slow, but is not.
+    """
+
+    async def work():
+        system, host = await _start_system("e1")
+        state = host.leader.tables.endpoints.by_id["e1"]
+        await _wait_until(lambda: state.contacted)
+        state.clock_ms = 0
+        state.clock_at_ms -= 1_000_000
+        read_at_ms = state.clock_at_ms
+        leases_ms = []
+        start = system.workers.start
+
+        async def start_in_time(endpoint, order, *, timeout_ms):
+            endpoint_now_ms = host.monotonic.now_ms() - read_at_ms
+            leases_ms.append(order.deadline_ms - endpoint_now_ms)
+            if leases_ms[-1] <= 0:
+                return ports.Refused(ports.Refusal.LATE, endpoint_now_ms)
+            return await start(endpoint, order, timeout_ms=timeout_ms)
+
+        system.workers.start = start_in_time
+        await _submit(host, builders.job("a" * 16))
+        await _wait_until(system.starts)
+        assert [lease_ms > 0 for lease_ms in leases_ms] == [False, True]
+        assert leases_ms[1] <= _BOUNDS.lease_ms
+        assert system.starts()[0][1].run == 1
+
+    builders.run(work())
