--- a/packages/placer/tests/test_termination_machine.py
+++ b/packages/placer/tests/test_termination_machine.py
@@ -10,7 +10,6 @@
 from hypothesis import given
 from hypothesis import settings
 from hypothesis import strategies as st
-from laburnumgate_placer import limits
 
 # Most faults hit the machine with the work.
 _MACHINE = st.sampled_from([0, 0, 0, 1, 2])
@@ -196,9 +195,6 @@
     Suspend, st.sampled_from([300, 1_500, 9_000])
 )
 _LATE_MS = st.sampled_from([600, 3_000, 9_000])
-# KNOWN-RED.txt, issue 38: endpoints that grant longer leases than leaders ask
-# for do so when the deadline is on the clock of the life before.
-_LEASE_MS = limits.MAX_LEASE_MS
 _DRAWN = settings(
     max_examples=70, deadline=None, derandomize=True, database=None
 )
@@ -221,10 +217,8 @@
     ]
 
 
-def _check(schedule, late_ms=600, max_lease_ms=10_000):
-    violations, trace = endpoint_model.play(
-        schedule, late_ms=late_ms, max_lease_ms=max_lease_ms
-    )
+def _check(schedule, late_ms=600):
+    violations, trace = endpoint_model.play(schedule, late_ms=late_ms)
     assert not violations, "\n".join(trace)
 
 
@@ -235,7 +229,7 @@
 )
 def test_no_task_runs_twice_while_the_time_of_day_is_right(schedule, late_ms):
     """Guards against two runs of one task and against wrong proofs."""
-    _check(schedule, late_ms, _LEASE_MS)
+    _check(schedule, late_ms)
 
 
 @_DRAWN
@@ -245,7 +239,7 @@
 )
 def test_no_task_runs_twice_when_the_time_of_day_steps_back(schedule, late_ms):
     """Guards against lives that are ordered by the time of day."""
-    _check(schedule, late_ms, _LEASE_MS)
+    _check(schedule, late_ms)
 
 
 @_DRAWN
