--- a/packages/placer/src/laburnumgate_placer/live_list.py
+++ b/packages/placer/src/laburnumgate_placer/live_list.py
@@ -200,7 +200,7 @@
             self._tables.wake.set()
 
     def _doubt_earlier_incarnations(self, endpoint: model.Endpoint) -> None:
-        """Has older incarnations of a machine under other ids asked."""
+        """Marks incarnations that an endpoint of their machine may replace."""
         if not endpoint.machine:
             return
         for state in self._tables.endpoints.by_id.values():
