--- a/packages/placer/tests/test_leader.py
+++ b/packages/placer/tests/test_leader.py
@@ -5,9 +5,12 @@
 import itertools
 
 import builders
+import fakelog
 import fakeworkers
+from laburnumgate_placer import host as host_module
 from laburnumgate_placer import intake
 from laburnumgate_placer import leader as leader_module
+from laburnumgate_placer import limits
 from laburnumgate_placer import load_reports
 from laburnumgate_placer import model
 from laburnumgate_placer import policy
@@ -15,31 +18,127 @@
 from laburnumgate_placer import progress
 from laburnumgate_placer import recorder
 from laburnumgate_placer import records
+from laburnumgate_placer import services
 from laburnumgate_placer import topics
-import leader_system
 import orjson
 import pytest
 
+_BOUNDS = limits.Bounds(max_lease_ms=600, gang_ms=1_000)
+_OPERATORS = "keyed.test-operators"
+_LIST = "keyed.test-list"
+_STATUS = "keyed.test-status"
+
+
+class _System:
+    """Hosts that share one log and a set of workers."""
+
+    def __init__(self, *worker_ids):
+        self.log = fakelog.FakeLog()
+        self.workers = fakeworkers.FakeEndpoints(
+            *(fakeworkers.FakeWorker(worker_id) for worker_id in worker_ids)
+        )
+        self.log.put(_OPERATORS, records.encode_keyed("config", b"1"))
+        for worker_id in worker_ids:
+            self.list_worker(worker_id)
+        self.tasks = {}
+        self.hosts = {}
+        self.advisor = None
+        self.machines = None
+        self.queue = builders.QUEUE
+        self.policy = None
+        self.machines_by_id = {}
+
+    def apply_operator_entry(self, table, entry):
+        table.publish(entry.offset, builders.config(self.queue))
+
+    def list_worker(self, worker_id, present=True):
+        born = self.workers.by_id[worker_id].born_ms
+        value = str(born).encode() if present else b""
+        self.log.put(_LIST, records.encode_keyed(worker_id, value))
+
+    def add_host(self, name, first_start=False) -> host_module.Host:
+        host = host_module.Host(
+            name,
+            services.Services(
+                log=self.log,
+                endpoints=self.workers,
+                advisor=self.advisor,
+                machines=self.machines,
+                decode_endpoint=lambda entry: builders.endpoint(
+                    entry.key,
+                    born_ms=int(entry.value),
+                    machine=self.machines_by_id.get(
+                        entry.key, f"m-{entry.key}"
+                    ),
+                ),
+                apply_operator_entry=self.apply_operator_entry,
+                encode_wave_state=lambda wave, done: (
+                    f"wave/{wave}",
+                    b"completed" if done else b"running",
+                ),
+                operator_topic=_OPERATORS,
+                list_topic=_LIST,
+                status_topic=_STATUS,
+            ),
+            _BOUNDS,
+            claim_delay_ms=0,
+            first_start=first_start,
+            policy=self.policy,
+        )
+        self.hosts[name] = host
+        self.tasks[name] = asyncio.create_task(host.run())
+        return host
+
+    def kill(self, name):
+        self.tasks.pop(name).cancel()
+
+    def worker(self, worker_id) -> fakeworkers.FakeWorker:
+        return self.workers.by_id[worker_id]
+
+    def starts(self):
+        return [
+            (worker.endpoint_id, order)
+            for worker in self.workers.by_id.values()
+            for order in worker.starts
+        ]
+
+
+async def _wait_until(condition):
+    while not condition():
+        await asyncio.sleep(0.005)
+
+
+async def _start_system(*worker_ids):
+    system = _System(*worker_ids)
+    host = system.add_host("h1", first_start=True)
+    await _wait_until(lambda: host.leader and host.leader.recovered)
+    return system, host
+
+
+async def _submit(host, job):
+    await _wait_until(host.ready)
+    assert await host.intake.submit(job, 3_000) == intake.Accepted()
+
 
 def test_a_job_runs_to_its_end_and_its_caller_is_told():
     """Guards against a missing link between submission and completion."""
 
     async def work():
-        system, host = await leader_system.start_system("e1", "e2")
+        system, host = await _start_system("e1", "e2")
         step = builders.step(count=2, gpu=8, gang=True)
         job = builders.job("a" * 16, step, builders.step(after=(0,)))
-        await leader_system.submit(host, job)
-        await leader_system.wait_until(lambda: len(system.starts()) == 2)
+        await _submit(host, job)
+        await _wait_until(lambda: len(system.starts()) == 2)
         assert host.intake.pending("reviews") in (0, 1)
         for worker_id in ("e1", "e2"):
             system.worker(worker_id).end_all()
-        await leader_system.wait_until(lambda: len(system.starts()) == 3)
+        await _wait_until(lambda: len(system.starts()) == 3)
         for worker_id in ("e1", "e2"):
             system.worker(worker_id).end_all()
-        await leader_system.wait_until(
+        await _wait_until(
             lambda: host.jobs.state("a" * 16) == model.JobState.COMPLETED
         )
-        await leader_system.wait_until(lambda: not system.worker("e1").ended)
+        await _wait_until(lambda: not system.worker("e1").ended)
         assert {o.run for _, o in system.starts()} == {1}
 
     builders.run(work())
@@ -49,21 +148,17 @@
     """Guards against a new leader that restarts a run which is still active."""
 
     async def work():
-        system, host = await leader_system.start_system("e1", "e2")
-        await leader_system.submit(
-            host, builders.job("a" * 16, builders.step(gpu=8))
-        )
-        await leader_system.wait_until(lambda: len(system.starts()) == 1)
+        system, host = await _start_system("e1", "e2")
+        await _submit(host, builders.job("a" * 16, builders.step(gpu=8)))
+        await _wait_until(lambda: len(system.starts()) == 1)
         await asyncio.sleep(0.05)
         system.kill("h1")
         second = system.add_host("h2")
-        await leader_system.wait_until(
-            lambda: second.leader and second.leader.recovered
-        )
+        await _wait_until(lambda: second.leader and second.leader.recovered)
         await asyncio.sleep(0.2)
         assert len(system.starts()) == 1
         system.worker(system.starts()[0][0]).end_all()
-        await leader_system.wait_until(
+        await _wait_until(
             lambda: second.jobs.state("a" * 16) == model.JobState.COMPLETED
         )
 
@@ -83,32 +178,28 @@
     monkeypatch.setattr(progress, "TASKS_PER_PART", 3)
 
     async def work():
-        system, host = await leader_system.start_system("e1")
+        system, host = await _start_system("e1")
         step = builders.step(count=20, gpu=0)
         job = builders.job("a" * 16, step, builders.step(after=(0,)))
-        await leader_system.submit(host, job)
-        await leader_system.wait_until(lambda: len(system.starts()) == 20)
+        await _submit(host, job)
+        await _wait_until(lambda: len(system.starts()) == 20)
         for task, run in list(system.worker("e1").running):
             if task.index % 2:
                 system.worker("e1").end(task, run, model.EndKind.DONE)
-        await leader_system.wait_until(lambda: not system.worker("e1").ended)
+        await _wait_until(lambda: not system.worker("e1").ended)
         system.kill("h1")
         second = system.add_host("h2")
-        await leader_system.wait_until(
-            lambda: second.leader and second.leader.recovered
-        )
+        await _wait_until(lambda: second.leader and second.leader.recovered)
         await asyncio.sleep(0.2)
         assert len(system.starts()) == 20
         assert len(system.worker("e1").running) == 10
         system.worker("e1").end_all()
-        await leader_system.wait_until(lambda: len(system.starts()) == 21)
+        await _wait_until(lambda: len(system.starts()) == 21)
         system.worker("e1").end_all()
-        await leader_system.wait_until(
+        await _wait_until(
             lambda: second.jobs.state("a" * 16) == model.JobState.COMPLETED
         )
-        await leader_system.wait_until(
-            lambda: not second.leader.tables.entries_by_id
-        )
+        await _wait_until(lambda: not second.leader.tables.entries_by_id)
         assert _progress_keys(system) <= {topics.SPEEDS_KEY}
 
     builders.run(work())
@@ -118,28 +209,22 @@
     """Guards against parts that stay because a leader was replaced."""
 
     async def work():
-        system, host = await leader_system.start_system("e1")
-        await leader_system.submit(host, builders.job("a" * 16))
-        await leader_system.wait_until(lambda: len(system.starts()) == 1)
+        system, host = await _start_system("e1")
+        await _submit(host, builders.job("a" * 16))
+        await _wait_until(lambda: len(system.starts()) == 1)
         system.worker("e1").end_all()
-        await leader_system.wait_until(
+        await _wait_until(
             lambda: host.jobs.state("a" * 16) == model.JobState.COMPLETED
         )
-        await leader_system.wait_until(
-            lambda: not host.leader.tables.entries_by_id
-        )
+        await _wait_until(lambda: not host.leader.tables.entries_by_id)
         system.kill("h1")
         value = b'{"done":[],"units":[]}'
         system.log.put(
             topics.PROGRESS, records.encode_progress("a" * 16, 7, value)
         )
         second = system.add_host("h2")
-        await leader_system.wait_until(
-            lambda: second.leader and second.leader.recovered
-        )
-        await leader_system.wait_until(
-            lambda: _progress_keys(system) <= {topics.SPEEDS_KEY}
-        )
+        await _wait_until(lambda: second.leader and second.leader.recovered)
+        await _wait_until(lambda: _progress_keys(system) <= {topics.SPEEDS_KEY})
         assert second.jobs.state("a" * 16) == model.JobState.COMPLETED
         assert len(system.starts()) == 1
 
@@ -150,18 +235,16 @@
     """Guards against concurrent runs of one task during a network partition."""
 
     async def work():
-        system, host = await leader_system.start_system("e1")
-        await leader_system.submit(
-            host, builders.job("a" * 16, builders.step(gpu=8))
-        )
-        await leader_system.wait_until(lambda: len(system.starts()) == 1)
+        system, host = await _start_system("e1")
+        await _submit(host, builders.job("a" * 16, builders.step(gpu=8)))
+        await _wait_until(lambda: len(system.starts()) == 1)
         await asyncio.sleep(0.05)
         system.worker("e1").partitioned = True
         system.workers.by_id["e2"] = fakeworkers.FakeWorker("e2")
         system.list_worker("e2")
         loop = asyncio.get_running_loop()
         began = loop.time()
-        await leader_system.wait_until(lambda: len(system.starts()) == 2)
+        await _wait_until(lambda: len(system.starts()) == 2)
         # The lease was renewed for 600 ms just before the partition.
         assert loop.time() - began > 0.55
         runs = [order.run for _, order in system.starts()]
@@ -174,25 +257,18 @@
     """Guards against a second run while a partitioned leader renews one."""
 
     async def work():
-        system, host = await leader_system.start_system("e1", "e2")
-        await leader_system.submit(
-            host, builders.job("a" * 16, builders.step(gpu=8))
-        )
-        await leader_system.wait_until(lambda: len(system.starts()) == 1)
+        system, host = await _start_system("e1", "e2")
+        await _submit(host, builders.job("a" * 16, builders.step(gpu=8)))
+        await _wait_until(lambda: len(system.starts()) == 1)
         await asyncio.sleep(0.05)
         system.worker(system.starts()[0][0]).partitioned = True
         system.kill("h1")
         second = system.add_host("h2")
-        await leader_system.wait_until(
-            lambda: second.leader and second.leader.recovered
-        )
+        await _wait_until(lambda: second.leader and second.leader.recovered)
         loop = asyncio.get_running_loop()
         began = loop.time()
-        await leader_system.wait_until(lambda: len(system.starts()) == 2)
-        assert (
-            loop.time() - began
-            > 2 * leader_system.BOUNDS.max_lease_ms / 1000 - 0.1
-        )
+        await _wait_until(lambda: len(system.starts()) == 2)
+        assert loop.time() - began > 2 * _BOUNDS.max_lease_ms / 1000 - 0.1
 
     builders.run(work())
 
@@ -201,16 +277,14 @@
     """Guards against a late start order that the new incarnation executes."""
 
     async def work():
-        system, host = await leader_system.start_system("e1")
-        await leader_system.submit(
-            host, builders.job("a" * 16, builders.step(gpu=8))
-        )
-        await leader_system.wait_until(lambda: len(system.starts()) == 1)
+        system, host = await _start_system("e1")
+        await _submit(host, builders.job("a" * 16, builders.step(gpu=8)))
+        await _wait_until(lambda: len(system.starts()) == 1)
         task = system.starts()[0][1].task
         await asyncio.sleep(0.05)
         system.worker("e1").restart()
         system.list_worker("e1")
-        await leader_system.wait_until(lambda: len(system.starts()) == 2)
+        await _wait_until(lambda: len(system.starts()) == 2)
         assert system.worker("e1").stopped[task] == 1
         assert system.starts()[1][1].run == 2
 
@@ -221,9 +295,9 @@
     """Guards against a read rate that grows with hosts times records."""
 
     async def work():
-        system, host = await leader_system.start_system("e1")
+        system, host = await _start_system("e1")
         other = system.add_host("h2")
-        await leader_system.wait_until(other.ready)
+        await _wait_until(other.ready)
         assert host.jobs_feed.min_interval_ms == 0
         assert other.jobs_feed.min_interval_ms > 0
 
@@ -238,15 +312,13 @@
     """
 
     async def work():
-        system = leader_system.System("e1", "e2", "e3")
+        system = _System("e1", "e2", "e3")
         for worker in ("e2", "e3"):
             system.worker(worker).report_s = 0.05
         job = builders.job("a" * 16, builders.step(count=3, gpu=8))
         system.log.put(topics.JOBS, records.encode(records.Submitted(job)))
         host = system.add_host("h1", first_start=True)
-        await leader_system.wait_until(
-            lambda: host.leader and host.leader.recovered
-        )
+        await _wait_until(lambda: host.leader and host.leader.recovered)
         passes = []
         run = host.leader._scheduler.run
         host.leader._scheduler.run = lambda: (
@@ -258,7 +330,7 @@
             ),
             run(),
         )
-        await leader_system.wait_until(lambda: passes)
+        await _wait_until(lambda: passes)
         assert all(passes[0])
 
     builders.run(work())
@@ -268,39 +340,35 @@
     """Guards against a delayed start order that arrives after its run ended."""
 
     async def work():
-        system, host = await leader_system.start_system("e1")
+        system, host = await _start_system("e1")
         worker = system.worker("e1")
         # An endpoint that has not reported yet gets no work.
         states = host.leader.tables.endpoints.by_id
-        await leader_system.wait_until(lambda: states["e1"].contacted)
+        await _wait_until(lambda: states["e1"].contacted)
         worker.drop_answers = True
-        await leader_system.submit(
-            host, builders.job("a" * 16, builders.step(gpu=8))
-        )
-        await leader_system.wait_until(lambda: worker.starts)
+        await _submit(host, builders.job("a" * 16, builders.step(gpu=8)))
+        await _wait_until(lambda: worker.starts)
         task = worker.starts[0].task
         # The start is retried, because the first order is not answered.
         await asyncio.sleep(0.2)
         worker.drop_answers = False
-        await leader_system.wait_until(
+        await _wait_until(
             lambda: host.leader.tables.endpoints.by_id["e1"].answering
         )
         job_id = "a" * 16
         entry = host.leader.tables.entries_by_id[job_id]
         # The first run is given up if the report that lists it comes late.
-        await leader_system.wait_until(
+        await _wait_until(
             lambda: any(
                 run.phase == progress.Phase.RUNNING for run in entry.runs()
             )
         )
         worker.end_all()
-        await leader_system.wait_until(lambda: host.jobs.state(job_id).final)
-        await leader_system.wait_until(
-            lambda: worker.acked == worker.next_end - 1
-        )
+        await _wait_until(lambda: host.jobs.state(job_id).final)
+        await _wait_until(lambda: worker.acked == worker.next_end - 1)
         worker.restart()
         system.list_worker("e1")
-        await leader_system.wait_until(lambda: worker.stopped.get(task) == 1)
+        await _wait_until(lambda: worker.stopped.get(task) == 1)
 
     builders.run(work())
 
@@ -313,10 +381,10 @@
     """
 
     async def work():
-        system, host = await leader_system.start_system("e1")
+        system, host = await _start_system("e1")
         worker = system.worker("e1")
-        await leader_system.submit(host, builders.job("a" * 16))
-        await leader_system.wait_until(lambda: worker.running)
+        await _submit(host, builders.job("a" * 16))
+        await _wait_until(lambda: worker.running)
         await asyncio.sleep(0.05)
         stop = system.workers.stop
         voiding = asyncio.Event()
@@ -330,19 +398,171 @@
         worker.restart()
         worker.changed.set()
         await voiding.wait()
-        await leader_system.submit(host, builders.job("b" * 16))
+        await _submit(host, builders.job("b" * 16))
         await asyncio.sleep(0.2)
         assert _starts_of(system, "b" * 16) == 0
         system.list_worker("e1")
-        await leader_system.wait_until(
-            lambda: _starts_of(system, "b" * 16) == 1
-        )
+        await _wait_until(lambda: _starts_of(system, "b" * 16) == 1)
         await asyncio.sleep(0.2)
         assert _starts_of(system, "b" * 16) == 1
 
     builders.run(work())
 
 
+async def _restart_idle_endpoints():
+    """Returns a system whose endpoints restarted while nothing asked them."""
+    system, host = await _start_system("e1", "e2")
+    states = host.leader.tables.endpoints.by_id
+    await _wait_until(
+        lambda: len(states) == 2 and all(s.contacted for s in states.values())
+    )
+    await asyncio.sleep(0.2)
+    for worker in system.workers.by_id.values():
+        worker.restart()
+    return system, host
+
+
+def test_a_run_in_the_next_life_ends_before_it_is_started_again():
+    """Guards against a second run beside one that is still being stopped.
+
+    An idle endpoint restarts under its id, and its next life gets starts before
+    the leader knows of it.
+    """
+
+    async def work():
+        system, host = await _restart_idle_endpoints()
+        for worker in system.workers.by_id.values():
+            worker.stop_s = 0.2
+        await _submit(host, builders.job("a" * 16, builders.step(4, gpu=2)))
+        await _wait_until(lambda: len(system.starts()) >= 4)
+        for worker_id in ("e1", "e2"):
+            system.list_worker(worker_id)
+        await _wait_until(lambda: len(system.starts()) >= 8)
+        await asyncio.sleep(0.3)
+        assert not system.workers.overlaps
+
+    builders.run(work())
+
+
+def test_a_run_in_the_next_life_that_cannot_be_stopped_is_not_started_again():
+    """Guards against a refused stop that counts as the end of a run."""
+
+    async def work():
+        system, host = await _restart_idle_endpoints()
+        for worker in system.workers.by_id.values():
+            worker.refuse_stops = True
+        await _submit(host, builders.job("a" * 16, builders.step(4, gpu=2)))
+        await _wait_until(lambda: len(system.starts()) >= 4)
+        for worker_id in ("e1", "e2"):
+            system.list_worker(worker_id)
+        # The report that shows the restart waits for an end before.
+        await asyncio.sleep(1.2)
+        assert len(system.starts()) == 4
+        for worker in system.workers.by_id.values():
+            worker.refuse_stops = False
+        await _wait_until(lambda: len(system.starts()) >= 8)
+        await asyncio.sleep(0.3)
+        assert not system.workers.overlaps
+
+    builders.run(work())
+
+
+def test_the_clock_of_the_next_life_does_not_prolong_the_leases_of_this_one():
+    """Guards against a task that waits for minutes for an endpoint.
+
+    The answer to a start came from the next life, whose clock began anew, and
+    the endpoint is then out of reach.
+    """
+
+    async def work():
+        system, host = await _restart_idle_endpoints()
+        states = host.leader.tables.endpoints.by_id
+        start = system.workers.start
+
+        async def start_with_new_clock(endpoint, order, *, timeout_ms):
+            answer = await start(endpoint, order, timeout_ms=timeout_ms)
+            system.worker(endpoint.endpoint_id).partitioned = True
+            return ports.Done(1) if answer == ports.Done(1_000) else answer
+
+        system.workers.start = start_with_new_clock
+        for state in states.values():
+            state.set_clock(300_000, host.monotonic.now_ms())
+        await _submit(host, builders.job("a" * 16))
+        await _wait_until(system.starts)
+        await asyncio.sleep(0.05)
+        state = states[system.starts()[0][0]]
+        left_ms = state.leases_expire_ms() - host.monotonic.now_ms()
+        assert left_ms < 5 * _BOUNDS.max_lease_ms
+
+    builders.run(work())
+
+
+@pytest.mark.parametrize("refused", [False, True])
+def test_a_run_in_the_next_life_is_not_started_beside_it_elsewhere(refused):
+    """Guards against a second run on an endpoint that did not restart.
+
+    There, no report of the first run keeps the task waiting.
+    """
+
+    async def work():
+        system, host = await _start_system("e1", "e2")
+        states = host.leader.tables.endpoints.by_id
+        await _wait_until(lambda: len(states) == 2)
+        await _wait_until(lambda: all(s.contacted for s in states.values()))
+        await asyncio.sleep(0.2)
+        worker = system.worker("e1")
+        worker.restart()
+        worker.stop_s = 0.2
+        worker.refuse_stops = refused
+        # Fills both.
+        job = builders.job("a" * 16, builders.step(8, gpu=1))
+        await _submit(host, job)
+        await _wait_until(lambda: len(system.starts()) == 8)
+        if refused:
+            await asyncio.sleep(1.2)
+            worker.refuse_stops = False
+        await asyncio.sleep(1.5)
+        assert not system.workers.overlaps
+
+    builders.run(work())
+
+
+def test_a_refused_stop_does_not_hold_a_task_whose_run_has_lapsed():
+    """Guards against a task that waits for a stop without need."""
+
+    async def work():
+        system, host = await _restart_idle_endpoints()
+        for worker in system.workers.by_id.values():
+            worker.refuse_stops = True
+        await _submit(host, builders.job("a" * 16))
+        await _wait_until(system.starts)
+        await asyncio.sleep(0.2)
+        system.worker(system.starts()[0][0]).end_all(model.EndKind.LAPSED)
+        for worker_id in ("e1", "e2"):
+            system.list_worker(worker_id)
+        await _wait_until(lambda: len(system.starts()) == 2)
+        assert not system.workers.overlaps
+
+    builders.run(work())
+
+
+def test_a_run_that_was_done_in_the_next_life_is_not_started_again():
+    """Guards against an end that is dropped with the life before it."""
+
+    async def work():
+        system, host = await _restart_idle_endpoints()
+        await _submit(host, builders.job("a" * 16))
+        await _wait_until(system.starts)
+        for worker in system.workers.by_id.values():
+            worker.end_all()
+        await _wait_until(
+            lambda: host.jobs.state("a" * 16) == model.JobState.COMPLETED
+        )
+        assert len(system.starts()) == 1
+
+    builders.run(work())
+
+
 def test_a_start_in_flight_is_voided_in_the_next_life_though_its_run_ended():
     """Guards against a start that arrives after its job was cancelled.
 
@@ -351,10 +571,10 @@
     """
 
     async def work():
-        system, host = await leader_system.start_system("e1")
+        system, host = await _start_system("e1")
         worker = system.worker("e1")
         states = host.leader.tables.endpoints.by_id
-        await leader_system.wait_until(lambda: states["e1"].contacted)
+        await _wait_until(lambda: states["e1"].contacted)
         orders = []
 
         async def start_without_answer(endpoint, order, *, timeout_ms):
@@ -363,15 +583,13 @@
 
         system.workers.start = start_without_answer
         job = builders.job("a" * 16)
-        await leader_system.submit(host, job)
-        await leader_system.wait_until(lambda: orders)
+        await _submit(host, job)
+        await _wait_until(lambda: orders)
         host.leader.job_changed(records.Cancelled(job.job_id))
-        await leader_system.wait_until(lambda: not states["e1"].members)
+        await _wait_until(lambda: not states["e1"].members)
         worker.restart()
         system.list_worker("e1")
-        await leader_system.wait_until(
-            lambda: worker.stopped.get(orders[0].task) == 1
-        )
+        await _wait_until(lambda: worker.stopped.get(orders[0].task) == 1)
 
     builders.run(work())
 
@@ -380,21 +598,19 @@
     """Guards against a run that the next leader does not know of."""
 
     async def work():
-        system, host = await leader_system.start_system("e1")
-        await leader_system.wait_until(host.ready)
+        system, host = await _start_system("e1")
+        await _wait_until(host.ready)
         tables = host.leader.tables
         system.log.silent = True
         job = builders.job("a" * 16)
         host.leader.job_changed(records.Submitted(job))
         host.jobs.apply(records.Submitted(job))
         host.leader.job_changed(records.Submitted(job))
-        await leader_system.wait_until(
-            lambda: tables.entries_by_id["a" * 16].runs()
-        )
+        await _wait_until(lambda: tables.entries_by_id["a" * 16].runs())
         await asyncio.sleep(0.2)
         assert not system.starts()
         system.log.silent = False
-        await leader_system.wait_until(lambda: len(system.starts()) == 1)
+        await _wait_until(lambda: len(system.starts()) == 1)
         value = system.log.records_by_topic[topics.PROGRESS][-1]
         assert b"a" * 16 in value
 
@@ -405,16 +621,16 @@
     """Guards against the loss of a run's end when the leader crashes."""
 
     async def work():
-        system, host = await leader_system.start_system("e1")
-        await leader_system.submit(host, builders.job("a" * 16))
-        await leader_system.wait_until(lambda: len(system.starts()) == 1)
+        system, host = await _start_system("e1")
+        await _submit(host, builders.job("a" * 16))
+        await _wait_until(lambda: len(system.starts()) == 1)
         await asyncio.sleep(0.05)
         system.log.silent = True
         system.worker("e1").end_all()
         await asyncio.sleep(0.3)
         assert system.worker("e1").acked == 0
         system.log.silent = False
-        await leader_system.wait_until(lambda: system.worker("e1").acked == 1)
+        await _wait_until(lambda: system.worker("e1").acked == 1)
 
     builders.run(work())
 
@@ -423,14 +639,12 @@
     """Guards against work that continues after its caller cancelled it."""
 
     async def work():
-        system, host = await leader_system.start_system("e1")
-        await leader_system.submit(
-            host, builders.job("a" * 16, builders.step(gpu=8))
-        )
-        await leader_system.wait_until(lambda: system.worker("e1").running)
+        system, host = await _start_system("e1")
+        await _submit(host, builders.job("a" * 16, builders.step(gpu=8)))
+        await _wait_until(lambda: system.worker("e1").running)
         verdict = await host.intake.cancel("a" * 16, "mina", 3_000)
         assert verdict == intake.Accepted()
-        await leader_system.wait_until(lambda: not system.worker("e1").running)
+        await _wait_until(lambda: not system.worker("e1").running)
         await asyncio.sleep(0.2)
         assert len(system.starts()) == 1
         found = await host.intake.state("a" * 16, "mina")
@@ -443,13 +657,13 @@
     """Guards against a partially started gang that keeps its endpoints."""
 
     async def work():
-        system, host = await leader_system.start_system("e1", "e2")
+        system, host = await _start_system("e1", "e2")
         system.worker("e2").drop_answers = False
         system.worker("e2").unhealthy = True
         step = builders.step(count=2, gpu=8, gang=True)
-        await leader_system.submit(host, builders.job("a" * 16, step))
-        await leader_system.wait_until(lambda: len(system.starts()) == 1)
-        await leader_system.wait_until(lambda: not system.worker("e1").running)
+        await _submit(host, builders.job("a" * 16, step))
+        await _wait_until(lambda: len(system.starts()) == 1)
+        await _wait_until(lambda: not system.worker("e1").running)
 
     builders.run(work())
 
@@ -459,13 +673,13 @@
     """Guards against repeated decisions when responses of the log are lost."""
 
     async def work():
-        system, host = await leader_system.start_system("e1")
-        await leader_system.wait_until(host.ready)
+        system, host = await _start_system("e1")
+        await _wait_until(host.ready)
         system.log.lose_answers = lost
-        await leader_system.submit(host, builders.job("a" * 16))
-        await leader_system.wait_until(lambda: len(system.starts()) == 1)
+        await _submit(host, builders.job("a" * 16))
+        await _wait_until(lambda: len(system.starts()) == 1)
         system.worker("e1").end_all()
-        await leader_system.wait_until(
+        await _wait_until(
             lambda: host.jobs.state("a" * 16) == model.JobState.COMPLETED
         )
         assert len(system.starts()) == 1
@@ -477,8 +691,8 @@
     """Guards against callers that wait for their full timeout."""
 
     async def work():
-        system, host = await leader_system.start_system("e1")
-        await leader_system.wait_until(host.ready)
+        system, host = await _start_system("e1")
+        await _wait_until(host.ready)
         system.log.silent = True
         first = asyncio.create_task(
             host.intake.submit(builders.job("a" * 16), 3_000)
@@ -503,17 +717,13 @@
     """
 
     async def work():
-        system, host = await leader_system.start_system("e1")
-        await leader_system.submit(
-            host, builders.job("a" * 16, builders.step(gpu=8))
-        )
-        await leader_system.wait_until(lambda: len(system.starts()) == 1)
+        system, host = await _start_system("e1")
+        await _submit(host, builders.job("a" * 16, builders.step(gpu=8)))
+        await _wait_until(lambda: len(system.starts()) == 1)
         system.worker("e1").refuse_connections = True
         tables = host.leader.tables
         async with asyncio.timeout(3):
-            await leader_system.wait_until(
-                lambda: not tables.entries_by_id["a" * 16].runs()
-            )
+            await _wait_until(lambda: not tables.entries_by_id["a" * 16].runs())
 
     builders.run(work())
 
@@ -522,19 +732,15 @@
     """Guards against a gang that waits for an endpoint that is down."""
 
     async def work():
-        system, host = await leader_system.start_system("e1", "e2", "e3")
+        system, host = await _start_system("e1", "e2", "e3")
         system.worker("e2").refuse_connections = True
         step = builders.step(count=2, gpu=8, gang=True)
-        await leader_system.submit(host, builders.job("a" * 16, step))
+        await _submit(host, builders.job("a" * 16, step))
         loop = asyncio.get_running_loop()
         began = loop.time()
-        await leader_system.wait_until(
-            lambda: len(system.worker("e3").running) == 1
-        )
-        await leader_system.wait_until(
-            lambda: len(system.worker("e1").running) == 1
-        )
-        assert loop.time() - began < leader_system.BOUNDS.gang_ms / 2_000
+        await _wait_until(lambda: len(system.worker("e3").running) == 1)
+        await _wait_until(lambda: len(system.worker("e1").running) == 1)
+        assert loop.time() - began < _BOUNDS.gang_ms / 2_000
 
     builders.run(work())
 
@@ -547,8 +753,8 @@
     """
 
     async def work():
-        system, host = await leader_system.start_system("e1")
-        await leader_system.wait_until(host.ready)
+        system, host = await _start_system("e1")
+        await _wait_until(host.ready)
         system.log.silent = True
         loop = asyncio.get_running_loop()
         began = loop.time()
@@ -568,8 +774,8 @@
     """
 
     async def work():
-        system, host = await leader_system.start_system("e1")
-        await leader_system.wait_until(host.ready)
+        system, host = await _start_system("e1")
+        await _wait_until(host.ready)
         system.log.append_s = 0.05
         verdict = await host.intake.submit(builders.job("a" * 16), 160)
         assert verdict == intake.Accepted()
@@ -581,8 +787,8 @@
     """Guards against callers that are routed to a partitioned host."""
 
     async def work():
-        system, host = await leader_system.start_system("e1")
-        await leader_system.wait_until(host.ready)
+        system, host = await _start_system("e1")
+        await _wait_until(host.ready)
         system.log.silent = True
         await asyncio.sleep(intake.READY_AGE_MS / 1000 + 0.6)
         assert not host.ready()
@@ -600,9 +806,9 @@
     """
 
     async def work():
-        system, host = await leader_system.start_system("e1")
-        await leader_system.submit(host, builders.job("a" * 16))
-        await leader_system.wait_until(lambda: len(system.starts()) == 1)
+        system, host = await _start_system("e1")
+        await _submit(host, builders.job("a" * 16))
+        await _wait_until(lambda: len(system.starts()) == 1)
         await asyncio.sleep(0.1)
         system.log.silent_appends.add(topics.JOBS)
         system.worker("e1").end_all()
@@ -613,12 +819,10 @@
         system.workers.by_id["e2"] = fakeworkers.FakeWorker("e2")
         system.list_worker("e2")
         second = system.add_host("h2")
-        await leader_system.wait_until(
-            lambda: second.leader and second.leader.recovered
-        )
+        await _wait_until(lambda: second.leader and second.leader.recovered)
         await asyncio.sleep(0.3)
         system.log.silent_appends.clear()
-        await leader_system.wait_until(
+        await _wait_until(
             lambda: second.jobs.state("a" * 16) == model.JobState.COMPLETED
         )
         assert len(system.starts()) == 1
@@ -630,12 +834,10 @@
     """Guards against more runs than the queue's number of attempts."""
 
     async def work():
-        system, host = await leader_system.start_system("e1")
-        await leader_system.submit(host, builders.job("a" * 16))
+        system, host = await _start_system("e1")
+        await _submit(host, builders.job("a" * 16))
         for number in (1, 2, 3):
-            await leader_system.wait_until(
-                lambda n=number: len(system.starts()) == n
-            )
+            await _wait_until(lambda n=number: len(system.starts()) == n)
             await asyncio.sleep(0.1)
             if number == 3:
                 system.log.silent_appends.add(topics.JOBS)
@@ -643,12 +845,10 @@
         await asyncio.sleep(0.3)
         system.kill("h1")
         second = system.add_host("h2")
-        await leader_system.wait_until(
-            lambda: second.leader and second.leader.recovered
-        )
+        await _wait_until(lambda: second.leader and second.leader.recovered)
         await asyncio.sleep(0.5)
         system.log.silent_appends.clear()
-        await leader_system.wait_until(
+        await _wait_until(
             lambda: second.jobs.state("a" * 16) == model.JobState.FAILED
         )
         assert len(system.starts()) == 3
@@ -668,16 +868,14 @@
     """Guards against advice that is requested but not used."""
 
     async def work():
-        system = leader_system.System("e1", "e2")
+        system = _System("e1", "e2")
         system.advisor = _Advisor()
         system.queue = builders.replace(builders.QUEUE, advised=True)
         host = system.add_host("h1", first_start=True)
-        await leader_system.wait_until(
-            lambda: host.leader and host.leader.recovered
-        )
+        await _wait_until(lambda: host.leader and host.leader.recovered)
         job = builders.job("a" * 16, builders.step(), queue=system.queue)
-        await leader_system.submit(host, job)
-        await leader_system.wait_until(lambda: len(system.starts()) == 1)
+        await _submit(host, job)
+        await _wait_until(lambda: len(system.starts()) == 1)
         assert system.starts()[0][1].ticket == "ticket-e1"
 
     builders.run(work())
@@ -716,17 +914,15 @@
     """Guards against a wave that stalls after a lost response."""
 
     async def work():
-        system = leader_system.System("e1", "e2")
+        system = _System("e1", "e2")
         system.machines = _Machines()
         host = system.add_host("h1", first_start=True)
         host.config.set_wave(
             4, model.Wave(4, ("m-e1", "m-e2", "m-gone"), 10_000, 1)
         )
         status = system.log.records_by_topic
-        await leader_system.wait_until(
-            lambda: any(
-                b"completed" in r for r in status.get(leader_system.STATUS, ())
-            )
+        await _wait_until(
+            lambda: any(b"completed" in r for r in status.get(_STATUS, ()))
         )
         assert set(system.machines.orders) == {"m-e1", "m-e2"}
         ordered = len(system.machines.orders)
@@ -735,9 +931,7 @@
         second.config.set_wave(
             4, model.Wave(4, ("m-e1", "m-e2", "m-gone"), 10_000, 1)
         )
-        await leader_system.wait_until(
-            lambda: second.leader and second.leader.recovered
-        )
+        await _wait_until(lambda: second.leader and second.leader.recovered)
         await asyncio.sleep(0.6)
         assert len(system.machines.orders) == ordered
 
@@ -748,7 +942,7 @@
     """Guards against one endpoint whose data makes each leader step down."""
 
     async def work():
-        system, host = await leader_system.start_system("e1", "e2")
+        system, host = await _start_system("e1", "e2")
         token = host.leadership.own_claim.token
         renew = system.workers.renew
 
@@ -758,17 +952,11 @@
             return await renew(endpoint, **options)
 
         system.workers.renew = renew_or_fail
-        await leader_system.submit(
-            host, builders.job("a" * 16, builders.step(gpu=8))
-        )
-        await leader_system.submit(
-            host, builders.job("b" * 16, builders.step(gpu=8))
-        )
-        await leader_system.wait_until(lambda: system.worker("e2").starts)
+        await _submit(host, builders.job("a" * 16, builders.step(gpu=8)))
+        await _submit(host, builders.job("b" * 16, builders.step(gpu=8)))
+        await _wait_until(lambda: system.worker("e2").starts)
         system.worker("e2").end_all()
-        await leader_system.wait_until(
-            lambda: len(system.worker("e2").starts) == 2
-        )
+        await _wait_until(lambda: len(system.worker("e2").starts) == 2)
         assert host.leadership.own_claim.token == token
         assert host.leader is not None
 
@@ -783,11 +971,11 @@
     monkeypatch.setattr(load_reports, "collect", lambda *args: 1 // 0)
 
     async def work():
-        system, host = await leader_system.start_system("e1")
+        system, host = await _start_system("e1")
         token = host.leadership.own_claim.token
         await asyncio.sleep(0.1)
-        await leader_system.submit(host, builders.job("a" * 16))
-        await leader_system.wait_until(lambda: system.starts())
+        await _submit(host, builders.job("a" * 16))
+        await _wait_until(lambda: system.starts())
         assert host.leadership.own_claim.token == token
 
     builders.run(work())
@@ -797,12 +985,12 @@
     """Guards against a host that no longer answers callers after an error."""
 
     async def work():
-        system, host = await leader_system.start_system("e1")
+        system, host = await _start_system("e1")
         host.leader._scheduler.run = lambda: 1 // 0
         host.leader.tables.wake.set()
-        await leader_system.wait_until(lambda: host.leader is None)
-        await leader_system.submit(host, builders.job("a" * 16))
-        await leader_system.wait_until(lambda: system.starts())
+        await _wait_until(lambda: host.leader is None)
+        await _submit(host, builders.job("a" * 16))
+        await _wait_until(lambda: system.starts())
         assert not system.tasks["h1"].done()
 
     builders.run(work())
@@ -817,22 +1005,22 @@
     """
 
     async def work():
-        system, host = await leader_system.start_system("e1")
+        system, host = await _start_system("e1")
         system.log.silent_appends.add(topics.LEADER)
-        limit_ms = leader_system.BOUNDS.lease_ms
+        limit_ms = _BOUNDS.lease_ms
         leadership_state = host.leadership
-        await leader_system.wait_until(
+        await _wait_until(
             lambda: (
                 host.monotonic.now_ms() - leadership_state.confirmed_ms()
                 > limit_ms
             )
         )
         assert host.leader is not None
-        await leader_system.submit(host, builders.job("a" * 16))
+        await _submit(host, builders.job("a" * 16))
         await asyncio.sleep(0.3)
         assert not system.starts()
         system.log.silent_appends.clear()
-        await leader_system.wait_until(lambda: system.starts())
+        await _wait_until(lambda: system.starts())
 
     builders.run(work())
 
@@ -846,10 +1034,10 @@
     monkeypatch.setattr(leader_module, "RESTORE_CHUNK", 1)
 
     async def work():
-        system, host = await leader_system.start_system("e1", "e2")
+        system, host = await _start_system("e1", "e2")
         for number in range(12):
-            await leader_system.submit(host, builders.job(f"{number:016x}"))
-        await leader_system.wait_until(lambda: len(system.starts()) == 12)
+            await _submit(host, builders.job(f"{number:016x}"))
+        await _wait_until(lambda: len(system.starts()) == 12)
         await host.leadership.resign()
         system.kill("h1")
         # Pauses between chunks, long enough for reports.
@@ -860,9 +1048,7 @@
 
         monkeypatch.setattr(leader_module.asyncio, "sleep", sleep_longer)
         other = system.add_host("h2")
-        await leader_system.wait_until(
-            lambda: other.leader and other.leader.recovered
-        )
+        await _wait_until(lambda: other.leader and other.leader.recovered)
         monkeypatch.setattr(leader_module.asyncio, "sleep", sleep)
         await sleep(0.3)
         assert len(system.starts()) == 12
@@ -881,8 +1067,8 @@
     """
 
     async def work():
-        system, host = await leader_system.start_system("e1")
-        await leader_system.wait_until(host.ready)
+        system, host = await _start_system("e1")
+        await _wait_until(host.ready)
         system.log.silent_appends.add(topics.JOBS)
         job = builders.job("a" * 16)
         first = await host.intake.submit(job, 900)
@@ -898,7 +1084,7 @@
         other = await host.intake.submit(builders.job("b" * 16), 900)
         assert isinstance(other, intake.NotRun)
         system.log.silent_appends.clear()
-        await leader_system.wait_until(lambda: len(system.starts()) == 1)
+        await _wait_until(lambda: len(system.starts()) == 1)
 
     builders.run(work())
 
@@ -907,12 +1093,12 @@
     """Guards against callers that wait for work that cannot be served."""
 
     async def work():
-        system, host = await leader_system.start_system("e1")
+        system, host = await _start_system("e1")
         other = system.add_host("h2")
         step = builders.step(count=60, gpu=8, estimate_ms=60_000)
-        await leader_system.submit(host, builders.job("a" * 16, step))
-        await leader_system.wait_until(lambda: other.leadership.load(3_000))
-        await leader_system.wait_until(other.ready)
+        await _submit(host, builders.job("a" * 16, step))
+        await _wait_until(lambda: other.leadership.load(3_000))
+        await _wait_until(other.ready)
         small = builders.job(
             "b" * 16, builders.step(estimate_ms=100), account="other"
         )
@@ -933,18 +1119,16 @@
     """Guards against a report by cost that does not reach other hosts."""
 
     async def work():
-        system = leader_system.System("e1")
+        system = _System("e1")
         system.policy = policy.Policy(delay_cost_order=True)
         system.queue = builders.replace(builders.QUEUE, priority=2)
         host = system.add_host("h1", first_start=True)
-        await leader_system.wait_until(
-            lambda: host.leader and host.leader.recovered
-        )
+        await _wait_until(lambda: host.leader and host.leader.recovered)
         other = system.add_host("h2")
         step = builders.step(count=60, gpu=8, estimate_ms=60_000)
         first = builders.job("a" * 16, step, queue=system.queue)
-        await leader_system.submit(host, first)
-        await leader_system.wait_until(other.ready)
+        await _submit(host, first)
+        await _wait_until(other.ready)
         verdict = None
         async with asyncio.timeout(8):
             for number in itertools.count():
@@ -971,14 +1155,14 @@
     """
 
     async def work():
-        system, host = await leader_system.start_system("e1")
+        system, host = await _start_system("e1")
         worker = system.worker("e1")
-        await leader_system.submit(host, builders.job("a" * 16))
-        await leader_system.wait_until(lambda: worker.running)
+        await _submit(host, builders.job("a" * 16))
+        await _wait_until(lambda: worker.running)
         worker.end_all()
-        await leader_system.wait_until(lambda: worker.acked == 1)
-        await leader_system.submit(host, builders.job("b" * 16))
-        await leader_system.wait_until(lambda: worker.running)
+        await _wait_until(lambda: worker.acked == 1)
+        await _submit(host, builders.job("b" * 16))
+        await _wait_until(lambda: worker.running)
         ((task, run),) = worker.running
         worker.refuse_connections = True
         worker.changed.set()
@@ -1000,9 +1184,9 @@
     """
 
     async def work():
-        system, host = await leader_system.start_system("e1")
-        await leader_system.submit(host, builders.job("a" * 16))
-        await leader_system.wait_until(lambda: len(system.starts()) == 1)
+        system, host = await _start_system("e1")
+        await _submit(host, builders.job("a" * 16))
+        await _wait_until(lambda: len(system.starts()) == 1)
         await asyncio.sleep(0.05)
         system.kill("h1")
         system.worker("e1").partitioned = True
@@ -1010,7 +1194,7 @@
         system.machines_by_id["e2"] = "m-e1"
         system.list_worker("e2")
         system.add_host("h2")
-        await leader_system.wait_until(lambda: len(system.starts()) == 2)
+        await _wait_until(lambda: len(system.starts()) == 2)
         assert system.worker("e2").running
 
     builders.run(work())
@@ -1048,11 +1232,11 @@
 
     async def work():
         names = [f"e{number}" for number in range(6)]
-        system, host = await leader_system.start_system(*names)
+        system, host = await _start_system(*names)
         job = builders.job("a" * 16)
         crashing = asyncio.create_task(_crash_on_each_start(system, job.job_id))
-        await leader_system.submit(host, job)
-        await leader_system.wait_until(
+        await _submit(host, job)
+        await _wait_until(
             lambda: host.jobs.state(job.job_id) == model.JobState.FAILED
         )
         assert 2 <= _starts_of(system, job.job_id) <= 4
@@ -1065,7 +1249,7 @@
     """Guards against repeated orders that crash each restart of an endpoint."""
 
     async def work():
-        system, host = await leader_system.start_system("e1", "e2", "e3", "e4")
+        system, host = await _start_system("e1", "e2", "e3", "e4")
         job = builders.job("a" * 16)
         orders = []
 
@@ -1085,10 +1269,8 @@
             system.list_worker(worker.endpoint_id)
 
         system.workers.start = start_and_crash
-        await leader_system.submit(host, job)
-        await leader_system.wait_until(
-            lambda: host.jobs.state(job.job_id).final
-        )
+        await _submit(host, job)
+        await _wait_until(lambda: host.jobs.state(job.job_id).final)
         assert len(orders) == len(set(orders)) <= 5
 
     builders.run(work())
@@ -1099,19 +1281,17 @@
 
     async def work():
         names = [f"e{number}" for number in range(6)]
-        system, host = await leader_system.start_system(*names)
+        system, host = await _start_system(*names)
         job = builders.job("a" * 16)
         crashing = asyncio.create_task(_crash_on_each_start(system, job.job_id))
-        await leader_system.submit(host, job)
+        await _submit(host, job)
         for number in range(1, 4):
             await _wait_for_starts(system, host, job.job_id, number)
             if host.jobs.state(job.job_id).final:
                 break
             system.kill(f"h{number}")
             host = system.add_host(f"h{number + 1}")
-            await leader_system.wait_until(
-                functools.partial(host.jobs.state, job.job_id)
-            )
+            await _wait_until(functools.partial(host.jobs.state, job.job_id))
         while host.jobs.state(job.job_id) != model.JobState.FAILED:
             await asyncio.sleep(0.005)
         assert _starts_of(system, job.job_id) <= 5
@@ -1124,21 +1304,19 @@
     """Guards against starts on a capacity that has shrunk unseen."""
 
     async def work():
-        system, host = await leader_system.start_system("e1", "e2")
-        await leader_system.submit(host, builders.job("a" * 16))
-        await leader_system.wait_until(lambda: len(system.starts()) == 1)
-        system.log.silent_reads.add(leader_system.LIST)
+        system, host = await _start_system("e1", "e2")
+        await _submit(host, builders.job("a" * 16))
+        await _wait_until(lambda: len(system.starts()) == 1)
+        system.log.silent_reads.add(_LIST)
         endpoints = host.leader.tables.endpoints
-        limit_ms = leader_system.BOUNDS.max_list_age_ms
-        await leader_system.wait_until(
-            lambda: endpoints.list_age_ms() > limit_ms
-        )
-        await leader_system.submit(host, builders.job("b" * 16))
+        limit_ms = _BOUNDS.max_list_age_ms
+        await _wait_until(lambda: endpoints.list_age_ms() > limit_ms)
+        await _submit(host, builders.job("b" * 16))
         await asyncio.sleep(0.3)
         assert len(system.starts()) == 1
         assert not host.leader.tables.entries_by_id["b" * 16].runs()
         system.log.silent_reads.clear()
-        await leader_system.wait_until(lambda: len(system.starts()) == 2)
+        await _wait_until(lambda: len(system.starts()) == 2)
 
     builders.run(work())
 
@@ -1147,13 +1325,11 @@
     """Guards against a term that never begins while appends queue up."""
 
     async def work():
-        system = leader_system.System("e1")
+        system = _System("e1")
         system.log.append_s_by_topic[topics.JOBS] = 1.0
         host = system.add_host("h1", first_start=True)
         async with asyncio.timeout(8):
-            await leader_system.wait_until(
-                lambda: host.leader and host.leader.recovered
-            )
+            await _wait_until(lambda: host.leader and host.leader.recovered)
 
     builders.run(work())
 
@@ -1166,7 +1342,7 @@
     """
 
     async def work():
-        system, _ = await leader_system.start_system("e1")
+        system, _ = await _start_system("e1")
         fences = [
             topic
             for topic, sequence in system.log.appends
@@ -1181,7 +1357,7 @@
     """Guards against timed jobs that never start on a busy leader."""
 
     async def work():
-        system, host = await leader_system.start_system("e1")
+        system, host = await _start_system("e1")
         tables = host.leader.tables
 
         async def keep_busy():
@@ -1195,8 +1371,8 @@
             scheduled=True,
             first_start_ms=tables.wall.now_ms() + 300,
         )
-        await leader_system.submit(host, job)
-        await leader_system.wait_until(system.starts)
+        await _submit(host, job)
+        await _wait_until(system.starts)
         busy.cancel()
 
     builders.run(work(), seconds=5)
@@ -1210,31 +1386,27 @@
     """
 
     async def work():
-        system, host = await leader_system.start_system("e1")
+        system, host = await _start_system("e1")
         worker = system.worker("e1")
         states = host.leader.tables.endpoints.by_id
-        await leader_system.wait_until(lambda: states["e1"].contacted)
+        await _wait_until(lambda: states["e1"].contacted)
         worker.drop_answers = True
-        await leader_system.submit(
-            host, builders.job("a" * 16, builders.step(gpu=8))
-        )
-        await leader_system.wait_until(lambda: worker.starts)
+        await _submit(host, builders.job("a" * 16, builders.step(gpu=8)))
+        await _wait_until(lambda: worker.starts)
         order = worker.starts[0]
         await asyncio.sleep(0.2)
         worker.drop_answers = False
         entry = host.leader.tables.entries_by_id["a" * 16]
-        await leader_system.wait_until(
+        await _wait_until(
             lambda: any(
                 run.phase == progress.Phase.RUNNING for run in entry.runs()
             )
         )
         worker.end_all()
-        await leader_system.wait_until(
-            lambda: worker.acked == worker.next_end - 1
-        )
+        await _wait_until(lambda: worker.acked == worker.next_end - 1)
         worker.partitioned = True
         worker.restart()
-        await leader_system.wait_until(lambda: not states["e1"].answering)
+        await _wait_until(lambda: not states["e1"].answering)
         began = asyncio.Event()
         renew = system.workers.renew
 
@@ -1264,9 +1436,9 @@
     """
 
     async def work():
-        system, host = await leader_system.start_system("e1")
-        await leader_system.submit(host, builders.job("a" * 16))
-        await leader_system.wait_until(lambda: system.starts())
+        system, host = await _start_system("e1")
+        await _submit(host, builders.job("a" * 16))
+        await _wait_until(lambda: system.starts())
         deadlines = []
         renew = system.workers.renew
 
@@ -1278,7 +1450,7 @@
         system.log.silent_reads.add(topics.LEADER)
         await asyncio.sleep(0.35)
         system.log.put(topics.LEADER, orjson.dumps(["claim", "h2", 0]))
-        await asyncio.sleep(leader_system.BOUNDS.lease_ms / 1000 + 0.1)
+        await asyncio.sleep(_BOUNDS.lease_ms / 1000 + 0.1)
         assert host.leadership.own_claim is not None
         # Each event makes the endpoint answer, so that it is asked again.
         deadlines.clear()
@@ -1287,7 +1459,7 @@
             worker.changed.set()
             await asyncio.sleep(0.1)
         assert deadlines and set(deadlines) == {None}
-        await leader_system.submit(host, builders.job("b" * 16))
+        await _submit(host, builders.job("b" * 16))
         await asyncio.sleep(0.3)
         assert len(system.starts()) == 1
 
@@ -1299,13 +1471,11 @@
     monkeypatch.setattr(leader_module, "MAX_UNREAD_MS", 600)
 
     async def work():
-        system, host = await leader_system.start_system("e1")
+        system, host = await _start_system("e1")
         await asyncio.sleep(1.0)
         assert host.leadership.own_claim is not None
         system.log.silent_reads.add(topics.LEADER)
-        await leader_system.wait_until(
-            lambda: host.leadership.own_claim is None
-        )
+        await _wait_until(lambda: host.leadership.own_claim is None)
 
     builders.run(work())
 
@@ -1314,7 +1484,7 @@
     """Guards against a run that is recorded, but starts after its term."""
 
     async def work():
-        system, host = await leader_system.start_system("e1")
+        system, host = await _start_system("e1")
         term = host.leader
         token = term.tables.token
         flush = term._recorder.flush
@@ -1326,8 +1496,255 @@
             return runs
 
         term._recorder.flush = flush_and_step_down
-        await leader_system.submit(host, builders.job("a" * 16))
-        await leader_system.wait_until(lambda: system.starts())
+        await _submit(host, builders.job("a" * 16))
+        await _wait_until(lambda: system.starts())
         assert [o.fencing_token > token for _, o in system.starts()] == [True]
 
     builders.run(work())
+
+
+async def _list_stray(**faults):
+    """Returns a system, a worker with a stray and the times of the stops."""
+    system = _System("e1")
+    worker = system.worker("e1")
+    for name, value in faults.items():
+        setattr(worker, name, value)
+    task = model.TaskKey("b" * 16, 0, 0, 0)
+    worker.running[(task, 1)] = None
+    stop = system.workers.stop
+    stops = []
+
+    async def count_stop(*args, **kwargs):
+        stops.append(asyncio.get_running_loop().time())
+        return await stop(*args, **kwargs)
+
+    system.workers.stop = count_stop
+    host = system.add_host("h1", first_start=True)
+    await _wait_until(lambda: host.leader and host.leader.recovered)
+    await _wait_until(lambda: stops)
+    return system, worker, stops
+
+
+@pytest.mark.parametrize("fault", ["refuse_stops", "drop_stops"])
+def test_a_stray_that_was_not_stopped_is_stopped_again(fault):
+    """Guards against a stray that goes on after one refused or lost stop."""
+
+    async def work():
+        _, worker, stops = await _list_stray(**{fault: True})
+        await _wait_until(lambda: len(stops) == 2)
+        setattr(worker, fault, False)
+        await _wait_until(lambda: not worker.running)
+
+    builders.run(work())
+
+
+def test_a_stray_is_not_stopped_nor_asked_for_all_the_time():
+    """Guards against a busy loop while a stray takes long to stop."""
+
+    async def work():
+        system, worker, stops = await _list_stray(refuse_stops=True)
+        renew = system.workers.renew
+        reports = []
+
+        async def count_renewal(*args, **kwargs):
+            reports.append(None)
+            return await renew(*args, **kwargs)
+
+        system.workers.renew = count_renewal
+        await asyncio.sleep(1.2)
+        assert worker.running
+        assert len(stops) <= 4
+        assert len(reports) <= 8
+
+    builders.run(work())
+
+
+async def _submit_beside_stray():
+    """Returns a system with a job whose task has a stray, and its worker."""
+    system, worker, _ = await _list_stray(refuse_stops=True)
+    system.workers.by_id["e2"] = fakeworkers.FakeWorker("e2")
+    system.list_worker("e2")
+    host = system.hosts["h1"]
+    states = host.leader.tables.endpoints.by_id
+    await _wait_until(lambda: "e2" in states and states["e2"].contacted)
+    await _submit(host, builders.job("b" * 16))
+    return system, worker
+
+
+def test_a_task_does_not_start_while_a_stray_run_of_it_goes_on():
+    """Guards against a run beside another one that is known to be present."""
+
+    async def work():
+        system, worker = await _submit_beside_stray()
+        await asyncio.sleep(0.3)
+        assert not system.starts()
+        worker.refuse_stops = False
+        await _wait_until(system.starts)
+        assert not system.workers.overlaps
+
+    builders.run(work())
+
+
+def test_a_stray_out_of_reach_holds_its_task_until_its_lease_is_over():
+    """Guards against a task that waits for an endpoint that is gone."""
+
+    async def work():
+        system, worker = await _submit_beside_stray()
+        loop = asyncio.get_running_loop()
+        began = loop.time()
+        worker.partitioned = True
+        await _wait_until(system.starts)
+        # Leases of an earlier leader, of 600 ms, may have been renewed for as
+        # long after the claim.
+        assert loop.time() - began > 0.5
+
+    builders.run(work(), seconds=5)
+
+
+def test_a_stale_entry_of_its_machine_ends_no_endpoint_that_answers():
+    """Guards against a run given up because the time of day stepped back.
+
+    The entry of the machine's previous endpoint, which started at a later time
+    of day, is still listed.
+    """
+
+    async def work():
+        system, host = await _start_system("e1")
+        await _submit(host, builders.job("a" * 16))
+        await _wait_until(system.starts)
+        for worker_id, machine in (("e0", "m-e1"), ("e2", "m-e2")):
+            system.workers.by_id[worker_id] = fakeworkers.FakeWorker(
+                worker_id, born_ms=9
+            )
+            system.machines_by_id[worker_id] = machine
+            system.list_worker(worker_id)
+        system.worker("e0").refuse_connections = True
+        await asyncio.sleep(0.8)
+        assert len(system.starts()) == 1
+        state = host.leader.tables.endpoints.by_id["e1"]
+        assert state.members and not state.ended
+        await _submit(host, builders.job("b" * 16, builders.step(gpu=7)))
+        await _submit(host, builders.job("c" * 16, builders.step(gpu=7)))
+        await _wait_until(lambda: len(system.starts()) == 3)
+        assert {e for e, _ in system.starts()} == {"e1", "e2"}
+        assert not system.workers.overlaps
+
+    builders.run(work())
+
+
+def test_an_idle_endpoint_is_asked_when_its_machine_has_a_newer_one():
+    """Guards against starts on an endpoint that has been replaced."""
+
+    async def work():
+        system, host = await _start_system("e1")
+        states = host.leader.tables.endpoints.by_id
+        await _wait_until(lambda: "e1" in states and states["e1"].contacted)
+        system.worker("e1").refuse_connections = True
+        system.workers.by_id["e2"] = fakeworkers.FakeWorker("e2", born_ms=2)
+        system.machines_by_id["e2"] = "m-e1"
+        system.list_worker("e2")
+        await _wait_until(lambda: states["e1"].ended)
+        await _submit(host, builders.job("a" * 16))
+        await _wait_until(lambda: system.worker("e2").starts)
+
+    builders.run(work())
+
+
+async def _start_with_later_time():
+    """Returns a system whose endpoint's next life may have an earlier start."""
+    system = _System("e1")
+    system.worker("e1").born_ms = 9
+    system.list_worker("e1")
+    host = system.add_host("h1", first_start=True)
+    await _wait_until(lambda: host.leader and host.leader.recovered)
+    await _wait_until(
+        lambda: host.leader.tables.endpoints.by_id["e1"].contacted
+    )
+    return system, host
+
+
+def _restart_at_earlier_time(system):
+    worker = system.worker("e1")
+    worker.restart()
+    worker.born_ms = 3
+    worker.changed.set()
+    system.list_worker("e1")
+
+
+@pytest.mark.parametrize("idle", [False, True])
+def test_an_endpoint_that_restarts_at_an_earlier_time_is_used_again(idle):
+    """Guards against tasks that count as running for good.
+
+    The time of day stepped back, and reports of the next life were ignored,
+    while they showed that the endpoint answers.
+    """
+
+    async def work():
+        system, host = await _start_with_later_time()
+        if not idle:
+            await _submit(host, builders.job("a" * 16, builders.step(gpu=8)))
+            await _wait_until(system.starts)
+        await asyncio.sleep(0.1)
+        _restart_at_earlier_time(system)
+        states = host.leader.tables.endpoints.by_id
+        await _wait_until(lambda: states["e1"].info.born_ms == 3)
+        if idle:
+            await _submit(host, builders.job("a" * 16, builders.step(gpu=8)))
+        await _wait_until(lambda: len(system.starts()) == 2 - idle)
+        system.worker("e1").end_all()
+        await _wait_until(
+            lambda: host.jobs.state("a" * 16) == model.JobState.COMPLETED
+        )
+        assert not system.workers.overlaps
+
+    builders.run(work(), seconds=8)
+
+
+def test_a_new_leader_uses_an_endpoint_that_restarted_at_an_earlier_time():
+    """Guards against an endpoint that is lost to a record of its past life."""
+
+    async def work():
+        system, host = await _start_with_later_time()
+        await _submit(host, builders.job("a" * 16, builders.step(gpu=8)))
+        await _wait_until(system.starts)
+        await asyncio.sleep(0.1)
+        system.kill("h1")
+        _restart_at_earlier_time(system)
+        system.add_host("h2")
+        await _wait_until(lambda: len(system.starts()) == 2)
+        assert not system.workers.overlaps
+
+    builders.run(work(), seconds=8)
+
+
+def test_a_start_after_a_long_pause_of_its_endpoint_is_not_lost():
+    """Guards against a lease that is over before the start arrives.
+
+    The endpoint's clock was read long ago and could be slow, but is not.
+    """
+
+    async def work():
+        system, host = await _start_system("e1")
+        state = host.leader.tables.endpoints.by_id["e1"]
+        await _wait_until(lambda: state.contacted)
+        state.clock_ms = 0
+        state.clock_at_ms -= 1_000_000
+        read_at_ms = state.clock_at_ms
+        leases_ms = []
+        start = system.workers.start
+
+        async def start_in_time(endpoint, order, *, timeout_ms):
+            endpoint_now_ms = host.monotonic.now_ms() - read_at_ms
+            leases_ms.append(order.deadline_ms - endpoint_now_ms)
+            if leases_ms[-1] <= 0:
+                return ports.Refused(ports.Refusal.LATE, endpoint_now_ms)
+            return await start(endpoint, order, timeout_ms=timeout_ms)
+
+        system.workers.start = start_in_time
+        await _submit(host, builders.job("a" * 16))
+        await _wait_until(system.starts)
+        assert [lease_ms > 0 for lease_ms in leases_ms] == [False, True]
+        assert leases_ms[1] <= _BOUNDS.lease_ms
+        assert system.starts()[0][1].run == 1
+
+    builders.run(work())
