Serve callers from a server that bounds heads, bodies and chunks

Seen: heads of endless fields took 277 MB of a limit of 100, one endless line 590, endless trailers 459, empty lines 115 (most of it received and not read), 160 bodies in chunks of one byte 169, with no ordinary request answered meanwhile.

Cause: the server limited the length of one field, not of a head, kept an object for each chunk, parsed all that had arrived in one go, and left a rejected connection unread with buffers of the kernel's choice.

Change: `connections.ConnectionTable` in core decides on the connections of a listener: what a head or body may hold, and who yields when the budget is full. `http_server` obeys it. It parses heads with httptools once they are complete and at most 32 KiB long, decodes chunks into one buffer in slices of 2,000 per turn of the event loop, reads through one shared buffer, asks for small buffers of the kernel, and drops what follows a refusal. One request of a connection is handled at a time; nothing more is read until its response is taken. The tests of the callers' API use the new server; what they check is unchanged.

--- a/deploy/tests/test_callers.py
+++ b/deploy/tests/test_callers.py
@@ -5,10 +5,12 @@
 import types
 
 import aiohttp
-from aiohttp import web
 import builders
 import callers
+from laburnumgate_core import clock
+from laburnumgate_core import connections
 from laburnumgate_placer import config_table
+from laburnumgate_placer import http_server
 from laburnumgate_placer import intake
 from laburnumgate_placer import model
 import orjson
@@ -69,21 +71,21 @@
 
 
 async def _run_with_server(host, scenario):
-    caller_api = callers.CallerApi(host)
-    server = web.Server(caller_api.handle)
-    loop = asyncio.get_running_loop()
-    listener = await loop.create_server(server, "127.0.0.1", 0)
-    port = listener.sockets[0].getsockname()[1]
+    table = connections.ConnectionTable(
+        connections.ConnectionLimits(), clock.MonotonicClock()
+    )
+    server = http_server.Server("callers", callers.CallerApi(host), table)
+    await server.start("127.0.0.1", 0)
+    port = server.port
     try:
-        return await scenario(caller_api, server, port)
+        return await scenario(server, port)
     finally:
-        listener.close()
-        # A timeout of 0 would wait for requests without a limit.
-        await server.shutdown(0.1)
+        server.close()
+        await server.stop(0.1)
 
 
 def _call(host, method, path, body=None, key="key-1", hostname="h.example"):
-    async def scenario(caller_api, server, port):
+    async def scenario(server, port):
         headers = {"Host": hostname, "X-Laburnumgate-Deadline-Ms": "2000"}
         if key:
             headers["X-Laburnumgate-Credential"] = key
@@ -191,7 +193,7 @@
     body = orjson.dumps(_JOB)
     head = _post_head(body)
 
-    async def scenario(caller_api, server, port):
+    async def scenario(server, port):
         idle_reader, idle_writer = await asyncio.open_connection(
             "127.0.0.1", port
         )
@@ -202,7 +204,7 @@
         writer.write(head + body)
         await asyncio.sleep(0.05)
         host.stopping = True
-        stop = asyncio.create_task(caller_api.close_connections(server, 2.0))
+        stop = asyncio.create_task(server.stop(2.0))
         async with asyncio.timeout(0.15):
             assert await idle_reader.read() == b""
         answer = await reader.read()
@@ -233,7 +235,7 @@
     host.intake.submit = submit
     stuck_head = _post_head(_BODY, "X-Laburnumgate-Deadline-Ms: 1\r\n")
 
-    async def scenario(caller_api, server, port):
+    async def scenario(server, port):
         reader, writer = await asyncio.open_connection("127.0.0.1", port)
         writer.write(stuck_head + _BODY[:sent])
         in_time, in_time_writer = await asyncio.open_connection(
@@ -243,7 +245,7 @@
         await asyncio.sleep(0.05)
         host.stopping = True
         async with asyncio.timeout(2):
-            await caller_api.close_connections(server, 0.5)
+            await server.stop(0.5)
             return await in_time.read(), await reader.read()
 
     in_time, stuck_answer = builders.run(_run_with_server(host, scenario))
@@ -266,14 +268,14 @@
 
     host.intake.submit = submit
 
-    async def scenario(caller_api, server, port):
+    async def scenario(server, port):
         reader, writer = await asyncio.open_connection("127.0.0.1", port)
         writer.write(_post_head(_BODY) + _BODY)
         await asyncio.sleep(0.05)
         host.stopping = True
         try:
             async with asyncio.timeout(2):
-                await caller_api.close_connections(server, 0.2)
+                await server.stop(0.2)
                 return await reader.read()
         finally:
             released.set()
@@ -300,7 +302,7 @@
     body = orjson.dumps(_JOB)
     head = _post_head(body)
 
-    async def scenario(caller_api, server, port):
+    async def scenario(server, port):
         _, writer = await asyncio.open_connection("127.0.0.1", port)
         writer.write(head + body)
         await asyncio.sleep(0.05)
@@ -318,7 +320,7 @@
     body = orjson.dumps(_JOB)
     head = _post_head(body)
 
-    async def scenario(caller_api, server, port):
+    async def scenario(server, port):
         reader, writer = await asyncio.open_connection("127.0.0.1", port)
         writer.write(head + body[:5])
         await asyncio.sleep(0.05)
--- a/packages/placer/src/laburnumgate_placer/events.py
+++ b/packages/placer/src/laburnumgate_placer/events.py
@@ -35,6 +35,11 @@
     REPEATED = (1203, "job was submitted before")
     IN_DOUBT = (1204, "the fate of a submission is unknown", logging.WARNING)
     CALLER_GONE = (1205, "caller left before its answer was sent")
+    CONNECTIONS_REFUSED = (
+        1206,
+        "connections were closed or requests refused before being handled",
+        logging.WARNING,
+    )
     ASSIGNED = (1300, "run assigned")
     STARTED_RUN = (1301, "run started")
     START_FAILED = (1302, "run could not be started", logging.WARNING)
--- /dev/null
+++ b/packages/placer/src/laburnumgate_placer/http_server.py
@@ -0,0 +1,886 @@
+"""HTTP/1.1 server for clients that are not controlled.
+
+`connections.ConnectionTable` decides which connections stay and what they may
+send; this module reads, parses and answers as it says. Work is done in small
+slices, so that no client delays the other tasks of the event loop.
+"""
+
+import asyncio
+import collections
+import dataclasses
+import email.utils
+import http
+import logging
+import os
+import pathlib
+import re
+import socket
+from typing import Protocol
+import urllib.parse
+
+import httptools
+from laburnumgate_core import connections
+import orjson
+
+from laburnumgate_placer import chunked
+from laburnumgate_placer import events
+from laburnumgate_placer import metrics
+
+_LOGGER = logging.getLogger(__name__)
+
+# All connections are read through one buffer of this size.
+_READ_BYTES = 16_384
+_BACKLOG = 1_024
+# Chunks that are decoded in one iteration of the event loop, about 2 ms. Other
+# work counts as the number of chunks that take as long.
+_WORK_PER_TURN = 2_000
+_HEAD_WORK = 50
+_BYTES_PER_WORK = 1_024
+# Longest body of a request that needs none.
+_MAX_IGNORED_BYTES = 65_536
+# A refused client that sends more than this is cut off.
+_MAX_DRAINED_BYTES = 1 << 20
+_TICK_S = 1.0
+# Below this memory of connections that of the process is not looked up.
+_UNOBSERVED_BYTES = 2 << 20
+_CLOSE_POLL_INTERVAL_S = 0.02
+# Time in which the responses to interrupted requests are sent.
+_INTERRUPTED_ANSWER_S = 0.2
+_HEAD_END = b"\r\n\r\n"
+_EMPTY_LINES = re.compile(rb"(?:\r\n)*")
+_NO_MEMORY_TEXT = "the host has no memory for the request"
+_CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
+_STATM_PATH = pathlib.Path("/proc/self/statm")
+_EXPECTED_REASONS = (connections.Reason.IDLE, connections.Reason.DRAINED)
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Request:
+    """The head of a request.
+
+    Attributes:
+      method: its method.
+      path: its path, decoded and without the query.
+      fields: values of the header fields by lower-case name.
+      length: length of the body in bytes, None if it is chunked.
+      keep_alive: whether the connection may be used for further requests.
+    """
+
+    method: str
+    path: str
+    fields: dict[str, str]
+    length: int | None
+    keep_alive: bool
+
+    @property
+    def hostname(self) -> str:
+        """The host that the client asks for, without a port."""
+        return self.fields.get("host", "").partition(":")[0]
+
+
+@dataclasses.dataclass(frozen=True, slots=True)
+class Response:
+    """A response; the connection is closed after it if `close` is set."""
+
+    status: int
+    body: bytes = b""
+    content_type: str = "application/json"
+    fields: tuple[tuple[str, str], ...] = ()
+    close: bool = False
+
+
+class Application(Protocol):
+    """Handles the requests of a server."""
+
+    def admit(self, request: Request) -> int | Response:
+        """Decides on a request before its body is read.
+
+        Returns:
+          The maximum length of the body in bytes, 0 to ignore the body, or a
+          refusal.
+        """
+        ...
+
+    def refuse(self, request: Request, status: int, reason: str) -> Response:
+        """Returns the response to an admitted request that is not handled."""
+        ...
+
+    async def respond(self, request: Request, body: bytes) -> Response:
+        """Handles a request."""
+        ...
+
+    def interrupted(self, request: Request) -> Response:
+        """Returns the response to a request that the shutdown interrupts."""
+        ...
+
+    def unsent(self, request: Request, response: Response) -> None:
+        """Takes note of a response whose client has gone."""
+        ...
+
+
+class Server:
+    """Listens on one address."""
+
+    def __init__(
+        self,
+        name: str,
+        application: Application,
+        table: connections.ConnectionTable,
+    ):
+        """Creates a server.
+
+        Args:
+          name: name of the listener in metrics and logs.
+          application: handles the requests.
+          table: decides on the connections.
+        """
+        self.name = name
+        self.application = application
+        self.table = table
+        self.stopping = False
+        self.tasks: set[asyncio.Task] = set()
+        self.interrupt_at_s: float | None = None
+        self.timeouts: set[asyncio.Timeout] = set()
+        self.read_buffer = bytearray(_READ_BYTES)
+        self._connections: set[Connection] = set()
+        self._waiting: collections.deque[Connection] = collections.deque()
+        self._work_left = _WORK_PER_TURN
+        self._turn_scheduled = False
+        self._listener: asyncio.Server | None = None
+        self._ticker: asyncio.Task | None = None
+        self._closed_by_reason: collections.Counter = collections.Counter()
+
+    @property
+    def port(self) -> int:
+        """The port on which the server listens."""
+        return self._listener.sockets[0].getsockname()[1]
+
+    @property
+    def requests(self) -> int:
+        """The number of requests that are being handled."""
+        return self.table.count(connections.Phase.HANDLING)
+
+    async def start(self, ip: str, port: int) -> None:
+        """Starts to listen.
+
+        Raises:
+          OSError: if the address cannot be used.
+        """
+        loop = asyncio.get_running_loop()
+        self._listener = await loop.create_server(
+            lambda: Connection(self),
+            sock=_bind(ip, port),
+            backlog=_BACKLOG,
+        )
+        self._ticker = asyncio.create_task(self._tick_loop())
+
+    def close(self) -> None:
+        """Stops to listen; connections stay open."""
+        self._listener.close()
+
+    async def stop(self, timeout_s: float) -> None:
+        """Closes idle connections immediately and others after their response.
+
+        An idle connection that stayed open while the server shuts down could
+        still receive a request, which would be read but never answered.
+
+        Args:
+          timeout_s: time after which unfinished requests are interrupted, in
+            s. The call returns at most 0.4 s later, also if a request does not
+            end.
+        """
+        loop = asyncio.get_running_loop()
+        self.stopping = True
+        self.interrupt_at_s = loop.time() + timeout_s
+        for timeout in self.timeouts:
+            if not timeout.expired():
+                timeout.reschedule(self.interrupt_at_s)
+        close_at_s = self.interrupt_at_s + _INTERRUPTED_ANSWER_S
+        while self._connections and loop.time() < close_at_s:
+            for connection in list(self._connections):
+                connection.close_if_idle()
+                if loop.time() >= self.interrupt_at_s:
+                    connection.interrupt_reading()
+            await asyncio.sleep(_CLOSE_POLL_INTERVAL_S)
+        for connection in list(self._connections):
+            connection.abort()
+        self._ticker.cancel()
+        # Lets the event loop close the sockets.
+        await asyncio.sleep(0)
+
+    def add(self, connection: "Connection") -> bool:
+        """Admits a new connection; returns False if it has to be closed."""
+        decision = self.table.opened(connection)
+        self.apply(decision)
+        if not decision.granted:
+            self.count(connections.Reason.TOO_MANY)
+            return False
+        self._connections.add(connection)
+        return True
+
+    def remove(self, connection: "Connection") -> None:
+        """Forgets a connection that is closed."""
+        self._connections.discard(connection)
+
+    def apply(self, decision: connections.Decision) -> bool:
+        """Closes the connections that yield; returns if the other may go on."""
+        for close in decision.closes:
+            self._close(close)
+        return decision.granted
+
+    def count(self, reason: connections.Reason) -> None:
+        """Counts a refused request or a closed connection."""
+        labels = {"listener": self.name, "reason": reason.value}
+        metrics.REFUSED_CONNECTIONS.inc(labels)
+        if reason not in _EXPECTED_REASONS:
+            self._closed_by_reason[reason] += 1
+
+    def run(self, connection: "Connection") -> None:
+        """Lets a connection process its input, now or when its turn comes."""
+        if self._work_left > 0 and not self._waiting:
+            self._advance(connection)
+        elif connection.wait_for_turn():
+            self._waiting.append(connection)
+        if not self._turn_scheduled:
+            self._turn_scheduled = True
+            asyncio.get_running_loop().call_soon(self._run_turn)
+
+    def _run_turn(self) -> None:
+        self._turn_scheduled = False
+        self._work_left = _WORK_PER_TURN
+        while self._waiting and self._work_left > 0:
+            self._advance(self._waiting.popleft())
+        if self._waiting:
+            self._turn_scheduled = True
+            asyncio.get_running_loop().call_soon(self._run_turn)
+
+    def _advance(self, connection: "Connection") -> None:
+        work, unfinished = connection.advance(self._work_left)
+        self._work_left -= work
+        if not unfinished:
+            connection.resume_reading()
+        elif connection.wait_for_turn():
+            self._waiting.append(connection)
+
+    def _close(self, close: connections.Close) -> None:
+        self.count(close.reason)
+        close.key.give_up(close.phase)
+
+    def tick(self) -> None:
+        """Closes connections whose time is over, and reports on the others."""
+        if self.table.held_bytes > _UNOBSERVED_BYTES:
+            _observe_process(self.table)
+        for close in self.table.expired():
+            self._close(close)
+        labels = {"listener": self.name}
+        metrics.CONNECTIONS.set(labels, len(self.table))
+        metrics.CONNECTION_BYTES.set(labels, self.table.held_bytes)
+        if not self._closed_by_reason:
+            return
+        counts = {r.value: n for r, n in self._closed_by_reason.items()}
+        self._closed_by_reason.clear()
+        events.emit(
+            _LOGGER,
+            events.Event.CONNECTIONS_REFUSED,
+            listener=self.name,
+            counts=counts,
+            connections=len(self.table),
+            held_bytes=self.table.held_bytes,
+            budget_bytes=self.table.budget_bytes,
+        )
+
+    async def _tick_loop(self) -> None:
+        _observe_process(self.table)
+        while True:
+            await asyncio.sleep(_TICK_S)
+            self.tick()
+
+
+class _Head:
+    """Collects the parts of a head from the parser."""
+
+    def __init__(self):
+        self.target = b""
+        self.fields: dict[str, str] = {}
+        self.completed = 0
+        self.has_more = False
+        self.keep_alive = False
+        self.parser = httptools.HttpRequestParser(self)
+
+    def on_url(self, part: bytes) -> None:
+        self.target += part
+
+    def on_header(self, name: bytes, value: bytes) -> None:
+        key = name.decode("latin-1").lower()
+        text = value.decode("utf-8", "surrogateescape")
+        if key in self.fields:
+            text = f"{self.fields[key]}, {text}"
+        self.fields[key] = text
+
+    def on_headers_complete(self) -> None:
+        self.completed += 1
+        # The parser forgets it at the end of a request without a body.
+        self.keep_alive = bool(self.parser.should_keep_alive())
+
+    def on_body(self, part: bytes) -> None:
+        self.has_more = True
+
+
+def parse_head(data: bytes) -> Request | None:
+    """Parses a head that ends with an empty line; None if it is invalid."""
+    head = _Head()
+    try:
+        head.parser.feed_data(data)
+    except httptools.HttpParserUpgrade:
+        pass
+    except httptools.HttpParserError:
+        return None
+    finally:
+        method = head.parser.get_method()
+        keep_alive = head.keep_alive
+        # Breaks the reference cycle.
+        head.parser = None
+    # The parser may see an earlier end of the head.
+    if head.completed != 1 or head.has_more:
+        return None
+    path = _path(head.target)
+    encoding = head.fields.get("transfer-encoding")
+    length_text = head.fields.get("content-length", "0")
+    if path is None:
+        return None
+    if encoding is not None and encoding.lower() != "chunked":
+        return None
+    if encoding is not None and "content-length" in head.fields:
+        return None
+    if not (length_text.isascii() and length_text.isdigit()):
+        return None
+    return Request(
+        method.decode("latin-1"),
+        path,
+        head.fields,
+        None if encoding is not None else int(length_text),
+        keep_alive,
+    )
+
+
+def _path(target: bytes) -> str | None:
+    try:
+        raw = httptools.parse_url(target).path or b"/"
+    except httptools.HttpParserInvalidURLError:
+        return None
+    return urllib.parse.unquote(raw.decode("latin-1"))
+
+
+class Connection(asyncio.BufferedProtocol):
+    """One connection; handles one request after the other."""
+
+    __slots__ = (
+        "_body",
+        "_body_length",
+        "_body_limit",
+        "_close_after_write",
+        "_decoder",
+        "_discarding",
+        "_drained_bytes",
+        "_empty_line_bytes",
+        "_input",
+        "_phase",
+        "_reading",
+        "_request",
+        "_server",
+        "_start",
+        "_table",
+        "_transport",
+        "_writing_paused",
+    )
+
+    def __init__(self, server: Server):
+        self._server = server
+        self._table = server.table
+        self._transport: asyncio.Transport | None = None
+        self._phase = connections.Phase.IDLE
+        self._reading = True
+        self._writing_paused = False
+        self._close_after_write = False
+        # Bytes that were received; those from `_start` on are not processed.
+        self._input = b""
+        self._start = 0
+        self._empty_line_bytes = 0
+        self._drained_bytes = 0
+        self._request: Request | None = None
+        self._body = bytearray()
+        self._body_length = 0
+        self._body_limit = 0
+        self._decoder: chunked.ChunkedDecoder | None = None
+        # Whether the request was refused, so that its body is dropped.
+        self._discarding = False
+
+    def connection_made(self, transport: asyncio.Transport) -> None:
+        """Implements `asyncio.BaseProtocol`."""
+        self._transport = transport
+        # With this limit `pause_writing` is called unless a response was
+        # passed to the kernel completely.
+        transport.set_write_buffer_limits(high=0)
+        if not self._server.add(self):
+            transport.abort()
+
+    def connection_lost(self, error: Exception | None) -> None:
+        """Implements `asyncio.BaseProtocol`."""
+        self._transport = None
+        self._drop_input()
+        self._server.remove(self)
+        # A request that is being handled holds its memory until its end.
+        if self._phase is not connections.Phase.HANDLING:
+            self._table.closed(self)
+
+    def get_buffer(self, sizehint: int) -> bytearray:
+        """Implements `asyncio.BufferedProtocol`."""
+        return self._server.read_buffer
+
+    def buffer_updated(self, size: int) -> None:
+        """Implements `asyncio.BufferedProtocol`."""
+        if self._phase is connections.Phase.DRAINING:
+            self._drained_bytes += size
+            if self._drained_bytes > _MAX_DRAINED_BYTES:
+                self.abort()
+            return
+        data = bytes(memoryview(self._server.read_buffer)[:size])
+        self._input = self._input[self._start :] + data
+        self._start = 0
+        if self._phase is connections.Phase.IDLE:
+            self._enter(connections.Phase.HEAD)
+        if not self._is_receiving():
+            # A further request, before the response to the one in progress.
+            self._pause_reading()
+            return
+        held = len(self._input) + len(self._body)
+        decision = self._table.received(self, size, held)
+        if not self._server.apply(decision):
+            self._refuse_for_memory()
+        if self._is_receiving():
+            self._server.run(self)
+
+    def eof_received(self) -> bool:
+        """Keeps the connection open until its request has been answered."""
+        if self._phase in (
+            connections.Phase.HANDLING,
+            connections.Phase.SENDING,
+        ):
+            self._close_after_write = True
+            return True
+        waiting = self._start < len(self._input) and not self._reading
+        self._close_after_write |= waiting
+        return waiting
+
+    def pause_writing(self) -> None:
+        """Implements `asyncio.BaseProtocol`."""
+        self._writing_paused = True
+
+    def resume_writing(self) -> None:
+        """Implements `asyncio.BaseProtocol`."""
+        self._writing_paused = False
+        if self._phase is connections.Phase.SENDING:
+            self._finish_response()
+            self._proceed()
+
+    def advance(self, max_work: int) -> tuple[int, bool]:
+        """Processes received bytes.
+
+        Args:
+          max_work: work after which to stop, in chunks.
+
+        Returns:
+          The work that was done, and whether more can be done now.
+        """
+        work = 0
+        while self._is_receiving() and self._start < len(self._input):
+            if work >= max_work:
+                return work, True
+            if self._phase is connections.Phase.BODY:
+                done = self._take_body(max_work - work)
+            else:
+                done = self._take_head()
+            if not done:
+                break
+            work += done
+        return work, False
+
+    def wait_for_turn(self) -> bool:
+        """Stops reading until the next turn; returns False if refused."""
+        if self._pause_reading():
+            return True
+        self._server.count(connections.Reason.NO_MEMORY)
+        if self._phase is connections.Phase.BODY and not self._discarding:
+            self._send_and_drain(self._refusal(503, _NO_MEMORY_TEXT))
+        else:
+            self.abort()
+        return False
+
+    def resume_reading(self) -> None:
+        """Reads again, unless a request is in progress."""
+        if self._reading or self._transport is None:
+            return
+        if self._phase in (
+            connections.Phase.HANDLING,
+            connections.Phase.SENDING,
+        ):
+            return
+        self._reading = True
+        self._table.resumed(self)
+        if not self._transport.is_closing():
+            self._transport.resume_reading()
+
+    def give_up(self, phase: connections.Phase) -> None:
+        """Closes the connection, with a response if one is awaited."""
+        if self._transport is None:
+            return
+        awaited = phase is connections.Phase.HEAD or (
+            phase is connections.Phase.BODY and not self._discarding
+        )
+        if awaited:
+            response = error_response(408, "the request took too long")
+            self._write(response, close=True)
+        self._drop_input()
+        if awaited and not self._writing_paused:
+            self._transport.close()
+        else:
+            self._transport.abort()
+
+    def abort(self) -> None:
+        """Closes the connection immediately."""
+        if self._transport is not None:
+            self._transport.abort()
+
+    def close_if_idle(self) -> None:
+        """Closes the connection if no request has begun."""
+        if self._transport is not None and self._phase in (
+            connections.Phase.IDLE,
+            connections.Phase.DRAINING,
+        ):
+            self._transport.close()
+
+    def interrupt_reading(self) -> None:
+        """Closes the connection if its request has not been read."""
+        if self._transport is None or not self._is_receiving():
+            return
+        if self._phase is connections.Phase.BODY and not self._discarding:
+            response = self._server.application.interrupted(self._request)
+            self._write(response, close=True)
+        self._drop_input()
+        self._transport.close()
+
+    def _is_receiving(self) -> bool:
+        return (
+            self._transport is not None
+            and not self._transport.is_closing()
+            and self._phase
+            in (
+                connections.Phase.IDLE,
+                connections.Phase.HEAD,
+                connections.Phase.BODY,
+            )
+        )
+
+    def _enter(self, phase: connections.Phase, payload: int = 0) -> bool:
+        """Changes the phase; returns if the connection may go on in it."""
+        self._phase = phase
+        return self._server.apply(self._table.enter(self, phase, payload))
+
+    def _pause_reading(self) -> bool:
+        if not self._reading or self._transport.is_closing():
+            return True
+        self._reading = False
+        self._transport.pause_reading()
+        return self._server.apply(self._table.paused(self))
+
+    def _proceed(self) -> None:
+        """Processes what was received while a request was in progress."""
+        if self._is_receiving() and self._start < len(self._input):
+            self._server.run(self)
+        else:
+            self.resume_reading()
+
+    def _drop_input(self) -> None:
+        self._input = b""
+        self._start = 0
+        self._body = bytearray()
+
+    def _take_head(self) -> int:
+        """Parses a head if it is complete; returns the work, 0 if it is not."""
+        if self._phase is connections.Phase.IDLE:
+            self._enter(connections.Phase.HEAD, len(self._input) - self._start)
+        begin = _EMPTY_LINES.match(self._input, self._start).end()
+        self._empty_line_bytes += begin - self._start
+        self._start = begin
+        end = self._input.find(_HEAD_END, begin)
+        length = (len(self._input) if end < 0 else end) - begin
+        if self._empty_line_bytes + length > self._table.limits.head_bytes:
+            self._reject(431, connections.Reason.HEAD_TOO_LONG)
+            return _HEAD_WORK
+        if end < 0:
+            return 0
+        self._start = end + len(_HEAD_END)
+        self._empty_line_bytes = 0
+        request = parse_head(self._input[begin : self._start])
+        if request is None:
+            self._reject(400, connections.Reason.MALFORMED)
+            return _HEAD_WORK
+        self._request = request
+        if request.length == 0:
+            self._handle(b"")
+        else:
+            self._begin_body(request)
+        return _HEAD_WORK
+
+    def _begin_body(self, request: Request) -> None:
+        admitted = self._server.application.admit(request)
+        self._body = bytearray()
+        self._body_length = 0
+        self._body_limit = _MAX_IGNORED_BYTES
+        self._discarding = False
+        self._decoder = None
+        if request.length is None:
+            self._decoder = chunked.ChunkedDecoder(
+                self._table.limits.framing_bytes
+            )
+        if isinstance(admitted, Response):
+            self._enter(connections.Phase.BODY)
+            self._refuse_body(admitted)
+            return
+        # The body of a request that needs none is read and dropped.
+        if admitted:
+            self._body_limit = admitted
+        if (request.length or 0) > self._body_limit:
+            self._refuse_long_body()
+            return
+        fits = self._enter(connections.Phase.BODY, request.length or 0)
+        if not fits:
+            self._refuse_for_memory()
+            return
+        # Only what has arrived counts from here on.
+        self._server.apply(
+            self._table.received(self, 0, len(self._input) - self._start)
+        )
+        expects = request.fields.get("expect", "").lower() == "100-continue"
+        if expects and self._start == len(self._input):
+            self._transport.write(_CONTINUE)
+
+    def _take_body(self, max_work: int) -> int:
+        """Takes bytes of the body; returns the work, 0 if there are too few."""
+        before = self._start
+        chunks = 0
+        out = self._body
+        if self._discarding or not self._wants_body():
+            out = None
+        if self._decoder is None:
+            missing = self._request.length - self._body_length
+            taken = min(missing, len(self._input) - before)
+            if out is not None:
+                out += memoryview(self._input)[before : before + taken]
+            self._start += taken
+            self._body_length += taken
+            complete = taken == missing
+        else:
+            try:
+                self._start, chunks = self._decoder.decode(
+                    self._input, before, out, max_work
+                )
+            except chunked.MalformedError:
+                self._reject(400, connections.Reason.MALFORMED)
+                return 1
+            except chunked.FramingTooLongError:
+                self._reject(413, connections.Reason.BODY_TOO_LONG)
+                return 1
+            self._body_length = self._decoder.length
+            complete = self._decoder.done
+        if self._body_length > self._body_limit:
+            self._refuse_long_body()
+        elif complete:
+            self._finish_body()
+        elif self._start == before and not chunks:
+            return 0
+        return 1 + chunks + (self._start - before) // _BYTES_PER_WORK
+
+    def _wants_body(self) -> bool:
+        return self._request.method == "POST"
+
+    def _finish_body(self) -> None:
+        if self._discarding:
+            self._discarding = False
+            self._finish_response()
+            return
+        body = bytes(self._body)
+        self._body = bytearray()
+        self._handle(body)
+
+    def _handle(self, body: bytes) -> None:
+        """Passes a complete request to the application."""
+        if not self._enter(connections.Phase.HANDLING, len(body)):
+            self._server.count(connections.Reason.NO_MEMORY)
+            self._send(self._refusal(503, _NO_MEMORY_TEXT))
+            return
+        task = asyncio.create_task(self._respond(self._request, body))
+        self._server.tasks.add(task)
+        task.add_done_callback(self._server.tasks.discard)
+
+    async def _respond(self, request: Request, body: bytes) -> None:
+        server = self._server
+        try:
+            async with asyncio.timeout_at(server.interrupt_at_s) as timeout:
+                server.timeouts.add(timeout)
+                try:
+                    response = await server.application.respond(request, body)
+                finally:
+                    server.timeouts.discard(timeout)
+        except TimeoutError:
+            response = server.application.interrupted(request)
+        if self._transport is None or self._transport.is_closing():
+            server.application.unsent(request, response)
+            self._phase = connections.Phase.DRAINING
+            self._table.closed(self)
+            return
+        self._send(response)
+        self._proceed()
+
+    def _refusal(self, status: int, reason: str) -> Response:
+        return self._server.application.refuse(self._request, status, reason)
+
+    def _refuse_long_body(self) -> None:
+        self._server.count(connections.Reason.BODY_TOO_LONG)
+        reason = f"the body is longer than {self._body_limit} bytes"
+        self._send_and_drain(self._refusal(413, reason))
+
+    def _refuse_for_memory(self) -> None:
+        """Refuses the request that is being received."""
+        if self._discarding:
+            return
+        self._server.count(connections.Reason.NO_MEMORY)
+        if self._phase is connections.Phase.BODY:
+            self._refuse_body(self._refusal(503, _NO_MEMORY_TEXT))
+        else:
+            # Nothing can be said about a request that is not known.
+            self.abort()
+
+    def _refuse_body(self, response: Response) -> None:
+        """Responds before the body has arrived, which is then dropped."""
+        self._body = bytearray()
+        too_long = (self._request.length or 0) > _MAX_DRAINED_BYTES
+        if response.close or too_long or "expect" in self._request.fields:
+            self._send_and_drain(response)
+            return
+        self._discarding = True
+        self._body_limit = max(self._body_limit, self._request.length or 0)
+        self._close_after_write |= not self._request.keep_alive
+        self._write(response, close=self._close_after_write)
+
+    def _reject(self, status: int, reason: connections.Reason) -> None:
+        """Responds to a request whose framing cannot be accepted."""
+        self._server.count(reason)
+        self._send_and_drain(error_response(status, reason.value))
+
+    def _send_and_drain(self, response: Response) -> None:
+        """Responds, then drops what still arrives for a while.
+
+        A connection that is closed with unread bytes is reset, and the reset
+        may overtake the response.
+        """
+        if not self._discarding:
+            self._write(response, close=True)
+        self._discarding = False
+        self._drop_input()
+        self._enter(connections.Phase.DRAINING)
+        self._transport.write_eof()
+        self.resume_reading()
+
+    def _send(self, response: Response) -> None:
+        self._close_after_write |= (
+            response.close
+            or self._server.stopping
+            or not self._request.keep_alive
+        )
+        size = self._write(response, close=self._close_after_write)
+        if self._writing_paused:
+            self._enter(connections.Phase.SENDING, size)
+        else:
+            self._finish_response()
+
+    def _finish_response(self) -> None:
+        """Prepares for the next request once the response was passed on."""
+        if self._writing_paused:
+            self._enter(connections.Phase.SENDING)
+            return
+        self._request = None
+        if self._close_after_write:
+            self._enter(connections.Phase.DRAINING)
+            self._transport.close()
+        elif self._start == len(self._input):
+            self._drop_input()
+            self._enter(connections.Phase.IDLE)
+        else:
+            self._enter(connections.Phase.HEAD, len(self._input) - self._start)
+
+    def _write(self, response: Response, close: bool) -> int:
+        """Writes a response; returns its size in bytes."""
+        with_body = self._request is None or self._request.method != "HEAD"
+        data = _encode(response, close, with_body)
+        self._transport.write(data)
+        return len(data)
+
+
+def error_response(status: int, reason: str, **fields: str) -> Response:
+    """Returns a response that explains a refusal in JSON.
+
+    Args:
+      status: its status.
+      reason: why the request is refused.
+      **fields: header fields, with underscores for hyphens.
+    """
+    return Response(
+        status,
+        orjson.dumps({"error": reason}),
+        fields=tuple((n.replace("_", "-"), v) for n, v in fields.items()),
+    )
+
+
+def _encode(response: Response, close: bool, with_body: bool) -> bytes:
+    lines = [
+        f"HTTP/1.1 {response.status} {http.HTTPStatus(response.status).phrase}",
+        f"Content-Type: {response.content_type}",
+        f"Content-Length: {len(response.body)}",
+        f"Date: {email.utils.formatdate(usegmt=True)}",
+        f"Connection: {'close' if close else 'keep-alive'}",
+        *(f"{name}: {value}" for name, value in response.fields),
+    ]
+    head = "\r\n".join(lines).encode() + _HEAD_END
+    return head + response.body if with_body else head
+
+
+def _bind(ip: str, port: int) -> socket.socket:
+    """Returns a socket whose connections inherit its small buffers."""
+    bound = socket.socket()
+    try:
+        bound.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        bound.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
+        bound.setsockopt(
+            socket.SOL_SOCKET,
+            socket.SO_RCVBUF,
+            connections.RECEIVE_BUFFER_BYTES,
+        )
+        bound.setsockopt(
+            socket.SOL_SOCKET, socket.SO_SNDBUF, connections.SEND_BUFFER_BYTES
+        )
+        bound.bind((ip, port))
+    except OSError:
+        bound.close()
+        raise
+    return bound
+
+
+def _observe_process(table: connections.ConnectionTable) -> None:
+    """Reports the resident memory of this process to a table."""
+    try:
+        pages = int(_STATM_PATH.read_text().split()[1])
+    except (OSError, ValueError, IndexError):
+        # The table then counts connections only.
+        return
+    table.observe_process(pages * os.sysconf("SC_PAGE_SIZE"))
--- a/packages/placer/src/laburnumgate_placer/intake.py
+++ b/packages/placer/src/laburnumgate_placer/intake.py
@@ -271,6 +271,15 @@
             return MayHaveRun(reason)
         return NotRun(reason)
 
+    def not_read(self, job_id: str, reason: str) -> NotRun | MayHaveRun:
+        """Returns the verdict on a submission whose body was not read.
+
+        A job that is known under its id was accepted from an earlier attempt.
+        """
+        if job_id in self._jobs.jobs_by_id:
+            return MayHaveRun(reason)
+        return self.not_run(job_id, reason)
+
     def pending(self, queue: str) -> int:
         """Returns the number of queued jobs of a queue."""
         return self._jobs.pending(queue)
--- a/packages/placer/src/laburnumgate_placer/metrics.py
+++ b/packages/placer/src/laburnumgate_placer/metrics.py
@@ -40,6 +40,18 @@
 REQUESTS = _counter(
     "laburnumgate_requests_total", "Callers' requests by call and status."
 )
+REFUSED_CONNECTIONS = _counter(
+    "laburnumgate_refused_connections_total",
+    "Connections that were closed, and requests that were refused before they"
+    " were handled, by listener and reason.",
+)
+CONNECTIONS = _gauge(
+    "laburnumgate_connections", "Open connections by listener."
+)
+CONNECTION_BYTES = _gauge(
+    "laburnumgate_connection_bytes",
+    "Memory that connections and their requests hold, by listener.",
+)
 ENDPOINT_CALLS = _counter(
     "laburnumgate_endpoint_calls_total", "Calls to endpoints by outcome."
 )
