Limit callers' connections by the machine's descriptors

Seen: 700 silent connections left a process with 600 descriptors with 586 sockets, where 200 are kept for files, and callers that came later were not accepted.

Cause: each connection was accepted and kept, at most until a time-out of 75 s.

The test with chunks of one byte computes its chunks once, as it spent 30 s on that; its crowd and its bounds are unchanged.

--- a/deploy/tests/test_crowds.py
+++ b/deploy/tests/test_crowds.py
@@ -7,6 +7,7 @@
 import asyncio
 from collections.abc import Iterator
 import fcntl
+import functools
 import os
 
 import crowd
@@ -55,11 +56,12 @@
     return crowd.head("POST", _PATH, "Transfer-Encoding: chunked", *fields)
 
 
-def _chunks(body: bytes, size: int) -> list[bytes]:
-    return [
-        f"{len(part):x}\r\n".encode() + part + b"\r\n"
-        for part in (body[i : i + size] for i in range(0, len(body), size))
-    ]
+@functools.cache
+def _chunks(body: bytes, size: int) -> tuple[bytes, ...]:
+    parts = (body[i : i + size] for i in range(0, len(body), size))
+    return tuple(
+        f"{len(part):x}\r\n".encode() + part + b"\r\n" for part in parts
+    )
 
 
 def _short_chunked_body(size: int) -> Iterator[bytes]:
--- a/deploy/tests/test_settings.py
+++ b/deploy/tests/test_settings.py
@@ -24,3 +24,14 @@
     path = tmp_path / "node.toml"
     path.write_text(_SETTINGS + line)
     assert settings.load(path).bounds.max_record_bytes == size
+
+
+def test_callers_are_limited_by_the_machine(tmp_path):
+    """Guards against callers that exceed the memory or the descriptors."""
+    path = tmp_path / "node.toml"
+    path.write_text(_SETTINGS + "[limits]\nmemory_mb = 160\nmax_fds = 3075\n")
+    limits = settings.load(path).connections
+    assert limits.process_bytes == 160 << 20
+    assert limits.connections < 3_075 - 200
+    path.write_text(_SETTINGS)
+    assert settings.load(path).connections.process_bytes == 256 << 20
