--- a/deploy/tests/test_callers.py
+++ b/deploy/tests/test_callers.py
@@ -2,6 +2,7 @@
 
 import asyncio
 import contextlib
+import logging
 import types
 
 import aiohttp
@@ -334,3 +335,21 @@
     status = builders.run(_run_with_server(host, scenario))
     assert b" 401 " in status
     assert not host.intake.submitted
+
+
+def test_rejections_in_a_row_are_not_all_logged(caplog):
+    """Guards against a log that grows with the requests of strangers."""
+    caplog.set_level(logging.INFO)
+    host = _host(intake.Accepted())
+    head = _post_head(b"").replace(b"key-1", b"other")
+
+    async def scenario(server, port):
+        reader, writer = await asyncio.open_connection("127.0.0.1", port)
+        for _ in range(1_000):
+            writer.write(head)
+            await reader.readuntil(b"}")
+        writer.close()
+
+    builders.run(_run_with_server(host, scenario))
+    logged = [r for r in caplog.records if getattr(r, "event", 0) == 1201]
+    assert 200 <= len(logged) < 900
--- a/packages/placer/src/laburnumgate_placer/events.py
+++ b/packages/placer/src/laburnumgate_placer/events.py
@@ -8,6 +8,8 @@
 import enum
 import logging
 
+MAX_TEXT_CHARS = 500
+
 
 class Event(enum.Enum):
     """Log events with their number, message and level."""
@@ -75,8 +77,15 @@
 
 
 def emit(logger: logging.Logger, event: Event, **fields) -> None:
-    """Logs an event with its number and the given fields."""
-    if logger.isEnabledFor(event.level):
-        logger.log(
-            event.level, event.text, extra={"event": event.number, **fields}
-        )
+    """Logs an event with its number and the given fields.
+
+    Texts are cut to `MAX_TEXT_CHARS`, as some come from callers.
+    """
+    if not logger.isEnabledFor(event.level):
+        return
+    extra = {"event": event.number}
+    for name, value in fields.items():
+        if isinstance(value, str) and len(value) > MAX_TEXT_CHARS:
+            value = value[:MAX_TEXT_CHARS] + "..."
+        extra[name] = value
+    logger.log(event.level, event.text, extra=extra)
--- a/packages/placer/src/laburnumgate_placer/telemetry.py
+++ b/packages/placer/src/laburnumgate_placer/telemetry.py
@@ -12,9 +12,10 @@
 
 _LOGGER = logging.getLogger(__name__)
 
-# Maximum number of lines that are queued while standard output is not read.
-# Further lines are dropped and counted. 4,000 lines of 250 bytes are 1 MB.
+# Maximum number and length of the lines that are queued while standard output
+# is not read. Further lines are dropped and counted.
 MAX_QUEUED_LINES = 4_000
+MAX_QUEUED_BYTES = 1 << 20
 FLUSH_INTERVAL_MS = 100
 # Writes of up to this many bytes to a pipe are atomic (PIPE_BUF on Linux).
 CHUNK_BYTES = 4_096
@@ -30,14 +31,21 @@
         self.dropped = 0
         self._descriptor = descriptor
         self._lines: collections.deque[bytes] = collections.deque()
+        self._queued_bytes = 0
         self._unwritten = b""
 
     def emit(self, record: logging.LogRecord) -> None:
         """Queues a record, or counts it as dropped if the queue is full."""
-        if len(self._lines) >= MAX_QUEUED_LINES:
+        if (
+            len(self._lines) >= MAX_QUEUED_LINES
+            or self._queued_bytes >= MAX_QUEUED_BYTES
+        ):
             self.dropped += 1
             return
-        self._lines.append(self.format(record).encode() + b"\n")
+        # Paths may hold characters that cannot be encoded.
+        line = self.format(record).encode(errors="backslashreplace") + b"\n"
+        self._lines.append(line)
+        self._queued_bytes += len(line)
 
     def write(self) -> None:
         """Writes as many lines as the descriptor accepts without blocking."""
@@ -59,6 +67,7 @@
             if len(chunk) + len(self._lines[0]) > CHUNK_BYTES:
                 break
             chunk += self._lines.popleft()
+        self._queued_bytes -= len(chunk)
         return chunk
 
 
--- a/packages/placer/tests/test_telemetry.py
+++ b/packages/placer/tests/test_telemetry.py
@@ -3,6 +3,7 @@
 import logging
 import os
 
+from laburnumgate_placer import events
 from laburnumgate_placer import telemetry
 
 
@@ -51,3 +52,28 @@
         sizes.append(len(queue._chunk()))
     assert max(sizes) <= telemetry.CHUNK_BYTES
     os.close(reader)
+
+
+def test_long_lines_do_not_fill_the_memory():
+    """Guards against a limit on lines that long lines pass by."""
+    reader, queue = _queue()
+    text = "x" * 100_000
+    for _ in range(1_000):
+        queue.emit(_record(text))
+    queued = sum(len(line) for line in queue._lines)
+    assert queued <= telemetry.MAX_QUEUED_BYTES + len(text) + 1
+    assert queue.dropped > 900
+    while queue._lines:
+        queue._chunk()
+    queue.emit(_record("again"))
+    assert len(queue._lines) == 1
+    os.close(reader)
+
+
+def test_texts_of_callers_are_cut(caplog):
+    """Guards against log lines as long as the path of a request."""
+    caplog.set_level(logging.INFO)
+    logger = logging.getLogger("test")
+    events.emit(logger, events.Event.REFUSED, path="p" * 10_000, status=404)
+    assert len(caplog.records[0].path) == events.MAX_TEXT_CHARS + len("...")
+    assert caplog.records[0].status == 404
