--- a/deploy/tests/test_callers.py
+++ b/deploy/tests/test_callers.py
@@ -8,6 +8,7 @@
 import aiohttp
 import builders
 import callers
+import decoding
 from laburnumgate_core import clock
 from laburnumgate_core import connections
 from laburnumgate_placer import config_table
@@ -157,6 +158,7 @@
         (orjson.dumps({"task_spec": "t" * 4_001, "steps": [{}]}), 400),
         (b" " * 100_001, 413),
         (orjson.dumps({"steps": [{"count": 2_000_000_000}]}), 400),
+        (b'{"steps":[' + b"{}," * 30_000 + b"{}]}", 400),
         (orjson.dumps({"steps": [{"cpu": 2**60}]}), 400),
         (orjson.dumps({"steps": [{}], "repeat_count": 10**9}), 400),
         (orjson.dumps({"steps": [{}], "interval_ms": 1e300}), 400),
@@ -353,3 +355,15 @@
     builders.run(_run_with_server(host, scenario))
     logged = [r for r in caplog.records if getattr(r, "event", 0) == 1201]
     assert 200 <= len(logged) < 900
+
+
+def test_more_steps_than_tasks_are_refused_undecoded(monkeypatch):
+    """Guards against a body that delays all callers before it is refused."""
+    decoded = []
+    monkeypatch.setattr(
+        decoding, "_decode_step", lambda number, step: decoded.append(number)
+    )
+    body = b'{"steps":[' + b"{}," * 30_000 + b"{}]}"
+    with pytest.raises(decoding.BodyError, match="steps"):
+        decoding.decode_job(_ID, builders.QUEUE, "mina", body)
+    assert not decoded
