Limit what callers of the host's own interface hold together

Seen: 1,200 bodies one byte short of their end took 316 MB of the 256 MB that a host may use at the target size, 60 bodies in chunks of one byte 925 MB with no answer to an ordinary request for 40 s.

Cause: the HTTP library limits single requests, and keeps an object a chunk.

Change: `guard.GuardedProtocol` asks a `connections.ConnectionTable` for each connection and each piece of data, and closes those that yield; the kernel's buffers of the port are small. `limits.memory_mb` and `limits.descriptors` set the budget. A request that waits for a change of its job counts as being handled, so it is never taken for a stalled one.

--- a/deploy/tests/crowd.py
+++ b/deploy/tests/crowd.py
@@ -56,6 +56,19 @@
 address = "127.0.0.1:{store}"
 """
 
+_OWN_SETTINGS = """
+[host]
+host_id = "crowded"
+zone = "z0"
+region = "r"
+ip = "{ip}"
+http_port = 8521
+rpc_port = 8522
+[platform]
+log_url = "http://127.0.0.1:1"
+live_list_url = "http://127.0.0.1:1"
+"""
+
 
 @dataclasses.dataclass(frozen=True, slots=True)
 class Limits:
@@ -118,6 +131,7 @@
         high, low = divmod(os.getpid(), 250)
         self.ip = f"127.{1 + high % 250}.{1 + low}.9"
         self._folder = folder
+        self._request = head("GET", "/jobs/", "Connection: close")
         self._process: asyncio.subprocess.Process | None = None
         self._clients: set[asyncio.Task] = set()
         self._sockets: list[socket.socket] = []
@@ -155,11 +169,23 @@
                 max_fds=self.limits.max_fds,
             )
         )
+        await self._start_process(
+            [str(_ROOT / "platform" / "laburnumgated.py")],
+            {"LABURNUMGATE_BOOT": str(path)},
+            stdout,
+        )
+
+    async def _start_process(
+        self,
+        arguments: list[str],
+        variables: dict[str, str],
+        stdout: int | None = None,
+    ) -> None:
         with (self._folder / "process.log").open("ab") as log:
             self._process = await asyncio.create_subprocess_exec(
                 sys.executable,
-                str(_ROOT / "platform" / "laburnumgated.py"),
-                env={**os.environ, "LABURNUMGATE_BOOT": str(path)},
+                *arguments,
+                env={**os.environ, **variables},
                 stdout=log if stdout is None else stdout,
                 stderr=log,
             )
@@ -176,8 +202,7 @@
         for _ in range(attempts):
             if not self.alive:
                 return False
-            request = head("GET", "/jobs/", "Connection: close")
-            if (await self.ask(request)).startswith(b"HTTP/1.1 200"):
+            if (await self.ask(self._request)).startswith(b"HTTP/1.1 200"):
                 return True
             await asyncio.sleep(_RETRY_PAUSE_S)
         return False
@@ -271,12 +296,30 @@
         return total
 
 
+class OwnInterfaceProcess(Process):
+    """A host process with the interface of `laburnumgate_host`."""
+
+    def __init__(self, folder: pathlib.Path, limits: Limits):
+        super().__init__(folder, limits)
+        self._request = head("GET", "/metrics", "Connection: close")
+
+    async def start(self, stdout: int | None = None) -> None:
+        """Starts the process, without a log or other hosts."""
+        path = self._folder / "host.toml"
+        path.write_text(_OWN_SETTINGS.format(ip=self.ip))
+        arguments = ["-m", "laburnumgate_host.command", "--settings", str(path)]
+        await self._start_process(arguments, {}, stdout)
+
+
 @contextlib.asynccontextmanager
 async def running(
-    folder: pathlib.Path, limits: Limits, stdout: int | None = None
+    folder: pathlib.Path,
+    limits: Limits,
+    stdout: int | None = None,
+    kind: type[Process] = Process,
 ) -> AsyncIterator[Process]:
     """Runs a host process until the block ends."""
-    process = Process(folder, limits)
+    process = kind(folder, limits)
     try:
         await process.start(stdout)
         yield process
--- a/deploy/tests/test_crowds.py
+++ b/deploy/tests/test_crowds.py
@@ -160,6 +160,55 @@
     assert ready == b"HTTP/1.1 200"
 
 
+_OWN_LIMITS = crowd.Limits(memory_mb=256, max_fds=4_096)
+_OWN_BODY_BYTES = 262_144
+
+
+def _own_head(*fields: str) -> bytes:
+    return crowd.head("POST", "/v1/requests", *fields)
+
+
+def _own_short_body() -> Iterator[bytes]:
+    yield _own_head(f"Content-Length: {_OWN_BODY_BYTES}")
+    yield b"x" * (_OWN_BODY_BYTES - 1)
+
+
+def _own_tiny_chunks() -> Iterator[bytes]:
+    yield _own_head("Transfer-Encoding: chunked")
+    chunks = _chunks(b"x" * (_OWN_BODY_BYTES - 1), 1)
+    for start in range(0, len(chunks), 4_096):
+        yield b"".join(chunks[start : start + 4_096])
+
+
+_OWN_CROWDS = {
+    "bodies one byte short": crowd.Crowd(1_200, _own_short_body),
+    "chunks of one byte": crowd.Crowd(60, _own_tiny_chunks),
+    "empty lines": crowd.Crowd(200, _empty_lines),
+    "endless line": crowd.Crowd(200, _endless_line),
+    "silent connections": crowd.Crowd(4_500, _nothing),
+}
+
+
+@pytest.mark.parametrize("name", _OWN_CROWDS)
+def test_the_own_interface_survives(name, tmp_path):
+    """Guards against the same crowds at `laburnumgate_host`.
+
+    Its limits are the defaults, for 256 MB at the target size.
+    """
+
+    async def play():
+        async with crowd.running(
+            tmp_path, _OWN_LIMITS, kind=crowd.OwnInterfaceProcess
+        ) as process:
+            await process.meet(_OWN_CROWDS[name])
+            served = await process.is_served(attempts=20)
+            return served, crowd.problems(process)
+
+    served, problems = asyncio.run(play())
+    assert not problems
+    assert served
+
+
 @pytest.mark.parametrize("name", ["bodies one byte short", "endless fields"])
 def test_a_crowd_does_not_prevent_the_exit(name, tmp_path):
     """Guards against a shutdown that waits for stalled clients."""
--- a/packages/host/src/laburnumgate_host/command.py
+++ b/packages/host/src/laburnumgate_host/command.py
@@ -9,12 +9,14 @@
 import aiohttp
 import click
 from laburnumgate_core import clock
+from laburnumgate_core import connections
 from laburnumgate_core import requests
 import sanic
 import uvloop
 
 from laburnumgate_host import callers
 from laburnumgate_host import events
+from laburnumgate_host import guard
 from laburnumgate_host import host as host_module
 from laburnumgate_host import logs
 from laburnumgate_host import operators
@@ -72,10 +74,24 @@
     app = sanic.Sanic("laburnumgated", configure_logging=False)
     app.config.REQUEST_MAX_SIZE = 4 * requests.MAX_BODY_BYTES
     shutdown.track_requests(app, host)
+    guard.track_requests(app)
     callers.add_routes(app, host)
     operators.add_routes(app, host)
+    table = connections.ConnectionTable(
+        connections.callers_limits(
+            host_settings.limits.memory_mb, host_settings.limits.descriptors
+        ),
+        host.clock,
+    )
+    guard.GuardedProtocol.table = table
+    host.spawn(guard.tick_loop(table))
     server = await app.create_server(
-        sock=sockets.bind(host_settings.host.ip, host_settings.host.http_port),
+        sock=sockets.bind(
+            host_settings.host.ip,
+            host_settings.host.http_port,
+            connections.RECEIVE_BUFFER_BYTES,
+        ),
+        protocol=guard.GuardedProtocol,
         return_asyncio_server=True,
         access_log=False,
     )
--- a/packages/host/src/laburnumgate_host/settings.py
+++ b/packages/host/src/laburnumgate_host/settings.py
@@ -127,6 +127,16 @@
     open_polls: int = _field(
         "Maximum number of callers that wait on this host.", ge=1
     )
+    memory_mb: int = _field(
+        "Memory limit of the process; requests being received may use a third "
+        "of it.",
+        ge=64,
+    )
+    descriptors: int = _field(
+        "Maximum number of open descriptors of the process; callers may use "
+        "three quarters of them.",
+        ge=256,
+    )
 
     @pydantic.model_validator(mode="after")
     def _check_shares(self) -> "Limits":
--- a/packages/host/src/laburnumgate_host/sockets.py
+++ b/packages/host/src/laburnumgate_host/sockets.py
@@ -4,9 +4,14 @@
 import socket
 
 
-def bind(ip: str, port: int) -> socket.socket:
+def bind(
+    ip: str, port: int, receive_buffer_bytes: int | None = None
+) -> socket.socket:
     """Returns a TCP socket bound to an IP address and a port.
 
+    Connections inherit the size of its receive buffer, in bytes; None leaves
+    it to the kernel.
+
     The servers get a bound socket because uvloop starts four resolver threads
     when it is given a host and a port, although an IP address needs no lookup.
 
@@ -18,5 +23,9 @@
         family = socket.AF_INET6
     bound = socket.socket(family)
     bound.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    if receive_buffer_bytes is not None:
+        bound.setsockopt(
+            socket.SOL_SOCKET, socket.SO_RCVBUF, receive_buffer_bytes
+        )
     bound.bind((ip, port))
     return bound
