Move requests and responses out of the HTTP server; log failures in it

A handler that fails is logged and answered with 500 instead of leaving its client waiting, a failure while connections are closed does not end that work, and a client that sends ahead is closed if the budget has no room for what the kernel keeps of it.

--- a/packages/placer/src/laburnumgate_placer/http_server.py
+++ b/packages/placer/src/laburnumgate_placer/http_server.py
@@ -7,23 +7,18 @@
 
 import asyncio
 import collections
-import dataclasses
-import email.utils
-import http
 import logging
 import os
 import pathlib
 import re
 import socket
 from typing import Protocol
-import urllib.parse
 
-import httptools
 from laburnumgate_core import connections
-import orjson
 
 from laburnumgate_placer import chunked
 from laburnumgate_placer import events
+from laburnumgate_placer import http_messages
 from laburnumgate_placer import metrics
 
 _LOGGER = logging.getLogger(__name__)
@@ -46,7 +41,6 @@
 _CLOSE_POLL_INTERVAL_S = 0.02
 # Time in which the responses to interrupted requests are sent.
 _INTERRUPTED_ANSWER_S = 0.2
-_HEAD_END = b"\r\n\r\n"
 _EMPTY_LINES = re.compile(rb"(?:\r\n)*")
 _NO_MEMORY_TEXT = "the host has no memory for the request"
 _CONTINUE = b"HTTP/1.1 100 Continue\r\n\r\n"
@@ -54,45 +48,12 @@
 _EXPECTED_REASONS = (connections.Reason.IDLE, connections.Reason.DRAINED)
 
 
-@dataclasses.dataclass(frozen=True, slots=True)
-class Request:
-    """The head of a request.
-
-    Attributes:
-      method: its method.
-      path: its path, decoded and without the query.
-      fields: values of the header fields by lower-case name.
-      length: length of the body in bytes, None if it is chunked.
-      keep_alive: whether the connection may be used for further requests.
-    """
-
-    method: str
-    path: str
-    fields: dict[str, str]
-    length: int | None
-    keep_alive: bool
-
-    @property
-    def hostname(self) -> str:
-        """The host that the client asks for, without a port."""
-        return self.fields.get("host", "").partition(":")[0]
-
-
-@dataclasses.dataclass(frozen=True, slots=True)
-class Response:
-    """A response; the connection is closed after it if `close` is set."""
-
-    status: int
-    body: bytes = b""
-    content_type: str = "application/json"
-    fields: tuple[tuple[str, str], ...] = ()
-    close: bool = False
-
-
 class Application(Protocol):
     """Handles the requests of a server."""
 
-    def admit(self, request: Request) -> int | Response:
+    def admit(
+        self, request: http_messages.Request
+    ) -> int | http_messages.Response:
         """Decides on a request before its body is read.
 
         Returns:
@@ -101,19 +62,27 @@
         """
         ...
 
-    def refuse(self, request: Request, status: int, reason: str) -> Response:
+    def refuse(
+        self, request: http_messages.Request, status: int, reason: str
+    ) -> http_messages.Response:
         """Returns the response to an admitted request that is not handled."""
         ...
 
-    async def respond(self, request: Request, body: bytes) -> Response:
+    async def respond(
+        self, request: http_messages.Request, body: bytes
+    ) -> http_messages.Response:
         """Handles a request."""
         ...
 
-    def interrupted(self, request: Request) -> Response:
+    def interrupted(
+        self, request: http_messages.Request
+    ) -> http_messages.Response:
         """Returns the response to a request that the shutdown interrupts."""
         ...
 
-    def unsent(self, request: Request, response: Response) -> None:
+    def unsent(
+        self, request: http_messages.Request, response: http_messages.Response
+    ) -> None:
         """Takes note of a response whose client has gone."""
         ...
 
@@ -293,82 +262,15 @@
         _observe_process(self.table)
         while True:
             await asyncio.sleep(_TICK_S)
-            self.tick()
-
-
-class _Head:
-    """Collects the parts of a head from the parser."""
-
-    def __init__(self):
-        self.target = b""
-        self.fields: dict[str, str] = {}
-        self.completed = 0
-        self.has_more = False
-        self.keep_alive = False
-        self.parser = httptools.HttpRequestParser(self)
-
-    def on_url(self, part: bytes) -> None:
-        self.target += part
-
-    def on_header(self, name: bytes, value: bytes) -> None:
-        key = name.decode("latin-1").lower()
-        text = value.decode("utf-8", "surrogateescape")
-        if key in self.fields:
-            text = f"{self.fields[key]}, {text}"
-        self.fields[key] = text
-
-    def on_headers_complete(self) -> None:
-        self.completed += 1
-        # The parser forgets it at the end of a request without a body.
-        self.keep_alive = bool(self.parser.should_keep_alive())
-
-    def on_body(self, part: bytes) -> None:
-        self.has_more = True
-
-
-def parse_head(data: bytes) -> Request | None:
-    """Parses a head that ends with an empty line; None if it is invalid."""
-    head = _Head()
-    try:
-        head.parser.feed_data(data)
-    except httptools.HttpParserUpgrade:
-        pass
-    except httptools.HttpParserError:
-        return None
-    finally:
-        method = head.parser.get_method()
-        keep_alive = head.keep_alive
-        # Breaks the reference cycle.
-        head.parser = None
-    # The parser may see an earlier end of the head.
-    if head.completed != 1 or head.has_more:
-        return None
-    path = _path(head.target)
-    encoding = head.fields.get("transfer-encoding")
-    length_text = head.fields.get("content-length", "0")
-    if path is None:
-        return None
-    if encoding is not None and encoding.lower() != "chunked":
-        return None
-    if encoding is not None and "content-length" in head.fields:
-        return None
-    if not (length_text.isascii() and length_text.isdigit()):
-        return None
-    return Request(
-        method.decode("latin-1"),
-        path,
-        head.fields,
-        None if encoding is not None else int(length_text),
-        keep_alive,
-    )
-
-
-def _path(target: bytes) -> str | None:
-    try:
-        raw = httptools.parse_url(target).path or b"/"
-    except httptools.HttpParserInvalidURLError:
-        return None
-    return urllib.parse.unquote(raw.decode("latin-1"))
+            try:
+                self.tick()
+            except Exception as error:  # Later connections must end as well.
+                events.emit(
+                    _LOGGER,
+                    events.Event.TASK_FAILED,
+                    task=f"{self.name} connections",
+                    reason=repr(error),
+                )
 
 
 class Connection(asyncio.BufferedProtocol):
@@ -407,7 +309,7 @@
         self._start = 0
         self._empty_line_bytes = 0
         self._drained_bytes = 0
-        self._request: Request | None = None
+        self._request: http_messages.Request | None = None
         self._body = bytearray()
         self._body_length = 0
         self._body_limit = 0
@@ -451,7 +353,9 @@
             self._enter(connections.Phase.HEAD)
         if not self._is_receiving():
             # A further request, before the response to the one in progress.
-            self._pause_reading()
+            if not self._pause_reading():
+                self._server.count(connections.Reason.NO_MEMORY)
+                self.abort()
             return
         held = len(self._input) + len(self._body)
         decision = self._table.received(self, size, held)
@@ -538,7 +442,9 @@
             phase is connections.Phase.BODY and not self._discarding
         )
         if awaited:
-            response = error_response(408, "the request took too long")
+            response = http_messages.error_response(
+                408, "the request took too long"
+            )
             self._write(response, close=True)
         self._drop_input()
         if awaited and not self._writing_paused:
@@ -612,16 +518,16 @@
         begin = _EMPTY_LINES.match(self._input, self._start).end()
         self._empty_line_bytes += begin - self._start
         self._start = begin
-        end = self._input.find(_HEAD_END, begin)
+        end = self._input.find(http_messages.HEAD_END, begin)
         length = (len(self._input) if end < 0 else end) - begin
         if self._empty_line_bytes + length > self._table.limits.head_bytes:
             self._reject(431, connections.Reason.HEAD_TOO_LONG)
             return _HEAD_WORK
         if end < 0:
             return 0
-        self._start = end + len(_HEAD_END)
+        self._start = end + len(http_messages.HEAD_END)
         self._empty_line_bytes = 0
-        request = parse_head(self._input[begin : self._start])
+        request = http_messages.parse_head(self._input[begin : self._start])
         if request is None:
             self._reject(400, connections.Reason.MALFORMED)
             return _HEAD_WORK
@@ -632,7 +538,7 @@
             self._begin_body(request)
         return _HEAD_WORK
 
-    def _begin_body(self, request: Request) -> None:
+    def _begin_body(self, request: http_messages.Request) -> None:
         admitted = self._server.application.admit(request)
         self._body = bytearray()
         self._body_length = 0
@@ -643,7 +549,7 @@
             self._decoder = chunked.ChunkedDecoder(
                 self._table.limits.framing_bytes
             )
-        if isinstance(admitted, Response):
+        if isinstance(admitted, http_messages.Response):
             self._enter(connections.Phase.BODY)
             self._refuse_body(admitted)
             return
@@ -723,7 +629,9 @@
         self._server.tasks.add(task)
         task.add_done_callback(self._server.tasks.discard)
 
-    async def _respond(self, request: Request, body: bytes) -> None:
+    async def _respond(
+        self, request: http_messages.Request, body: bytes
+    ) -> None:
         server = self._server
         try:
             async with asyncio.timeout_at(server.interrupt_at_s) as timeout:
@@ -734,6 +642,14 @@
                     server.timeouts.discard(timeout)
         except TimeoutError:
             response = server.application.interrupted(request)
+        except Exception as error:  # Must not leave the client waiting.
+            events.emit(
+                _LOGGER,
+                events.Event.TASK_FAILED,
+                task=f"{server.name} request",
+                reason=repr(error),
+            )
+            response = http_messages.error_response(500, "the request failed")
         if self._transport is None or self._transport.is_closing():
             server.application.unsent(request, response)
             self._phase = connections.Phase.DRAINING
@@ -742,7 +658,7 @@
         self._send(response)
         self._proceed()
 
-    def _refusal(self, status: int, reason: str) -> Response:
+    def _refusal(self, status: int, reason: str) -> http_messages.Response:
         return self._server.application.refuse(self._request, status, reason)
 
     def _refuse_long_body(self) -> None:
@@ -761,7 +677,7 @@
             # Nothing can be said about a request that is not known.
             self.abort()
 
-    def _refuse_body(self, response: Response) -> None:
+    def _refuse_body(self, response: http_messages.Response) -> None:
         """Responds before the body has arrived, which is then dropped."""
         self._body = bytearray()
         too_long = (self._request.length or 0) > _MAX_DRAINED_BYTES
@@ -776,9 +692,9 @@
     def _reject(self, status: int, reason: connections.Reason) -> None:
         """Responds to a request whose framing cannot be accepted."""
         self._server.count(reason)
-        self._send_and_drain(error_response(status, reason.value))
+        self._send_and_drain(http_messages.error_response(status, reason.value))
 
-    def _send_and_drain(self, response: Response) -> None:
+    def _send_and_drain(self, response: http_messages.Response) -> None:
         """Responds, then drops what still arrives for a while.
 
         A connection that is closed with unread bytes is reset, and the reset
@@ -789,10 +705,11 @@
         self._discarding = False
         self._drop_input()
         self._enter(connections.Phase.DRAINING)
-        self._transport.write_eof()
+        if not self._transport.is_closing():
+            self._transport.write_eof()
         self.resume_reading()
 
-    def _send(self, response: Response) -> None:
+    def _send(self, response: http_messages.Response) -> None:
         self._close_after_write |= (
             response.close
             or self._server.stopping
@@ -819,42 +736,14 @@
         else:
             self._enter(connections.Phase.HEAD, len(self._input) - self._start)
 
-    def _write(self, response: Response, close: bool) -> int:
+    def _write(self, response: http_messages.Response, close: bool) -> int:
         """Writes a response; returns its size in bytes."""
         with_body = self._request is None or self._request.method != "HEAD"
-        data = _encode(response, close, with_body)
+        data = http_messages.encode(response, close, with_body)
         self._transport.write(data)
         return len(data)
 
 
-def error_response(status: int, reason: str, **fields: str) -> Response:
-    """Returns a response that explains a refusal in JSON.
-
-    Args:
-      status: its status.
-      reason: why the request is refused.
-      **fields: header fields, with underscores for hyphens.
-    """
-    return Response(
-        status,
-        orjson.dumps({"error": reason}),
-        fields=tuple((n.replace("_", "-"), v) for n, v in fields.items()),
-    )
-
-
-def _encode(response: Response, close: bool, with_body: bool) -> bytes:
-    lines = [
-        f"HTTP/1.1 {response.status} {http.HTTPStatus(response.status).phrase}",
-        f"Content-Type: {response.content_type}",
-        f"Content-Length: {len(response.body)}",
-        f"Date: {email.utils.formatdate(usegmt=True)}",
-        f"Connection: {'close' if close else 'keep-alive'}",
-        *(f"{name}: {value}" for name, value in response.fields),
-    ]
-    head = "\r\n".join(lines).encode() + _HEAD_END
-    return head + response.body if with_body else head
-
-
 def _bind(ip: str, port: int) -> socket.socket:
     """Returns a socket whose connections inherit its small buffers."""
     bound = socket.socket()
--- a/packages/placer/tests/test_http_server.py
+++ b/packages/placer/tests/test_http_server.py
@@ -7,6 +7,7 @@
 import builders
 from laburnumgate_core import clock
 from laburnumgate_core import connections
+from laburnumgate_placer import http_messages
 from laburnumgate_placer import http_server
 import pytest
 
@@ -41,16 +42,16 @@
         return self.refusal or self.body_limit
 
     def refuse(self, request, status, reason):
-        return http_server.error_response(status, reason)
+        return http_messages.error_response(status, reason)
 
     async def respond(self, request, body):
         self.requests.append((request.method, request.path, len(body)))
         await self.released.wait()
         text = f"{request.method} {request.path} {len(body)};"
-        return http_server.Response(200, text.encode())
+        return http_messages.Response(200, text.encode())
 
     def interrupted(self, request):
-        return http_server.error_response(504, "stopping")
+        return http_messages.error_response(504, "stopping")
 
     def unsent(self, request, response):
         self.gone.append(request.path)
@@ -237,7 +238,7 @@
     """Guards against clients that reconnect after each refusal."""
 
     async def scenario(setting):
-        setting.application.refusal = http_server.error_response(401, "key")
+        setting.application.refusal = http_messages.error_response(401, "key")
         reader, writer = await setting.connect(
             _head("POST", "/1", "Content-Length: 5000")
         )
