Leave half of the descriptors for connections to endpoints

docs/CAPACITY.md has leaders with up to 1,328 connections at 30 machines. With three quarters for callers, a leader with 4,100 descriptors that is pressed by silent callers would keep 975 for endpoints. Hosts that do not lead had at most 12 connections there, so half is far beyond what callers use.

--- a/packages/core/src/laburnumgate_core/connections.py
+++ b/packages/core/src/laburnumgate_core/connections.py
@@ -45,9 +45,9 @@
 _MIN_SHARE = 1 / 16
 # Descriptors that the platform reserves for files.
 _FILE_DESCRIPTORS = 200
-# Part of the other descriptors that callers may use; the rest is left for
-# connections to the log, to endpoints and to other services.
-_CALLERS_SHARE = 0.75
+# Part of the other descriptors that callers may use. The rest is left for the
+# log and other services; a leader keeps several connections to each endpoint.
+_CALLERS_SHARE = 0.5
 
 
 class Reason(enum.Enum):
--- a/packages/core/tests/test_connections.py
+++ b/packages/core/tests/test_connections.py
@@ -142,7 +142,7 @@
 def test_descriptors_are_left_for_other_connections():
     """Guards against callers that take the connections to the log."""
     limits = connections.callers_limits(memory_mb=160, max_fds=3_075)
-    assert limits.connections == 2_156
+    assert limits.connections == 1_437
 
 
 def test_time_in_which_nothing_is_read_is_not_the_clients():
--- a/packages/host/src/laburnumgate_host/settings.py
+++ b/packages/host/src/laburnumgate_host/settings.py
@@ -134,7 +134,7 @@
     )
     descriptors: int = _field(
         "Maximum number of open descriptors of the process; callers may use "
-        "three quarters of them.",
+        "half of them, without 200 for files.",
         ge=256,
     )
 
