Look up the memory of the process whatever connections hold

The budget was computed from what the process held when it began until connections held 2 MiB. A crowd that arrives within a second on a process that has grown since then got memory that was in use. It is looked up once a second now.

--- a/packages/core/src/laburnumgate_core/connections.py
+++ b/packages/core/src/laburnumgate_core/connections.py
@@ -221,6 +221,11 @@
     def __len__(self) -> int:
         return len(self._by_key)
 
+    @property
+    def adapts(self) -> bool:
+        """Whether the budget depends on the memory of the process."""
+        return self.limits.min_bytes < self.limits.max_bytes
+
     @property
     def budget_bytes(self) -> int:
         """Memory that connections may hold together."""
--- a/packages/placer/src/laburnumgate_placer/http_server.py
+++ b/packages/placer/src/laburnumgate_placer/http_server.py
@@ -38,8 +38,6 @@
 # A refused client that sends more than this is cut off.
 _MAX_DRAINED_BYTES = 1 << 20
 _TICK_S = 1.0
-# Below this memory of connections that of the process is not looked up.
-_UNOBSERVED_BYTES = 2 << 20
 _CLOSE_POLL_INTERVAL_S = 0.02
 # Time in which the responses to interrupted requests are sent.
 _INTERRUPTED_ANSWER_S = 0.2
@@ -240,7 +238,7 @@
 
     def tick(self) -> None:
         """Closes connections whose time is over, and reports on the others."""
-        if self.table.held_bytes > _UNOBSERVED_BYTES:
+        if self.table.adapts:
             _observe_process(self.table)
         for close in self.table.expired():
             self._close(close)
--- a/packages/placer/tests/test_http_server.py
+++ b/packages/placer/tests/test_http_server.py
@@ -418,6 +418,23 @@
     assert turns > 400_000 / 2_000
 
 
+def test_the_budget_follows_the_process_without_connections():
+    """Guards against a budget from the memory that a process began with."""
+
+    async def scenario(setting):
+        setting.server.tick()
+        before = setting.table.budget_bytes
+        block = bytearray(b"x" * (64 * _MIB))
+        setting.server.tick()
+        return before - setting.table.budget_bytes, len(block)
+
+    limits = connections.ConnectionLimits(
+        process_bytes=1 << 40, max_bytes=1 << 40
+    )
+    shrunk, _ = _play(scenario, limits)
+    assert shrunk > 32 * _MIB
+
+
 def test_clients_that_send_much_take_turns(monkeypatch):
     """Guards against short requests that wait for all that others have sent."""
     done = []
