Split connections from the HTTP server

One module reads and answers one connection, the other listens and shares out the event loop's time.

--- a/packages/placer/tests/test_http_server.py
+++ b/packages/placer/tests/test_http_server.py
@@ -7,6 +7,7 @@
 import builders
 from laburnumgate_core import clock
 from laburnumgate_core import connections
+from laburnumgate_placer import http_connection
 from laburnumgate_placer import http_messages
 from laburnumgate_placer import http_server
 import pytest
@@ -438,14 +439,14 @@
 def test_clients_that_send_much_take_turns(monkeypatch):
     """Guards against short requests that wait for all that others have sent."""
     done = []
-    advance = http_server.Connection.advance
+    advance = http_connection.Connection.advance
 
     def note_work(connection, max_work):
         work, unfinished = advance(connection, max_work)
         done.append((id(connection), work))
         return work, unfinished
 
-    monkeypatch.setattr(http_server.Connection, "advance", note_work)
+    monkeypatch.setattr(http_connection.Connection, "advance", note_work)
 
     async def scenario(setting):
         setting.application.body_limit = _MIB
