Keep the kernel's bytes apart from those of the process

The memory of the rest of a process was taken to be what is resident less what connections hold. The part that the kernel keeps for connections that are not read is not resident, so that the budget grew by it: 100 connections that were not read gave 6 MB more than there was. The new test fails without the change.

--- a/packages/core/src/laburnumgate_core/connections.py
+++ b/packages/core/src/laburnumgate_core/connections.py
@@ -212,6 +212,8 @@
         self._clock = time
         # Memory of the process besides connections.
         self._other_bytes = 0
+        # Number of connections that are not read.
+        self._paused = 0
         self._by_key: dict[object, _Connection] = {}
         # Connections by phase, the one without progress for longest first.
         self._by_phase: dict[Phase, collections.OrderedDict] = {
@@ -238,8 +240,10 @@
         return len(self._by_phase[phase])
 
     def observe_process(self, resident_bytes: int) -> None:
-        """Takes note of the memory that the whole process holds."""
-        self._other_bytes = max(0, resident_bytes - self.held_bytes)
+        """Takes note of the resident memory of the whole process."""
+        # What the kernel keeps of connections is not resident.
+        resident = self.held_bytes - self._paused * PAUSED_BYTES
+        self._other_bytes = max(0, resident_bytes - resident)
 
     def opened(self, key: object) -> Decision:
         """Admits a new connection, or refuses it if no other can yield."""
@@ -265,6 +269,7 @@
             return
         del self._by_phase[connection.phase][key]
         self.held_bytes -= connection.cost
+        self._paused -= connection.paused
 
     def enter(self, key: object, phase: Phase, payload: int = 0) -> Decision:
         """Moves a connection to a phase in which it holds `payload` bytes."""
@@ -290,6 +295,7 @@
         if connection.paused:
             return _GRANTED
         connection.paused = True
+        self._paused += 1
         connection.cost += PAUSED_BYTES
         self.held_bytes += PAUSED_BYTES
         closes = self._make_room(key, 0)
@@ -302,6 +308,7 @@
         if connection is None or not connection.paused:
             return
         connection.paused = False
+        self._paused -= 1
         connection.cost -= PAUSED_BYTES
         self.held_bytes -= PAUSED_BYTES
         # The time in which it was not read is not the client's.
--- a/packages/core/tests/test_connections.py
+++ b/packages/core/tests/test_connections.py
@@ -139,6 +139,21 @@
     assert table.budget_bytes == 40 * _MIB
 
 
+def test_bytes_in_the_kernel_are_not_taken_for_resident_ones():
+    """Guards against a budget that grows by what the kernel keeps unread."""
+    table, _ = _table(connections.callers_limits(160, 3_075))
+    for key in range(100):
+        _open(table, key)
+        table.paused(key)
+    resident = 100 * connections.CONNECTION_BYTES
+    table.observe_process(80 * _MIB + resident)
+    assert table.budget_bytes == 40 * _MIB
+    for key in range(100):
+        table.closed(key)
+    table.observe_process(80 * _MIB)
+    assert table.budget_bytes == 40 * _MIB
+
+
 def test_descriptors_are_left_for_other_connections():
     """Guards against callers that take the connections to the log."""
     limits = connections.callers_limits(memory_mb=160, max_fds=3_075)
