Read the log before a submission without memory is told "not run"

A repeated submission may have been accepted by another host a moment ago. Refused without its body being read, it was told 503, which says that the job never runs, unless this host knew the job already.

--- a/deploy/tests/test_callers.py
+++ b/deploy/tests/test_callers.py
@@ -21,6 +21,7 @@
 _ID = "5c0e7a21d94b36f8"
 _JOB = {"task_spec": "text", "steps": [{"count": 2, "cpu": 500}]}
 _BODY = orjson.dumps(_JOB)
+_LIMITS = connections.ConnectionLimits()
 
 
 class _Intake:
@@ -32,6 +33,7 @@
         self.verdict = verdict
         self.submitted = []
         self.pause_s = 0.0
+        self.not_read_verdict = intake.NotRun("no memory")
 
     def admit(self, hostname, path, key):
         return self.table.admit(hostname, path, key)
@@ -42,6 +44,9 @@
     def not_run(self, job_id, reason):
         return intake.NotRun(reason)
 
+    async def not_read(self, job_id, reason):
+        return self.not_read_verdict
+
     async def submit(self, job, wait_ms):
         self.submitted.append((job, wait_ms))
         await asyncio.sleep(self.pause_s)
@@ -72,10 +77,8 @@
     ).encode()
 
 
-async def _run_with_server(host, scenario):
-    table = connections.ConnectionTable(
-        connections.ConnectionLimits(), clock.MonotonicClock()
-    )
+async def _run_with_server(host, scenario, limits=_LIMITS):
+    table = connections.ConnectionTable(limits, clock.MonotonicClock())
     server = http_server.Server("callers", callers.CallerApi(host), table)
     await server.start("127.0.0.1", 0)
     port = server.port
@@ -367,3 +370,29 @@
     with pytest.raises(decoding.BodyError, match="steps"):
         decoding.decode_job(_ID, builders.QUEUE, "mina", body)
     assert not decoded
+
+
+@pytest.mark.parametrize(
+    ("verdict", "status"),
+    [
+        (intake.NotRun("no memory"), b"503"),
+        (intake.MayHaveRun("no memory"), b"504"),
+    ],
+)
+def test_a_submission_without_memory_is_told_the_truth(verdict, status):
+    """Guards against "not run" for a job that an earlier attempt handed in."""
+    host = _host(intake.Accepted())
+    host.intake.not_read_verdict = verdict
+    limits = connections.ConnectionLimits(min_bytes=100_000, max_bytes=100_000)
+
+    async def scenario(server, port):
+        reader, writer = await asyncio.open_connection("127.0.0.1", port)
+        writer.write(_post_head(b"x" * 90_000) + b"x" * 50_000)
+        answer = await reader.read()
+        writer.close()
+        return answer
+
+    answer = builders.run(_run_with_server(host, scenario, limits))
+    assert answer.startswith(b"HTTP/1.1 " + status)
+    assert (b"Retry-After" in answer) == (status == b"503")
+    assert not host.intake.submitted
--- a/packages/placer/src/laburnumgate_placer/http_connection.py
+++ b/packages/placer/src/laburnumgate_placer/http_connection.py
@@ -1,6 +1,7 @@
 """One connection of `http_server`: reads, parses and answers requests."""
 
 import asyncio
+from collections.abc import Coroutine
 import logging
 import re
 from typing import TYPE_CHECKING
@@ -49,6 +50,15 @@
         """Returns the response to an admitted request that is not handled."""
         ...
 
+    async def refuse_unread(
+        self, request: http_messages.Request, reason: str
+    ) -> http_messages.Response:
+        """Returns the response to a request for which there is no memory.
+
+        It says that the request has no effect only if that is certain.
+        """
+        ...
+
     async def respond(
         self, request: http_messages.Request, body: bytes
     ) -> http_messages.Response:
@@ -210,11 +220,10 @@
         """Stops reading until the next turn; returns False if refused."""
         if self._pause_reading():
             return True
-        self._server.count(connections.Reason.NO_MEMORY)
-        if self._phase is connections.Phase.BODY and not self._discarding:
-            self._send_and_drain(self._refusal(503, _NO_MEMORY_TEXT))
-        else:
+        if self._discarding:
             self.abort()
+        else:
+            self._refuse_for_memory()
         return False
 
     def resume_reading(self) -> None:
@@ -416,12 +425,9 @@
     def _handle(self, body: bytes) -> None:
         """Passes a complete request to the application."""
         if not self._enter(connections.Phase.HANDLING, len(body)):
-            self._server.count(connections.Reason.NO_MEMORY)
-            self._send(self._refusal(503, _NO_MEMORY_TEXT))
+            self._refuse_for_memory()
             return
-        task = asyncio.create_task(self._respond(self._request, body))
-        self._server.tasks.add(task)
-        task.add_done_callback(self._server.tasks.discard)
+        self._spawn(self._respond(self._request, body))
 
     async def _respond(
         self, request: http_messages.Request, body: bytes
@@ -452,24 +458,40 @@
         self._send(response)
         self._proceed()
 
-    def _refusal(self, status: int, reason: str) -> http_messages.Response:
-        return self._server.application.refuse(self._request, status, reason)
-
     def _refuse_long_body(self) -> None:
         self._server.count(connections.Reason.BODY_TOO_LONG)
         reason = f"the body is longer than {self._body_limit} bytes"
-        self._send_and_drain(self._refusal(413, reason))
+        self._send_and_drain(
+            self._server.application.refuse(self._request, 413, reason)
+        )
 
     def _refuse_for_memory(self) -> None:
         """Refuses the request that is being received."""
         if self._discarding:
             return
         self._server.count(connections.Reason.NO_MEMORY)
-        if self._phase is connections.Phase.BODY:
-            self._refuse_body(self._refusal(503, _NO_MEMORY_TEXT))
-        else:
+        if self._phase is connections.Phase.HEAD:
             # Nothing can be said about a request that is not known.
             self.abort()
+            return
+        self._drop_input()
+        self._enter(connections.Phase.DRAINING)
+        self.resume_reading()
+        self._spawn(self._respond_unread(self._request))
+
+    async def _respond_unread(self, request: http_messages.Request) -> None:
+        application = self._server.application
+        response = await application.refuse_unread(request, _NO_MEMORY_TEXT)
+        if self._transport is None or self._transport.is_closing():
+            application.unsent(request, response)
+            return
+        self._write(response, close=True)
+        self._transport.write_eof()
+
+    def _spawn(self, work: Coroutine) -> None:
+        task = asyncio.create_task(work)
+        self._server.tasks.add(task)
+        task.add_done_callback(self._server.tasks.discard)
 
     def _refuse_body(self, response: http_messages.Response) -> None:
         """Responds before the body has arrived, which is then dropped."""
--- a/packages/placer/src/laburnumgate_placer/http_messages.py
+++ b/packages/placer/src/laburnumgate_placer/http_messages.py
@@ -132,7 +132,9 @@
     return Response(
         status,
         orjson.dumps({"error": reason}),
-        fields=tuple((n.replace("_", "-"), v) for n, v in fields.items()),
+        fields=tuple(
+            (n.replace("_", "-").title(), v) for n, v in fields.items()
+        ),
     )
 
 
--- a/packages/placer/src/laburnumgate_placer/intake.py
+++ b/packages/placer/src/laburnumgate_placer/intake.py
@@ -271,11 +271,12 @@
             return MayHaveRun(reason)
         return NotRun(reason)
 
-    def not_read(self, job_id: str, reason: str) -> NotRun | MayHaveRun:
+    async def not_read(self, job_id: str, reason: str) -> NotRun | MayHaveRun:
         """Returns the verdict on a submission whose body was not read.
 
-        A job that is known under its id was accepted from an earlier attempt.
+        An earlier attempt may have been accepted, also by another host.
         """
+        await self._jobs_feed.catch_up(CATCH_UP_TIMEOUT_MS)
         if job_id in self._jobs.jobs_by_id:
             return MayHaveRun(reason)
         return self.not_run(job_id, reason)
--- a/packages/placer/tests/test_http_server.py
+++ b/packages/placer/tests/test_http_server.py
@@ -45,6 +45,10 @@
     def refuse(self, request, status, reason):
         return http_messages.error_response(status, reason)
 
+    async def refuse_unread(self, request, reason):
+        await asyncio.sleep(0)
+        return http_messages.error_response(503, reason)
+
     async def respond(self, request, body):
         self.requests.append((request.method, request.path, len(body)))
         await self.released.wait()
--- a/packages/placer/tests/test_intake_rejections.py
+++ b/packages/placer/tests/test_intake_rejections.py
@@ -298,3 +298,18 @@
     host = _Host()
     verdict = builders.run(_cancel(host, "a" * 16, lambda: None))
     assert verdict == intake.NoSuchJob()
+
+
+def test_a_job_that_was_accepted_is_never_said_not_to_run():
+    """Guards against "not run" for a repeated submission that is not read."""
+
+    async def play():
+        host = _Host()
+        job = builders.job()
+        before = await host.intake.not_read(job.job_id, "no memory")
+        host.jobs.apply(records.Submitted(job))
+        return before, await host.intake.not_read(job.job_id, "no memory")
+
+    before, after = builders.run(play())
+    assert isinstance(before, intake.NotRun)
+    assert isinstance(after, intake.MayHaveRun)
