--- a/packages/placer/tests/test_http_server.py
+++ b/packages/placer/tests/test_http_server.py
@@ -366,6 +366,28 @@
     assert _statuses(_play(scenario)) == statuses
 
 
+def test_a_body_over_a_slow_link_is_served():
+    """Guards against timeouts that a legal body meets on a slow link."""
+
+    async def scenario(setting):
+        reader, writer = await setting.connect(
+            _head("POST", "/slow", "Content-Length: 10000", last=True)
+        )
+        body = connections.Phase.BODY
+        await setting.until(lambda: setting.table.count(body))
+        for _ in range(10):
+            before = setting.table.held_bytes
+            writer.write(b"x" * 1_000)
+            await setting.until(lambda b=before: setting.table.held_bytes != b)
+            setting.clock.advance(4_000)
+            setting.server.tick()
+        answer = await reader.read()
+        writer.close()
+        return answer
+
+    assert _statuses(_play(scenario)) == [200]
+
+
 def test_responses_that_are_not_read_stop_the_requests():
     """Guards against a queue of responses for a client that reads none."""
 
