Ask a machine's later endpoint again while its earlier one is silent

Cause: an endpoint that is silent ends once a later one of its machine has answered after it. The times are whole milliseconds, and an idle endpoint isn't asked again, so that two answers within one millisecond left the earlier endpoint silent until it left the live list.

Change: the later endpoint is asked again if its last answer isn't later than that of the silent one.

Result: the new test fails without the change for gaps of 0 and 10 ms.

--- a/packages/placer/src/laburnumgate_placer/endpoint_table.py
+++ b/packages/placer/src/laburnumgate_placer/endpoint_table.py
@@ -77,8 +77,8 @@
       unconfirmed_starts: monotonic time of the newest start without an answer,
         by task and run; a copy may be in flight, even after the run has ended.
       restart: the restart that a report showed, None for none.
-      doubted: whether an endpoint of its machine with a later start is listed
-        and this one has not reported since.
+      doubted: whether it has to report before it gets new runs, as another
+        endpoint of its machine is listed or silent.
       ended: whether the incarnation has ended, so that nothing runs there.
       unreachable_ms: monotonic time at which it last became unreachable, 0 for
         never.
--- a/packages/placer/src/laburnumgate_placer/live_list.py
+++ b/packages/placer/src/laburnumgate_placer/live_list.py
@@ -213,7 +213,8 @@
         """Ends silent incarnations whose machine answers as a later one.
 
         That a later time of day is listed proves nothing: the time may have
-        been set back between the two, and the entry may be a stale one.
+        been set back between the two, and the entry may be a stale one. A later
+        one that has not answered since the silent one did is asked again.
         """
         by_id = self._tables.endpoints.by_id
         silent = [
@@ -231,13 +232,15 @@
                 )
         for state in silent:
             for other in contacted_by_machine.get(state.info.machine, ()):
-                if (
-                    other.info.born_ms > state.info.born_ms
-                    and other.last_answer_ms > state.last_answer_ms
-                ):
+                if other.info.born_ms <= state.info.born_ms:
+                    continue
+                if other.last_answer_ms > state.last_answer_ms:
                     lifecycle.end_incarnation(
                         self._tables, state, "its machine has a newer endpoint"
                     )
+                    break
+                # An idle endpoint is not asked again otherwise.
+                other.doubted = True
 
     def _drain(self, state: endpoint_table.EndpointState) -> None:
         """Stops runs on a draining endpoint that have to move.
--- a/packages/placer/tests/test_live_list.py
+++ b/packages/placer/tests/test_live_list.py
@@ -154,6 +154,36 @@
     assert not newer.ended
 
 
+def _needs_renewal(tables, state):
+    reader = watcher.Watcher(
+        None, tables, state, None, lambda: True, lambda reason: None
+    )
+    return reader._needs_renewal()
+
+
+@pytest.mark.parametrize("gap_ms", [0, 10])
+def test_a_later_endpoint_is_asked_again_when_the_earlier_one_is_silent(gap_ms):
+    """Guards against a replaced endpoint that counts as silent for ever.
+
+    Both had answered within the same millisecond, and the later one was idle.
+    """
+    tables, listed, older, newer = _list_two_of_a_machine()
+    _report_from(tables, newer)
+    tables.monotonic.advance(gap_ms)
+    _report_from(tables, older)
+    older.mark_unreachable(tables.monotonic.now_ms(), "test")
+    assert not _needs_renewal(tables, newer)
+    listed.add_restarted()
+    assert not older.ended
+    assert _needs_renewal(tables, newer)
+    tables.monotonic.advance(1)
+    _report_from(tables, newer)
+    listed.add_restarted()
+    assert older.ended
+    assert not newer.ended
+    assert not _needs_renewal(tables, newer)
+
+
 def test_an_endpoint_that_answered_after_a_later_one_goes_on():
     """Guards against the end of a life that followed the one listed later."""
     tables, listed, older, newer = _list_two_of_a_machine()
@@ -214,9 +244,6 @@
     now_ms = tables.monotonic.now_ms()
     reports.apply(tables, before, builders.report(before), now_ms)
     listed.apply(ports.Entry(2, "e1", None))
-    reader = watcher.Watcher(
-        None, tables, before, None, lambda: True, lambda reason: None
-    )
-    assert not reader._needs_renewal()
+    assert not _needs_renewal(tables, before)
     listed.apply(ports.Entry(3, "e2", b"1"))
-    assert reader._needs_renewal()
+    assert _needs_renewal(tables, before)
