Keep large requests out of the memory reserved for small ones

Cause: an eighth of the budget is for requests of up to 16 KiB, but what the kernel holds for a connection that waits for its turn counted against the whole budget, whatever the request; and a body of which less than 16 KiB had arrived counted as small, although its length was known.

Change: a connection is large once its request is known to be, and stays so until the next one.

Result: both new tests fail without the change.

--- a/packages/core/src/laburnumgate_core/connections.py
+++ b/packages/core/src/laburnumgate_core/connections.py
@@ -179,6 +179,7 @@
     __slots__ = (
         "began_ms",
         "cost",
+        "large",
         "marked_ms",
         "paused",
         "phase",
@@ -188,6 +189,8 @@
     def __init__(self, now_ms: int):
         self.phase = Phase.IDLE
         self.cost = CONNECTION_BYTES
+        # Whether its request is longer than SMALL_REQUEST_BYTES.
+        self.large = False
         # Whether it is not read.
         self.paused = False
         # Start of the phase.
@@ -259,7 +262,7 @@
         self._by_key[key] = connection
         self._by_phase[Phase.IDLE][key] = None
         self.held_bytes += connection.cost
-        closes.extend(self._make_room(key, CONNECTION_BYTES))
+        closes.extend(self._make_room(key, connection))
         return Decision(True, tuple(closes))
 
     def closed(self, key: object) -> None:
@@ -282,6 +285,7 @@
             connection.phase = phase
             connection.began_ms = connection.marked_ms = self._clock.now_ms()
             connection.unmarked_bytes = 0
+            connection.large = False
         return self._hold(key, connection, payload)
 
     def paused(self, key: object) -> Decision:
@@ -298,8 +302,8 @@
         self._paused += 1
         connection.cost += PAUSED_BYTES
         self.held_bytes += PAUSED_BYTES
-        closes = self._make_room(key, 0)
-        fits = self.held_bytes <= self._limit_bytes(0)
+        closes = self._make_room(key, connection)
+        fits = self.held_bytes <= self._limit_bytes(connection)
         return Decision(fits, tuple(closes))
 
     def resumed(self, key: object) -> None:
@@ -366,6 +370,8 @@
     def _hold(
         self, key: object, connection: _Connection, payload: int
     ) -> Decision:
+        # A body is announced with its length before it arrives.
+        connection.large |= payload > SMALL_REQUEST_BYTES
         cost = _cost(connection.phase, payload)
         if connection.paused:
             cost += PAUSED_BYTES
@@ -374,19 +380,20 @@
         connection.cost = cost
         if grown <= 0 or connection.phase in (Phase.SENDING, Phase.DRAINING):
             return _GRANTED
-        closes = self._make_room(key, payload)
-        fits = self.held_bytes <= self._limit_bytes(payload)
+        closes = self._make_room(key, connection)
+        fits = self.held_bytes <= self._limit_bytes(connection)
         return Decision(fits, tuple(closes))
 
-    def _limit_bytes(self, payload: int) -> int:
+    def _limit_bytes(self, connection: _Connection) -> int:
+        """Returns the memory up to which a connection may take more."""
         budget = self.budget_bytes
-        if payload > SMALL_REQUEST_BYTES:
+        if connection.large:
             return int(budget * (1 - SMALL_REQUEST_SHARE))
         return budget
 
-    def _make_room(self, key: object, payload: int) -> list[Close]:
+    def _make_room(self, key: object, connection: _Connection) -> list[Close]:
         """Makes others yield until the connections fit into the budget."""
-        limit = self._limit_bytes(payload)
+        limit = self._limit_bytes(connection)
         closes = []
         while self.held_bytes > limit:
             victim = self._pick_victim(STALL_MS, but=key)
--- a/packages/core/tests/test_connections.py
+++ b/packages/core/tests/test_connections.py
@@ -119,6 +119,49 @@
     assert table.enter(4, _Phase.BODY, 8 * _KIB).granted
 
 
+def _begin_bodies(number):
+    """Returns a table in which large bodies were announced."""
+    limits = connections.ConnectionLimits(
+        connections=100, min_bytes=_MIB, max_bytes=_MIB
+    )
+    table, _ = _table(limits)
+    for key in range(number):
+        _open(table, key)
+        assert table.enter(key, _Phase.HEAD, 100).granted
+        assert table.enter(key, _Phase.BODY, 100 * _KIB).granted
+        assert table.received(key, 0, 0).granted
+    return table
+
+
+def test_large_requests_that_wait_leave_room_for_small_ones():
+    """Guards against small requests that are refused while they wait.
+
+    Large ones that were not read had filled the budget.
+    """
+    table = _begin_bodies(20)
+    for key in range(20):
+        if not table.paused(key).granted:
+            table.enter(key, _Phase.DRAINING)
+            table.resumed(key)
+    _open(table, "small")
+    assert table.enter("small", _Phase.HEAD, 100).granted
+    assert table.paused("small").granted
+
+
+def test_a_large_request_is_large_before_it_has_arrived():
+    """Guards against large bodies that take the room of small requests.
+
+    Of each a part had arrived that was as short as a small request.
+    """
+    table = _begin_bodies(60)
+    size = 15 * _KIB
+    for key in range(60):
+        if not table.received(key, size, size).granted:
+            table.enter(key, _Phase.DRAINING)
+    _open(table, "small")
+    assert table.enter("small", _Phase.BODY, size).granted
+
+
 def test_the_budget_shrinks_with_the_memory_of_the_process():
     """Guards against a budget that ignores jobs, queues and fragmentation."""
     limits = connections.callers_limits(memory_mb=160, max_fds=3_075)
