--- a/deploy/tests/test_callers.py
+++ b/deploy/tests/test_callers.py
@@ -3,6 +3,7 @@
 import asyncio
 import contextlib
 import logging
+import time
 import types
 
 import aiohttp
@@ -12,6 +13,7 @@
 from laburnumgate_core import clock
 from laburnumgate_core import connections
 from laburnumgate_placer import config_table
+from laburnumgate_placer import http_messages
 from laburnumgate_placer import http_server
 from laburnumgate_placer import intake
 from laburnumgate_placer import model
@@ -396,3 +398,93 @@
     assert answer.startswith(b"HTTP/1.1 " + status)
     assert (b"Retry-After" in answer) == (status == b"503")
     assert not host.intake.submitted
+
+
+async def _submit_at_once(host, bodies, wait_ms=2_000):
+    """Returns the statuses of submissions that are complete at once."""
+    api = callers.CallerApi(host)
+    fields = {
+        "host": "h.example",
+        "x-laburnumgate-credential": "key-1",
+        "x-laburnumgate-deadline-ms": str(wait_ms),
+    }
+    request = http_messages.Request("POST", f"/reviews/{_ID}", fields, 0, True)
+    responses = await asyncio.gather(
+        *(api.respond(request, body) for body in bodies)
+    )
+    return [response.status for response in responses]
+
+
+def _padded(size):
+    return _BODY.ljust(size)
+
+
+def test_large_submissions_leave_turns_to_other_tasks(monkeypatch):
+    """Guards against leases that run out while many jobs are decoded.
+
+    60 jobs of 13,000 steps kept a host busy for 2.8 s without a turn for
+    anything else.
+    """
+    decode = decoding.decode_job
+    turns = []
+    turn = 0
+
+    def count_and_decode(*values):
+        turns.append(turn)
+        return decode(*values)
+
+    async def play():
+        nonlocal turn
+        monkeypatch.setattr(decoding, "decode_job", count_and_decode)
+        host = _host(intake.Accepted())
+        bodies = [_padded(50_000)] * 10
+        task = asyncio.create_task(_submit_at_once(host, bodies))
+        while not task.done():
+            turn += 1
+            await asyncio.sleep(0)
+        return await task
+
+    assert builders.run(play()) == [200] * 10
+    assert len(turns) == 10
+    assert len(set(turns)) == 10
+
+
+@pytest.mark.parametrize(
+    ("verdict", "late"),
+    [(intake.NotRun("no time"), 503), (intake.MayHaveRun("no time"), 504)],
+)
+def test_a_submission_that_waits_too_long_is_told_the_truth(
+    verdict, late, monkeypatch
+):
+    """Guards against a job that is stored after its caller has given up."""
+    host = _host(intake.Accepted())
+    host.intake.not_read_verdict = verdict
+    decode = decoding.decode_job
+
+    def decode_slowly(*values):
+        time.sleep(0.03)
+        return decode(*values)
+
+    monkeypatch.setattr(decoding, "decode_job", decode_slowly)
+    bodies = [_padded(50_000)] * 4
+    statuses = builders.run(_submit_at_once(host, bodies, wait_ms=20))
+    assert statuses == [200, 200, late, late]
+    assert len(host.intake.submitted) == 2
+
+
+def test_a_key_that_is_removed_while_a_submission_waits_is_refused():
+    """Guards against a permission that is older than the order it allows."""
+    host = _host(intake.Accepted())
+
+    async def play():
+        bodies = [_padded(50_000)] * 2
+        task = asyncio.create_task(_submit_at_once(host, bodies))
+        await asyncio.sleep(0)
+        await asyncio.sleep(0)
+        account = builders.replace(builders.ACCOUNT, keys=frozenset())
+        host.intake.table.publish(
+            2, builders.config(accounts=(account,), version=2)
+        )
+        return await task
+
+    assert builders.run(play()) == [200, 401]
