Turn jobs away that would not fit into the memory of a leader

60 jobs of 20,000 tasks, in bodies of 51 bytes, took 559 MB of a machine's 160; 60 of 10,000 occurrences 742 MB, 60 of 9,300 steps 190 MB (trials). The process would be killed, and so would the next leader.

Cause: nothing limited accepted jobs. Connections give their memory back with the response; a job stays on every host until it is forgotten, and the leader holds its tasks.

Change: `job_memory` estimates what known jobs, and those that are being stored, need on a leader. A job that does not fit into a third of the machine's memory gets 503 with cause `memory`; jobs of over 256 KiB get half of it. Not taken: the resident memory, which is lower on hosts that do not lead and does not shrink.

--- a/deploy/tests/test_crowds.py
+++ b/deploy/tests/test_crowds.py
@@ -11,6 +11,7 @@
 import os
 
 import crowd
+import orjson
 import pytest
 
 _SENT_BYTES = 3 << 20
@@ -18,6 +19,7 @@
 _LIMITS = crowd.Limits()
 _JOB_ID = "5c0e7a21d94b36f8"
 _PATH = f"/jobs/{_JOB_ID}"
+_TAKE_UP_S = 3.0
 
 
 def _repeat(first: bytes, piece: bytes, size: int = _SENT_BYTES):
@@ -160,6 +162,51 @@
     assert ready == b"HTTP/1.1 200"
 
 
+_STEP = {"count": 1, "cpu": 100, "mem_mb": 1}
+_LARGE_JOBS = {
+    "many tasks": {"steps": [_STEP | {"count": 20_000}]},
+    "many steps": {"steps": [{"count": 1, "cpu": 1}] * 9_300},
+    "many occurrences": {
+        "steps": [_STEP],
+        "repeat_count": 10_000,
+        "start_at_ms": 1,
+        "interval_ms": 1,
+    },
+}
+
+
+@pytest.mark.parametrize("name", _LARGE_JOBS)
+def test_accepted_jobs_fit_into_the_memory(name, tmp_path):
+    """Guards against jobs with short bodies that exhaust the memory.
+
+    Accepted jobs were not limited: 60 of 20,000 tasks, with bodies of 51 bytes,
+    took 559 MB.
+    """
+    body = orjson.dumps({"task_spec": "text", **_LARGE_JOBS[name]})
+
+    def submission(number):
+        return crowd.head(
+            "POST",
+            f"/jobs/{number:016x}",
+            f"Content-Length: {len(body)}",
+            "Connection: close",
+        )
+
+    async def play():
+        async with crowd.running(tmp_path, _LIMITS) as process:
+            await asyncio.gather(
+                *(process.ask(submission(n), body) for n in range(60))
+            )
+            # The leader takes up accepted jobs after their callers are told.
+            await asyncio.sleep(_TAKE_UP_S)
+            served = await process.is_served()
+            return served, crowd.problems(process)
+
+    served, problems = asyncio.run(play())
+    assert not problems
+    assert served
+
+
 _OWN_LIMITS = crowd.Limits(memory_mb=256, max_fds=4_096)
 _OWN_BODY_BYTES = 262_144
 
--- a/packages/placer/src/laburnumgate_placer/intake.py
+++ b/packages/placer/src/laburnumgate_placer/intake.py
@@ -22,6 +22,7 @@
 from laburnumgate_placer import topics
 from laburnumgate_placer import writer
 from laburnumgate_placer.overload import admission
+from laburnumgate_placer.overload import job_memory
 
 _LOGGER = logging.getLogger(__name__)
 
@@ -144,6 +145,7 @@
         self._load = load
         self._policy = policy or policy_module.Policy()
         self._returns = admission.Returns()
+        self._submitting = job_memory.Submissions()
         # Submissions that may be stored, by job id, with the wall time until
         # which that is open.
         self._doubt_until_ms_by_id: dict[str, int] = {}
@@ -201,6 +203,9 @@
             return self._refuse(job.job_id, "the log does not answer")
         limit = self._config.limit(job.account)
         refusal = admission.beyond_limit(job, limit)
+        job_bytes = job_memory.estimate_bytes(job)
+        if refusal is None:
+            refusal = self._beyond_memory(job_bytes)
         report_age_ms = None
         if refusal is None:
             known, report_age_ms = self._backlog(job)
@@ -216,7 +221,11 @@
             if job.job_id in self._jobs.jobs_by_id:
                 return self._repeated(job)
             return self._turn_away(job, refusal, report_age_ms)
+        until_ms = self._wall.now_ms() + DOUBT_MS
+        self._submitting.add(job.job_id, job_bytes, until_ms)
         outcome = await self._submissions.append([record], _confirm_ms(wait_ms))
+        if isinstance(outcome, ports.NotAppended):
+            self._submitting.remove(job.job_id)
         return self._verdict(job, outcome)
 
     async def cancel(
@@ -359,6 +368,16 @@
             return NotRun("the id belongs to another job")
         return Accepted()
 
+    def _beyond_memory(self, job_bytes: int) -> admission.Refusal | None:
+        submitting = self._submitting.held_bytes(
+            self._jobs.jobs_by_id, self._wall.now_ms()
+        )
+        return job_memory.decide(
+            job_bytes,
+            self._jobs.held_bytes + submitting,
+            self._bounds.max_jobs_bytes,
+        )
+
     def _guaranteed_gpu(self, account: str) -> int:
         found = self._config.current.accounts_by_name.get(account)
         return found.guaranteed_gpu if found is not None else 0
--- a/packages/placer/src/laburnumgate_placer/job_table.py
+++ b/packages/placer/src/laburnumgate_placer/job_table.py
@@ -6,15 +6,22 @@
 from laburnumgate_placer import model
 from laburnumgate_placer import records
 from laburnumgate_placer.accounts import shares
+from laburnumgate_placer.overload import job_memory
 
 _LOGGER = logging.getLogger(__name__)
 
 
 class JobTable:
-    """Jobs and their states, built from the records applied so far."""
+    """Jobs and their states, built from the records applied so far.
+
+    Attributes:
+      jobs_by_id: the jobs.
+      held_bytes: estimate of the memory that they need on a leader.
+    """
 
     def __init__(self):
         self.jobs_by_id: dict[str, model.Job] = {}
+        self.held_bytes = 0
         self._states_by_id: dict[str, records.StateChanged] = {}
         self._cancelled_ids: set[str] = set()
         self._pending_by_queue: collections.Counter[str] = collections.Counter()
@@ -76,6 +83,7 @@
         if job.job_id in self.jobs_by_id:
             return False
         self.jobs_by_id[job.job_id] = job
+        self.held_bytes += job_memory.estimate_bytes(job)
         if self._submissions is not None:
             self._submissions.add(job)
         if self.state(job.job_id) == model.JobState.QUEUED:
@@ -87,8 +95,10 @@
 
     def _drop(self, job_id: str) -> None:
         job = self.jobs_by_id.pop(job_id, None)
-        if job is not None and self._submissions is not None:
-            self._submissions.remove(job)
+        if job is not None:
+            self.held_bytes -= job_memory.estimate_bytes(job)
+            if self._submissions is not None:
+                self._submissions.remove(job)
         self._states_by_id.pop(job_id, None)
         self._cancelled_ids.discard(job_id)
 
--- a/packages/placer/src/laburnumgate_placer/limits.py
+++ b/packages/placer/src/laburnumgate_placer/limits.py
@@ -37,6 +37,7 @@
       rate_window_ms: window in which the submissions of an account are
         compared with its weight.
       max_record_bytes: maximum size of a record of the log.
+      max_jobs_bytes: memory that all jobs together may need on a leader.
     """
 
     max_lease_ms: int = 10_000
@@ -57,6 +58,7 @@
     config_apply_ms: int = 3_000
     rate_window_ms: int = 5_000
     max_record_bytes: int = 262_144
+    max_jobs_bytes: int = 85 << 20
 
     @property
     def lease_ms(self) -> int:
--- a/packages/placer/src/laburnumgate_placer/overload/admission.py
+++ b/packages/placer/src/laburnumgate_placer/overload/admission.py
@@ -88,6 +88,7 @@
     BACKLOG = "backlog"
     NO_ENDPOINT = "no_endpoint"
     ACCOUNT_LIMIT = "account_limit"
+    MEMORY = "memory"
 
 
 @dataclasses.dataclass(frozen=True, slots=True)
--- a/packages/placer/tests/test_intake_rejections.py
+++ b/packages/placer/tests/test_intake_rejections.py
@@ -44,7 +44,7 @@
 class _Host:
     """The intake of one host, its log, and the report that it has read."""
 
-    def __init__(self, *, setting=True, accounts=()):
+    def __init__(self, *, setting=True, accounts=(), bounds=None):
         self.log = fakelog.FakeLog()
         monotonic = clock.MonotonicClock()
         self.wall = clock.ManualClock(1_000_000)
@@ -65,7 +65,7 @@
             self.jobs_feed,
             self.submissions,
             self.wall,
-            limits.Bounds(),
+            bounds or limits.Bounds(),
             lambda max_age_ms: self.report,
             policy.Policy(delay_cost_order=setting),
         )
@@ -170,6 +170,40 @@
     assert host.log.end(topics.JOBS) == 1
 
 
+@pytest.mark.parametrize("at_once", [False, True])
+def test_jobs_without_room_in_memory_are_turned_away(at_once, caplog):
+    """Guards against jobs of many tasks that exhaust a leader's memory.
+
+    60 jobs of 20,000 tasks, with bodies of 51 bytes, took 559 MB.
+    """
+    caplog.set_level(logging.INFO)
+    bounds = limits.Bounds(max_jobs_bytes=40 << 20)
+    host = _Host(setting=False, bounds=bounds)
+    host.report = None
+    jobs = [
+        builders.job(f"{number:016x}", builders.step(count=20_000))
+        for number in range(6)
+    ]
+    before = _rejected().get("memory", 0)
+    if at_once:
+        groups = [(job,) for job in jobs]
+    else:
+        groups = [jobs]
+
+    async def submit():
+        return await asyncio.gather(*(host.submit(*jobs) for jobs in groups))
+
+    verdicts = [each for group in builders.run(submit()) for each in group]
+    assert verdicts.count(intake.Accepted()) == 2
+    refused = [v for v in verdicts if isinstance(v, intake.NotRun)]
+    assert len(refused) == 4
+    assert all(v.retry_after_ms > 0 for v in refused)
+    assert {r.cause for r in _rejections(caplog)} == {"memory"}
+    assert _rejected()["memory"] == before + 4
+    (small,) = builders.run(host.submit(_job("b")))
+    assert small == intake.Accepted()
+
+
 def test_a_job_without_an_endpoint_delays_no_other_return():
     """Guards against 30 s for each caller after one impossible job.
 
