Count a repeated submission once in the memory of jobs

A submission whose outcome was in doubt counted itself when its caller sent it again, so that a large one could be turned away by its own first attempt. Seen on reading. A stored job without tasks would have ended the reading of the log with a division by zero; callers' requests cannot contain one, records can.

The new test of each fails without the change.

--- a/packages/placer/src/laburnumgate_placer/intake.py
+++ b/packages/placer/src/laburnumgate_placer/intake.py
@@ -205,7 +205,7 @@
         refusal = admission.beyond_limit(job, limit)
         job_bytes = job_memory.estimate_bytes(job)
         if refusal is None:
-            refusal = self._beyond_memory(job_bytes)
+            refusal = self._beyond_memory(job.job_id, job_bytes)
         report_age_ms = None
         if refusal is None:
             known, report_age_ms = self._backlog(job)
@@ -368,9 +368,12 @@
             return NotRun("the id belongs to another job")
         return Accepted()
 
-    def _beyond_memory(self, job_bytes: int) -> admission.Refusal | None:
+    def _beyond_memory(
+        self, job_id: str, job_bytes: int
+    ) -> admission.Refusal | None:
+        # An earlier attempt at this submission may count already.
         submitting = self._submitting.held_bytes(
-            self._jobs.jobs_by_id, self._wall.now_ms()
+            self._jobs.jobs_by_id, self._wall.now_ms(), but=job_id
         )
         return job_memory.decide(
             job_bytes,
--- a/packages/placer/src/laburnumgate_placer/overload/job_memory.py
+++ b/packages/placer/src/laburnumgate_placer/overload/job_memory.py
@@ -40,7 +40,8 @@
 
 def _open_occurrences(job: model.Job, tasks: int) -> int:
     """Returns how many occurrences may be open at the same time."""
-    most = min(job.occurrences, max(1, progress.MAX_OPEN_TASKS // tasks))
+    most = max(1, progress.MAX_OPEN_TASKS // max(1, tasks))
+    most = min(most, job.occurrences)
     if job.interval_ms <= 0:
         return most
     due_ms = job.accepted_ms + _DUE_SOON_MS - job.first_start_ms
@@ -84,8 +85,10 @@
         """Forgets a job that was not stored."""
         self._size_and_until_ms_by_id.pop(job_id, None)
 
-    def held_bytes(self, known: Container[str], now_ms: int) -> int:
-        """Returns the estimate for those that are not known."""
+    def held_bytes(
+        self, known: Container[str], now_ms: int, but: str = ""
+    ) -> int:
+        """Returns the estimate for those that are not known, but for one."""
         total = 0
         for job_id, (size, until_ms) in list(
             self._size_and_until_ms_by_id.items()
@@ -93,5 +96,6 @@
             if job_id in known or until_ms <= now_ms:
                 del self._size_and_until_ms_by_id[job_id]
                 continue
-            total += size
+            if job_id != but:
+                total += size
         return total
--- a/packages/placer/tests/test_overload_job_memory.py
+++ b/packages/placer/tests/test_overload_job_memory.py
@@ -52,6 +52,11 @@
     assert least_bytes <= size <= most_bytes
 
 
+def test_a_stored_job_without_tasks_has_an_estimate():
+    """Guards against a host that stops to read the log at such a record."""
+    assert job_memory.estimate_bytes(_job(count=0, scheduled=True)) > 0
+
+
 @pytest.mark.parametrize(
     "job", [_job(count=20_000), _job(steps=9_700), _job(count=1, steps=1)]
 )
@@ -103,6 +108,8 @@
     submissions.add("c", 40, until_ms=200)
     submissions.add("d", 80, until_ms=200)
     assert submissions.held_bytes((), 0) == 150
+    # An attempt that is repeated after its outcome was in doubt.
+    assert submissions.held_bytes((), 0, but="b") == 130
     submissions.remove("d")
     assert submissions.held_bytes({"a"}, 0) == 60
     assert submissions.held_bytes((), 100) == 40
