Count 800 bytes for a task in the memory of jobs

333 accepted jobs of 500 tasks were estimated at 75 MB and took 133 MB (trial on 256 MB, a peak of 179 MB). The estimate came from 60 jobs of 20,000 tasks, 427 bytes a task: of one job only some hundred tasks wait for their start.

Change: 800 bytes a task and 400 an occurrence.

--- a/packages/placer/src/laburnumgate_placer/overload/job_memory.py
+++ b/packages/placer/src/laburnumgate_placer/overload/job_memory.py
@@ -14,8 +14,8 @@
 # Memory of a job on a leader.
 _JOB_BYTES = 2_000
 _STEP_BYTES = 1_000
-_TASK_BYTES = 450
-_OCCURRENCE_BYTES = 800
+_TASK_BYTES = 800
+_OCCURRENCE_BYTES = 400
 # Occurrences count if they are due in this time after the submission.
 _DUE_SOON_MS = 600_000
 # Larger jobs may use a part of the limit, so that they do not keep others out.
