Let bodies that take over 10 s yield to others

Large requests were refused with 503 for as long as 300 clients trickled: each had sent most of a body and then 1 KiB every 0.8 s (trial on 160 MB).

Cause: 1 KiB a second counts as progress, and a body with progress yielded to nobody before its 60 s were over.

Change: if there is no memory and nothing else yields, the body that has taken longest does, once it has taken 10 s. Callers wait for at most 10 s.

Result: the new test fails without the change.

--- a/packages/core/src/laburnumgate_core/connections.py
+++ b/packages/core/src/laburnumgate_core/connections.py
@@ -35,6 +35,9 @@
 # A reader counts as stalled unless this many bytes arrived in STALL_MS.
 PROGRESS_BYTES = 1_024
 STALL_MS = 1_000
+# A body that has taken longer yields whatever its progress: no caller waits for
+# longer.
+SLOW_BODY_MS = 10_000
 # Part of the memory that only requests of up to SMALL_REQUEST_BYTES may use.
 SMALL_REQUEST_SHARE = 0.125
 SMALL_REQUEST_BYTES = 16_384
@@ -222,6 +225,8 @@
         self._by_phase: dict[Phase, collections.OrderedDict] = {
             phase: collections.OrderedDict() for phase in Phase
         }
+        # Connections that receive a body, the earliest first.
+        self._bodies: collections.OrderedDict = collections.OrderedDict()
 
     def __len__(self) -> int:
         return len(self._by_key)
@@ -271,6 +276,7 @@
         if connection is None:
             return
         del self._by_phase[connection.phase][key]
+        self._bodies.pop(key, None)
         self.held_bytes -= connection.cost
         self._paused -= connection.paused
 
@@ -282,6 +288,9 @@
         if phase is not connection.phase:
             del self._by_phase[connection.phase][key]
             self._by_phase[phase][key] = None
+            self._bodies.pop(key, None)
+            if phase is Phase.BODY:
+                self._bodies[key] = None
             connection.phase = phase
             connection.began_ms = connection.marked_ms = self._clock.now_ms()
             connection.unmarked_bytes = 0
@@ -407,13 +416,23 @@
 
         Closing an idle connection loses no request, so these yield first, and
         those go on whose request is being handled. Among heads and bodies the
-        one without progress for longest yields.
+        one without progress for longest yields, and last a body that makes
+        little progress.
         """
         until_ms = self._clock.now_ms() - stall_ms
         for phases in _YIELDING_PHASES:
             marked_ms, key = self._oldest(phases, but)
             if key is not None and marked_ms <= until_ms:
                 return key
+        return self._slow_body(but)
+
+    def _slow_body(self, but: object) -> object | None:
+        """Returns the body that has taken longest, if that is too long."""
+        until_ms = self._clock.now_ms() - SLOW_BODY_MS
+        for key in self._bodies:
+            if key is not but:
+                began_ms = self._by_key[key].began_ms
+                return key if began_ms <= until_ms else None
         return None
 
     def _pick_oldest(self) -> object | None:
--- a/packages/core/tests/test_connections.py
+++ b/packages/core/tests/test_connections.py
@@ -104,6 +104,30 @@
     assert _closes(decision) == _yielded("slow")
 
 
+def test_a_body_that_takes_too_long_yields_in_spite_of_progress():
+    """Guards against bodies that trickle and keep large requests out."""
+    table, time = _table()
+    _open(table, "first", "second", "large")
+    held = 200 * _KIB
+    for key in ("first", "second"):
+        table.enter(key, _Phase.BODY, 0)
+        table.received(key, held, held)
+        time.advance(10)
+    decisions = []
+    for _ in range(20):
+        decisions.append(table.enter("large", _Phase.BODY, held))
+        if decisions[-1].granted:
+            break
+        table.enter("large", _Phase.DRAINING)
+        time.advance(900)
+        held += connections.PROGRESS_BYTES
+        for key in ("first", "second"):
+            table.received(key, connections.PROGRESS_BYTES, held)
+    waited_ms = 900 * (len(decisions) - 1)
+    assert waited_ms >= connections.SLOW_BODY_MS > waited_ms - 900
+    assert _closes(decisions[-1]) == _yielded("first")
+
+
 def test_small_requests_are_admitted_beside_large_ones():
     """Guards against large bodies in progress that fill the whole budget."""
     table, _ = _table()
