Count only the occurrences that are due within a minute

A job of 94 tasks that is due every 5 s counted with 121 occurrences, 9 MB, so that three of them filled the share of large jobs on a machine of 160 MB, although one or two occurrences are open at a time where it is served.

Change: occurrences count if they are due within a minute of the submission, not ten.

Result: the tests of the estimate follow. A job of 94 tasks that is due every second fits into 160 MB. The crowd of jobs with 10,000 occurrences that are due at once stays within its bound.

--- a/packages/placer/src/laburnumgate_placer/overload/job_memory.py
+++ b/packages/placer/src/laburnumgate_placer/overload/job_memory.py
@@ -18,8 +18,9 @@
 _STEP_BYTES = 1_000
 _TASK_BYTES = 800
 _OCCURRENCE_BYTES = 400
-# Occurrences count if they are due in this time after the submission.
-_DUE_SOON_MS = 600_000
+# Occurrences count if they are due in this time after the submission. Earlier
+# ones of a job that is served have ended when later ones are due.
+_DUE_SOON_MS = 60_000
 # Parts of the limit that larger jobs, and the jobs of one account, may use, so
 # that they do not keep others out.
 _LARGE_JOB_BYTES = 256 << 10
