--- a/review/standins-2/harness.py
+++ b/review/standins-2/harness.py
@@ -397,6 +397,7 @@
       work_s: returns the duration of a task's work; None for one that lasts.
       fail_s: returns the time after which a run of a task fails, None if it
         does not.
+      load: returns the load of a run, as in the reports of its worker.
       runs: all runs, in the order of their starts.
       late_order: called with the worker's id, the path and the body of each
         order; returns None, or the seconds after which it is carried out
@@ -408,6 +409,7 @@
         self.store = store
         self.work_s: Callable[[str], float | None] = lambda task: 2.0
         self.fail_s: Callable[[str], float | None] = lambda task: None
+        self.load: Callable[[Worker, Run], int] = lambda worker, run: 0
         self.runs: list[Run] = []
         self.late_order: Callable[[str, str, dict], float | None] = (
             lambda worker, path, body: None
@@ -447,6 +449,7 @@
 
     Attributes:
       running: runs at work, by task and number.
+      pace_by_run: pace in percent, of runs whose pace was changed.
       up: whether it is running.
     """
 
@@ -493,6 +496,7 @@
         self._ended = asyncio.Event()
         self._closing = asyncio.Event()
         self.running = {}
+        self.pace_by_run: dict[tuple[str, int], int] = {}
         await self._listener.open()
         self.up = True
         self._fleet.record.add(f"worker {self.id}: up, born {self.born}")
@@ -632,6 +636,11 @@
             )
             return 200, {}
         if path == "/-/pace":
+            self.pace_by_run[(task, number)] = body["percent"]
+            self._fleet.record.add(
+                f"worker {self.id}: pace of {task} run {number} is"
+                f" {body['percent']}"
+            )
             return 200, {}
         if body["deadline_ms"] <= self._clock_ms():
             return 409, {"reason": "late"}
@@ -686,7 +695,7 @@
             except TimeoutError:
                 break
         running = [
-            [r.task, r.number, "", self._percent(r), 0]
+            [r.task, r.number, "", self._percent(r), self._fleet.load(self, r)]
             for r in self.running.values()
         ]
         return self._answer({"running": running, "ended": self._ends[:500]})
