review: give each case a range of ports

Cases that ran side by side took each other's ports: one of ten runs of case 7 without the disruption exited with 2, as a host found its address in use.

--- a/review/standins-2/harness.py
+++ b/review/standins-2/harness.py
@@ -70,6 +70,18 @@
 }
 
 
+# Below the ports that the system gives to outgoing connections.
+_FIRST_PORT = 10_000
+_PORTS_PER_CASE = 100
+_CASES = 220
+_PORTS = iter(
+    range(
+        _FIRST_PORT + os.getpid() % _CASES * _PORTS_PER_CASE,
+        _FIRST_PORT + (os.getpid() % _CASES + 1) * _PORTS_PER_CASE,
+    )
+)
+
+
 class CannotRunError(Exception):
     """The case could not be carried out."""
 
@@ -92,10 +104,20 @@
 
 
 def free_port() -> int:
-    """Returns a port that no one listens on."""
-    with socket.socket() as probe:
-        probe.bind((LOOPBACK, 0))
-        return probe.getsockname()[1]
+    """Returns a port that no one listens on.
+
+    Ports of outgoing connections would be taken again before a host binds
+    them, and cases that run side by side have ranges of their own.
+    """
+    for port in _PORTS:
+        with socket.socket() as probe:
+            probe.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+            try:
+                probe.bind((LOOPBACK, port))
+            except OSError:
+                continue
+            return port
+    raise CannotRunError("no port is free")
 
 
 def _json(content: dict, status: int = 200) -> web.Response:
@@ -160,9 +182,11 @@
         return f"{LOOPBACK}:{self.port}"
 
     async def open(self) -> None:
-        """Listens on a free port."""
-        self._server = await asyncio.start_server(self._accept, LOOPBACK, 0)
-        self.port = self._server.sockets[0].getsockname()[1]
+        """Listens on its port."""
+        self.port = free_port()
+        self._server = await asyncio.start_server(
+            self._accept, LOOPBACK, self.port
+        )
 
     def close(self) -> None:
         """Closes the path and all its connections."""
@@ -592,7 +616,10 @@
         )
 
     async def _handle(self, request: web.BaseRequest) -> web.Response:
-        body = orjson.loads(await request.read())
+        try:
+            body = orjson.loads(await request.read())
+        except (ValueError, ConnectionResetError):
+            return web.Response(status=400)
         expected = request.headers.get("X-Laburnumgate-Expect-Instance")
         if expected != self.id:
             return web.Response(status=421)
