Keep start orders of earlier leaders out of the next life of an endpoint

A start order that was not answered was carried out seconds later, by the next incarnation of its endpoint under the same id.

Cause: what refuses such an order, the fencing token or the stop that the endpoint has seen, is lost when it restarts. A leader watches the endpoint while an order has no answer, but its successor does not know of the order: it takes a report that omits the run for proof, which holds for one incarnation only. And a call to a silent endpoint lasts up to 1.2 s, so that a restart was seen that late.

Ruled out: a wrong proof within one incarnation. The report that omits the run was asked for with the higher token, and the order is refused from then on.

Change: `pending_starts` holds the orders to an endpoint id that may still be carried out, across incarnations. A new leader adds those of all recorded runs until a report lists the run; an order is repeated only after it was recorded as pending, so that a run which is listed has no other copy under way. Pending orders that the progress of jobs does not tell of are recorded, before the end of their run. While the run of a pending order is over, its endpoint is called every 200 ms, also while an earlier call hangs, and at most 50 times a second for all endpoints together.

What remains: an order that arrives within 200 ms of a restart and the latency of a call, or two.

--- a/packages/placer/src/laburnumgate_placer/endpoint_table.py
+++ b/packages/placer/src/laburnumgate_placer/endpoint_table.py
@@ -1,5 +1,6 @@
 """The leader's view of endpoints: resources in use, leases, health."""
 
+import collections
 from collections.abc import Callable
 import dataclasses
 import logging
@@ -8,15 +9,13 @@
 
 from laburnumgate_placer import events
 from laburnumgate_placer import model
+from laburnumgate_placer import pending_starts as pending_starts_module
 from laburnumgate_placer import progress
 
 _LOGGER = logging.getLogger(__name__)
 
 # Minimum rate of an endpoint's clock relative to true time.
 MIN_CLOCK_RATE = 0.98
-# Maximum delay after which an unanswered order may still be executed. Delays of
-# 2 to 12 s were observed.
-MAX_ORDER_DELAY_MS = 15_000
 # Number of jobs that have to fail on an endpoint, without a success in between,
 # before it is avoided.
 SUSPECT_FAILURES = 2
@@ -74,8 +73,8 @@
       unknown_runs: monotonic time of the last stop of each run in the last
         report that the leader does not expect there, by task and run. Their
         units wait until they are gone.
-      unconfirmed_starts: monotonic time of the newest start without an answer,
-        by task and run; a copy may be in flight, even after the run has ended.
+      pending_starts: start orders to its id that may still be carried out,
+        even after the run has ended.
       restart: the restart that a report showed, None for none.
       doubted: whether it has to report before it gets new runs, as another
         endpoint of its machine is listed or silent.
@@ -117,8 +116,8 @@
     unknown_runs: dict[tuple[model.TaskKey, int], int] = dataclasses.field(
         default_factory=dict
     )
-    unconfirmed_starts: dict[tuple[model.TaskKey, int], int] = (
-        dataclasses.field(default_factory=dict)
+    pending_starts: pending_starts_module.PendingStarts = dataclasses.field(
+        default_factory=pending_starts_module.PendingStarts
     )
     restart: Restart | None = None
     doubted: bool = False
@@ -168,37 +167,17 @@
         self.suspects.discard(key)
         self.used = self.used.plus(member.run.unit.step.charged, -1)
 
-    def add_unconfirmed_start(
-        self, member: progress.Member, now_ms: int
-    ) -> int | None:
-        """Records that a start order was sent and is not answered.
-
-        Returns:
-          The time of an earlier order of the run that was not answered, which
-          `confirm_start` needs, or None.
-        """
-        key = (member.task, member.run.number)
-        earlier_ms = self.unconfirmed_starts.get(key)
-        self.unconfirmed_starts[key] = now_ms
-        return earlier_ms
-
-    def confirm_start(
-        self, member: progress.Member, earlier_ms: int | None
-    ) -> None:
-        """Records that the newest start order of a member was answered."""
-        key = (member.task, member.run.number)
-        if earlier_ms is None:
-            self.unconfirmed_starts.pop(key, None)
-        else:
-            self.unconfirmed_starts[key] = earlier_ms
-
-    def pending_orders(self, now_ms: int) -> set[tuple[model.TaskKey, int]]:
+    def pending_orders(self, now_ms: int) -> set[pending_starts_module.RunKey]:
         """Returns the runs that an order in flight could still start."""
-        for key, sent_ms in list(self.unconfirmed_starts.items()):
-            if now_ms - sent_ms > MAX_ORDER_DELAY_MS:
-                del self.unconfirmed_starts[key]
         ordered = {key for key, m in self.members.items() if m.start_sent}
-        return ordered | set(self.unconfirmed_starts)
+        return ordered | self.pending_starts.keys(now_ms)
+
+    def orders_in_doubt(self, now_ms: int) -> set[pending_starts_module.RunKey]:
+        """Returns the runs that are over and could still be started.
+
+        The run may have been done, and its task may run elsewhere.
+        """
+        return self.pending_starts.keys(now_ms) - self.members.keys()
 
     def endpoint_now_ms(self, now_ms: int) -> int:
         """Returns a time that the endpoint's clock has reached at `now_ms`.
@@ -319,16 +298,34 @@
 
     Attributes:
       by_id: the endpoints.
+      pending_starts_by_id: start orders that may still be carried out, by the
+        id of the endpoint. They outlast its incarnations.
       emptying_machines: ids of the machines that get no new runs.
       list_age_ms: returns the time since the live list was known to be read.
     """
 
     def __init__(self, max_list_age_ms: int):
         self.by_id: dict[str, EndpointState] = {}
+        self.pending_starts_by_id: dict[
+            str, pending_starts_module.PendingStarts
+        ] = collections.defaultdict(pending_starts_module.PendingStarts)
         self.list_age_ms: Callable[[], int] = lambda: 0
         self._max_list_age_ms = max_list_age_ms
         self.emptying_machines: set[str] = set()
 
+    def starts_to_record(
+        self, now_ms: int
+    ) -> dict[str, list[pending_starts_module.RunKey]]:
+        """Returns the pending starts to record for later leaders, by id."""
+        found = {}
+        for endpoint_id, pending in self.pending_starts_by_id.items():
+            state = self.by_id.get(endpoint_id)
+            counted = state.members if state is not None else ()
+            keys = pending.keys_to_record(counted, now_ms)
+            if keys:
+                found[endpoint_id] = keys
+        return found
+
     def list_is_old(self) -> bool:
         """Whether endpoints may have shrunk without the leader's knowledge."""
         return self.list_age_ms() > self._max_list_age_ms
--- a/packages/placer/src/laburnumgate_placer/events.py
+++ b/packages/placer/src/laburnumgate_placer/events.py
@@ -68,6 +68,8 @@
     ADVICE_MISSING = (1310, "no advice on a step", logging.WARNING)
     ENDPOINT_SUSPECT = (1405, "endpoint is avoided", logging.WARNING)
     ENDPOINT_RESTARTED = (1406, "endpoint restarted under its id")
+    ORDERS_IN_DOUBT = (1407, "start orders to the endpoint are in doubt")
+    ORDERS_SETTLED = (1408, "no start order to the endpoint is in doubt")
     UPKEEP_ORDERED = (1500, "upkeep of a machine ordered")
     WAVE_STATE = (1501, "a wave of upkeep changed its state")
 
--- a/packages/placer/src/laburnumgate_placer/launcher.py
+++ b/packages/placer/src/laburnumgate_placer/launcher.py
@@ -141,6 +141,7 @@
         """Starts one member; returns the reason if the start fails."""
         tables = self._tables
         run = member.run
+        key = (member.task, run.number)
         reason = "the start request was not answered"
         unanswered_ms = 0
         while run.phase == progress.Phase.STARTING and not member.terminated:
@@ -152,9 +153,9 @@
             if now_ms >= until_ms:
                 return reason
             state = tables.endpoints.by_id[member.endpoint_id]
-            if unanswered_ms and state.reported_ms <= unanswered_ms:
-                # The endpoint may have restarted. The order names only its id,
-                # so that a later incarnation would carry it out.
+            if unanswered_ms and not self._may_repeat(
+                member, state, unanswered_ms
+            ):
                 await asyncio.sleep(REPORT_POLL_MS / 1000)
                 continue
             async with self._gate.call():
@@ -175,14 +176,14 @@
                 sent_ms = tables.monotonic.now_ms()
                 member.ordered_ms = sent_ms
                 # A restart while the answer is waited for voids the order.
-                earlier_ms = state.add_unconfirmed_start(member, sent_ms)
+                state.pending_starts.send(key, sent_ms)
                 answer = await self._endpoints.start(
                     state.info,
                     self._order(member, state, sent_ms),
                     timeout_ms=limits.ORDER_TIMEOUT_MS,
                 )
             if not isinstance(answer, ports.Unknown):
-                state.confirm_start(member, earlier_ms)
+                state.pending_starts.answer(key)
             match answer:
                 case ports.Done():
                     self._gate.record_answer(sent_ms)
@@ -221,11 +222,34 @@
                     now_ms = tables.monotonic.now_ms()
                     unanswered_ms = now_ms
                     state.mark_unreachable(now_ms, detail)
-                    state.add_unconfirmed_start(member, now_ms)
+                    state.pending_starts.time_out(key, now_ms)
+                    tables.mark_dirty(member.task.job_id)
                     reason = f"the start request was not answered: {detail}"
             await asyncio.sleep(BACKOFF_MS / 1000)
         return reason
 
+    def _may_repeat(
+        self,
+        member: progress.Member,
+        state: endpoint_table.EndpointState,
+        unanswered_ms: int,
+    ) -> bool:
+        """Whether an order may be sent again that was not answered.
+
+        Args:
+          member: the member to start.
+          state: its endpoint.
+          unanswered_ms: monotonic time by which the order had no answer.
+        """
+        if state.reported_ms <= unanswered_ms:
+            # The endpoint may have restarted. The order names only its id, so
+            # that a later incarnation would carry it out.
+            return False
+        # A later leader assumes that an order was sent once if nothing else is
+        # recorded.
+        key = (member.endpoint_id, member.task, member.run.number)
+        return key in self._tables.recorded_starts
+
     def _order(
         self,
         member: progress.Member,
--- a/packages/placer/src/laburnumgate_placer/leader.py
+++ b/packages/placer/src/laburnumgate_placer/leader.py
@@ -25,6 +25,7 @@
 from laburnumgate_placer import metrics
 from laburnumgate_placer import model
 from laburnumgate_placer import pauses
+from laburnumgate_placer import pending_starts
 from laburnumgate_placer import policy as policy_module
 from laburnumgate_placer import ports
 from laburnumgate_placer import progress
@@ -136,6 +137,12 @@
             min_interval_ms=LIST_MIN_INTERVAL_MS,
         )
         self.tables.endpoints.list_age_ms = self._list_feed.age_ms
+        # An earlier leader may send orders while its right to them lasts.
+        self._pending_until_ms = (
+            self._claimed_ms
+            + bounds.lease_ms
+            + pending_starts.MAX_ORDER_DELAY_MS
+        )
         self._tasks: set[asyncio.Task] = set()
         self._flush_due = asyncio.Event()
         self._recorded_waves: dict[str, list[str]] = {}
@@ -286,12 +293,15 @@
         self._recorded_waves = self._pop_content(
             topics.WAVES_KEY, progress_by_id
         )
+        address_by_endpoint = self._restore_starts(
+            self._pop_content(topics.STARTS_KEY, progress_by_id)
+        )
         restored: set[str] = set()
         while True:
             # Callers go on submitting jobs during the pauses.
             missing = [i for i in tables.jobs.jobs_by_id if i not in restored]
             if not missing:
-                return
+                break
             pause = pauses.Pauses(tables.monotonic)
             for job_id in missing[:RESTORE_CHUNK]:
                 restored.add(job_id)
@@ -300,6 +310,8 @@
                     break
             await asyncio.sleep(0)
             self._check_leadership()
+        for endpoint_id, address in address_by_endpoint.items():
+            self._live_list.watch_unlisted(endpoint_id, address)
 
     def _pop_content(
         self, key: str, progress_by_id: dict[str, dict[int, bytes]]
@@ -319,6 +331,36 @@
             )
             return {}
 
+    def _restore_starts(
+        self, rows_by_endpoint: dict[str, list]
+    ) -> dict[str, str]:
+        """Restores the start orders that earlier leaders knew as pending.
+
+        Returns:
+          The addresses that they were sent to, by the id of the endpoint.
+        """
+        pending_by_id = self.tables.endpoints.pending_starts_by_id
+        address_by_endpoint = {}
+        for endpoint_id, rows in rows_by_endpoint.items():
+            for row in rows:
+                try:
+                    task, run, address = records.read_start_row(row)
+                except records.RecordError as error:
+                    events.emit(
+                        _LOGGER,
+                        events.Event.RECORD_SKIPPED,
+                        topic=topics.PROGRESS,
+                        key=topics.STARTS_KEY,
+                        reason=str(error),
+                    )
+                    continue
+                pending_by_id[endpoint_id].restore(
+                    (task, run), self._pending_until_ms
+                )
+                if address:
+                    address_by_endpoint[endpoint_id] = address
+        return address_by_endpoint
+
     def _restore_job(
         self, job_id: str, value_by_part: dict[int, bytes]
     ) -> None:
@@ -372,7 +414,12 @@
     def _adopt(self, entry: progress.JobEntry) -> None:
         """Adopts recorded runs; endpoint reports decide if they still run."""
         for run in entry.runs():
-            lifecycle.adopt(self.tables, run, self._live_list.state_for)
+            lifecycle.adopt(
+                self.tables,
+                run,
+                self._live_list.state_for,
+                self._pending_until_ms,
+            )
             events.emit(
                 _LOGGER,
                 events.Event.RUN_ADOPTED,
@@ -525,6 +572,9 @@
         saved: dict[str, float] = {}
         while True:
             await asyncio.sleep(SAVE_SPEEDS_INTERVAL_MS / 1000)
+            if self.tables.recorded_starts:
+                # Removes those that have expired.
+                self._flush_due.set()
             speeds = self.tables.durations.speeds.dump()
             if speeds != saved:
                 await self._recorder.save_speeds()
--- a/packages/placer/src/laburnumgate_placer/lifecycle.py
+++ b/packages/placer/src/laburnumgate_placer/lifecycle.py
@@ -117,14 +117,25 @@
     tables: tables_module.Tables,
     run: progress.Run,
     state_for: Callable[[progress.Member], endpoint_table.EndpointState],
+    pending_until_ms: int,
 ) -> None:
     """Adopts a run that an earlier leader recorded.
 
     Its members count until a report or the end of their leases decides. Members
     on an ended incarnation are given up.
+
+    Args:
+      tables: the leader's tables.
+      run: the run.
+      state_for: returns the endpoint of a member.
+      pending_until_ms: monotonic time until which a start order of the earlier
+        leader may be carried out.
     """
     for member in run.members:
         state = state_for(member)
+        state.pending_starts.adopt(
+            (member.task, member.run.number), pending_until_ms
+        )
         if state.ended:
             lose_recorded(tables, state, member)
             continue
--- a/packages/placer/src/laburnumgate_placer/live_list.py
+++ b/packages/placer/src/laburnumgate_placer/live_list.py
@@ -1,6 +1,7 @@
 """Tracks the live list of endpoints on the leader."""
 
 from collections.abc import Callable
+import dataclasses
 import logging
 
 from laburnumgate_placer import endpoint_table
@@ -68,25 +69,58 @@
             )
         # The endpoint is no longer listed and its address is unknown, so its
         # runs count as present until no lease can be valid any more.
-        info = model.Endpoint(
-            member.endpoint_id,
-            member.born_ms,
-            "",
-            "",
-            "",
-            "",
-            frozenset(),
-            model.Resources(),
-            machine=member.machine,
+        return self._add_unlisted(
+            member.endpoint_id, member.born_ms, machine=member.machine
+        )
+
+    def watch_unlisted(self, endpoint_id: str, address: str) -> None:
+        """Watches an endpoint for a start order of an earlier leader.
+
+        It may be back before its entry in the live list is.
+
+        Args:
+          endpoint_id: the endpoint, listed or not.
+          address: address that the order was sent to.
+        """
+        state = self._tables.endpoints.by_id.get(endpoint_id)
+        if state is None:
+            self._add_unlisted(endpoint_id, 0, address=address)
+        elif not state.info.address:
+            state.info = dataclasses.replace(state.info, address=address)
+
+    def _add_unlisted(
+        self,
+        endpoint_id: str,
+        born_ms: int,
+        *,
+        machine: str = "",
+        address: str = "",
+    ) -> endpoint_table.EndpointState:
+        state = self._add_state(
+            model.Endpoint(
+                endpoint_id,
+                born_ms,
+                "",
+                address,
+                "",
+                "",
+                frozenset(),
+                model.Resources(),
+                machine=machine,
+            )
         )
-        state = self._add_state(info)
         state.listed = False
         state.answering = False
         return state
 
     def _add_state(self, info: model.Endpoint) -> endpoint_table.EndpointState:
         tables = self._tables
-        state = endpoint_table.EndpointState(info)
+        state = endpoint_table.EndpointState(
+            info,
+            pending_starts=tables.endpoints.pending_starts_by_id[
+                info.endpoint_id
+            ],
+        )
         state.last_answer_ms = tables.monotonic.now_ms()
         # An earlier leader renews until its leadership is stale, and the leases
         # that it granted have to expire after that.
@@ -104,6 +138,10 @@
                 before.deadline_sent_ms
                 + int(max_lease_ms / endpoint_table.MIN_CLOCK_RATE),
             )
+        if before is not None and before.info.born_ms == info.born_ms:
+            # The entry is still that of the incarnation before the restart.
+            # Orders that were voided since need not be voided again.
+            state.restart = before.restart
         tables.endpoints.by_id[info.endpoint_id] = state
         self._watch(state)
         return state
@@ -147,7 +185,7 @@
     def _apply_listed(self, endpoint: model.Endpoint) -> None:
         by_id = self._tables.endpoints.by_id
         state = by_id.get(endpoint.endpoint_id)
-        if state is not None and state.info.born_ms != endpoint.born_ms:
+        if state is not None and (0 < state.info.born_ms != endpoint.born_ms):
             if not state.ended and not _is_replaced(state, endpoint):
                 # The entry may be one that was written before a restart. The
                 # next report tells whether it is.
@@ -163,6 +201,11 @@
                 if state.listed:
                     state.listed = False
                     self._log_changed(state, "another incarnation is listed")
+                if not state.info.address:
+                    # Recorded by an earlier leader and not listed since.
+                    state.info = dataclasses.replace(
+                        state.info, address=endpoint.address
+                    )
                 return
             lifecycle.end_incarnation(
                 self._tables, state, "another incarnation is listed"
--- a/packages/placer/src/laburnumgate_placer/metrics.py
+++ b/packages/placer/src/laburnumgate_placer/metrics.py
@@ -55,6 +55,10 @@
 ENDPOINT_CALLS = _counter(
     "laburnumgate_endpoint_calls_total", "Calls to endpoints by outcome."
 )
+WATCH_CALLS = _counter(
+    "laburnumgate_watch_calls_total",
+    "Calls to endpoints that were added while start orders were in doubt.",
+)
 LOG_CALLS = _counter(
     "laburnumgate_log_calls_total", "Calls to the log by call and outcome."
 )
--- a/packages/placer/src/laburnumgate_placer/recorder.py
+++ b/packages/placer/src/laburnumgate_placer/recorder.py
@@ -6,10 +6,12 @@
 
 import orjson
 
+from laburnumgate_placer import endpoint_table
 from laburnumgate_placer import lifecycle
 from laburnumgate_placer import metrics
 from laburnumgate_placer import model
 from laburnumgate_placer import pauses
+from laburnumgate_placer import pending_starts
 from laburnumgate_placer import ports
 from laburnumgate_placer import progress
 from laburnumgate_placer import records
@@ -89,6 +91,15 @@
             if state.handled_end > state.acked_end
         ]
         detail, states, dropped, digests_by_id = await self._encode(job_ids)
+        # After the pauses, so that each run that is recorded as over is either
+        # among the starts or cannot start any more. The starts are stored
+        # first.
+        starts = tables.endpoints.starts_to_record(tables.monotonic.now_ms())
+        changed_starts, digests = self._encode_parts(
+            topics.STARTS_KEY, _starts_contents(tables.endpoints, starts)
+        )
+        digests_by_id[topics.STARTS_KEY] = digests
+        detail = changed_starts + detail
         with metrics.RECORD_SECONDS.time():
             outcomes = await asyncio.gather(
                 self._append(topics.PROGRESS, detail),
@@ -99,6 +110,11 @@
         for state, number in handled_ends:
             state.acked_end = max(state.acked_end, number)
         self._digests_by_id.update(digests_by_id)
+        tables.recorded_starts = {
+            (endpoint_id, *key)
+            for endpoint_id, keys in starts.items()
+            for key in keys
+        }
         for change in states:
             self.set_recorded_state(change.job_id, change.state)
             if change.state.final:
@@ -159,6 +175,17 @@
 
         Returns whether they are stored.
         """
+        changed, digests = self._encode_parts(key, contents)
+        outcome = await self._append(topics.PROGRESS, changed)
+        stored = isinstance(outcome, ports.Appended)
+        if stored:
+            self._digests_by_id[key] = digests
+        return stored
+
+    def _encode_parts(
+        self, key: str, contents: list[dict]
+    ) -> tuple[list[bytes], dict[int, bytes]]:
+        """Returns records of the changed parts, and the digests of all."""
         value_by_part = {
             part: orjson.dumps(content) for part, content in enumerate(contents)
         }
@@ -169,11 +196,7 @@
             for part in sorted({*known, *digests}, reverse=True)
             if known.get(part) != digests.get(part)
         ]
-        outcome = await self._append(topics.PROGRESS, changed)
-        stored = isinstance(outcome, ports.Appended)
-        if stored:
-            self._digests_by_id[key] = digests
-        return stored
+        return changed, digests
 
     async def _encode(
         self, job_ids: set[str]
@@ -240,6 +263,26 @@
         )
 
 
+def _starts_contents(
+    endpoints: endpoint_table.EndpointTable,
+    keys_by_endpoint: dict[str, list[pending_starts.RunKey]],
+) -> list[dict]:
+    """Returns the parts of the record of pending starts."""
+    contents: list[dict] = []
+    entries = 0
+    for endpoint_id, keys in sorted(keys_by_endpoint.items()):
+        if not contents or entries >= ENTRIES_PER_PART:
+            contents.append({})
+            entries = 0
+        entries += len(keys)
+        state = endpoints.by_id.get(endpoint_id)
+        address = state.info.address if state is not None else ""
+        contents[-1][endpoint_id] = sorted(
+            records.start_row(*key, address) for key in keys
+        )
+    return contents
+
+
 def _digests(value_by_part: dict[int, bytes]) -> dict[int, bytes]:
     return {
         part: hashlib.blake2b(value, digest_size=16).digest()
--- a/packages/placer/src/laburnumgate_placer/records.py
+++ b/packages/placer/src/laburnumgate_placer/records.py
@@ -122,6 +122,29 @@
     return joined
 
 
+def start_row(task: model.TaskKey, run: int, address: str) -> list:
+    """Returns a start order as a row of a record.
+
+    Args:
+      task: key of the task.
+      run: number of the run.
+      address: address that the order was sent to, empty if unknown.
+    """
+    return [*dataclasses.astuple(task), run, address]
+
+
+def read_start_row(row: list) -> tuple[model.TaskKey, int, str]:
+    """Returns task, run and address of a row of `start_row`.
+
+    Raises:
+      RecordError: The row is malformed.
+    """
+    match row:
+        case [str(), int(), int(), int(), int(run), str(address)]:
+            return model.TaskKey(*row[:4]), run, address
+    raise RecordError(f"{row!r} is no start order")
+
+
 def encode_drop(job_id: str) -> list[bytes]:
     """Returns the tombstones that remove a job from the jobs topic."""
     return [encode_keyed(f"{kind}/{job_id}", b"") for kind in "sce"]
--- a/packages/placer/src/laburnumgate_placer/reports.py
+++ b/packages/placer/src/laburnumgate_placer/reports.py
@@ -42,6 +42,8 @@
         tables.wake.set()
     state.reported_ms = now_ms
     state.listed_end = max((row.number for row in report.ended), default=0)
+    for row in (*report.running, *report.ended):
+        state.pending_starts.observe((row.task, row.run))
     for row in sorted(report.ended, key=lambda r: r.number):
         if row.number <= state.handled_end:
             continue
--- a/packages/placer/src/laburnumgate_placer/tables.py
+++ b/packages/placer/src/laburnumgate_placer/tables.py
@@ -17,6 +17,7 @@
 from laburnumgate_placer import pool_capacity
 from laburnumgate_placer import progress
 from laburnumgate_placer.accounts import usage
+from laburnumgate_placer.overload import probes
 
 
 class Tables:
@@ -29,6 +30,9 @@
         needed it.
       entries_by_id: open jobs, and ended jobs that still have runs.
       dirty: ids of jobs with progress that is not recorded yet.
+      probes: limits the calls that are made because of orders in doubt.
+      recorded_starts: pending start orders that are recorded, by the id of the
+        endpoint, task and run.
       assigned_runs: runs to start once their assignment is recorded.
       launching_by_job: number of tasks, by job, that were assigned and whose
         start is being recorded or ordered.
@@ -66,6 +70,8 @@
         self.capacity = pool_capacity.PoolCapacity()
         self.entries_by_id: dict[str, progress.JobEntry] = {}
         self.dirty: set[str] = set()
+        self.probes = probes.Budget()
+        self.recorded_starts: set[tuple[str, model.TaskKey, int]] = set()
         self.assigned_runs: list[progress.Run] = []
         self.launching_by_job: collections.Counter[str] = collections.Counter()
         self.pending_stops: list[progress.Member] = []
--- a/packages/placer/src/laburnumgate_placer/termination.py
+++ b/packages/placer/src/laburnumgate_placer/termination.py
@@ -9,6 +9,7 @@
 
 from laburnumgate_placer import endpoint_table
 from laburnumgate_placer import model
+from laburnumgate_placer import pending_starts
 from laburnumgate_placer import progress
 
 
@@ -146,7 +147,7 @@
     # one, which only limits its distance.
     lease_ms = int(max_lease_ms / endpoint_table.MIN_CLOCK_RATE)
     if state.restart is not None:
-        late_ms = state.restart.seen_ms + endpoint_table.MAX_ORDER_DELAY_MS
+        late_ms = state.restart.seen_ms + pending_starts.MAX_ORDER_DELAY_MS
         expired_ms = max(expired_ms, late_ms + lease_ms)
     elif member.ordered_ms and not member.present:
         expired_ms = max(expired_ms, member.ordered_ms + lease_ms)
--- a/packages/placer/src/laburnumgate_placer/topics.py
+++ b/packages/placer/src/laburnumgate_placer/topics.py
@@ -9,5 +9,7 @@
 SPEEDS_KEY = "speeds"
 # Key of the maintained machines of each wave, likewise.
 WAVES_KEY = "waves"
+# Key of the start orders that may still be carried out, likewise.
+STARTS_KEY = "starts"
 # Claims and heartbeats of the leader.
 LEADER = "laburnumgate-leader"
--- a/packages/placer/src/laburnumgate_placer/watcher.py
+++ b/packages/placer/src/laburnumgate_placer/watcher.py
@@ -2,7 +2,11 @@
 
 import asyncio
 import collections
+from collections.abc import Awaitable
 from collections.abc import Callable
+from collections.abc import Coroutine
+import dataclasses
+import functools
 import logging
 
 from laburnumgate_placer import call_gate
@@ -10,6 +14,7 @@
 from laburnumgate_placer import events
 from laburnumgate_placer import lifecycle
 from laburnumgate_placer import limits
+from laburnumgate_placer import metrics
 from laburnumgate_placer import model
 from laburnumgate_placer import pacing
 from laburnumgate_placer import ports
@@ -31,6 +36,27 @@
 FAST_POLL_INTERVAL_MS = 20
 # Interval at which an endpoint that needs no renewal is checked again.
 IDLE_INTERVAL_MS = 100
+# Interval of the calls to an endpoint with an order in doubt, and for how long
+# it may hold such a call open. It is also the time for which an order that
+# arrives after an unseen restart can be carried out.
+WATCH_INTERVAL_MS = 200
+WATCH_WAIT_MS = 150
+
+
+_Answer = model.Report | ports.Refused | ports.Undelivered | ports.Unknown
+
+
+@dataclasses.dataclass(slots=True)
+class _Watch:
+    """Calls to an endpoint that were added while orders were in doubt.
+
+    Attributes:
+      began_ms: monotonic time of the first renewal since, 0 for none.
+      calls: number of these calls.
+    """
+
+    began_ms: int = 0
+    calls: int = 0
 
 
 class Watcher:
@@ -66,12 +92,17 @@
         self._on_fenced = on_fenced
         # Set while the endpoint still lists ends that are recorded.
         self._ack_due = False
+        # Monotonic time of the latest renewal that was sent.
+        self._sent_ms = 0
+        # Calls that were added because an order is in doubt.
+        self._watch = _Watch()
 
     async def run(self) -> None:
         """Renews the lease and handles reports until the incarnation ends."""
         state = self._state
         while not state.ended:
             if not self._needs_renewal():
+                self._log_watch(False)
                 await asyncio.sleep(IDLE_INTERVAL_MS / 1000)
                 continue
             if not state.info.address:
@@ -80,7 +111,16 @@
                 continue
             if not await self._renew_or_log():
                 self._expire_runs()
-                await asyncio.sleep(BACKOFF_MS / 1000)
+                await asyncio.sleep(self._backoff_ms() / 1000)
+        self._log_watch(False)
+
+    def _backoff_ms(self) -> int:
+        """Returns the pause after a renewal without an answer."""
+        now_ms = self._tables.monotonic.now_ms()
+        if not self._state.orders_in_doubt(now_ms):
+            return BACKOFF_MS
+        due_ms = self._sent_ms + WATCH_INTERVAL_MS
+        return max(0, min(BACKOFF_MS, due_ms - now_ms))
 
     async def _renew_or_log(self) -> bool:
         """Renews the lease; an unexpected error counts as no answer."""
@@ -107,6 +147,9 @@
             # A restart has to be detected before the new incarnation carries
             # out an order that was sent to the old one.
             return True
+        if not state.info.born_ms:
+            # It was watched for such orders only.
+            return False
         if not state.listed:
             return bool(state.info.address) and (
                 state.doubted or not state.contacted
@@ -123,22 +166,32 @@
         renews = state.contacted and state.members and state.restart is None
         if renews and self._may_renew():
             deadline_ms = state.extend_lease(tables.bounds.lease_ms, sent_ms)
-        wait_ms = self._wait_ms()
+        watched = bool(state.orders_in_doubt(sent_ms))
+        self._log_watch(watched)
+        wait_ms = self._wait_ms(watched)
         acked = self._cursor(sent_ms)
-        call = self._endpoints.renew(
-            state.info,
-            deadline_ms=deadline_ms,
-            fencing_token=tables.token,
-            acknowledged=acked,
-            wait_ms=wait_ms,
-            timeout_ms=wait_ms + ANSWER_MARGIN_MS,
+        self._sent_ms = sent_ms
+        timeout_ms = wait_ms + ANSWER_MARGIN_MS
+        if watched and state.contacted:
+            # Calls that are added meanwhile find a restart sooner.
+            timeout_ms = RENEW_WAIT_MS + ANSWER_MARGIN_MS
+        call = self._call(
+            functools.partial(
+                self._endpoints.renew,
+                state.info,
+                deadline_ms=deadline_ms,
+                fencing_token=tables.token,
+                acknowledged=acked,
+                wait_ms=wait_ms,
+                timeout_ms=timeout_ms,
+            )
         )
-        if state.contacted:
-            answer = await call
+        if watched:
+            answer, sent_ms, acked = await self._call_repeatedly(
+                call, sent_ms, acked
+            )
         else:
-            # A new leader contacts all endpoints at once.
-            async with self._gate.call():
-                answer = await call
+            answer = await call
         match answer:
             case model.Report():
                 return await self._handle_report(answer, sent_ms, acked)
@@ -156,6 +209,97 @@
                 state.mark_unreachable(tables.monotonic.now_ms(), reason)
         return False
 
+    async def _call(self, renew: Callable[[], Awaitable[_Answer]]) -> _Answer:
+        if self._state.contacted:
+            return await renew()
+        # A new leader contacts all endpoints at once.
+        async with self._gate.call():
+            return await renew()
+
+    async def _call_repeatedly(
+        self, call: Coroutine[None, None, _Answer], sent_ms: int, acked: int
+    ) -> tuple[_Answer, int, int]:
+        """Awaits a renewal; calls again meanwhile, as it may not be answered.
+
+        The first call that reaches a new incarnation of the endpoint tells it
+        the fencing token, and its report shows the restart. A call that was
+        made before the restart may hang until its timeout.
+
+        Args:
+          call: the renewal.
+          sent_ms: monotonic time at which it was sent.
+          acked: end up to which it acknowledges ends.
+
+        Returns:
+          The answer that decides, when its call was sent, and the end up to
+          which that call acknowledged ends.
+        """
+        renewal = asyncio.create_task(call)
+        sent_ms_by_call = {renewal: sent_ms}
+        due_ms = sent_ms + WATCH_INTERVAL_MS
+        try:
+            while True:
+                now_ms = self._tables.monotonic.now_ms()
+                done, _ = await asyncio.wait(
+                    sent_ms_by_call,
+                    timeout=max(0, due_ms - now_ms) / 1000,
+                    return_when=asyncio.FIRST_COMPLETED,
+                )
+                for each in done:
+                    each_sent_ms = sent_ms_by_call.pop(each)
+                    answer = each.result()
+                    if each is renewal:
+                        return answer, each_sent_ms, acked
+                    if isinstance(answer, model.Report | ports.Refused):
+                        return answer, each_sent_ms, 0
+                now_ms = self._tables.monotonic.now_ms()
+                if now_ms < due_ms:
+                    continue
+                due_ms = now_ms + WATCH_INTERVAL_MS
+                if not self._tables.probes.take(now_ms):
+                    continue
+                self._sent_ms = now_ms
+                self._watch.calls += 1
+                again = asyncio.create_task(self._ask_again())
+                sent_ms_by_call[again] = now_ms
+        finally:
+            for each in sent_ms_by_call:
+                each.cancel()
+
+    async def _ask_again(self) -> _Answer:
+        return await self._endpoints.renew(
+            self._state.info,
+            deadline_ms=None,
+            fencing_token=self._tables.token,
+            acknowledged=0,
+            wait_ms=0,
+            timeout_ms=ANSWER_MARGIN_MS,
+        )
+
+    def _log_watch(self, watched: bool) -> None:
+        """Logs when orders come into doubt, and what watching them took."""
+        state = self._state
+        now_ms = self._tables.monotonic.now_ms()
+        if watched and not self._watch.began_ms:
+            self._watch = _Watch(began_ms=now_ms)
+            events.emit(
+                _LOGGER,
+                events.Event.ORDERS_IN_DOUBT,
+                endpoint=state.info.endpoint_id,
+                orders=len(state.orders_in_doubt(now_ms)),
+                answering=state.answering,
+            )
+        elif not watched and self._watch.began_ms:
+            events.emit(
+                _LOGGER,
+                events.Event.ORDERS_SETTLED,
+                endpoint=state.info.endpoint_id,
+                took_ms=now_ms - self._watch.began_ms,
+                calls=self._watch.calls,
+            )
+            metrics.WATCH_CALLS.add({}, self._watch.calls)
+            self._watch = _Watch()
+
     def _cursor(self, now_ms: int) -> int:
         """Returns the end up to which reported ends are acknowledged.
 
@@ -181,6 +325,9 @@
             pause_ms = await self._handle_restart(report, sent_ms)
             await asyncio.sleep(pause_ms / 1000)
             return True
+        if not born_ms:
+            state.info = dataclasses.replace(state.info, born_ms=report.born_ms)
+        state.restart = None
         if not state.answering:
             state.answering = True
             events.emit(
@@ -262,7 +409,7 @@
             if waited_ms >= RENEW_WAIT_MS:
                 return
 
-    def _wait_ms(self) -> int:
+    def _wait_ms(self, watched: bool) -> int:
         state = self._state
         if not state.contacted or state.acked_end < state.handled_end:
             return 0
@@ -278,7 +425,14 @@
             return FAST_POLL_INTERVAL_MS
         if state.unknown_runs:
             return min(RENEW_WAIT_MS, reports.MIN_STOP_INTERVAL_MS)
-        if state.members or state.unconfirmed_starts:
+        now_ms = self._tables.monotonic.now_ms()
+        if watched and not state.answering:
+            # The first answer may be that of a new incarnation.
+            return 0
+        if watched and self._tables.probes.take(now_ms):
+            self._watch.calls += 1
+            return WATCH_WAIT_MS
+        if state.members or state.pending_starts.keys(now_ms):
             return RENEW_WAIT_MS
         return 0
 
@@ -357,7 +511,12 @@
         present = {(row.task, row.run) for row in report.running}
         ended = {(row.task, row.run) for row in report.ended}
         now_ms = tables.monotonic.now_ms()
-        for key in state.pending_orders(now_ms) - ended:
+        # Runs that are over may run elsewhere.
+        pending = sorted(
+            state.pending_orders(now_ms) - ended,
+            key=lambda key: key in state.members,
+        )
+        for key in pending:
             voided_ms = restart.voided_ms_by_order.get(key)
             if voided_ms is not None and (
                 key not in present
--- a/packages/placer/tests/builders.py
+++ b/packages/placer/tests/builders.py
@@ -164,3 +164,13 @@
     members = list(state.members.values())
     proof = termination.LeasesExpired(0)
     lifecycle.expire_leases(tables, state, members, proof)
+
+
+def record_starts(tables) -> None:
+    """Marks all pending starts as recorded, as the recorder does."""
+    now_ms = tables.monotonic.now_ms()
+    tables.recorded_starts = {
+        (endpoint_id, *key)
+        for endpoint_id, state in tables.endpoints.by_id.items()
+        for key in state.pending_starts.keys(now_ms)
+    }
--- a/packages/placer/tests/endpoint_model.py
+++ b/packages/placer/tests/endpoint_model.py
@@ -37,6 +37,11 @@
 _LATENCY_S = 0.001
 # Time after the faults in which what is left has to be found.
 SETTLE_MS = 25_000
+# Time from a restart, or from the return of a machine, in which a late order
+# may be carried out: the interval of the calls, and their latency.
+UNSEEN_MS = 250
+# Time that a new leader needs until it calls the endpoints.
+RECOVERY_MS = 300
 
 
 class Mode(enum.Enum):
@@ -111,16 +116,17 @@
     endpoint_id: str
     order: ports.StartOrder
 
-    def excluded(self, life, token, counted) -> bool:
-        """Whether this is the late order of KNOWN-RED.txt, issue 18.
+    def excluded(self, life, token, counted, unseen) -> bool:
+        """Whether it arrives before a leader can know of a restart.
 
         Args:
           life: the life that it arrives at.
           token: token of the leader in office.
           counted: whether that leader counts the run as going on.
+          unseen: whether that leader has had no time to call the life.
         """
         unread = life is not self.sent_to and token not in life.terms
-        return unread and not counted
+        return unread and not counted and unseen
 
 
 class Endpoints:
@@ -136,6 +142,10 @@
         self.trace: list[str] = []
         self.gang_steps: set[tuple[str, int]] = set()
         self.token = 0
+        # True time at which the latest leader began, and at which calls to a
+        # machine changed.
+        self.leader_began_ms = 0
+        self.changed_ms: dict[int, int] = {}
         self.counted = lambda endpoint_id, key: False
         self._starts: dict[model.TaskKey, list[tuple[int, str]]] = {}
         self._noted: dict[model.TaskKey, int] = {}
@@ -149,6 +159,24 @@
 
     # What happens to machines.
 
+    def set_mode(self, machine, kinds, mode) -> None:
+        for kind in kinds:
+            self.modes[(machine, kind)] = mode
+        self.changed_ms[machine] = self._clock.now_ms()
+
+    def _unseen(self, life) -> bool:
+        """Whether a leader has had no time to call a life and stop orders."""
+        machine = life.machine
+        for kind in ("hold", "stop"):
+            if self.modes.get((machine, kind), Mode.OK) != Mode.OK:
+                return True
+        since_ms = max(
+            life.booted_ms,
+            self.changed_ms.get(machine, 0),
+            self.leader_began_ms + RECOVERY_MS,
+        )
+        return self._clock.now_ms() - since_ms <= UNSEEN_MS
+
     def life_at(self, machine) -> Life | None:
         for life in reversed(self.lives):
             if life.machine == machine:
@@ -347,7 +375,9 @@
             self.copies.remove(copy)
             key = (copy.order.task, copy.order.run)
             counted = self.counted(copy.endpoint_id, key)
-            if life is not None and copy.excluded(life, self.token, counted):
+            if life is not None and copy.excluded(
+                life, self.token, counted, self._unseen(life)
+            ):
                 self.log("a late start is left out")
                 return
         if life is not None:
@@ -476,7 +506,7 @@
             if (
                 life is not None
                 and life.endpoint_id == copy.endpoint_id
-                and not copy.excluded(life, self.token, False)
+                and not copy.excluded(life, self.token, False, True)
                 and copy.order.fencing_token >= life.token
                 and copy.order.deadline_ms > life.clock_ms(now_ms)
                 and life.stopped.get(key[0], 0) < key[1]
@@ -651,6 +681,8 @@
         """Lets time pass in which only the machines go on."""
         asyncio.get_running_loop().skip(by_ms / 1000)
         self.endpoints.log(f"suspended for {by_ms} ms")
+        for machine in range(MACHINES):
+            self.endpoints.changed_ms[machine] = self.clock.now_ms()
         self.endpoints.sync()
 
     def unlist(self, endpoint_id):
@@ -681,6 +713,7 @@
                 stale_ms / 1000, self._leader_task.cancel
             )
         self.endpoints.token += 1
+        self.endpoints.leader_began_ms = self.clock.now_ms()
         self.endpoints.log(f"leader {self.endpoints.token}")
         self._leadership = _Leadership(self.clock, self.endpoints.token)
         self._link = _LogLink(self.log)
@@ -733,7 +766,8 @@
 
     async def settle(self):
         """Ends all faults and checks that no run is left unnoticed."""
-        self.endpoints.modes.clear()
+        for machine in range(MACHINES):
+            self.endpoints.set_mode(machine, ("start", "stop", "hold"), Mode.OK)
         for machine in range(MACHINES):
             self.unlist_earlier(machine)
             self.list_life(machine)
--- a/packages/placer/tests/test_accounts_failures.py
+++ b/packages/placer/tests/test_accounts_failures.py
@@ -98,7 +98,7 @@
     restored = _restored(entry, after)
     live = _live_list(after)
     for run in restored.runs():
-        lifecycle.adopt(after, run, live.state_for)
+        lifecycle.adopt(after, run, live.state_for, 0)
     scheduler = scheduling.Scheduler(after)
     scheduler.run()
     assert _used_gpu(after) == 2
@@ -122,7 +122,7 @@
     restored = _restored(entry, after)
     live = _live_list(after)
     for run in restored.runs():
-        lifecycle.adopt(after, run, live.state_for)
+        lifecycle.adopt(after, run, live.state_for, 0)
     assert _used_gpu(after) == 2
     (state,) = after.endpoints.by_id.values()
     builders.expire_leases(after, state)
@@ -143,7 +143,7 @@
         scheduling.Scheduler(before).run()
         restored = _restored(entry, after)
         for run in restored.runs():
-            lifecycle.adopt(after, run, live.state_for)
+            lifecycle.adopt(after, run, live.state_for, 0)
     assert not after.entries_by_id["a1"].runs()
     assert len(after.entries_by_id["a2"].runs()) == 1
     assert after.endpoints.by_id["e0"].info.born_ms == 2
@@ -233,6 +233,7 @@
         state = tables.endpoints.by_id["e1"]
         sent_ms = tables.monotonic.now_ms()
         reports.apply(tables, state, builders.report(state), sent_ms)
+        builders.record_starts(tables)
         await launching
 
     builders.run(launch())
@@ -420,7 +421,7 @@
     state.contacted = False
     restored = _restored(entry, after)
     (run,) = restored.runs()
-    lifecycle.adopt(after, run, _live_list(after).state_for)
+    lifecycle.adopt(after, run, _live_list(after).state_for, 0)
     scheduler = scheduling.Scheduler(after)
     scheduler.run()
     assert _used_gpu(after) == 1
--- a/packages/placer/tests/test_accounts_ledger.py
+++ b/packages/placer/tests/test_accounts_ledger.py
@@ -229,7 +229,7 @@
             entry.open_due_steps(self.wall.now_ms(), now_ms)
             tables.entries_by_id[job_id] = entry
             for run in entry.runs():
-                lifecycle.adopt(tables, run, self.live.state_for)
+                lifecycle.adopt(tables, run, self.live.state_for, 0)
             if entry.state.final:
                 for run in entry.runs():
                     lifecycle.stop_run(tables, run, "the job has ended")
@@ -483,7 +483,7 @@
             member.confirmed = True
             return True
         state.mark_unreachable(now_ms, "unanswered")
-        state.add_unconfirmed_start(member, now_ms)
+        state.pending_starts.send((member.task, member.run.number), now_ms)
         return None
 
     @stateful.rule(pick=_PICK)
--- a/packages/placer/tests/test_capacity.py
+++ b/packages/placer/tests/test_capacity.py
@@ -120,7 +120,9 @@
         await asyncio.sleep(0.1)
         _shrink(tables, _HALF)
         worker.partitioned = False
-        # An order is repeated only after a report.
+        await asyncio.sleep(0.4)
+        # An order is repeated only once it is recorded, and after a report.
+        builders.record_starts(tables)
         state.reported_ms = tables.monotonic.now_ms() + 1
         await launching
 
--- a/packages/placer/tests/test_termination.py
+++ b/packages/placer/tests/test_termination.py
@@ -21,7 +21,7 @@
     member = lifecycle.assign(tables, unit, ["e1"]).members[0]
     member.start_sent = True
     member.ordered_ms = now_ms
-    state.add_unconfirmed_start(member, now_ms)
+    state.pending_starts.send((member.task, member.run.number), now_ms)
     state.extend_lease(_LEASE_MS, now_ms)
     return tables, state, member
 
--- a/packages/placer/tests/test_termination_machine.py
+++ b/packages/placer/tests/test_termination_machine.py
@@ -48,8 +48,7 @@
 
     def __call__(self, system):
         system.endpoints.log(f"m{self.machine} {self.kinds}: {self.mode.value}")
-        for kind in self.kinds:
-            system.endpoints.modes[(self.machine, kind)] = self.mode
+        system.endpoints.set_mode(self.machine, self.kinds, self.mode)
 
 
 @dataclasses.dataclass(frozen=True)
@@ -346,3 +345,160 @@
                 (20_000, ListAll()),
             ]
         )
+
+
+_START_LATE = Set(0, ("start",), endpoint_model.Mode.LATE)
+_ALL_OK = Set(0, _ALL, endpoint_model.Mode.OK)
+_ALL_CUT = Set(0, _ALL, endpoint_model.Mode.CUT)
+
+
+def test_a_start_of_an_earlier_leader_is_kept_out_of_the_next_life():
+    """Guards against a late order that runs beside the next run of its task.
+
+    Only the leader that sent the order knows that it was not answered. It is
+    replaced, and the endpoint restarts while nothing runs there.
+    """
+    for stale_ms in (0, 1_000, 8_000):
+        for after_ms in (300, 600, 1_200):
+            _check(
+                [
+                    (1, ListOnly(0)),
+                    (500, _START_LATE),
+                    (1, Submit(1, False)),
+                    (100, _ALL_OK),
+                    # Takes the endpoint while the task waits.
+                    (1, Submit(8, True)),
+                    (100, Lead(stale_ms)),
+                    (700, List(1)),
+                    (200, Finish(0, False)),
+                    (2_309 - after_ms, Restart(0, True, 0, False)),
+                    (20_000, ListAll()),
+                ],
+                late_ms=3_000,
+            )
+
+
+def test_a_start_of_an_earlier_leader_is_kept_out_after_the_next_run():
+    """Guards against a task that runs again after a later run was done."""
+    for lead in ((), ((200, Lead(0)),), ((200, Lead(0)), (300, Lead(0)))):
+        waited_ms = sum(pause_ms for pause_ms, _ in lead)
+        _check(
+            [
+                (1, ListOnly(0)),
+                (500, _START_LATE),
+                (1, Submit(1, False)),
+                (100, _ALL_OK),
+                (100, Lead(0)),
+                (700, Finish(0, False)),
+                *lead,
+                (2_210 - waited_ms, Restart(0, True, 0, False)),
+                (20_000, ListAll()),
+            ],
+            late_ms=3_000,
+        )
+
+
+def test_late_starts_of_a_gang_are_kept_out_of_the_next_life():
+    """Guards against a gang of which a member is started again."""
+    _check(
+        [
+            (1, ListOnly(0)),
+            (500, _START_LATE),
+            (1, Submit(2, True)),
+            (1, Submit(3, False)),
+            (100, _ALL_OK),
+            (100, Lead(0)),
+            (700, Finish(0, False)),
+            (1, Finish(0, False)),
+            (1, Finish(0, False)),
+            (1, Finish(0, False)),
+            (2_205, Restart(0, True, 0, False)),
+            (20_000, ListAll()),
+        ],
+        late_ms=3_000,
+    )
+
+
+def test_a_late_start_is_kept_out_although_the_restart_is_silent():
+    """Guards against a call that hangs until after the order is carried out."""
+    for cut_ms in range(200, 1_400, 150):
+        _check(
+            [
+                (1, ListOnly(0)),
+                (500, _START_LATE),
+                (1, Submit(1, False)),
+                (100, _ALL_OK),
+                (100, Lead(0)),
+                (1_000, List(1)),
+                (1_910 - cut_ms, _ALL_CUT),
+                (1, Crash(0)),
+                (cut_ms - 1, Restart(0, True, 0, False)),
+                (0, _ALL_OK),
+                (20_000, ListAll()),
+            ],
+            late_ms=3_000,
+        )
+
+
+def test_a_late_start_is_kept_out_after_its_run_was_done():
+    """Guards against a task that runs again after its end was acknowledged.
+
+    The order was repeated. The leader may be replaced after the end as well.
+    """
+    for lead in ((), ((200, Lead(0)),), ((200, Lead(0)), (700, Lead(0)))):
+        waited_ms = sum(pause_ms for pause_ms, _ in lead)
+        _check(
+            [
+                (1, ListOnly(0)),
+                (500, _START_LATE),
+                (1, Submit(1, False)),
+                (100, _ALL_OK),
+                (700, Finish(0, False)),
+                (200, ListOnly(1)),
+                *lead,
+                (2_100 - waited_ms, Restart(0, True, 0, False)),
+                (20_000, ListAll()),
+            ],
+            late_ms=3_000,
+        )
+
+
+def test_a_late_start_is_kept_out_of_the_life_after_the_next():
+    """Guards against orders that are forgotten with the first restart."""
+    _check(
+        [
+            (1, ListOnly(0)),
+            (500, _START_LATE),
+            (1, Submit(1, False)),
+            (100, _ALL_OK),
+            (700, Finish(0, False)),
+            (200, ListOnly(1)),
+            (500, Restart(0, True, 0, True)),
+            (1_500, Restart(0, True, 0, False)),
+            (20_000, ListAll()),
+        ],
+        late_ms=3_000,
+    )
+
+
+def test_a_late_start_is_kept_out_of_an_endpoint_that_is_not_listed():
+    """Guards against a leader that does not know where the order was sent.
+
+    The entry of the endpoint has expired before the leader is replaced, and
+    the next life serves before it is listed.
+    """
+    _check(
+        [
+            (1, ListOnly(0)),
+            (500, _START_LATE),
+            (1, Submit(1, False)),
+            (100, _ALL_OK),
+            (700, Finish(0, False)),
+            (200, ListOnly(1)),
+            (100, Crash(0)),
+            (200, Lead(0)),
+            (1_800, Restart(0, True, 0, False)),
+            (20_000, ListAll()),
+        ],
+        late_ms=3_000,
+    )
