Look up early cancellations by account

A refused cancellation of an unknown job went through all that are stored to find the oldest one. They are kept by account, the oldest first.

--- a/packages/placer/src/laburnumgate_placer/early_cancels.py
+++ b/packages/placer/src/laburnumgate_placer/early_cancels.py
@@ -5,7 +5,6 @@
 cancellation that is stored applies to it whatever the order of the two.
 """
 
-import collections
 import hashlib
 
 # How long a cancellation is kept. A submission is not sent for longer than
@@ -29,41 +28,35 @@
 
 
 class EarlyCancels:
-    """The cancellations that are stored, by job id and account."""
+    """The cancellations that are stored, by account and job id."""
 
     def __init__(self):
-        # Unix ms of each, by the digest of its account.
-        self._at_ms_by_id: dict[str, dict[str, int]] = {}
-        self._count_by_account: collections.Counter[str] = collections.Counter()
+        # Unix ms of each by job id, the oldest first, by the digest of the
+        # account.
+        self._at_ms_by_account: dict[str, dict[str, int]] = {}
 
     def __len__(self) -> int:
-        return self._count_by_account.total()
+        return sum(map(len, self._at_ms_by_account.values()))
 
     def add(self, job_id: str, account_digest: str, at_ms: int) -> None:
         """Adds a cancellation; `at_ms` is its Unix time in ms."""
-        by_account = self._at_ms_by_id.setdefault(job_id, {})
-        if account_digest not in by_account:
-            self._count_by_account[account_digest] += 1
-        by_account[account_digest] = at_ms
+        by_id = self._at_ms_by_account.setdefault(account_digest, {})
+        by_id.pop(job_id, None)
+        by_id[job_id] = at_ms
 
     def remove(self, job_id: str, account_digest: str) -> None:
         """Removes a cancellation that has expired."""
-        by_account = self._at_ms_by_id.get(job_id, {})
-        if by_account.pop(account_digest, None) is None:
-            return
-        if not by_account:
-            del self._at_ms_by_id[job_id]
-        self._count_by_account[account_digest] -= 1
-        if not self._count_by_account[account_digest]:
-            del self._count_by_account[account_digest]
+        by_id = self._at_ms_by_account.get(account_digest, {})
+        by_id.pop(job_id, None)
+        if not by_id:
+            self._at_ms_by_account.pop(account_digest, None)
 
     def cover(self, job_id: str, account: str) -> bool:
         """Whether a job of this id and account was cancelled."""
-        by_account = self._at_ms_by_id.get(job_id)
-        if by_account is None:
-            return False
+        if account:
+            return job_id in self._at_ms_by_account.get(digest(account), {})
         # Every account may cancel a job that belongs to none.
-        return not account or digest(account) in by_account
+        return any(job_id in each for each in self._at_ms_by_account.values())
 
     def lasting(self, job_id: str, account: str, now_ms: int) -> bool:
         """Whether a cancellation by an account lasts long enough for another.
@@ -73,8 +66,8 @@
           account: account of the caller.
           now_ms: Unix time.
         """
-        by_account = self._at_ms_by_id.get(job_id, {})
-        at_ms = by_account.get(digest(account))
+        by_id = self._at_ms_by_account.get(digest(account), {})
+        at_ms = by_id.get(job_id)
         return at_ms is not None and abs(now_ms - at_ms) < REFRESH_MS
 
     def retry_after_ms(self, account: str, now_ms: int) -> int | None:
@@ -87,16 +80,16 @@
         Returns:
           The time to wait in ms, or None if it may do so now.
         """
-        own = digest(account)
-        full = len(self) >= MAX_COUNT
-        if not full and self._count_by_account[own] < MAX_COUNT_PER_ACCOUNT:
+        own = self._at_ms_by_account.get(digest(account), {})
+        if len(own) >= MAX_COUNT_PER_ACCOUNT:
+            oldest_ms = next(iter(own.values()))
+        elif len(self) >= MAX_COUNT:
+            oldest_ms = min(
+                next(iter(each.values()))
+                for each in self._at_ms_by_account.values()
+            )
+        else:
             return None
-        oldest_ms = min(
-            at_ms
-            for by_account in self._at_ms_by_id.values()
-            for account_digest, at_ms in by_account.items()
-            if full or account_digest == own
-        )
         left_ms = oldest_ms + LIFETIME_MS - now_ms
         return min(MAX_RETRY_AFTER_MS, max(MIN_RETRY_AFTER_MS, left_ms))
 
@@ -109,7 +102,7 @@
         """
         return [
             (job_id, account_digest)
-            for job_id, by_account in self._at_ms_by_id.items()
-            for account_digest, at_ms in by_account.items()
+            for account_digest, by_id in self._at_ms_by_account.items()
+            for job_id, at_ms in by_id.items()
             if abs(now_ms - at_ms) > LIFETIME_MS
         ]
--- a/packages/placer/tests/endpoint_model.py
+++ b/packages/placer/tests/endpoint_model.py
@@ -748,10 +748,15 @@
             if term is self.leader:
                 self.lead()
 
-    def submit(self, count, gang):
+    def submit(self, count, gang, long_running=False):
         self._names += 1
         job_id = f"{self._names:016x}"
-        step = builders.step(count=count, gang=gang, estimate_ms=60_000)
+        step = builders.step(
+            count=count,
+            gang=gang,
+            estimate_ms=60_000,
+            long_running=long_running,
+        )
         if gang:
             self.endpoints.gang_steps.add((job_id, 0))
         job = builders.job(job_id, step, accepted_ms=self.wall.now_ms())
--- a/packages/placer/tests/test_termination_machine.py
+++ b/packages/placer/tests/test_termination_machine.py
@@ -5,6 +5,7 @@
 """
 
 import dataclasses
+import itertools
 
 import endpoint_model
 from hypothesis import given
@@ -22,9 +23,10 @@
 
     count: int
     gang: bool
+    long_running: bool = False
 
     def __call__(self, system):
-        system.submit(self.count, self.gang)
+        system.submit(self.count, self.gang, self.long_running)
 
 
 @dataclasses.dataclass(frozen=True)
@@ -373,24 +375,25 @@
     Only the leader that sent the order knows that it was not answered. It is
     replaced, and the endpoint restarts while nothing runs there.
     """
-    for stale_ms in (0, 1_000, 8_000):
-        for after_ms in (300, 600, 1_200):
-            _check(
-                [
-                    (1, ListOnly(0)),
-                    (500, _START_LATE),
-                    (1, Submit(1, False)),
-                    (100, _ALL_OK),
-                    # Takes the endpoint while the task waits.
-                    (1, Submit(8, True)),
-                    (100, Lead(stale_ms)),
-                    (700, List(1)),
-                    (200, Finish(0, False)),
-                    (2_309 - after_ms, Restart(0, True, 0, False)),
-                    (20_000, ListAll()),
-                ],
-                late_ms=3_000,
-            )
+    for stale_ms, after_ms, listed, long_running in itertools.product(
+        (0, 1_000, 8_000), (300, 600, 1_200), (False, True), (False, True)
+    ):
+        _check(
+            [
+                (1, ListOnly(0)),
+                (500, _START_LATE),
+                (1, Submit(1, False, long_running)),
+                (100, _ALL_OK),
+                # Takes the endpoint while the task waits.
+                (1, Submit(8, True)),
+                (100, Lead(stale_ms)),
+                (700, List(1)),
+                (200, Finish(0, False)),
+                (2_309 - after_ms, Restart(0, True, 0, listed)),
+                (20_000, ListAll()),
+            ],
+            late_ms=3_000,
+        )
 
 
 def test_a_start_of_an_earlier_leader_is_kept_out_after_the_next_run():
