Send a pace again while an earlier order has no answer

An order on pace without an answer was carried out 8 s later, when the pace was 0 %, and stayed in force.

Cause: a pace is sent only if it differs from the last one that was answered, and there is none below 0 %.

--- a/packages/placer/src/laburnumgate_placer/pacing.py
+++ b/packages/placer/src/laburnumgate_placer/pacing.py
@@ -3,6 +3,7 @@
 import dataclasses
 
 from laburnumgate_placer import endpoint_table
+from laburnumgate_placer import pending_starts
 from laburnumgate_placer import progress
 
 # Ratio of a serving task's reported tail latency to its target above which
@@ -48,13 +49,42 @@
     changes = []
     for member in filling:
         percent = _next_percent(member.pace_percent, worst_ratio)
-        if percent != member.pace_percent:
+        if percent != member.pace_percent or _repeats(
+            member, worst_ratio, now_ms
+        ):
             changes.append(PaceChange(member, percent))
     if changes:
         state.paced_ms = now_ms
     return changes
 
 
+def record_answer(change: PaceChange, *, answered: bool, now_ms: int) -> None:
+    """Records what became of the order for a change.
+
+    Args:
+      change: the change.
+      answered: whether it is in force. If not, it may be later.
+      now_ms: monotonic time.
+    """
+    member = change.member
+    if not answered:
+        member.pace_doubted_until_ms = (
+            now_ms + pending_starts.MAX_ORDER_DELAY_MS
+        )
+        return
+    member.pace_percent = change.percent
+    if now_ms > member.pace_doubted_until_ms:
+        member.pace_doubted_until_ms = 0
+
+
+def _repeats(member: progress.Member, worst_ratio: float, now_ms: int) -> bool:
+    """Whether a pace is sent again, as another one may be in force."""
+    if not member.pace_doubted_until_ms:
+        return False
+    disturbs = worst_ratio > SLOW_DOWN_FRACTION
+    return disturbs or now_ms > member.pace_doubted_until_ms
+
+
 def _next_percent(percent: int, worst_ratio: float) -> int:
     if worst_ratio > SLOW_DOWN_FRACTION:
         slowed = int(percent * PACE_REDUCTION_RATIO)
--- a/packages/placer/src/laburnumgate_placer/progress.py
+++ b/packages/placer/src/laburnumgate_placer/progress.py
@@ -70,6 +70,8 @@
         not started.
       load: latest load reported.
       pace_percent: throttle, in percent of the time.
+      pace_doubted_until_ms: monotonic time until which another pace may come
+        into force, by an order without an answer; 0 if none can.
       machine: machine of the endpoint, empty if unknown.
     """
 
@@ -92,6 +94,7 @@
     base_ms: int = 0
     load: float = 0.0
     pace_percent: int = 100
+    pace_doubted_until_ms: int = 0
     machine: str = ""
 
 
--- a/packages/placer/src/laburnumgate_placer/watcher.py
+++ b/packages/placer/src/laburnumgate_placer/watcher.py
@@ -395,8 +395,13 @@
                 before=member.pace_percent,
                 outcome=type(answer).__name__,
             )
-            if isinstance(answer, ports.Done):
-                member.pace_percent = change.percent
+            # A refused order is not carried out later.
+            if not isinstance(answer, ports.Refused | ports.Undelivered):
+                pacing.record_answer(
+                    change,
+                    answered=isinstance(answer, ports.Done),
+                    now_ms=tables.monotonic.now_ms(),
+                )
 
     async def _wait_until_recorded(self) -> None:
         """Waits until the ends of the last report are recorded."""
