--- a/deploy/tests/test_machines.py
+++ b/deploy/tests/test_machines.py
@@ -8,9 +8,12 @@
 from aiohttp import web
 import builders
 from laburnumgate_placer import ports
+import laburnumgated
 import machines
 import orjson
 import pytest
+import settings
+import store
 
 _TIMEOUT_MS = 1_000
 _NESTED = b"[" * 1_000 + b"]" * 1_000
@@ -133,3 +136,31 @@
     """Guards against a check of advice that refuses usable answers."""
     body = b'{"allowed":[["e1","t"]],"validity_ms":100}'
     assert _ask(body) == ports.Advice({"e1": "t"}, 100)
+
+
+def test_calls_go_to_the_addresses_of_the_latest_settings(tmp_path):
+    """Guards against jobs that never start after a service has moved."""
+    text = """
+node_name = "h1"
+zone = "z1"
+ip = "127.0.0.1"
+port_range = [7000, 7000]
+advice = "127.0.0.1:{port}"
+[listen_addrs]
+front = "127.0.0.1:1"
+ready_addr = "127.0.0.1:2"
+[platform]
+address = "127.0.0.1:{port}"
+[cloud_api]
+address = "127.0.0.1:{port}"
+"""
+
+    def load(port):
+        path = tmp_path / "node.toml"
+        path.write_text(text.format(port=port))
+        return settings.load(path)
+
+    external = laburnumgated._services(load(7), None, store.StoreLog(None, ""))
+    laburnumgated.set_addresses(external, load(8))
+    for client in (external.log, external.advisor, external.machines):
+        assert client.root_url == "http://127.0.0.1:8"
