List a restarted endpoint again if its entry was read first

What callers would see: up to 1.5 s, until the next heartbeat of the endpoint, in which it gets no work after a restart while start orders to it are pending.

Cause: since the incarnation that a report shows is added unlisted. If its entry had been read before the report, nothing applied it then.

Change: the entry is applied when the incarnation is added.

The tests of the leader, the ledger, crashes and the drawn schedules passed.

--- a/packages/placer/src/laburnumgate_placer/live_list.py
+++ b/packages/placer/src/laburnumgate_placer/live_list.py
@@ -44,8 +44,12 @@
         """Adds listed incarnations whose predecessor ended or has no runs."""
         self._end_replaced()
         for state in list(self._tables.endpoints.by_id.values()):
-            if state.ended:
-                self._add_next_incarnation(state)
+            if not state.ended or self._add_next_incarnation(state) is None:
+                continue
+            # Its entry may have been read before its restart was found.
+            listed = self._listed_by_id.get(state.info.endpoint_id)
+            if listed is not None:
+                self._apply_listed(listed)
         for endpoint in list(self._listed_by_id.values()):
             state = self._tables.endpoints.by_id.get(endpoint.endpoint_id)
             if state is None or state.ended or _is_replaced(state, endpoint):
--- a/packages/placer/tests/test_live_list.py
+++ b/packages/placer/tests/test_live_list.py
@@ -6,11 +6,13 @@
 import builders
 import fakelog
 from laburnumgate_core import clock
+from laburnumgate_placer import endpoint_table
 from laburnumgate_placer import events
 from laburnumgate_placer import feed
 from laburnumgate_placer import lifecycle
 from laburnumgate_placer import limits
 from laburnumgate_placer import live_list
+from laburnumgate_placer import model
 from laburnumgate_placer import ports
 from laburnumgate_placer import records
 from laburnumgate_placer import reports
@@ -247,3 +249,39 @@
     assert not _needs_renewal(tables, before)
     listed.apply(ports.Entry(3, "e2", b"1"))
     assert _needs_renewal(tables, before)
+
+
+@pytest.mark.parametrize("listed_first", [True, False])
+def test_a_restarted_endpoint_is_listed_although_orders_are_pending(
+    listed_first,
+):
+    """Guards against an endpoint that is left out until its next heartbeat.
+
+    Its entry was read before the restart was found by a report, or after.
+    """
+    tables = builders.tables()
+    live = live_list.LiveList(
+        tables,
+        lambda entry: builders.endpoint(entry.key, born_ms=int(entry.value)),
+        lambda state: None,
+        tables.monotonic.now_ms(),
+    )
+    live.apply(ports.Entry(0, "e1", b"1"))
+    before = tables.endpoints.by_id["e1"]
+    key = (model.TaskKey("a" * 16, 0, 0, 0), 1)
+    before.pending_starts.send(key, tables.monotonic.now_ms())
+    entry = ports.Entry(1, "e1", b"2")
+    if listed_first:
+        live.apply(entry)
+    before.restart = endpoint_table.Restart(2, tables.monotonic.now_ms())
+    lifecycle.end_incarnation(tables, before, "restarted")
+    live.add_restarted()
+    state = tables.endpoints.by_id["e1"]
+    assert state is not before
+    assert state.info.born_ms == 2
+    assert state.listed == listed_first
+    if not listed_first:
+        live.apply(entry)
+    assert state is tables.endpoints.by_id["e1"]
+    assert state.listed
+    assert state.info.capacity == builders.endpoint().capacity
