--- a/review/stand-ins-3/harness.py
+++ b/review/stand-ins-3/harness.py
@@ -52,6 +52,7 @@
 contracts = ["base","drain","config","cost","recover","sched","tenants",
     "places","platform","advice","upkeep","sharing"]
 orders = "call"
+{advice}
 [zones]
 z0 = "region"
 z1 = "region"
@@ -310,6 +311,12 @@
         if self.highest.get(task, 0) >= number:
             return self._answer({"reason": "old"}, 409)
         job_id, _, step, _ = task.split(".")
+        ticket = f"{task.rpartition('.')[0]}@{self.id}"
+        if (
+            job_id in self.world.advised_ids
+            and body.get("ticket", "") != ticket
+        ):
+            return self._answer({"reason": "ticket"}, 409)
         run = Run(
             task,
             number,
@@ -416,8 +423,10 @@
         """Address for callers."""
         return f"{self.ip}:{self.ports['front']}"
 
-    async def start(self) -> None:
-        """Starts the process by the command of the deploy file."""
+    def write_settings(self) -> None:
+        """Writes the settings file, as the platform does."""
+        address = f"127.0.0.1:{self.world.advice_port}"
+        advice = f'advice = "{address}"' if self.world.advice_named else ""
         self.path.write_text(
             _SETTINGS.format(
                 name=self.name,
@@ -425,9 +434,14 @@
                 zone=self.zone,
                 first=str(not self.starts and self.world.first).lower(),
                 store=self.world.store_port,
+                advice=advice,
                 **self.ports,
             )
         )
+
+    async def start(self) -> None:
+        """Starts the process by the command of the deploy file."""
+        self.write_settings()
         self.starts += 1
         self._asked = False
         with self.log.open("ab") as log:
@@ -493,6 +507,7 @@
         self.hosts: list[HostProcess] = []
         self.jobs: dict[str, dict] = {}
         self.urgent_ids: set[str] = set()
+        self.advised_ids: set[str] = set()
         self.runs: list[tuple[Worker, Run]] = []
         # Tail of serving tasks by their own load, and by tasks that fill.
         self.own_tail_ms = 0
@@ -501,6 +516,12 @@
         self.fails_after_s: dict[str, float] = {}
         self.first = True
         self.store_port = 0
+        # The advice service, whether the settings name it, and whether the
+        # config has a queue that needs its tickets.
+        self.advice_port = 0
+        self.advice_named = False
+        self.advised = False
+        self.advice_calls = 0
         self._tasks: list[asyncio.Task] = []
         self._session: aiohttp.ClientSession | None = None
 
@@ -514,6 +535,10 @@
             web.Server(self.store.handle, access_log=None), "127.0.0.1", 0
         )
         self.store_port = server.sockets[0].getsockname()[1]
+        server = await loop.create_server(
+            web.Server(self._advise, access_log=None), "127.0.0.1", 0
+        )
+        self.advice_port = server.sockets[0].getsockname()[1]
         self.put_config(1)
         for number, rack in enumerate(racks):
             self.workers.append(Worker(self, number, rack))
@@ -559,8 +584,36 @@
             ],
             "limits": {},
         }
+        if self.advised:
+            advice = {
+                "decision_ms": 50,
+                "per_item_ms": 2,
+                "validity_ms": 5000,
+            }
+            patient = config["routes"][-1]
+            config["routes"].append(
+                patient
+                | {
+                    "name": "advised",
+                    "path_prefix": "/advised/",
+                    "advice": advice,
+                }
+            )
         self.store.put("keyed.op", "config", orjson.dumps(config))
 
+    async def _advise(self, request: web.BaseRequest) -> web.Response:
+        """Answers as the advice service; each worker may run each step."""
+        body = orjson.loads(await request.read())
+        self.advice_calls += 1
+        await asyncio.sleep(0.05 + 0.002 * len(body["workers"]))
+        step = body["step"]
+        allowed = [[name, f"{step}@{name}"] for name in body["workers"]]
+        self.record.add(f"advice on {step} for {len(allowed)} workers")
+        return web.Response(
+            body=orjson.dumps({"allowed": allowed, "validity_ms": 5000}),
+            content_type="application/json",
+        )
+
     async def tear_down(self) -> None:
         """Ends all processes that the case started."""
         for host in self.hosts:
@@ -595,6 +648,8 @@
         host = host or self.hosts[0]
         urgent = job_id in self.urgent_ids
         queue = "urgent" if urgent else "jobs"
+        if job_id in self.advised_ids:
+            queue = "advised"
         try:
             async with self._session.request(
                 method,
@@ -617,15 +672,23 @@
         return status, content
 
     async def submit(
-        self, steps: list[dict], *, urgent: bool = False, **fields
+        self,
+        steps: list[dict],
+        *,
+        urgent: bool = False,
+        advised: bool = False,
+        **fields,
     ) -> str:
         """Submits a job, with retries, and returns its id once accepted.
 
-        Urgent jobs have priority 0 and are of the tenant with a guarantee.
+        Urgent jobs have priority 0 and are of the tenant with a guarantee;
+        tasks of advised ones need tickets.
         """
         job_id = f"{random.getrandbits(64):016x}"
         if urgent:
             self.urgent_ids.add(job_id)
+        if advised:
+            self.advised_ids.add(job_id)
         body = {"task_spec": f"spec of {job_id}", "steps": steps} | fields
         self.jobs[job_id] = body
         for attempt in range(5):
